Set up the toolchain, the checks and the contracts of the core

Cause: the repository was empty. Ruled out: quoted test globs (Node 20 finds no .ts file and passes with 0 tests), so scripts/runTests.ts lists the files and fails on an empty list.

--- /dev/null
+++ b/scripts/checkKnownRed.ts
@@ -0,0 +1,53 @@
+import { existsSync, readFileSync } from 'node:fs';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const FAILED_TEST_LINE = /^\s*not ok \d+ - (.*)$/;
+const TEST_FILE_NAME = /\.test\.ts$/;
+const ENTRY_LINE = /^test: (.*)$/;
+
+/**
+ * @returns the names of the tests that are known to fail, from the lines `test: NAME`
+ */
+export function readKnownRed(): string[] {
+  if (!existsSync(KNOWN_RED_FILE)) {
+    return [];
+  }
+  return readFileSync(KNOWN_RED_FILE, 'utf8').split('\n')
+    .map((line) => ENTRY_LINE.exec(line)?.[1]?.trim())
+    .filter((name) => name !== undefined);
+}
+
+/**
+ * Lists the failed tests of a run.
+ *
+ * @param tapOutput - what the test runner printed in the TAP format
+ * @returns the names of the tests that failed, without their files and suites
+ */
+export function getFailedTests(tapOutput: string): string[] {
+  const lines = tapOutput.split('\n');
+  return lines.flatMap((line, index) => {
+    const name = FAILED_TEST_LINE.exec(line)?.[1];
+    const isSuite = lines.slice(index, index + 4).some((next) => next.includes("type: 'suite'"));
+    return name === undefined || isSuite || TEST_FILE_NAME.test(name) ? [] : [name.trim()];
+  });
+}
+
+/**
+ * Decides the verdict of a test run: failures listed in KNOWN-RED.txt are printed and passed over.
+ *
+ * @param tapOutput - what the test runner printed in the TAP format
+ * @param status - the runner's exit code
+ * @returns the exit code for the whole run
+ */
+export function checkKnownRed(tapOutput: string, status: number): number {
+  if (status === 0) {
+    return 0;
+  }
+  const known = readKnownRed();
+  const failed = getFailedTests(tapOutput);
+  const unknown = failed.filter((name) => !known.includes(name));
+  failed.filter((name) => known.includes(name))
+    .forEach((name) => console.log(`known red, passed over: ${name}`));
+  unknown.forEach((name) => console.error(`failed: ${name}`));
+  return failed.length > 0 && unknown.length === 0 ? 0 : status;
+}
--- /dev/null
+++ b/scripts/runTests.ts
@@ -0,0 +1,23 @@
+import { spawnSync } from 'node:child_process';
+import { globFiles } from './globFiles.ts';
+import { checkKnownRed } from './checkKnownRed.ts';
+
+/*
+ * Runs every test file. Node 20 finds no `.ts` file in a folder and then passes with 0 tests, so
+ * the files are listed here and an empty list is a failure. Arguments narrow the list by substring.
+ */
+const filters = process.argv.slice(2);
+const files = globFiles(['src', 'standins', 'test', 'scripts', 'bench', 'examples'], '.test.ts')
+  .filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)));
+if (files.length === 0) {
+  console.error('No test file found: check the folder names in scripts/runTests.ts');
+  process.exit(1);
+}
+const run = spawnSync(
+  process.execPath,
+  ['--import', 'tsx', '--test', '--test-reporter=tap', '--test-concurrency=4', ...files],
+  { encoding: 'utf8', maxBuffer: 512 * 1024 * 1024 },
+);
+process.stdout.write(run.stdout);
+process.stderr.write(run.stderr);
+process.exit(checkKnownRed(run.stdout, run.status ?? 1));
--- /dev/null
+++ b/src/peers/PeerMessage.ts
@@ -0,0 +1,41 @@
+import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
+import type { FailureDomainId, HostId, IncarnationId } from '../lib/ids.ts';
+
+/** One member as its sender knows it. */
+export interface MemberRecord {
+  readonly hostId: HostId;
+  readonly incarnationId: IncarnationId;
+  readonly failureDomainId: FailureDomainId;
+  /** `IP:port` of the member's peer listener. */
+  readonly peerAddress: string;
+  readonly state: 'alive' | 'suspect' | 'leaving' | 'dead';
+  /** Grows with each statement the member makes about itself. */
+  readonly generation: number;
+  /** Configuration version that the member said is in force at it. */
+  readonly configurationVersion: number;
+}
+
+/** Periodic sign of life with a digest of what the sender has. */
+export interface HeartbeatMessage {
+  readonly kind: 'heartbeat';
+  readonly sequence: number;
+  readonly self: MemberRecord;
+  /** A bounded selection of other members, changed ones first. */
+  readonly members: readonly MemberRecord[];
+  readonly configurationVersion: number;
+}
+
+/** A configuration that was accepted by the platform. */
+export interface ConfigurationMessage {
+  readonly kind: 'configuration';
+  readonly configuration: ConfigurationRecord;
+}
+
+/** Asks for the configuration when a digest showed a higher version. */
+export interface ConfigurationAskMessage {
+  readonly kind: 'configurationAsk';
+  readonly knownVersion: number;
+}
+
+/** A message between entry hosts. */
+export type PeerMessage = HeartbeatMessage | ConfigurationMessage | ConfigurationAskMessage;
--- /dev/null
+++ b/src/platform/KeyValueCall.ts
@@ -0,0 +1,77 @@
+/** Classes among which a host's share of the platform's call budget is split. */
+export const KEY_VALUE_CLASS = {
+  lease: 'lease',
+  claim: 'claim',
+  configuration: 'configuration',
+  cost: 'cost',
+} as const;
+
+/** A class of the platform call budget. */
+export type KeyValueClass = typeof KEY_VALUE_CLASS[keyof typeof KEY_VALUE_CLASS];
+
+/** Reads a key. */
+export interface GetCall {
+  readonly kind: 'get';
+  readonly key: string;
+}
+
+/** Replaces the value when the version is still the expected one; 0 expects a missing key. */
+export interface CompareAndSwapCall {
+  readonly kind: 'compareAndSwap';
+  readonly key: string;
+  readonly expectedVersion: number;
+  readonly value: string;
+}
+
+/** Waits for a version above the given one, then answers like a get. */
+export interface WatchCall {
+  readonly kind: 'watch';
+  readonly key: string;
+  readonly afterVersion: number;
+  readonly waitMs: number;
+}
+
+/** A call to the platform's key-value service. */
+export type KeyValueCall = GetCall | CompareAndSwapCall | WatchCall;
+
+/** The key has this value. Versions of a key grow by at least one with each write. */
+export interface ValueAnswer {
+  readonly kind: 'value';
+  readonly version: number;
+  readonly value: string;
+}
+
+/** The key does not exist. */
+export interface MissingAnswer {
+  readonly kind: 'missing';
+}
+
+/** The swap took effect and gave the key this version. */
+export interface SwappedAnswer {
+  readonly kind: 'swapped';
+  readonly version: number;
+}
+
+/** The swap did not take effect; this is the present state, version 0 and empty when missing. */
+export interface ConflictAnswer {
+  readonly kind: 'conflict';
+  readonly version: number;
+  readonly value: string;
+}
+
+/** The call certainly had no effect (not sent, refused by the budget or by the service). */
+export interface UnavailableAnswer {
+  readonly kind: 'unavailable';
+  readonly detail: string;
+}
+
+/** The answer was lost; a swap may have taken effect. */
+export interface UnknownAnswer {
+  readonly kind: 'unknown';
+  readonly detail: string;
+}
+
+/** The answer to a call. */
+export type KeyValueAnswer =
+  | ValueAnswer | MissingAnswer | SwappedAnswer
+  | ConflictAnswer | UnavailableAnswer | UnknownAnswer;
--- /dev/null
+++ b/src/time/SystemClock.ts
@@ -0,0 +1,14 @@
+import type { Clock } from './Clock.ts';
+
+/** The clock of the machine. */
+export class SystemClock implements Clock {
+  /** @inheritdoc */
+  getMonotonicMs(): number {
+    return performance.now();
+  }
+
+  /** @inheritdoc */
+  getWallMs(): number {
+    return performance.timeOrigin + performance.now();
+  }
+}
