--- /dev/null
+++ b/bench/BENCHES.ts
@@ -0,0 +1,5 @@
+import type { BenchEntry } from './Bench.ts';
+
+/** Every benchmark; a new one is one more line. */
+export const BENCHES: readonly BenchEntry[] = [
+];
