--- /dev/null
+++ b/src/admission/Admission.ts
@@ -0,0 +1,272 @@
+import { REFUSAL_CODE, type RefusalCode } from '../answers/REFUSAL_CODE.ts';
+import type { PipelineRecord, StageRecord } from '../configuration/records/PipelineRecord.ts';
+import type { CoreContext } from '../core/CoreContext.ts';
+import type { AccountId, PipelineId, PoolId } from '../lib/ids.ts';
+import type { StageLatencies } from './StageLatencies.ts';
+
+/** What waits and runs at a pool of this host. */
+export interface PoolLoad {
+  /** Attempts that this host may run there at once. */
+  readonly limit: number;
+  readonly running: number;
+  /** Waiting items of all accounts. */
+  readonly queuedCount: number;
+  /** Waiting items of the asking account. */
+  readonly accountQueuedCount: number;
+  /** The asking account's part of the weights of all accounts that wait, itself included. */
+  readonly accountShare: number;
+}
+
+/** Where admission learns the state of the pools. */
+export interface PoolLoadSource {
+  /**
+   * @param poolId - the pool
+   * @param accountId - the asking account
+   * @returns what waits and runs there
+   */
+  getPoolLoad(poolId: PoolId, accountId: AccountId): PoolLoad;
+}
+
+/** How careful admission is. */
+export interface AdmissionOptions {
+  /** Quantile of the latencies that must fit into the deadline at admission. */
+  readonly admitQuantile: number;
+  /** Quantile of the latencies that must fit for a request that has already run billed stages. */
+  readonly continueQuantile: number;
+  /** Part of the time for waiting that may be planned for; the rest absorbs bad estimates. */
+  readonly waitFraction: number;
+  /** Time to come back when a pool has no usable upstream. */
+  readonly noCapacityRetryAfterMs: number;
+}
+
+/** Defaults of admission. */
+export const DEFAULT_ADMISSION_OPTIONS: AdmissionOptions = {
+  admitQuantile: 0.95,
+  continueQuantile: 0.1,
+  waitFraction: 0.8,
+  noCapacityRetryAfterMs: 5_000,
+};
+
+/** What is to be decided about. */
+export interface AdmissionRequest {
+  readonly accountId: AccountId;
+  readonly pipeline: PipelineRecord;
+  /** Index of the next stage to run; 0 at arrival. */
+  readonly nextStageIndex: number;
+  /** Monotonic time of the end-to-end deadline. */
+  readonly deadlineAtMs: number;
+  /** Cost so far, in millionths of the billing currency. */
+  readonly spentMicros: number;
+  /** The account's ceiling for one request; 0 for none. */
+  readonly costCeilingMicros: number;
+}
+
+/** The request may go on. */
+export interface AdmittedVerdict {
+  readonly kind: 'admitted';
+  /** Monotonic time by which the next stage has to end, so that the later ones keep their part. */
+  readonly stageDeadlineAtMs: number;
+  /** Monotonic time after which it is of no use to start the next stage. */
+  readonly latestStartAtMs: number;
+}
+
+/** The request can't be served as asked. */
+export interface RefusedVerdict {
+  readonly kind: 'refused';
+  readonly code: RefusalCode;
+  /** When the caller may come back; null when asking again can't help. */
+  readonly retryAfterMs: number | null;
+  readonly detail: string;
+}
+
+/** What admission decided. */
+export type AdmissionVerdict = AdmittedVerdict | RefusedVerdict;
+
+interface StageNeed {
+  readonly medianMs: number;
+  readonly spreadMs: number;
+  readonly waitMs: number;
+}
+
+interface PipelineNeed {
+  readonly serviceMs: number;
+  readonly waitMs: number;
+  readonly stages: readonly StageNeed[];
+}
+
+const MEDIAN = 0.5;
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function refuseDeadline(
+  need: PipelineNeed,
+  remainingMs: number,
+  retryAfterMs: number | null,
+): RefusedVerdict {
+  const waitMs = Number.isFinite(need.waitMs) ? Math.round(need.waitMs) : 0;
+  return {
+    kind: 'refused',
+    code: REFUSAL_CODE.deadlineUnreachable,
+    retryAfterMs,
+    detail: `The stages need ${Math.round(need.serviceMs)} ms and a wait of ${waitMs} ms; `
+      + `${Math.round(remainingMs)} ms remain`,
+  };
+}
+
+function getWaitMs(load: PoolLoad, medianMs: number): number {
+  if (load.limit === 0) {
+    return Infinity;
+  }
+  if (load.queuedCount === 0 && load.running < load.limit) {
+    return 0;
+  }
+  const slotMs = medianMs / load.limit;
+  const wholeQueueMs = (load.queuedCount + 1) * slotMs;
+  const ownQueueMs = ((load.accountQueuedCount + 1) * slotMs) / load.accountShare;
+  return Math.min(wholeQueueMs, ownQueueMs);
+}
+
+/**
+ * Decides at arrival, and between stages, whether a request can still be served in time and within
+ * its cost ceiling, and splits its deadline over the stages that remain.
+ *
+ * The service time at quantile q of independent stages is taken as the sum of their medians plus
+ * the root of the sum of their squared spreads (quantile less median). The wait at a pool is the
+ * work ahead of the account over the pool's rate, limit / median service time (Little's law).
+ *
+ * ```ts
+ * const verdict = admission.decide({ ...request, nextStageIndex: 0, spentMicros: 0 });
+ * if (verdict.kind === 'refused') answer(verdict);            // before any stage was sent
+ * else queue.enqueue({ deadlineAtMs: verdict.latestStartAtMs, ... });
+ * ```
+ * After each stage Core asks again with `nextStageIndex` and `spentMicros`.
+ */
+export class Admission {
+  readonly #context: CoreContext;
+
+  readonly #latencies: StageLatencies;
+
+  readonly #pools: PoolLoadSource;
+
+  readonly #options: AdmissionOptions;
+
+  /**
+   * @param context - the time of the step
+   * @param latencies - live quantiles and costs of the stages
+   * @param pools - what waits and runs at the pools
+   * @param options - how careful to be; what is left out takes its default
+   */
+  constructor(
+    context: CoreContext,
+    latencies: StageLatencies,
+    pools: PoolLoadSource,
+    options: Partial<AdmissionOptions> = {},
+  ) {
+    this.#context = context;
+    this.#latencies = latencies;
+    this.#pools = pools;
+    this.#options = { ...DEFAULT_ADMISSION_OPTIONS, ...options };
+  }
+
+  /**
+   * Decides whether a request may run its next stage.
+   *
+   * @param request - the request and what it has spent
+   * @returns the stage's part of the deadline, or why the request can't be served
+   */
+  decide(request: AdmissionRequest): AdmissionVerdict {
+    return this.#checkCost(request) ?? this.#checkDeadline(request);
+  }
+
+  /**
+   * @param request - the request
+   * @returns what its remaining stages are expected to cost, in millionths of the currency
+   */
+  getExpectedCostMicros(request: Pick<AdmissionRequest, 'pipeline' | 'nextStageIndex'>): number {
+    const pipelineId = request.pipeline.id as PipelineId;
+    return sum(request.pipeline.stages
+      .slice(request.nextStageIndex)
+      .map((stage) => this.#latencies.getExpectedCostMicros(pipelineId, stage)));
+  }
+
+  #checkCost(request: AdmissionRequest): RefusedVerdict | null {
+    const expectedMicros = request.spentMicros + this.getExpectedCostMicros(request);
+    if (request.costCeilingMicros === 0 || expectedMicros <= request.costCeilingMicros) {
+      return null;
+    }
+    return {
+      kind: 'refused',
+      code: REFUSAL_CODE.costCeiling,
+      retryAfterMs: null,
+      detail: `The request would cost ${Math.round(expectedMicros)} millionths, `
+        + `more than the account's ceiling of ${request.costCeilingMicros}`,
+    };
+  }
+
+  #checkDeadline(request: AdmissionRequest): AdmissionVerdict {
+    const isNew = request.nextStageIndex === 0;
+    const { admitQuantile, continueQuantile } = this.#options;
+    const need = this.#getNeed(request, isNew ? admitQuantile : continueQuantile);
+    const remainingMs = request.deadlineAtMs - this.#context.getNowMs();
+    if (need.serviceMs > remainingMs) {
+      return refuseDeadline(need, remainingMs, null);
+    }
+    if (isNew && need.waitMs === Infinity) {
+      const retryAfterMs = this.#options.noCapacityRetryAfterMs;
+      return {
+        kind: 'refused',
+        code: REFUSAL_CODE.overloaded,
+        retryAfterMs,
+        detail: 'No upstream of a pool that the pipeline needs takes work now',
+      };
+    }
+    const excessMs = need.waitMs - (remainingMs - need.serviceMs) * this.#options.waitFraction;
+    if (isNew && excessMs > 0) {
+      return refuseDeadline(need, remainingMs, Math.ceil(excessMs));
+    }
+    return this.#admit(request, need, remainingMs);
+  }
+
+  #admit(request: AdmissionRequest, need: PipelineNeed, remainingMs: number): AdmittedVerdict {
+    const nowMs = this.#context.getNowMs();
+    const next = need.stages[0];
+    const needs = need.stages.map((stage) => stage.medianMs + stage.spreadMs);
+    const total = sum(needs);
+    const share = total === 0 ? 1 / needs.length : (needs[0] ?? 0) / total;
+    const laterMedianMs = sum(need.stages.slice(1).map((stage) => stage.medianMs));
+    const startAtMs = request.deadlineAtMs - laterMedianMs - (next?.medianMs ?? 0);
+    return {
+      kind: 'admitted',
+      stageDeadlineAtMs: nowMs + remainingMs * share,
+      latestStartAtMs: Math.max(nowMs, startAtMs),
+    };
+  }
+
+  #getNeed(request: AdmissionRequest, quantile: number): PipelineNeed {
+    const stages = request.pipeline.stages
+      .slice(request.nextStageIndex)
+      .map((stage) => this.#getStageNeed(request, stage, quantile));
+    const spreadMs = Math.sqrt(sum(stages.map((stage) => stage.spreadMs ** 2)));
+    const medianMs = sum(stages.map((stage) => stage.medianMs));
+    const isCareful = quantile >= MEDIAN;
+    return {
+      serviceMs: Math.max(0, isCareful ? medianMs + spreadMs : medianMs - spreadMs),
+      waitMs: sum(stages.map((stage) => stage.waitMs)),
+      stages,
+    };
+  }
+
+  #getStageNeed(request: AdmissionRequest, stage: StageRecord, quantile: number): StageNeed {
+    const pipelineId = request.pipeline.id as PipelineId;
+    const medianMs = this.#latencies.getQuantileMs(pipelineId, stage, MEDIAN);
+    const quantileMs = this.#latencies.getQuantileMs(pipelineId, stage, quantile);
+    const load = this.#pools.getPoolLoad(stage.poolId as PoolId, request.accountId);
+    return {
+      medianMs,
+      spreadMs: Math.abs(quantileMs - medianMs),
+      waitMs: getWaitMs(load, medianMs),
+    };
+  }
+}
--- /dev/null
+++ b/src/admission/StageLatencies.ts
@@ -0,0 +1,94 @@
+import type { StageRecord } from '../configuration/records/PipelineRecord.ts';
+import type { CoreContext } from '../core/CoreContext.ts';
+import type { PipelineId, StageId } from '../lib/ids.ts';
+import { StageStatistics } from './StageStatistics.ts';
+
+/** How stage latencies are kept. */
+export interface StageLatenciesOptions {
+  /** Time after which a measured value counts half. */
+  readonly halfLifeMs: number;
+  /** Values needed before they replace what the configuration expects. */
+  readonly minCount: number;
+}
+
+/** Defaults of stage latencies. */
+export const DEFAULT_STAGE_LATENCIES_OPTIONS: StageLatenciesOptions = {
+  halfLifeMs: 30_000,
+  minCount: 20,
+};
+
+/** One measured run of a stage. */
+export interface StageSample {
+  readonly pipelineId: PipelineId;
+  readonly stageId: StageId;
+  /** From the send to the whole result, without the wait in this host's queue. */
+  readonly latencyMs: number;
+  readonly costMicros: number;
+}
+
+/**
+ * Live latency quantiles and mean costs per stage. Until enough runs were measured, the values of
+ * the configuration stand in.
+ *
+ * ```ts
+ * latencies.note({ pipelineId, stageId, latencyMs, costMicros }); // at each attemptSucceeded
+ * ```
+ */
+export class StageLatencies {
+  readonly #context: CoreContext;
+
+  readonly #options: StageLatenciesOptions;
+
+  readonly #stages = new Map<string, StageStatistics>();
+
+  /**
+   * @param context - the time of the step
+   * @param options - how values are kept; what is left out takes its default
+   */
+  constructor(context: CoreContext, options: Partial<StageLatenciesOptions> = {}) {
+    this.#context = context;
+    this.#options = { ...DEFAULT_STAGE_LATENCIES_OPTIONS, ...options };
+  }
+
+  /**
+   * Adds a measured run.
+   *
+   * @param sample - the run
+   */
+  note(sample: StageSample): void {
+    const key = `${sample.pipelineId}/${sample.stageId}`;
+    const known = this.#stages.get(key);
+    const statistics = known ?? new StageStatistics(this.#options.halfLifeMs);
+    if (known === undefined) {
+      this.#stages.set(key, statistics);
+    }
+    statistics.latencies.add(sample.latencyMs, this.#context.getNowMs());
+    statistics.noteCost(sample.costMicros);
+  }
+
+  /**
+   * @param pipelineId - the pipeline
+   * @param stage - the stage
+   * @param quantile - between 0 and 1
+   * @returns the stage's latency at the quantile, in milliseconds
+   */
+  getQuantileMs(pipelineId: PipelineId, stage: StageRecord, quantile: number): number {
+    const statistics = this.#getMeasured(pipelineId, stage);
+    return statistics?.latencies.getQuantile(quantile) ?? stage.expectedMs;
+  }
+
+  /**
+   * @param pipelineId - the pipeline
+   * @param stage - the stage
+   * @returns what a run costs on average, in millionths of the billing currency
+   */
+  getExpectedCostMicros(pipelineId: PipelineId, stage: StageRecord): number {
+    return this.#getMeasured(pipelineId, stage)?.meanCostMicros ?? stage.expectedCostMicros;
+  }
+
+  #getMeasured(pipelineId: PipelineId, stage: StageRecord): StageStatistics | null {
+    const statistics = this.#stages.get(`${pipelineId}/${stage.id}`);
+    const count = statistics?.latencies.getCount(this.#context.getNowMs()) ?? 0;
+    return statistics !== undefined && count >= this.#options.minCount ? statistics : null;
+  }
+}
