Add the core's request life and the callers' face

Cause: no path from a caller to an upstream existed. Ruled out: a step per input (one step per event-loop turn serves all that arrived in it).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -18,6 +18,8 @@
       // Development tools live beside the sources of this one package.
       'import-x/no-extraneous-dependencies': 'off',
       'no-underscore-dangle': 'off',
+      // Systems update the records of their tables in place.
+      'no-param-reassign': ['error', { props: false }],
       // A union type starts on its own line, a member's bar before each member.
       '@stylistic/operator-linebreak': ['error', 'before', { overrides: { '=': 'ignore' } }],
       // A method that an interface asks for may not need its object.
--- /dev/null
+++ b/src/callers/WholeAnswerWriter.ts
@@ -0,0 +1,77 @@
+import type { FastifyReply } from 'fastify';
+import type { RequestAnswer } from '../answers/RequestAnswer.ts';
+import type { RequestId } from '../lib/ids.ts';
+import type { AnswerListener } from './CallerPort.ts';
+import { createProblem } from './createProblem.ts';
+
+const MS_PER_SECOND = 1_000;
+
+/** The media type of problem details (RFC 9457). */
+export const PROBLEM_TYPE = 'application/problem+json';
+
+/**
+ * @param retryAfterMs - when to come back
+ * @returns the value of a Retry-After header, in whole seconds, at least one
+ */
+export function getRetryAfterSeconds(retryAfterMs: number): string {
+  return String(Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND)));
+}
+
+/** Writes one whole answer as JSON. */
+export class WholeAnswerWriter implements AnswerListener {
+  readonly #reply: FastifyReply;
+
+  #requestId: RequestId | null = null;
+
+  #answer: RequestAnswer | null = null;
+
+  /**
+   * @param reply - where the answer goes
+   */
+  constructor(reply: FastifyReply) {
+    this.#reply = reply;
+  }
+
+  /**
+   * Names the request, once its id is known.
+   *
+   * @param requestId - the request
+   */
+  start(requestId: RequestId): void {
+    this.#requestId = requestId;
+    this.#reply.header('parsleylift-request-id', requestId);
+    if (this.#answer !== null) {
+      this.#send(requestId, this.#answer);
+    }
+  }
+
+  /** @inheritdoc */
+  onChunk(): void {
+    // A whole answer carries all of its text at the end.
+  }
+
+  /** @inheritdoc */
+  onAnswer(answer: RequestAnswer): void {
+    this.#answer = answer;
+    if (this.#requestId !== null) {
+      this.#send(this.#requestId, answer);
+    }
+  }
+
+  #send(requestId: RequestId, answer: RequestAnswer): void {
+    if (answer.kind === 'completed') {
+      const {
+        output, digest, costMicros, stages,
+      } = answer;
+      this.#reply.send({
+        requestId, output, digest, costMicros, stages,
+      });
+      return;
+    }
+    const problem = createProblem(answer, requestId);
+    if (problem.retryAfterMs !== null) {
+      this.#reply.header('retry-after', getRetryAfterSeconds(problem.retryAfterMs));
+    }
+    this.#reply.code(problem.status).type(PROBLEM_TYPE).send(JSON.stringify(problem));
+  }
+}
--- /dev/null
+++ b/src/core/Core.ts
@@ -0,0 +1,176 @@
+import {
+  createEmptyConfiguration, type ConfigurationRecord,
+} from '../configuration/records/ConfigurationRecord.ts';
+import type { ClaimPort } from '../claims/ClaimPort.ts';
+import type { CostPort } from '../cost/CostPort.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { RequestId } from '../lib/ids.ts';
+import type { PoolRouter } from '../routing/PoolRouter.ts';
+import type { CoreContext } from './CoreContext.ts';
+import { CoreInbox } from './CoreInbox.ts';
+import type { CoreInput } from './CoreInput.ts';
+import { DEFAULT_CORE_OPTIONS, type CoreOptions } from './CoreOptions.ts';
+import type { CoreWorld } from './CoreWorld.ts';
+import { DueQueue } from './DueQueue.ts';
+import { admitRequests } from './systems/admitRequests.ts';
+import { applyClaimEvents } from './systems/applyClaimEvents.ts';
+import { dispatchStages } from './systems/dispatchStages.ts';
+import { expireRequests } from './systems/expireRequests.ts';
+import { finishAttempts } from './systems/finishAttempts.ts';
+import { forwardChunks } from './systems/forwardChunks.ts';
+import { stopHost } from './systems/stopHost.ts';
+import type { RequestRecord } from './tables/RequestRecord.ts';
+
+/** The managers that the core composes. */
+export interface CoreManagers {
+  readonly router: PoolRouter;
+  readonly claims: ClaimPort;
+  readonly costs: CostPort;
+}
+
+/**
+ * The systems in the order in which they run over the tables in each step. Ends come before
+ * starts, so that room which an attempt frees is used in the same step.
+ */
+const SYSTEMS: readonly ((world: CoreWorld) => void)[] = [
+  forwardChunks,
+  finishAttempts,
+  expireRequests,
+  admitRequests,
+  applyClaimEvents,
+  dispatchStages,
+  stopHost,
+];
+
+/**
+ * Everything that an entry host decides, without any I/O: inputs in, a step, outputs through the
+ * context. The same core runs in the daemon and in tests under a manual clock.
+ */
+export class Core {
+  readonly #world: CoreWorld;
+
+  /**
+   * @param context - time, randomness and the way out
+   * @param managers - what the core composes
+   * @param options - see {@link DEFAULT_CORE_OPTIONS}
+   */
+  constructor(
+    context: CoreContext,
+    managers: CoreManagers,
+    options: Partial<CoreOptions> = {},
+  ) {
+    this.#world = {
+      ...managers,
+      context,
+      options: { ...DEFAULT_CORE_OPTIONS, ...options },
+      inbox: new CoreInbox(),
+      requests: new Map(),
+      attempts: new Map(),
+      waiting: new Map(),
+      deadlines: new DueQueue(),
+      answered: [],
+      forgettings: new DueQueue(),
+      configuration: createEmptyConfiguration(),
+      inFlightCount: 0,
+      stopRequestedAtMs: null,
+      isStopped: false,
+    };
+  }
+
+  /**
+   * Runs one step: sorts the inputs, then runs each system once.
+   *
+   * @param inputs - what happened since the last step, in order
+   */
+  step(inputs: readonly CoreInput[]): void {
+    inputs.forEach((input) => this.#sortInput(input));
+    this.#world.claims.tick();
+    this.#world.router.tick();
+    SYSTEMS.forEach((system) => system(this.#world));
+  }
+
+  /**
+   * @returns when the next step is due without any input; Infinity for never
+   */
+  getNextWakeMs(): number {
+    const {
+      deadlines, forgettings, claims, router, stopRequestedAtMs, options,
+    } = this.#world;
+    const leaveAtMs = stopRequestedAtMs === null
+      ? Infinity
+      : Math.max(this.#world.context.getNowMs(), stopRequestedAtMs + options.leaveGraceMs);
+    return Math.min(
+      deadlines.getNextWakeMs(),
+      forgettings.getNextWakeMs(),
+      claims.getNextWakeMs(),
+      router.getNextWakeMs(),
+      this.#world.isStopped ? Infinity : leaveAtMs,
+    );
+  }
+
+  /**
+   * Puts a configuration in force.
+   *
+   * @param configuration - the adopted configuration
+   */
+  setConfiguration(configuration: ConfigurationRecord): void {
+    this.#world.configuration = configuration;
+    this.#world.router.setConfiguration(configuration);
+  }
+
+  /**
+   * @returns the configuration in force
+   */
+  getConfiguration(): ConfigurationRecord {
+    return this.#world.configuration;
+  }
+
+  /**
+   * @param requestId - a request
+   * @returns its record; undefined when it is not known here
+   */
+  getRequest(requestId: RequestId): Readonly<RequestRecord> | undefined {
+    return this.#world.requests.get(requestId);
+  }
+
+  #sortInput(input: CoreInput): void {
+    const { inbox, router, claims } = this.#world;
+    switch (input.kind) {
+      case 'requestSubmitted':
+        inbox.submitted.push(input);
+        return;
+      case 'requestAbandoned':
+        inbox.abandoned.push(input);
+        return;
+      case 'attemptChunk':
+        inbox.chunks.push(input);
+        return;
+      case 'attemptSucceeded':
+      case 'attemptFailed':
+        inbox.attemptsEnded.push(input);
+        return;
+      case 'loadReported':
+        router.noteLoad(input);
+        return;
+      case 'loadUnavailable':
+        router.noteLoadUnavailable(input.upstreamId);
+        return;
+      case 'keyValueAnswered':
+        claims.handleKeyValueAnswer(input);
+        return;
+      case 'peerMessageReceived':
+        claims.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
+        router.handlePeerMessage(input.fromHostId, input.message);
+        return;
+      case 'hostListRead':
+      case 'peerUnreachable':
+      case 'operatorCalled':
+        return;
+      case 'stopRequested':
+        this.#world.stopRequestedAtMs ??= this.#world.context.getNowMs();
+        return;
+      default:
+        throw exhaustiveSwitchError(input);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/CoreInbox.ts
@@ -0,0 +1,28 @@
+import type {
+  AttemptChunkInput, AttemptFailedInput, AttemptSucceededInput, RequestAbandonedInput,
+  RequestSubmittedInput,
+} from './CoreInput.ts';
+
+/** An attempt that ended, with or without a result. */
+export type AttemptEndedInput = AttemptSucceededInput | AttemptFailedInput;
+
+/** The inputs of one step, sorted by the system that takes them; each system empties its list. */
+export class CoreInbox {
+  readonly submitted: RequestSubmittedInput[] = [];
+
+  readonly abandoned: RequestAbandonedInput[] = [];
+
+  readonly chunks: AttemptChunkInput[] = [];
+
+  readonly attemptsEnded: AttemptEndedInput[] = [];
+}
+
+/**
+ * Empties a list of the inbox.
+ *
+ * @param list - the list
+ * @returns what was in it
+ */
+export function takeAll<T>(list: T[]): T[] {
+  return list.length === 0 ? [] : list.splice(0, list.length);
+}
--- /dev/null
+++ b/src/core/CoreOptions.ts
@@ -0,0 +1,28 @@
+/** Options of the core. */
+export interface CoreOptions {
+  /** How long a final answer is kept for callers who resume. */
+  readonly answerRetentionMs: number;
+  /** Answers kept at most; the oldest go first. */
+  readonly maxKeptAnswers: number;
+  /** Requests in flight at most. */
+  readonly maxRequestsInFlight: number;
+  /** Longest deadline a caller may ask for. */
+  readonly maxDeadlineMs: number;
+  /** How long a leaving host goes on admitting requests, so that the balancer notices first. */
+  readonly leaveGraceMs: number;
+  /** Attempts of one repeatable stage at most. */
+  readonly maxAttemptsPerStage: number;
+  /** Time to come back that a refusal names when nothing better is known. */
+  readonly defaultRetryAfterMs: number;
+}
+
+/** Defaults of the core's options. */
+export const DEFAULT_CORE_OPTIONS: CoreOptions = {
+  answerRetentionMs: 60_000,
+  maxKeptAnswers: 10_000,
+  maxRequestsInFlight: 5_000,
+  maxDeadlineMs: 600_000,
+  leaveGraceMs: 1_500,
+  maxAttemptsPerStage: 3,
+  defaultRetryAfterMs: 1_000,
+};
--- /dev/null
+++ b/src/core/requests/finishRequest.ts
@@ -0,0 +1,119 @@
+import { createHash } from 'node:crypto';
+import type { CompletedAnswer, RequestAnswer, StageSummary } from '../../answers/RequestAnswer.ts';
+import type { RefusalCode } from '../../answers/REFUSAL_CODE.ts';
+import { toId } from '../../lib/ids.ts';
+import type { CoreWorld } from '../CoreWorld.ts';
+import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
+import { abandonAttempt } from './abandonAttempt.ts';
+import { explain } from './explain.ts';
+
+/** Why a request ends without a result. */
+export interface Refusal {
+  readonly code: RefusalCode;
+  readonly detail: string;
+  /** When the caller may come back; null when asking again can't help. */
+  readonly retryAfterMs: number | null;
+}
+
+function getStageSummaries(request: RequestRecord): StageSummary[] {
+  return request.stages.map((progress) => ({
+    stageId: toId(progress.stage.id),
+    upstreamId: progress.upstreamId,
+    durationMs: progress.durationMs,
+    costMicros: progress.costMicros,
+    attemptCount: progress.attemptCount,
+  }));
+}
+
+function getCostMicros(request: RequestRecord): number {
+  return request.stages.reduce((sum, progress) => sum + progress.costMicros, 0);
+}
+
+function forgetOldestAnswer(world: CoreWorld): void {
+  if (world.requests.size <= world.options.maxKeptAnswers + world.options.maxRequestsInFlight) {
+    return;
+  }
+  const oldest = world.answered.shift();
+  if (oldest !== undefined) {
+    world.requests.delete(oldest);
+  }
+}
+
+/**
+ * Sends the final answer of a request, at once, and keeps it for callers who resume.
+ *
+ * @param world - the core's state
+ * @param request - the request; nothing of it runs afterwards
+ * @param answer - its final answer
+ */
+export function answerRequest(
+  world: CoreWorld,
+  request: RequestRecord,
+  answer: RequestAnswer,
+): void {
+  abandonAttempt(world, request);
+  request.answer = answer;
+  request.state = REQUEST_STATE.answered;
+  world.inFlightCount -= 1;
+  world.answered.push(request.requestId);
+  world.forgettings.add(
+    request.requestId,
+    world.context.getNowMs() + world.options.answerRetentionMs,
+  );
+  world.context.emit({ kind: 'answerRequest', requestId: request.requestId, answer });
+  forgetOldestAnswer(world);
+}
+
+/**
+ * Ends a request with its whole result.
+ *
+ * @param world - the core's state
+ * @param request - the request
+ * @param output - the last stage's result
+ */
+export function completeRequest(world: CoreWorld, request: RequestRecord, output: string): void {
+  const answer: CompletedAnswer = {
+    kind: 'completed',
+    output,
+    digest: createHash('sha256').update(output).digest('hex'),
+    costMicros: getCostMicros(request),
+    stages: getStageSummaries(request),
+  };
+  explain(request, world.context.getNowMs(), 'completed', `${output.length} characters`);
+  if (request.isClaimed) {
+    world.claims.recordOutcome(request.requestId, answer);
+  }
+  answerRequest(world, request, answer);
+}
+
+/**
+ * Ends a request without a result. The answer says "not run" only when that is known.
+ *
+ * @param world - the core's state
+ * @param request - the request
+ * @param refusal - why
+ * @param isKeyHistoryKnown - whether an earlier request with the same key can be ruled out
+ */
+export function refuseRequest(
+  world: CoreWorld,
+  request: RequestRecord,
+  refusal: Refusal,
+  isKeyHistoryKnown = request.isClaimed || request.idempotencyKey === null,
+): void {
+  const answer: RequestAnswer = {
+    kind: 'refused',
+    code: refusal.code,
+    notRun: !request.mayHaveRun && isKeyHistoryKnown,
+    retryAfterMs: refusal.retryAfterMs,
+    detail: refusal.detail,
+    costMicros: getCostMicros(request),
+    stages: getStageSummaries(request),
+  };
+  explain(request, world.context.getNowMs(), 'refused', `${refusal.code}: ${refusal.detail}`);
+  if (request.isClaimed && request.mayHaveRun) {
+    world.claims.recordOutcome(request.requestId, answer);
+  } else if (request.isClaimed) {
+    world.claims.releaseNotRun(request.requestId);
+  }
+  answerRequest(world, request, answer);
+}
--- /dev/null
+++ b/src/core/systems/finishAttempts.ts
@@ -0,0 +1,133 @@
+import { REFUSAL_CODE } from '../../answers/REFUSAL_CODE.ts';
+import { toId, type PipelineId } from '../../lib/ids.ts';
+import { ATTEMPT_FAILURE } from '../../upstreams/AttemptFailure.ts';
+import { takeAll, type AttemptEndedInput } from '../CoreInbox.ts';
+import type { AttemptFailedInput } from '../CoreInput.ts';
+import type { CoreWorld } from '../CoreWorld.ts';
+import { explain } from '../requests/explain.ts';
+import { completeRequest, refuseRequest } from '../requests/finishRequest.ts';
+import { getCurrentStage, queueStage, startStage } from '../requests/startStage.ts';
+import type { AttemptRecord } from '../tables/AttemptRecord.ts';
+import type { RequestRecord } from '../tables/RequestRecord.ts';
+
+function isCertainlyNotRun(input: AttemptFailedInput): boolean {
+  return input.failure === ATTEMPT_FAILURE.unreachable || input.failure === ATTEMPT_FAILURE.refused;
+}
+
+function noteOutcome(world: CoreWorld, attempt: AttemptRecord, input: AttemptEndedInput): void {
+  if (!attempt.isWanted) {
+    world.router.noteCancelled(attempt.upstreamId);
+    return;
+  }
+  world.router.noteOutcome({
+    upstreamId: attempt.upstreamId,
+    upstreamIncarnation: input.kind === 'attemptSucceeded' ? input.upstreamIncarnation : null,
+    failure: input.kind === 'attemptFailed' ? input.failure : null,
+    latencyMs: world.context.getNowMs() - attempt.sentAtMs,
+  });
+}
+
+function bookCost(
+  world: CoreWorld,
+  attempt: AttemptRecord,
+  request: RequestRecord,
+  input: AttemptEndedInput,
+): void {
+  const progress = request.stages[attempt.stageIndex];
+  if (progress !== undefined) {
+    progress.costMicros += input.costMicros;
+  }
+  world.costs.book({
+    attemptId: attempt.attemptId,
+    accountId: request.accountId,
+    pipelineId: toId<PipelineId>(request.pipeline.id),
+    stageId: attempt.stageId,
+    costMicros: input.costMicros,
+  });
+}
+
+function advanceRequest(world: CoreWorld, request: RequestRecord, output: string): void {
+  if (request.stageIndex + 1 === request.stages.length) {
+    completeRequest(world, request, output);
+    return;
+  }
+  request.stageIndex += 1;
+  request.stageInput = output;
+  startStage(world, request);
+}
+
+function refuseAfterFailure(
+  world: CoreWorld,
+  request: RequestRecord,
+  input: AttemptFailedInput,
+): void {
+  refuseRequest(world, request, {
+    code: REFUSAL_CODE.upstreamFailed,
+    detail: `Stage ${getCurrentStage(request).stage.id}: ${input.failure} (${input.detail})`,
+    retryAfterMs: input.failure === ATTEMPT_FAILURE.rejected
+      ? null
+      : input.retryAfterMs ?? world.options.defaultRetryAfterMs,
+  });
+}
+
+function handleFailure(
+  world: CoreWorld,
+  request: RequestRecord,
+  attempt: AttemptRecord,
+  input: AttemptFailedInput,
+): void {
+  const progress = getCurrentStage(request);
+  request.failedUpstreamIds.push(attempt.upstreamId);
+  const isSafe = progress.stage.repeatable || isCertainlyNotRun(input);
+  if (isSafe && !progress.stage.repeatable) {
+    // Only this attempt was ever sent for the stage, and the upstream did not run it.
+    request.mayHaveRun = request.stages
+      .slice(0, request.stageIndex)
+      .some(({ stage }) => !stage.repeatable);
+  }
+  const canHelp = input.failure !== ATTEMPT_FAILURE.rejected;
+  if (isSafe && canHelp && progress.attemptCount < world.options.maxAttemptsPerStage) {
+    queueStage(world, request);
+    return;
+  }
+  refuseAfterFailure(world, request, input);
+}
+
+function endAttempt(world: CoreWorld, input: AttemptEndedInput): void {
+  const attempt = world.attempts.get(input.attemptId);
+  if (attempt === undefined) {
+    return;
+  }
+  world.attempts.delete(input.attemptId);
+  noteOutcome(world, attempt, input);
+  const request = world.requests.get(attempt.requestId);
+  if (request === undefined) {
+    return;
+  }
+  bookCost(world, attempt, request, input);
+  if (request.attemptId !== attempt.attemptId) {
+    return;
+  }
+  request.attemptId = null;
+  const nowMs = world.context.getNowMs();
+  const progress = getCurrentStage(request);
+  progress.durationMs = nowMs - progress.startedAtMs;
+  if (input.kind === 'attemptSucceeded') {
+    progress.upstreamId = attempt.upstreamId;
+    explain(request, nowMs, 'succeeded', `${attempt.stageId} at ${attempt.upstreamId}`);
+    advanceRequest(world, request, input.output);
+  } else {
+    const where = `${attempt.stageId} at ${attempt.upstreamId}`;
+    explain(request, nowMs, 'failed', `${where}: ${input.failure} (${input.detail})`);
+    handleFailure(world, request, attempt, input);
+  }
+}
+
+/**
+ * Ends attempts: frees the upstream, books the cost, and carries the request on or retries it.
+ *
+ * @param world - the core's state
+ */
+export function finishAttempts(world: CoreWorld): void {
+  takeAll(world.inbox.attemptsEnded).forEach((input) => endAttempt(world, input));
+}
--- /dev/null
+++ b/src/core/tables/AttemptRecord.ts
@@ -0,0 +1,16 @@
+import type {
+  AttemptId, PoolId, RequestId, StageId, UpstreamId,
+} from '../../lib/ids.ts';
+
+/** One send of one stage to one upstream, until its end is known and its cost booked. */
+export interface AttemptRecord {
+  readonly attemptId: AttemptId;
+  readonly requestId: RequestId;
+  readonly poolId: PoolId;
+  readonly stageId: StageId;
+  readonly stageIndex: number;
+  readonly upstreamId: UpstreamId;
+  readonly sentAtMs: number;
+  /** False once the result is no longer wanted; its cost is still booked. */
+  isWanted: boolean;
+}
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -1,4 +1,4 @@
-/* eslint-disable class-methods-use-this, @typescript-eslint/class-methods-use-this
+/* eslint-disable @typescript-eslint/class-methods-use-this
    -- the first version learns nothing from reports and grants yet */
 import type { DrainRecord } from '../configuration/records/DrainRecord.ts';
 import type { PoolRecord } from '../configuration/records/PoolRecord.ts';
