Add stand-ins for platform and upstreams, with thin adapters

Cause: the first whole request needs something to talk to over real sockets. Ruled out: one class for all upstream kinds; the wire differs, so the shared part is StandinServer and each kind adds its route.

--- /dev/null
+++ b/src/upstreams/createServiceRequest.ts
@@ -0,0 +1,23 @@
+import type { SendAttemptOutput } from '../core/CoreOutput.ts';
+import { createAttemptHeaders, type AttemptRequest } from './AttemptRequest.ts';
+
+/**
+ * @param output - an attempt at a plain service
+ * @returns the request that carries it, with the idempotency key for services that honour it
+ */
+export function createServiceRequest(output: SendAttemptOutput): AttemptRequest {
+  const {
+    attemptId, accountId, stageId, input,
+  } = output;
+  const headers = createAttemptHeaders(output);
+  if (output.idempotencyKey !== null) {
+    headers.push('idempotency-key', output.idempotencyKey);
+  }
+  return {
+    path: '/v1/call',
+    headers,
+    body: JSON.stringify({
+      attemptId, accountId, stageId, input,
+    }),
+  };
+}
--- /dev/null
+++ b/src/upstreams/createStagePoolRequest.ts
@@ -0,0 +1,19 @@
+import type { SendAttemptOutput } from '../core/CoreOutput.ts';
+import { createAttemptHeaders, type AttemptRequest } from './AttemptRequest.ts';
+
+/**
+ * @param output - an attempt at an encoder, retriever or reranker
+ * @returns the request that carries it
+ */
+export function createStagePoolRequest(output: SendAttemptOutput): AttemptRequest {
+  const {
+    attemptId, accountId, stageId, input,
+  } = output;
+  return {
+    path: '/v1/run',
+    headers: createAttemptHeaders(output),
+    body: JSON.stringify({
+      attemptId, accountId, stageId, input,
+    }),
+  };
+}
--- /dev/null
+++ b/standins/EngineStandin.ts
@@ -0,0 +1,176 @@
+import type { FastifyReply } from 'fastify';
+import { RunningAttempts } from './RunningAttempts.ts';
+import { getRetryAfterS, StandinServer } from './StandinServer.ts';
+import { TokenStream } from './TokenStream.ts';
+import {
+  DEFAULT_UPSTREAM_STANDIN_OPTIONS, type UpstreamStandinOptions,
+} from './UpstreamStandinOptions.ts';
+
+/** Stage under which engines book what they bill. */
+const ENGINE_STAGE_ID = 'generate';
+
+/** Options of a model engine. */
+export interface EngineStandinOptions extends UpstreamStandinOptions {
+  /** Tokens of each answer. */
+  readonly tokenCount: number;
+  /** Time between two tokens. */
+  readonly tokenMs: number;
+  /** Whether orders with an old fencing number are refused. */
+  readonly checksFencing: boolean;
+}
+
+/** The body of a generation request. */
+interface GenerateBody {
+  readonly attemptId: string;
+  readonly accountId: string;
+  readonly stageId?: string;
+  readonly prompt: string;
+  readonly priority: number;
+  readonly resumeFromOffset: number;
+}
+
+const generateBodySchema = {
+  type: 'object',
+  required: ['attemptId', 'accountId', 'prompt'],
+  properties: {
+    attemptId: { type: 'string', minLength: 1 },
+    accountId: { type: 'string', minLength: 1 },
+    stageId: { type: 'string' },
+    prompt: { type: 'string' },
+    priority: { type: 'number', default: 0 },
+    resumeFromOffset: { type: 'integer', minimum: 0, default: 0 },
+  },
+} as const;
+
+/** A small model engine. */
+export class EngineStandin {
+  readonly server: StandinServer;
+
+  readonly #options: EngineStandinOptions;
+
+  readonly #running: RunningAttempts;
+
+  #fencingNumber = 0;
+
+  private constructor(server: StandinServer, options: EngineStandinOptions) {
+    this.server = server;
+    this.#options = options;
+    this.#running = new RunningAttempts(server);
+    this.#addRoutes();
+  }
+
+  /**
+   * Starts a stand-in.
+   *
+   * @param options - what differs from the defaults
+   * @returns the stand-in, listening
+   */
+  static async create(options: Partial<EngineStandinOptions> = {}): Promise<EngineStandin> {
+    const allOptions = {
+      ...DEFAULT_UPSTREAM_STANDIN_OPTIONS,
+      tokenCount: 16,
+      tokenMs: 1,
+      checksFencing: true,
+      ...options,
+    };
+    const server = new StandinServer(allOptions);
+    const standin = new EngineStandin(server, allOptions);
+    await server.listen();
+    return standin;
+  }
+
+  /** Base address. */
+  get url(): string {
+    return this.server.url;
+  }
+
+  /** Stops listening and breaks all connections. */
+  async close(): Promise<void> {
+    await this.server.close();
+  }
+
+  #addRoutes(): void {
+    const { fastify } = this.server;
+    fastify.post<{ Body: GenerateBody }>(
+      '/v1/generate',
+      { schema: { body: generateBodySchema } },
+      async (request, reply) => {
+        await this.#generate(request.body, reply);
+        return reply;
+      },
+    );
+    fastify.post<{ Body: { order: unknown; fencingNumber: number } }>(
+      '/v1/orders',
+      async (request, reply) => {
+        const { fencingNumber } = request.body;
+        if (this.#options.checksFencing && fencingNumber < this.#fencingNumber) {
+          return reply.code(409).send({ notRun: true, fencingNumber: this.#fencingNumber });
+        }
+        this.#fencingNumber = Math.max(this.#fencingNumber, fencingNumber);
+        return { accepted: true };
+      },
+    );
+  }
+
+  async #generate(body: GenerateBody, reply: FastifyReply): Promise<void> {
+    const { server } = this;
+    const refusal = await server.begin(body);
+    if (refusal !== null) {
+      await reply.code(refusal.statusCode)
+        .header('retry-after', getRetryAfterS(refusal))
+        .send({ notRun: true, detail: refusal.detail });
+      return;
+    }
+    const { incarnation } = server;
+    server.counts.addExecution(body.attemptId, null, body.prompt);
+    const poison = server.faults.get('poison');
+    if (poison !== null && body.prompt.includes(poison.substring)) {
+      server.crash(0);
+      reply.hijack();
+      return;
+    }
+    const signal = this.#running.add(body.attemptId);
+    await this.#stream(body, incarnation, signal, reply);
+    this.#running.delete(body.attemptId);
+    server.release(incarnation);
+  }
+
+  async #stream(
+    body: GenerateBody,
+    incarnation: string,
+    signal: AbortSignal,
+    reply: FastifyReply,
+  ): Promise<void> {
+    const { server } = this;
+    const { attemptId } = body;
+    const isWarmedUp = await server.work(server.options.serviceMs, signal);
+    if (server.faults.take('fail') !== null) {
+      await reply.code(500).send({
+        attemptId, incarnation, costMicros: 0, detail: 'The fault `fail` is active.',
+      });
+      return;
+    }
+    reply.hijack();
+    reply.raw.writeHead(200, { 'content-type': 'text/event-stream' });
+    const stream = new TokenStream({
+      attemptId, incarnation, response: reply.raw, prompt: body.prompt, options: this.#options,
+    });
+    const isTruncated = server.faults.take('truncate') !== null;
+    const isRepeated = server.faults.take('duplicate') !== null;
+    const tokenCount = isWarmedUp
+      ? await stream.writeTokens(server, signal, {
+        fromOffset: body.resumeFromOffset, isTruncated, isRepeated,
+      })
+      : 0;
+    const costMicros = server.options.priceMicros * tokenCount;
+    server.counts.addBill(body.accountId, body.stageId ?? ENGINE_STAGE_ID, costMicros);
+    if (server.faults.take('loseAnswer') !== null) {
+      reply.raw.socket?.destroy();
+      return;
+    }
+    if (!isTruncated) {
+      stream.writeEnd(tokenCount, costMicros);
+    }
+    reply.raw.end();
+  }
+}
--- /dev/null
+++ b/standins/StandinCounts.ts
@@ -0,0 +1,111 @@
+/** What a stand-in was asked to do, as `GET /counts` shows it. */
+export interface StandinCountsReport {
+  /** Executions by attempt id. */
+  readonly executionsByAttempt: Readonly<Record<string, number>>;
+  readonly executionsByIdempotencyKey: Readonly<Record<string, number>>;
+  readonly executionsByInput: Readonly<Record<string, number>>;
+  /** By `accountId/stageId`, in millionths of the billing currency. */
+  readonly billedMicros: Readonly<Record<string, number>>;
+  readonly executionCount: number;
+  readonly refusalCount: number;
+  readonly crashCount: number;
+  readonly maxColdConcurrency: number;
+  /** Attempts that met a cold stand-in with no room left. */
+  readonly overloadCount: number;
+  /** Attempts that arrived after they had been cancelled. */
+  readonly sendsAfterCancelCount: number;
+  /** When the last attempt arrived, in milliseconds since the Unix epoch; 0 for never. */
+  readonly lastSendWallMs: number;
+}
+
+function increment(counts: Map<string, number>, key: string, by = 1): void {
+  counts.set(key, (counts.get(key) ?? 0) + by);
+}
+
+/** Counts what a stand-in was asked, so that a check can hold the system's claims against it. */
+export class StandinCounts {
+  readonly #executionsByAttempt = new Map<string, number>();
+
+  readonly #executionsByIdempotencyKey = new Map<string, number>();
+
+  readonly #executionsByInput = new Map<string, number>();
+
+  readonly #billedMicros = new Map<string, number>();
+
+  readonly #cancelled = new Set<string>();
+
+  executionCount = 0;
+
+  refusalCount = 0;
+
+  crashCount = 0;
+
+  maxColdConcurrency = 0;
+
+  overloadCount = 0;
+
+  sendsAfterCancelCount = 0;
+
+  lastSendWallMs = 0;
+
+  /**
+   * Counts one execution.
+   *
+   * @param attemptId - the attempt
+   * @param idempotencyKey - the caller's key, or null
+   * @param input - what the attempt worked on
+   */
+  addExecution(attemptId: string, idempotencyKey: string | null, input: string): void {
+    this.executionCount += 1;
+    increment(this.#executionsByAttempt, attemptId);
+    increment(this.#executionsByInput, input);
+    if (idempotencyKey !== null) {
+      increment(this.#executionsByIdempotencyKey, idempotencyKey);
+    }
+  }
+
+  /**
+   * @param accountId - who pays
+   * @param stageId - for which stage
+   * @param costMicros - how much, in millionths of the billing currency
+   */
+  addBill(accountId: string, stageId: string, costMicros: number): void {
+    increment(this.#billedMicros, `${accountId}/${stageId}`, costMicros);
+  }
+
+  /**
+   * @param attemptId - the attempt that just arrived
+   */
+  addSend(attemptId: string): void {
+    this.lastSendWallMs = Date.now();
+    if (this.#cancelled.has(attemptId)) {
+      this.sendsAfterCancelCount += 1;
+    }
+  }
+
+  /**
+   * @param attemptId - the attempt that was cancelled
+   */
+  addCancel(attemptId: string): void {
+    this.#cancelled.add(attemptId);
+  }
+
+  /**
+   * @returns all counts as plain data
+   */
+  getReport(): StandinCountsReport {
+    return {
+      executionsByAttempt: Object.fromEntries(this.#executionsByAttempt),
+      executionsByIdempotencyKey: Object.fromEntries(this.#executionsByIdempotencyKey),
+      executionsByInput: Object.fromEntries(this.#executionsByInput),
+      billedMicros: Object.fromEntries(this.#billedMicros),
+      executionCount: this.executionCount,
+      refusalCount: this.refusalCount,
+      crashCount: this.crashCount,
+      maxColdConcurrency: this.maxColdConcurrency,
+      overloadCount: this.overloadCount,
+      sendsAfterCancelCount: this.sendsAfterCancelCount,
+      lastSendWallMs: this.lastSendWallMs,
+    };
+  }
+}
--- /dev/null
+++ b/standins/TokenStream.ts
@@ -0,0 +1,92 @@
+import type { ServerResponse } from 'node:http';
+import type { StandinServer } from './StandinServer.ts';
+import { getGeneratedTokens, getTextDigest } from './getStandinText.ts';
+
+/** What a stream is about. */
+export interface TokenStreamOptions {
+  readonly attemptId: string;
+  readonly incarnation: string;
+  readonly response: ServerResponse;
+  readonly prompt: string;
+  readonly options: { readonly tokenCount: number; readonly tokenMs: number };
+}
+
+/** How the tokens are written. */
+export interface WriteTokensOptions {
+  /** Tokens that begin before this offset, in UTF-16 code units, are not written. */
+  readonly fromOffset: number;
+  /** Whether half of the tokens are left out. */
+  readonly isTruncated: boolean;
+  /** Whether each event is written twice. */
+  readonly isRepeated: boolean;
+}
+
+/** The server-sent events of one generation. */
+export class TokenStream {
+  readonly #options: TokenStreamOptions;
+
+  readonly #tokens: readonly string[];
+
+  /**
+   * @param options - what the stream is about
+   */
+  constructor(options: TokenStreamOptions) {
+    this.#options = options;
+    this.#tokens = getGeneratedTokens(options.prompt, options.options.tokenCount);
+  }
+
+  /**
+   * Writes tokens until the end, a cancel, a crash or the loss of the connection.
+   *
+   * @param server - spends the time between tokens
+   * @param signal - aborted when the attempt is cancelled
+   * @param how - offset and faults
+   * @returns how many tokens were generated
+   */
+  async writeTokens(
+    server: StandinServer,
+    signal: AbortSignal,
+    how: WriteTokensOptions,
+  ): Promise<number> {
+    const { incarnation, response } = this.#options;
+    const count = how.isTruncated ? this.#tokens.length / 2 : this.#tokens.length;
+    let offset = 0;
+    let index = 0;
+    let isRunning = true;
+    while (isRunning && index < count) {
+      const text = this.#tokens[index] ?? '';
+      if (offset >= how.fromOffset) {
+        this.#writeEvent({ offset, text }, how.isRepeated);
+      }
+      offset += text.length;
+      index += 1;
+      // eslint-disable-next-line no-await-in-loop -- tokens come one after the other
+      isRunning = await server.work(this.#options.options.tokenMs, signal);
+      isRunning &&= incarnation === server.incarnation && !response.destroyed;
+    }
+    return index;
+  }
+
+  /**
+   * Writes the end mark.
+   *
+   * @param tokenCount - how many tokens were generated
+   * @param costMicros - their price, in millionths of the billing currency
+   */
+  writeEnd(tokenCount: number, costMicros: number): void {
+    const text = this.#tokens.slice(0, tokenCount).join('');
+    this.#writeEvent({
+      isEnd: true,
+      isCancelled: tokenCount < this.#tokens.length,
+      lengthUnits: text.length,
+      digest: getTextDigest(text),
+      costMicros,
+    }, false);
+  }
+
+  #writeEvent(event: object, isRepeated: boolean): void {
+    const { attemptId, incarnation, response } = this.#options;
+    const text = `data: ${JSON.stringify({ attemptId, incarnation, ...event })}\n\n`;
+    response.write(isRepeated ? text + text : text);
+  }
+}
--- /dev/null
+++ b/standins/getStandinText.ts
@@ -0,0 +1,45 @@
+import { createHash } from 'node:crypto';
+
+const VISIBLE_INPUT_UNITS = 400;
+const DIGEST_DIGITS = 12;
+const WORDS = [
+  'row', 'seat', 'family', 'brief', 'pad', 'north', 'holds', 'place', 'kept', 'for', 'the', 'rig',
+  'fluid', 'truck', 'evening', 'letter',
+];
+
+/**
+ * @param text - what to digest
+ * @returns the SHA-256 of the UTF-8 text, hexadecimal
+ */
+export function getTextDigest(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+/**
+ * What a stage pool or service answers: the same for the same input, so that a check can tell whose
+ * answer it holds.
+ *
+ * @param stageId - the stage
+ * @param input - the stage's input
+ * @returns the stage's output
+ */
+export function getStageOutput(stageId: string, input: string): string {
+  const digest = getTextDigest(`${stageId}\n${input}`).slice(0, DIGEST_DIGITS);
+  return `${stageId}#${digest}: ${input.slice(0, VISIBLE_INPUT_UNITS)}`;
+}
+
+/**
+ * The tokens that an engine generates: the same for the same prompt.
+ *
+ * @param prompt - the prompt
+ * @param tokenCount - how many tokens
+ * @returns the tokens, each with its trailing space
+ */
+export function getGeneratedTokens(prompt: string, tokenCount: number): string[] {
+  const digest = getTextDigest(prompt);
+  const tokens = Array.from({ length: tokenCount }, (_, index) => {
+    const digit = Number.parseInt(digest[index % digest.length] ?? '0', 16);
+    return `${WORDS[digit]} `;
+  });
+  return [`#${digest.slice(0, DIGEST_DIGITS)} `, ...tokens];
+}
