Check settings and intents with all findings at once, and add the command line

Cause: the operators drive the system by files and commands, so every finding has to come at once, with its place and cure. ajv reports each member of a union as well; those are dropped in favour of the union's own message. Values that may be secrets (unknown keys, secret sources, key digests) are never repeated in a finding. Ruled out: yargs' own printing, since it ends the process and can't be tested; a callback takes its output instead.

--- /dev/null
+++ b/src/cli/formatValues.ts
@@ -0,0 +1,19 @@
+const MICROS_PER_UNIT = 1_000_000;
+const MONEY_DIGITS = 6;
+const PERCENT = 100;
+
+/**
+ * @param costMicros - millionths of the billing currency
+ * @returns such as `0.001200`
+ */
+export function formatMoney(costMicros: number): string {
+  return (costMicros / MICROS_PER_UNIT).toFixed(MONEY_DIGITS);
+}
+
+/**
+ * @param fraction - between 0 and 1
+ * @returns such as `99.5 %`
+ */
+export function formatPercent(fraction: number): string {
+  return `${(fraction * PERCENT).toFixed(1)} %`;
+}
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -1,17 +1,77 @@
 import yargs from 'yargs';
+import { SecretError } from '../settings/SecretError.ts';
+import { SettingsError } from '../settings/SettingsError.ts';
 import { VERSION } from '../VERSION.ts';
+import type { CliContext } from './CliContext.ts';
+import { CliError } from './CliError.ts';
+import { createCheckCommand } from './commands/createCheckCommand.ts';
+import { createConfirmCommand } from './commands/createConfirmCommand.ts';
+import { createCostCommand } from './commands/createCostCommand.ts';
+import { createDrainCommand } from './commands/createDrainCommand.ts';
+import { createExplainCommand } from './commands/createExplainCommand.ts';
+import { createPlanCommand } from './commands/createPlanCommand.ts';
+import { createServeCommand } from './commands/createServeCommand.ts';
+import { createStatusCommand } from './commands/createStatusCommand.ts';
+import { EXIT_CODE, type ExitCode } from './EXIT_CODE.ts';
+
+const EPILOGUE = `Exit codes: 0 fine, 1 failed, 2 wrong usage or findings in a file, 3 conflict,
+4 host or platform not reachable.`;
+
+function createUsageError(message: string): CliError {
+  return new CliError(EXIT_CODE.usage, `${message}\nparsleylift --help shows the commands`);
+}
+
+async function parse(args: readonly string[], context: CliContext): Promise<void> {
+  const parser = yargs([...args])
+    .scriptName('parsleylift')
+    .version(VERSION)
+    .usage('$0 COMMAND')
+    .command(createServeCommand(context))
+    .command(createCheckCommand(context))
+    .command(createPlanCommand(context))
+    .command(createConfirmCommand(context))
+    .command(createStatusCommand(context))
+    .command(createDrainCommand(context, 'drain'))
+    .command(createDrainCommand(context, 'restore'))
+    .command(createCostCommand(context))
+    .command(createExplainCommand(context))
+    .demandCommand(1, 'name a command')
+    .strict()
+    .recommendCommands()
+    .epilogue(EPILOGUE)
+    .exitProcess(false)
+    .fail((message: string | null, error: Error | undefined) => {
+      throw error ?? createUsageError(message ?? 'wrong usage');
+    });
+  // With a callback yargs hands over its output instead of printing it.
+  await parser.parseAsync([...args], {}, (_error, _argv, output) => {
+    if (output !== '') {
+      context.io.writeOut(`${output}\n`);
+    }
+  });
+}
 
 /**
  * Runs the command line.
  *
  * @param args - the words after the program's name
- * @returns when the command has ended
+ * @param context - the terminal and the programs that commands start
+ * @returns the exit code, once the command has ended
+ * @throws whatever is no error of the user or the surroundings
  */
-export async function runCli(args: readonly string[]): Promise<void> {
-  await yargs([...args])
-    .scriptName('parsleylift')
-    .version(VERSION)
-    .command('check <settings>', 'check a settings file', (builder) => builder, () => undefined)
-    .strict()
-    .parseAsync();
+export async function runCli(args: readonly string[], context: CliContext): Promise<ExitCode> {
+  try {
+    await parse(args, context);
+    return EXIT_CODE.ok;
+  } catch (error) {
+    if (error instanceof CliError) {
+      context.io.writeError(`${error.message}\n`);
+      return error.exitCode;
+    }
+    if (error instanceof SettingsError || error instanceof SecretError) {
+      context.io.writeError(`${error.message}\n`);
+      return EXIT_CODE.usage;
+    }
+    throw error;
+  }
 }
--- a/src/configuration/records/UpstreamRecord.ts
+++ b/src/configuration/records/UpstreamRecord.ts
@@ -6,7 +6,10 @@
   poolId: Type.String({ minLength: 1 }),
   failureDomainId: Type.String({ minLength: 1 }),
   /** Base address, by IP number, such as `http://127.0.0.1:9001`. */
-  url: Type.String({ pattern: '^https?://' }),
+  url: Type.String({
+    pattern: '^https?://',
+    description: 'an address such as http://127.0.0.1:9001',
+  }),
 }, { additionalProperties: false });
 
 /** One back end. */
--- a/src/settings/HostSettings.ts
+++ b/src/settings/HostSettings.ts
@@ -11,7 +11,13 @@
 export const secretSourceSchema = Type.Union([
   Type.Object({ file: Type.String({ minLength: 1 }) }, { additionalProperties: false }),
   Type.Object({ env: Type.String({ minLength: 1 }) }, { additionalProperties: false }),
-]);
+  // Findings never repeat what stands here: it may be the key itself, put here by mistake.
+], { writeOnly: true });
+
+const urlOptions = {
+  pattern: '^https?://',
+  description: 'an address such as http://127.0.0.1:2379',
+};
 
 /** The settings of one entry host. */
 export const hostSettingsSchema = Type.Object({
@@ -22,13 +28,13 @@
   /** Where peers reach the host. */
   peers: addressSchema,
   /** Base address of the platform's key-value service and host list. */
-  platformUrl: Type.String({ pattern: '^https?://' }),
+  platformUrl: Type.String(urlOptions),
   /** Key that operators show. */
   operatorKey: secretSourceSchema,
   /** Key that peers prove to each other; absent only on loopback. */
   peerKey: Type.Optional(secretSourceSchema),
   /** Base address of an OTLP/HTTP collector; absent for a bounded buffer. */
-  traceCollectorUrl: Type.Optional(Type.String({ pattern: '^https?://' })),
+  traceCollectorUrl: Type.Optional(Type.String(urlOptions)),
   logLevel: Type.Optional(Type.Union([
     Type.Literal('debug'), Type.Literal('info'), Type.Literal('warn'), Type.Literal('error'),
   ])),
