--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,4 +1,5 @@
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
+import type { GrantMessage } from '../grants/GrantMessage.ts';
 import type { FailureDomainId, HostId, IncarnationId } from '../lib/ids.ts';
 
 /** One member as its sender knows it. */
@@ -38,4 +39,6 @@
 }
 
 /** A message between entry hosts. */
-export type PeerMessage = HeartbeatMessage | ConfigurationMessage | ConfigurationAskMessage;
+export type PeerMessage =
+  | HeartbeatMessage | ConfigurationMessage | ConfigurationAskMessage
+  | GrantMessage;
