--- /dev/null
+++ b/src/health/states/updateDrainingState.ts
@@ -0,0 +1,36 @@
+import { exhaustiveSwitchError } from '../../lib/exhaustiveSwitchError.ts';
+import { COLD_REASON } from '../ColdReason.ts';
+import type { HealthEvent } from '../HealthEvent.ts';
+import type { HealthFacts } from '../HealthOptions.ts';
+import type { DrainingState, HealthState } from '../HealthState.ts';
+import { createStartedState } from './createColdState.ts';
+
+/**
+ * @param state - the draining state
+ * @param event - what happened
+ * @param facts - the time, the options and the pool
+ * @returns the state afterwards
+ */
+export function updateDrainingState(
+  state: DrainingState,
+  event: HealthEvent,
+  facts: HealthFacts,
+): HealthState {
+  switch (event.kind) {
+    case 'started':
+    case 'confirmed':
+      return { ...state, startedAtMs: event.startedAtMs };
+    case 'emptied':
+      return { kind: 'gone', startedAtMs: state.startedAtMs };
+    case 'drainCleared':
+      // Its caches may have gone while it had no work.
+      return createStartedState(COLD_REASON.returned, state.startedAtMs, facts);
+    case 'succeeded':
+    case 'failed':
+    case 'drainSet':
+    case 'ticked':
+      return state;
+    default:
+      throw exhaustiveSwitchError(event);
+  }
+}
