Keep the late end of an attempt: its cost and its key's outcome

Cause: a non-repeatable attempt that ended after the deadline lost its outcome and its cost. Ruled out: answering the caller later (a request given up gets its final answer at once). Conclusion: the caller is answered at once; the attempt runs on and decides the key's outcome.

--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -15,6 +15,7 @@
 import { admitRequests } from './systems/admitRequests.ts';
 import { applyClaimEvents } from './systems/applyClaimEvents.ts';
 import { dispatchStages } from './systems/dispatchStages.ts';
+import { expireAttempts } from './systems/expireAttempts.ts';
 import { expireRequests } from './systems/expireRequests.ts';
 import { finishAttempts } from './systems/finishAttempts.ts';
 import { forwardChunks } from './systems/forwardChunks.ts';
@@ -35,6 +36,7 @@
 const SYSTEMS: readonly ((world: CoreWorld) => void)[] = [
   forwardChunks,
   finishAttempts,
+  expireAttempts,
   expireRequests,
   admitRequests,
   applyClaimEvents,
@@ -66,6 +68,7 @@
       inbox: new CoreInbox(),
       requests: new Map(),
       attempts: new Map(),
+      lateAttempts: new DueQueue(),
       waiting: new Map(),
       deadlines: new DueQueue(),
       answered: [],
@@ -94,7 +97,7 @@
    */
   getNextWakeMs(): number {
     const {
-      deadlines, forgettings, claims, router, stopRequestedAtMs, options,
+      deadlines, forgettings, lateAttempts, claims, router, stopRequestedAtMs, options,
     } = this.#world;
     const leaveAtMs = stopRequestedAtMs === null
       ? Infinity
@@ -102,6 +105,7 @@
     return Math.min(
       deadlines.getNextWakeMs(),
       forgettings.getNextWakeMs(),
+      lateAttempts.getNextWakeMs(),
       claims.getNextWakeMs(),
       router.getNextWakeMs(),
       this.#world.isStopped ? Infinity : leaveAtMs,
--- a/src/core/CoreOptions.ts
+++ b/src/core/CoreOptions.ts
@@ -10,6 +10,8 @@
   readonly maxDeadlineMs: number;
   /** How long a leaving host goes on admitting requests, so that the balancer notices first. */
   readonly leaveGraceMs: number;
+  /** How long the end of an attempt that timed out is waited for, with its cost. */
+  readonly lateAttemptMs: number;
   /** Attempts of one repeatable stage at most. */
   readonly maxAttemptsPerStage: number;
   /** Time to come back that a refusal names when nothing better is known. */
@@ -23,6 +25,7 @@
   maxRequestsInFlight: 5_000,
   maxDeadlineMs: 600_000,
   leaveGraceMs: 1_500,
+  lateAttemptMs: 5_000,
   maxAttemptsPerStage: 3,
   defaultRetryAfterMs: 1_000,
 };
--- a/src/core/CoreWorld.ts
+++ b/src/core/CoreWorld.ts
@@ -17,6 +17,8 @@
   readonly inbox: CoreInbox;
   readonly requests: Map<RequestId, RequestRecord>;
   readonly attempts: Map<AttemptId, AttemptRecord>;
+  /** Attempts that timed out and may still end. */
+  readonly lateAttempts: DueQueue<AttemptId>;
   /** Requests that wait for an upstream, by pool. */
   readonly waiting: Map<PoolId, RequestRecord[]>;
   readonly deadlines: DueQueue<RequestId>;
--- a/src/core/requests/abandonAttempt.ts
+++ b/src/core/requests/abandonAttempt.ts
@@ -3,7 +3,7 @@
 
 /**
  * Gives up the attempt that a request has with an upstream. Its record stays until its end is
- * known, so that its cost is still booked.
+ * known, so that its cost is still booked. An attempt which decides a key's outcome runs on.
  *
  * @param world - the core's state
  * @param request - the request
@@ -15,5 +15,7 @@
     return;
   }
   attempt.isWanted = false;
-  world.context.emit({ kind: 'cancelAttempt', attemptId: attempt.attemptId });
+  if (!attempt.decidesOutcome) {
+    world.context.emit({ kind: 'cancelAttempt', attemptId: attempt.attemptId });
+  }
 }
--- a/src/core/requests/finishRequest.ts
+++ b/src/core/requests/finishRequest.ts
@@ -6,6 +6,7 @@
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
 import { abandonAttempt } from './abandonAttempt.ts';
 import { explain } from './explain.ts';
+import { getCurrentStage } from './getCurrentStage.ts';
 
 /** Why a request ends without a result. */
 export interface Refusal {
@@ -65,20 +66,29 @@
 }
 
 /**
- * Ends a request with its whole result.
- *
- * @param world - the core's state
  * @param request - the request
  * @param output - the last stage's result
+ * @returns the whole answer
  */
-export function completeRequest(world: CoreWorld, request: RequestRecord, output: string): void {
-  const answer: CompletedAnswer = {
+export function createCompletedAnswer(request: RequestRecord, output: string): CompletedAnswer {
+  return {
     kind: 'completed',
     output,
     digest: createHash('sha256').update(output).digest('hex'),
     costMicros: getCostMicros(request),
     stages: getStageSummaries(request),
   };
+}
+
+/**
+ * Ends a request with its whole result.
+ *
+ * @param world - the core's state
+ * @param request - the request
+ * @param output - the last stage's result
+ */
+export function completeRequest(world: CoreWorld, request: RequestRecord, output: string): void {
+  const answer = createCompletedAnswer(request, output);
   explain(request, world.context.getNowMs(), 'completed', `${output.length} characters`);
   if (request.isClaimed) {
     world.claims.recordOutcome(request.requestId, answer);
@@ -86,6 +96,23 @@
   answerRequest(world, request, answer);
 }
 
+function settleClaim(world: CoreWorld, request: RequestRecord, answer: RequestAnswer): void {
+  if (!request.isClaimed) {
+    return;
+  }
+  if (!request.mayHaveRun) {
+    world.claims.releaseNotRun(request.requestId);
+    return;
+  }
+  const attempt = request.attemptId === null ? undefined : world.attempts.get(request.attemptId);
+  if (attempt !== undefined && !getCurrentStage(request).stage.repeatable) {
+    // The caller gets its answer now; what the key's retries get is known when the attempt ends.
+    attempt.decidesOutcome = true;
+    return;
+  }
+  world.claims.recordOutcome(request.requestId, answer);
+}
+
 /**
  * Ends a request without a result. The answer says "not run" only when that is known.
  *
@@ -110,10 +137,6 @@
     stages: getStageSummaries(request),
   };
   explain(request, world.context.getNowMs(), 'refused', `${refusal.code}: ${refusal.detail}`);
-  if (request.isClaimed && request.mayHaveRun) {
-    world.claims.recordOutcome(request.requestId, answer);
-  } else if (request.isClaimed) {
-    world.claims.releaseNotRun(request.requestId);
-  }
+  settleClaim(world, request, answer);
   answerRequest(world, request, answer);
 }
--- a/src/core/requests/startStage.ts
+++ b/src/core/requests/startStage.ts
@@ -1,15 +1,8 @@
 import { assertExists } from '../../lib/assertExists.ts';
 import { toId, type PoolId } from '../../lib/ids.ts';
 import type { CoreWorld } from '../CoreWorld.ts';
-import { REQUEST_STATE, type RequestRecord, type StageProgress } from '../tables/RequestRecord.ts';
-
-/**
- * @param request - a request that is not answered
- * @returns the stage that waits or runs
- */
-export function getCurrentStage(request: RequestRecord): StageProgress {
-  return assertExists(request.stages[request.stageIndex], 'A request has a current stage');
-}
+import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
+import { getCurrentStage } from './getCurrentStage.ts';
 
 /**
  * Puts a request into the queue of its stage's pool.
--- a/src/core/systems/dispatchStages.ts
+++ b/src/core/systems/dispatchStages.ts
@@ -4,7 +4,7 @@
 } from '../../lib/ids.ts';
 import type { CoreWorld } from '../CoreWorld.ts';
 import { explain } from '../requests/explain.ts';
-import { getCurrentStage } from '../requests/startStage.ts';
+import { getCurrentStage } from '../requests/getCurrentStage.ts';
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
 
 const DEFAULT_PRIORITY = 0;
@@ -41,6 +41,8 @@
     upstreamId,
     sentAtMs: nowMs,
     isWanted: true,
+    holdsSlot: true,
+    decidesOutcome: false,
   });
   explain(request, nowMs, 'sent', `${stageId} to ${upstreamId}`);
   context.emit({
--- a/src/core/systems/finishAttempts.ts
+++ b/src/core/systems/finishAttempts.ts
@@ -4,9 +4,11 @@
 import { takeAll, type AttemptEndedInput } from '../CoreInbox.ts';
 import type { AttemptFailedInput } from '../CoreInput.ts';
 import type { CoreWorld } from '../CoreWorld.ts';
+import { settleLateOutcome } from '../requests/settleLateOutcome.ts';
 import { explain } from '../requests/explain.ts';
 import { completeRequest, refuseRequest } from '../requests/finishRequest.ts';
-import { getCurrentStage, queueStage, startStage } from '../requests/startStage.ts';
+import { getCurrentStage } from '../requests/getCurrentStage.ts';
+import { queueStage, startStage } from '../requests/startStage.ts';
 import type { AttemptRecord } from '../tables/AttemptRecord.ts';
 import type { RequestRecord } from '../tables/RequestRecord.ts';
 
@@ -14,7 +16,11 @@
   return input.failure === ATTEMPT_FAILURE.unreachable || input.failure === ATTEMPT_FAILURE.refused;
 }
 
-function noteOutcome(world: CoreWorld, attempt: AttemptRecord, input: AttemptEndedInput): void {
+function freeSlot(world: CoreWorld, attempt: AttemptRecord, input: AttemptEndedInput): void {
+  if (!attempt.holdsSlot) {
+    return;
+  }
+  attempt.holdsSlot = false;
   if (!attempt.isWanted) {
     world.router.noteCancelled(attempt.upstreamId);
     return;
@@ -98,18 +104,27 @@
   if (attempt === undefined) {
     return;
   }
-  world.attempts.delete(input.attemptId);
-  noteOutcome(world, attempt, input);
+  const nowMs = world.context.getNowMs();
+  freeSlot(world, attempt, input);
+  const isTimedOut = input.kind === 'attemptFailed' && input.failure === ATTEMPT_FAILURE.timedOut;
+  if (isTimedOut) {
+    world.lateAttempts.add(input.attemptId, nowMs + world.options.lateAttemptMs);
+  } else {
+    world.attempts.delete(input.attemptId);
+  }
   const request = world.requests.get(attempt.requestId);
   if (request === undefined) {
     return;
   }
   bookCost(world, attempt, request, input);
+  if (attempt.decidesOutcome && !isTimedOut) {
+    settleLateOutcome(world, attempt, request, input);
+  }
   if (request.attemptId !== attempt.attemptId) {
     return;
   }
   request.attemptId = null;
-  const nowMs = world.context.getNowMs();
+  attempt.isWanted = false;
   const progress = getCurrentStage(request);
   progress.durationMs = nowMs - progress.startedAtMs;
   if (input.kind === 'attemptSucceeded') {
--- a/src/core/tables/AttemptRecord.ts
+++ b/src/core/tables/AttemptRecord.ts
@@ -13,4 +13,8 @@
   readonly sentAtMs: number;
   /** False once the result is no longer wanted; its cost is still booked. */
   isWanted: boolean;
+  /** True while the attempt holds a slot at its upstream. */
+  holdsSlot: boolean;
+  /** True when the outcome of an answered request is recorded once this attempt ends. */
+  decidesOutcome: boolean;
 }
--- a/src/upstreams/UpstreamSender.ts
+++ b/src/upstreams/UpstreamSender.ts
@@ -188,7 +188,7 @@
 
   #expireLate(attempt: RunningAttempt): void {
     clearTimeout(attempt.timer);
-    // eslint-disable-next-line no-param-reassign -- the table's entry is what changes
+
     attempt.timer = setTimeout(
       () => abortExchange(attempt.exchange, 'No late answer came.'),
       this.#lateAnswerMs,
