--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -122,6 +122,13 @@
     this.#world.router.setConfiguration(configuration);
   }
 
+  /**
+   * @returns whether the balancer should send requests here
+   */
+  isReady(): boolean {
+    return this.#world.configuration.version > 0 && this.#world.stopRequestedAtMs === null;
+  }
+
   /**
    * @returns the configuration in force
    */
--- a/src/core/systems/finishAttempts.ts
+++ b/src/core/systems/finishAttempts.ts
@@ -123,7 +123,11 @@
   if (request.attemptId !== attempt.attemptId) {
     return;
   }
-  request.attemptId = null;
+  const mayStillDecide = isTimedOut && request.isClaimed
+    && !getCurrentStage(request).stage.repeatable;
+  if (!mayStillDecide) {
+    request.attemptId = null;
+  }
   attempt.isWanted = false;
   const progress = getCurrentStage(request);
   progress.durationMs = nowMs - progress.startedAtMs;
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,13 +1,10 @@
-import type { ServedHost } from './cli/CliContext.ts';
-import { CliError } from './cli/CliError.ts';
+import type { CliPrograms } from './cli/CliContext.ts';
 import { createProcessIo } from './cli/CliIo.ts';
 import { EXIT_CODE } from './cli/EXIT_CODE.ts';
 import { runCli } from './cli/runCli.ts';
+import { EntryHost } from './serve/EntryHost.ts';
 
-const programs = {
-  serveHost: (): Promise<ServedHost> => Promise
-    .reject(new CliError(EXIT_CODE.failed, 'serve is not part of this build yet')),
-};
+const programs: CliPrograms = { serveHost: (options) => EntryHost.create(options) };
 
 runCli(process.argv.slice(2), { io: createProcessIo(), programs })
   .then((exitCode) => {
--- /dev/null
+++ b/src/serve/EntryHost.ts
@@ -0,0 +1,218 @@
+import type { FastifyInstance } from 'fastify';
+import type { Logger } from 'pino';
+import { createHttpServer } from '../callers/createHttpServer.ts';
+import { registerCallerRoutes } from '../callers/registerCallerRoutes.ts';
+import { RefusingClaims } from '../claims/RefusingClaims.ts';
+import type { ServedHost, ServeHostOptions } from '../cli/CliContext.ts';
+import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
+import { Core } from '../core/Core.ts';
+import type { CoreOutput } from '../core/CoreOutput.ts';
+import type { RequestAnswer } from '../answers/RequestAnswer.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import { toId, type RequestId } from '../lib/ids.ts';
+import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
+import { HttpKeyValueClient } from '../platform/HttpKeyValueClient.ts';
+import { PoolRouter } from '../routing/PoolRouter.ts';
+import { createLogger } from '../telemetry/createLogger.ts';
+import { HostMetrics } from '../telemetry/HostMetrics.ts';
+import { Tracing } from '../telemetry/Tracing.ts';
+import { SystemClock } from '../time/SystemClock.ts';
+import { UpstreamSender } from '../upstreams/UpstreamSender.ts';
+import { AnswerListeners } from './AnswerListeners.ts';
+import { CallerDesk } from './CallerDesk.ts';
+import { CoreLoop } from './CoreLoop.ts';
+import { HostTracer } from './HostTracer.ts';
+import { LoadPoller } from './LoadPoller.ts';
+
+/** One entry host: the core and the adapters around it. */
+export class EntryHost implements ServedHost {
+  readonly stopped: Promise<void>;
+
+  readonly #logger: Logger;
+
+  readonly #loop: CoreLoop<Core>;
+
+  readonly #listeners = new AnswerListeners();
+
+  readonly #metrics = new HostMetrics();
+
+  readonly #tracing: Tracing;
+
+  readonly #tracer: HostTracer;
+
+  readonly #sender: UpstreamSender;
+
+  readonly #keyValue: HttpKeyValueClient;
+
+  readonly #loads: LoadPoller;
+
+  readonly #desk: CallerDesk;
+
+  readonly #server: FastifyInstance;
+
+  #httpUrl = '';
+
+  #configurationTimer: NodeJS.Timeout | undefined;
+
+  #resolveStopped: () => void = () => undefined;
+
+  /**
+   * @param options - settings and keys
+   */
+  private constructor({ settings }: ServeHostOptions) {
+    const random = new SystemRandomSource();
+    const incarnationId = random.getHexId();
+    this.stopped = new Promise((resolve) => {
+      this.#resolveStopped = resolve;
+    });
+    this.#logger = createLogger(settings.logLevel ?? 'info', {
+      hostId: settings.hostId, incarnationId,
+    });
+    this.#tracing = new Tracing(settings.hostId, settings.traceCollectorUrl ?? null);
+    this.#tracer = new HostTracer(this.#tracing);
+    this.#keyValue = new HttpKeyValueClient({ url: settings.platformUrl });
+    this.#loop = new CoreLoop({
+      clock: new SystemClock(),
+      random,
+      self: {
+        hostId: toId(settings.hostId),
+        incarnationId: toId(incarnationId),
+        failureDomainId: toId(settings.failureDomainId),
+        peerAddress: `${settings.peers.host}:${settings.peers.port}`,
+      },
+      createCore: (context) => new Core(context, {
+        router: new PoolRouter(context, {
+          getSteward: () => null, getHostCountBound: () => 1,
+        }),
+        claims: new RefusingClaims(),
+        costs: { book: () => undefined },
+      }),
+      perform: (output) => this.#perform(output),
+    });
+    this.#sender = new UpstreamSender({
+      onInput: (input) => {
+        this.#tracer.endAttempt(input);
+        this.#loop.post(input);
+      },
+    });
+    this.#loads = new LoadPoller((input) => this.#loop.post(input));
+    this.#desk = new CallerDesk({
+      hostId: settings.hostId,
+      random,
+      listeners: this.#listeners,
+      tracer: this.#tracer,
+      post: (input) => this.#loop.post(input),
+      getRequest: (requestId) => this.#loop.core.getRequest(requestId),
+      isReady: () => this.#loop.core.isReady(),
+    });
+    this.#server = createHttpServer();
+    registerCallerRoutes(this.#server, this.#desk);
+  }
+
+  /**
+   * Starts an entry host.
+   *
+   * @param options - settings and keys
+   * @returns the host, listening
+   */
+  static async create(options: ServeHostOptions): Promise<EntryHost> {
+    const host = new EntryHost(options);
+    const { http } = options.settings;
+    host.#httpUrl = await host.#server.listen({ host: http.host, port: http.port });
+    host.#configurationTimer = setInterval(() => host.#followConfiguration(), 500);
+    await host.#followConfiguration();
+    host.#logger.info({ httpUrl: host.#httpUrl }, 'entry host serves');
+    return host;
+  }
+
+  /** Base address of the HTTP face. */
+  get httpUrl(): string {
+    return this.#httpUrl;
+  }
+
+  /** `IP:port` of the peer listener. */
+  get peerAddress(): string {
+    return this.#loop.self.peerAddress;
+  }
+
+  /** @inheritdoc */
+  stop(): void {
+    this.#logger.info('stop requested');
+    this.#loop.post({ kind: 'stopRequested' });
+  }
+
+  /**
+   * Puts a configuration in force.
+   *
+   * @param configuration - the adopted configuration
+   */
+  adoptConfiguration(configuration: ConfigurationRecord): void {
+    this.#loop.core.setConfiguration(configuration);
+    this.#desk.setConfiguration(configuration);
+    this.#loads.setUpstreams(configuration.upstreams);
+    this.#loop.wake();
+  }
+
+  #perform(output: CoreOutput): void {
+    switch (output.kind) {
+      case 'sendAttempt':
+        this.#sender.send(this.#tracer.startAttempt(output));
+        return;
+      case 'cancelAttempt':
+        this.#sender.cancel(output.attemptId);
+        return;
+      case 'answerChunk':
+        this.#listeners.passChunk(output.requestId, output.offset, output.text);
+        return;
+      case 'answerRequest':
+        this.#tracer.endRequest(output.requestId, output.answer);
+        this.#noteAnswer(output.requestId, output.answer);
+        this.#listeners.passAnswer(output.requestId, output.answer);
+        return;
+      case 'callKeyValue':
+        this.#keyValue.call(output.callClass, output.call).then((answer) => {
+          this.#loop.post({ kind: 'keyValueAnswered', operationId: output.operationId, answer });
+        });
+        return;
+      case 'sendPeerMessage':
+      case 'answerOperator':
+        return;
+      case 'stopped':
+        this.#close();
+        return;
+      default:
+        throw exhaustiveSwitchError(output);
+    }
+  }
+
+  #noteAnswer(requestId: RequestId, answer: RequestAnswer): void {
+    const request = this.#loop.core.getRequest(requestId);
+    if (request !== undefined) {
+      const durationMs = this.#loop.getNowMs() - request.arrivedAtMs;
+      this.#metrics.noteAnswer(request.pipeline.id, durationMs, answer);
+    }
+  }
+
+  async #followConfiguration(): Promise<void> {
+    const call = { kind: 'get', key: 'configuration/head' } as const;
+    const answer = await this.#keyValue.call('configuration', call);
+    if (answer.kind === 'value') {
+      const configuration = JSON.parse(answer.value) as ConfigurationRecord;
+      if (configuration.version > this.#loop.core.getConfiguration().version) {
+        this.adoptConfiguration(configuration);
+      }
+    }
+  }
+
+  async #close(): Promise<void> {
+    clearInterval(this.#configurationTimer);
+    await this.#server.close();
+    this.#loop.close();
+    await this.#loads.close();
+    await this.#sender.close();
+    await this.#keyValue.close();
+    await this.#tracing.close();
+    this.#logger.info('stopped');
+    this.#resolveStopped();
+  }
+}
