--- a/src/core/requests/startStage.ts
+++ b/src/core/requests/startStage.ts
@@ -19,19 +19,24 @@
 }
 
 /**
- * Starts the stage at the request's index: a non-repeatable one gets its claim first.
+ * Starts the stage at the request's index.
  *
  * @param world - the core's state
  * @param request - the request
  */
 export function startStage(world: CoreWorld, request: RequestRecord): void {
-  const progress = getCurrentStage(request);
-  progress.startedAtMs = world.context.getNowMs();
+  getCurrentStage(request).startedAtMs = world.context.getNowMs();
   request.failedUpstreamIds = [];
-  if (progress.stage.repeatable || request.isClaimed) {
-    queueStage(world, request);
-    return;
-  }
+  queueStage(world, request);
+}
+
+/**
+ * Asks for the claim of a request's key.
+ *
+ * @param world - the core's state
+ * @param request - a request with a non-repeatable stage
+ */
+export function claimKey(world: CoreWorld, request: RequestRecord): void {
   request.state = REQUEST_STATE.claiming;
   world.claims.requestClaim({
     requestId: request.requestId,
@@ -40,3 +45,18 @@
     inputDigest: request.fingerprint,
   });
 }
+
+/**
+ * Starts an admitted request. One with a non-repeatable stage gets its claim before its first
+ * stage, so that a known key or an outage is told before anything is billed.
+ *
+ * @param world - the core's state
+ * @param request - the request
+ */
+export function startRequest(world: CoreWorld, request: RequestRecord): void {
+  if (request.pipeline.stages.some(({ repeatable }) => !repeatable)) {
+    claimKey(world, request);
+  } else {
+    startStage(world, request);
+  }
+}
--- a/src/core/systems/admitRequests.ts
+++ b/src/core/systems/admitRequests.ts
@@ -6,7 +6,7 @@
 import { explain } from '../requests/explain.ts';
 import { refuseRequest, type Refusal } from '../requests/finishRequest.ts';
 import { getFingerprint } from '../requests/getFingerprint.ts';
-import { startStage } from '../requests/startStage.ts';
+import { startRequest } from '../requests/startStage.ts';
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
 
 const NO_PIPELINE: PipelineRecord = { id: '', deadlineMs: 1, stages: [] };
@@ -108,6 +108,6 @@
     const allowedMs = request.deadlineAtMs - request.arrivedAtMs;
     explain(request, request.arrivedAtMs, 'admitted', `${allowedMs} ms until the deadline`);
     world.deadlines.add(request.requestId, request.deadlineAtMs);
-    startStage(world, request);
+    startRequest(world, request);
   });
 }
--- a/src/core/systems/applyClaimEvents.ts
+++ b/src/core/systems/applyClaimEvents.ts
@@ -4,7 +4,7 @@
 import type { CoreWorld } from '../CoreWorld.ts';
 import { explain } from '../requests/explain.ts';
 import { answerRequest, refuseRequest } from '../requests/finishRequest.ts';
-import { queueStage } from '../requests/startStage.ts';
+import { startStage } from '../requests/startStage.ts';
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
 
 const UNKNOWN_DETAIL: Record<OutcomeUnknownReason, string> = {
@@ -19,7 +19,7 @@
   switch (event.kind) {
     case 'granted':
       request.isClaimed = true;
-      queueStage(world, request);
+      startStage(world, request);
       return;
     case 'completedBefore':
       answerRequest(world, request, event.answer);
--- a/standins/deployments/EmbeddedDeployment.ts
+++ b/standins/deployments/EmbeddedDeployment.ts
@@ -1,5 +1,6 @@
 import type { ConfigurationRecord } from '../../src/configuration/records/ConfigurationRecord.ts';
 import { exhaustiveSwitchError } from '../../src/lib/exhaustiveSwitchError.ts';
+import { HttpKeyValueClient } from '../../src/platform/HttpKeyValueClient.ts';
 import { EngineStandin } from '../EngineStandin.ts';
 import { PlatformStandin, type PlatformStandinOptions } from '../PlatformStandin.ts';
 import { ServiceStandin } from '../ServiceStandin.ts';
@@ -74,6 +75,25 @@
     return new EmbeddedDeployment(platform, upstreams, configuration);
   }
 
+  /**
+   * Writes the configuration to the platform, as its first version.
+   *
+   * @throws Error when the platform has one already
+   */
+  async putConfiguration(): Promise<void> {
+    const client = new HttpKeyValueClient({ url: this.platform.url });
+    const answer = await client.call('configuration', {
+      kind: 'compareAndSwap',
+      key: 'configuration/head',
+      expectedVersion: 0,
+      value: JSON.stringify(this.configuration),
+    });
+    await client.close();
+    if (answer.kind !== 'swapped') {
+      throw new Error(`The first configuration was not written: ${answer.kind}`);
+    }
+  }
+
   /** Stops all stand-ins. */
   async close(): Promise<void> {
     const standins = [...this.upstreams.values(), this.platform];
