--- a/src/grants/StewardDirectory.ts
+++ b/src/grants/StewardDirectory.ts
@@ -7,6 +7,19 @@
   readonly address: string;
 }
 
+/** This host's duty as the steward of an upstream. */
+export interface StewardDuty {
+  /** Grows with each change of the steward. */
+  readonly epoch: number;
+  /** Monotonic time since when this host has the duty. */
+  readonly sinceMs: number;
+  /**
+   * Monotonic time until which no other host can have it: the end of its lease. A steward grants
+   * nothing after it, so that a paused one which wakes can do no harm.
+   */
+  readonly untilMs: number;
+}
+
 /** Who is steward of which upstream, as this host sees it now. */
 export interface StewardDirectory {
   /**
@@ -14,6 +27,11 @@
    * @returns its steward; null when no host of its failure domain is known to be alive
    */
   getSteward(upstreamId: UpstreamId): Steward | null;
+  /**
+   * @param upstreamId - the upstream
+   * @returns this host's duty as its steward; null when another host has it
+   */
+  getOwnDuty(upstreamId: UpstreamId): StewardDuty | null;
   /**
    * @returns how many entry hosts may send to upstreams at most, for the share of a host that
    *   reaches no steward; never lower than the true number
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -82,7 +82,7 @@
       },
       createCore: (context) => new Core(context, {
         router: new PoolRouter(context, {
-          getSteward: () => null, getHostCountBound: () => 1,
+          getSteward: () => null, getOwnDuty: () => null, getHostCountBound: () => 1,
         }),
         claims: new RefusingClaims(),
         costs: { book: () => undefined },
--- /dev/null
+++ b/test/property/GrantModel.ts
@@ -0,0 +1,201 @@
+import type { GrantMessage } from '../../src/grants/GrantMessage.ts';
+import type { GrantOptions } from '../../src/grants/GrantOptions.ts';
+import type { Steward } from '../../src/grants/StewardDirectory.ts';
+import { toId, type HostId, type UpstreamId } from '../../src/lib/ids.ts';
+import { ManualClock } from '../../src/time/ManualClock.ts';
+import { GrantModelHost } from './GrantModelHost.ts';
+
+const UPSTREAM = toId<UpstreamId>('engine-1');
+const LEASE_MS = 3_000;
+/** A host takes its lease for shorter than the platform does. */
+const LEASE_CARE = 0.98;
+const SHORT_DELAY_MS = 1;
+const LONG_DELAY_MS = 5_000;
+const STEP_MS = 20;
+
+/** What the network does with a message. */
+export type Fate = 'deliver' | 'lose' | 'double' | 'delay';
+
+/** One thing that happens. */
+export interface GrantAction {
+  readonly kind: 'send' | 'succeed' | 'giveUp' | 'advance' | 'pause' | 'resume' | 'moveDuty';
+  readonly host: number;
+  readonly durationMs: number;
+  readonly fate: Fate;
+}
+
+interface Envelope {
+  readonly from: GrantModelHost;
+  readonly to: GrantModelHost;
+  readonly message: GrantMessage;
+  readonly dueAtMs: number;
+}
+
+interface Attempt {
+  readonly host: GrantModelHost;
+  readonly endsAtMs: number;
+}
+
+/**
+ * Hosts, a network with faults, leases and one cold upstream, driven by actions. It counts what
+ * runs at the upstream by the true time.
+ */
+export class GrantModel {
+  readonly clock = new ManualClock();
+
+  readonly hosts: GrantModelHost[] = [];
+
+  readonly bearable: number;
+
+  sentCount = 0;
+
+  #envelopes: Envelope[] = [];
+
+  #attempts: Attempt[] = [];
+
+  #fate: Fate = 'deliver';
+
+  #stewardIndex: number | null = null;
+
+  #leaseEndsAtMs = 0;
+
+  #epoch = 0;
+
+  constructor(hostCount: number, bearable: number, stewardOptions: Partial<GrantOptions> = {}) {
+    this.bearable = bearable;
+    for (let index = 0; index < hostCount; index += 1) {
+      this.hosts.push(new GrantModelHost(this, index, stewardOptions));
+    }
+  }
+
+  /** Attempts that run at the upstream now. */
+  get runningCount(): number {
+    return this.#attempts.length;
+  }
+
+  getSteward(): Steward | null {
+    const steward = this.#stewardIndex === null ? undefined : this.hosts[this.#stewardIndex];
+    return steward === undefined
+      ? null
+      : { hostId: steward.context.self.hostId, address: '127.0.0.1:1' };
+  }
+
+  post(from: GrantModelHost, toHostId: HostId, message: GrantMessage): void {
+    const to = this.hosts.find((host) => host.context.self.hostId === toHostId);
+    if (to === undefined || this.#fate === 'lose') {
+      return;
+    }
+    const nowMs = this.clock.getMonotonicMs();
+    const delayMs = this.#fate === 'delay' ? LONG_DELAY_MS : SHORT_DELAY_MS;
+    const envelope = {
+      from, to, message, dueAtMs: nowMs + delayMs,
+    };
+    this.#envelopes.push(envelope);
+    if (this.#fate === 'double') {
+      this.#envelopes.push({ ...envelope, dueAtMs: nowMs + LONG_DELAY_MS });
+    }
+  }
+
+  act(action: GrantAction): void {
+    const host = this.hosts[action.host % this.hosts.length] as GrantModelHost;
+    this.#fate = action.fate;
+    if (action.kind === 'advance') {
+      this.#advance(action.durationMs);
+    } else if (action.kind === 'pause') {
+      host.isPaused = true;
+    } else if (action.kind === 'resume') {
+      host.isPaused = false;
+    } else if (action.kind === 'moveDuty') {
+      this.#moveDuty(host, action.host % this.hosts.length);
+    } else if (!host.isPaused && action.kind === 'send') {
+      this.#send(host, action.durationMs);
+    } else if (!host.isPaused) {
+      this.#endAttempt(host, action.kind === 'succeed');
+    }
+    this.#advance(2 * SHORT_DELAY_MS);
+  }
+
+  #send(host: GrantModelHost, timeoutMs: number): void {
+    const untilMs = host.holder.take(UPSTREAM, this.bearable, timeoutMs);
+    if (untilMs === null) {
+      host.holder.ask(UPSTREAM, timeoutMs);
+      return;
+    }
+    const remainingMs = (untilMs - host.context.getNowMs()) / host.context.rate;
+    this.sentCount += 1;
+    this.#attempts.push({ host, endsAtMs: this.clock.getMonotonicMs() + remainingMs });
+  }
+
+  /** Ends an attempt with success, or gives it up while it goes on at the upstream. */
+  #endAttempt(host: GrantModelHost, isCertain: boolean): void {
+    const attempt = this.#attempts.find((each) => each.host === host);
+    if (attempt === undefined) {
+      return;
+    }
+    if (isCertain) {
+      this.#attempts = this.#attempts.filter((each) => each !== attempt);
+    }
+    host.holder.release(UPSTREAM, isCertain);
+  }
+
+  #moveDuty(host: GrantModelHost, index: number): void {
+    const nowMs = this.clock.getMonotonicMs();
+    const renews = this.#stewardIndex === index;
+    if (host.isPaused || (!renews && nowMs < this.#leaseEndsAtMs)) {
+      return;
+    }
+    const isHeld = renews && nowMs < this.#leaseEndsAtMs;
+    this.#epoch += isHeld ? 0 : 1;
+    this.#leaseEndsAtMs = nowMs + LEASE_MS;
+    this.#stewardIndex = index;
+    const localMs = host.context.getNowMs();
+    Object.assign(host, {
+      duty: {
+        epoch: this.#epoch,
+        sinceMs: isHeld ? host.duty?.sinceMs ?? localMs : localMs,
+        untilMs: localMs + LEASE_MS * LEASE_CARE,
+      },
+    });
+  }
+
+  #advance(durationMs: number): void {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+      this.clock.advance(Math.min(STEP_MS, durationMs - passedMs));
+      const nowMs = this.clock.getMonotonicMs();
+      this.#attempts = this.#attempts.filter((attempt) => attempt.endsAtMs > nowMs);
+      this.#deliver(nowMs);
+      this.hosts.filter((host) => !host.isPaused).forEach((host) => host.holder.tick());
+      this.#renew(nowMs);
+    }
+  }
+
+  #renew(nowMs: number): void {
+    const steward = this.#stewardIndex === null ? undefined : this.hosts[this.#stewardIndex];
+    if (steward !== undefined && nowMs > this.#leaseEndsAtMs - LEASE_MS / 2) {
+      this.#moveDuty(steward, this.#stewardIndex as number);
+    }
+  }
+
+  #deliver(nowMs: number): void {
+    const due = this.#envelopes
+      .filter((each) => each.dueAtMs <= nowMs && !each.to.isPaused)
+      .sort((left, right) => left.dueAtMs - right.dueAtMs);
+    this.#envelopes = this.#envelopes.filter((each) => !due.includes(each));
+    due.forEach((envelope) => this.#handle(envelope));
+  }
+
+  #handle({ from, to, message }: Envelope): void {
+    switch (message.kind) {
+      case 'grantAsk': {
+        const reply = to.steward.handleAsk(from.context.self.hostId, message, this.bearable);
+        this.post(to, from.context.self.hostId, reply);
+        return;
+      }
+      case 'grantReturn':
+        to.steward.handleReturn(from.context.self.hostId, message);
+        return;
+      default:
+        to.holder.handleReply(message);
+    }
+  }
+}
