Spend the platform's calls by a host's budget with a breaker and a slow return

Cause: a fleet that comes back from an outage together would stampede the key-value service. Also engine cache events, KV cache export and orders with fencing in the stand-in.

--- a/src/platform/HttpKeyValueClient.ts
+++ b/src/platform/HttpKeyValueClient.ts
@@ -1,5 +1,9 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Pool, errors } from 'undici';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { Clock } from '../time/Clock.ts';
+import { SystemClock } from '../time/SystemClock.ts';
+import type { CallBudget } from './CallBudget.ts';
 import type {
   CompareAndSwapCall, KeyValueAnswer, KeyValueCall, KeyValueClass, WatchCall,
 } from './KeyValueCall.ts';
@@ -17,6 +21,10 @@
   readonly connectTimeoutMs: number;
   /** Connections at most; a waiting watch occupies one. */
   readonly maxConnections: number;
+  /** The host's share of the platform's calls; null for no limit. */
+  readonly budget: CallBudget | null;
+  /** The time by which the budget counts. */
+  readonly clock: Clock;
 }
 
 /** Bounds that suit a service which answers in milliseconds. */
@@ -24,6 +32,8 @@
   timeoutMs: 2000,
   connectTimeoutMs: 1000,
   maxConnections: 16,
+  budget: null,
+  clock: new SystemClock(),
 } as const;
 
 /** The answer of the service, as bytes gave it. */
@@ -118,7 +128,37 @@
   }
 
   /** @inheritdoc */
-  async call(_callClass: KeyValueClass, call: KeyValueCall): Promise<KeyValueAnswer> {
+  async call(callClass: KeyValueClass, call: KeyValueCall): Promise<KeyValueAnswer> {
+    const { budget, clock } = this.#options;
+    if (budget === null) {
+      return this.#send(call);
+    }
+    // A waiting watch would tell too late that an absent service is back.
+    const isProbe = budget.isOpen;
+    const direction = call.kind === 'compareAndSwap' ? 'write' : 'read';
+    const decision = budget.take(callClass, direction, clock.getMonotonicMs());
+    if (decision.kind === 'refused') {
+      return { kind: 'unavailable', detail: decision.detail };
+    }
+    if (decision.delayMs > 0) {
+      await sleep(decision.delayMs);
+    }
+    const isShort = isProbe && call.kind === 'watch';
+    const answer = await this.#send(isShort ? { ...call, waitMs: 0 } : call);
+    if (answer.kind === 'unavailable' || answer.kind === 'unknown') {
+      budget.addFailure(clock.getMonotonicMs());
+    } else {
+      budget.addSuccess(clock.getMonotonicMs());
+    }
+    return answer;
+  }
+
+  /** Breaks the connections; running calls end as if their answer was lost. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  #send(call: KeyValueCall): Promise<KeyValueAnswer> {
     switch (call.kind) {
       case 'get':
       case 'watch':
@@ -130,11 +170,6 @@
     }
   }
 
-  /** Breaks the connections; running calls end as if their answer was lost. */
-  async close(): Promise<void> {
-    await this.#pool.destroy();
-  }
-
   async #read(call: Exclude<KeyValueCall, CompareAndSwapCall>): Promise<KeyValueAnswer> {
     const isWatch = call.kind === 'watch';
     const query = isWatch ? HttpKeyValueClient.#getWatchQuery(call) : '';
--- /dev/null
+++ b/standins/EngineCache.ts
@@ -0,0 +1,110 @@
+import { getTextDigest } from './getStandinText.ts';
+
+const PREFIX_UNITS = 64;
+const MAX_PREFIXES = 256;
+const MAX_EVENTS = 1024;
+/** Every so many events one is lost. */
+const GAP_PERIOD = 7;
+
+/** A change of an engine's prefix cache. */
+export interface CacheEvent {
+  /** Grows by one with each event; a missing number is an event that was lost. */
+  readonly sequence: number;
+  readonly kind: 'added' | 'evicted';
+  /** SHA-256 of the prompt's first 64 UTF-16 code units, hexadecimal. */
+  readonly prefixDigest: string;
+}
+
+/** An exported prefix. */
+export interface CachedPrefix {
+  readonly prefixDigest: string;
+  /** Opaque to all but engines of the same model. */
+  readonly content: string;
+}
+
+/** The prompt prefixes that an engine holds, with late and gappy events. */
+export class EngineCache {
+  readonly #lagMs: number;
+
+  readonly #contents = new Map<string, string>();
+
+  #events: (CacheEvent & { readonly visibleAtMs: number })[] = [];
+
+  #sequence = 0;
+
+  /**
+   * @param lagMs - how late an event is published
+   */
+  constructor(lagMs: number) {
+    this.#lagMs = lagMs;
+  }
+
+  /**
+   * Uses a prompt's prefix; it is held afterwards.
+   *
+   * @param prompt - the prompt
+   * @returns whether the prefix was held before
+   */
+  use(prompt: string): boolean {
+    const prefix = prompt.slice(0, PREFIX_UNITS);
+    const prefixDigest = getTextDigest(prefix);
+    const isHit = this.#contents.has(prefixDigest);
+    this.add({ prefixDigest, content: prefix });
+    return isHit;
+  }
+
+  /**
+   * Holds a prefix; the one that was unused for longest makes room.
+   *
+   * @param prefix - an own or an imported prefix
+   */
+  add(prefix: CachedPrefix): void {
+    if (!this.#contents.delete(prefix.prefixDigest)) {
+      this.#publish('added', prefix.prefixDigest);
+    }
+    this.#contents.set(prefix.prefixDigest, prefix.content);
+    const [oldest] = this.#contents.keys();
+    if (this.#contents.size > MAX_PREFIXES && oldest !== undefined) {
+      this.#contents.delete(oldest);
+      this.#publish('evicted', oldest);
+    }
+  }
+
+  /**
+   * @param prefixDigest - which prefix to export
+   * @returns the prefix; null when it is not held
+   */
+  get(prefixDigest: string): CachedPrefix | null {
+    const content = this.#contents.get(prefixDigest);
+    return content === undefined ? null : { prefixDigest, content };
+  }
+
+  /**
+   * @param afterSequence - the last event that the reader has
+   * @returns later events, as far as they are published
+   */
+  readEvents(afterSequence: number): CacheEvent[] {
+    const nowMs = performance.now();
+    return this.#events
+      .filter((event) => event.sequence > afterSequence && event.visibleAtMs <= nowMs)
+      .map(({ sequence, kind, prefixDigest }) => ({ sequence, kind, prefixDigest }));
+  }
+
+  /** Forgets all prefixes, as a crash does. */
+  clear(): void {
+    this.#contents.clear();
+    this.#events = [];
+  }
+
+  #publish(kind: CacheEvent['kind'], prefixDigest: string): void {
+    this.#sequence += 1;
+    if (this.#sequence % GAP_PERIOD === 0) {
+      return;
+    }
+    const visibleAtMs = performance.now() + this.#lagMs;
+    this.#events.push({
+      sequence: this.#sequence, kind, prefixDigest, visibleAtMs,
+    });
+    this.#events = this.#events.slice(-MAX_EVENTS);
+  }
+}
--- a/standins/EngineStandin.ts
+++ b/standins/EngineStandin.ts
@@ -1,4 +1,6 @@
 import type { FastifyReply } from 'fastify';
+import { EngineCache, type CachedPrefix } from './EngineCache.ts';
+import { OrderLog, type EngineOrder } from './OrderLog.ts';
 import { RunningAttempts } from './RunningAttempts.ts';
 import { getRetryAfterS, StandinServer } from './StandinServer.ts';
 import { TokenStream } from './TokenStream.ts';
@@ -17,6 +19,10 @@
   readonly tokenMs: number;
   /** Whether orders with an old fencing number are refused. */
   readonly checksFencing: boolean;
+  /** Time to the first token when the prompt's prefix is in the cache. */
+  readonly cachedServiceMs: number;
+  /** How late cache events are published. */
+  readonly cacheEventLagMs: number;
 }
 
 /** The body of a generation request. */
@@ -50,13 +56,20 @@
 
   readonly #running: RunningAttempts;
 
-  #fencingNumber = 0;
+  readonly #cache: EngineCache;
+
+  readonly #orders: OrderLog;
 
   private constructor(server: StandinServer, options: EngineStandinOptions) {
     this.server = server;
     this.#options = options;
     this.#running = new RunningAttempts(server);
-    this.#addRoutes();
+    this.#cache = new EngineCache(options.cacheEventLagMs);
+    this.#orders = new OrderLog(options.checksFencing);
+    server.setCrashListener(() => this.#cache.clear());
+    this.#addGenerateRoute();
+    this.#addOrderRoutes();
+    this.#addCacheRoutes();
   }
 
   /**
@@ -71,6 +84,8 @@
       tokenCount: 16,
       tokenMs: 1,
       checksFencing: true,
+      cachedServiceMs: 1,
+      cacheEventLagMs: 100,
       ...options,
     };
     const server = new StandinServer(allOptions);
@@ -89,9 +104,8 @@
     await this.server.close();
   }
 
-  #addRoutes(): void {
-    const { fastify } = this.server;
-    fastify.post<{ Body: GenerateBody }>(
+  #addGenerateRoute(): void {
+    this.server.fastify.post<{ Body: GenerateBody }>(
       '/v1/generate',
       { schema: { body: generateBodySchema } },
       async (request, reply) => {
@@ -99,17 +113,35 @@
         return reply;
       },
     );
-    fastify.post<{ Body: { order: unknown; fencingNumber: number } }>(
-      '/v1/orders',
+  }
+
+  #addOrderRoutes(): void {
+    const { fastify } = this.server;
+    fastify.post<{ Body: EngineOrder }>('/v1/orders', async (request, reply) => {
+      const fencingNumber = this.#orders.take(request.body);
+      return fencingNumber === null
+        ? { isAccepted: true }
+        : reply.code(409).send({ notRun: true, fencingNumber });
+    });
+    fastify.get('/v1/orders', async () => this.#orders.accepted);
+  }
+
+  #addCacheRoutes(): void {
+    const { fastify } = this.server;
+    fastify.get<{ Querystring: { after?: string } }>('/v1/cache-events', async (request) => (
+      { events: this.#cache.readEvents(Number(request.query.after ?? 0)) }
+    ));
+    fastify.get<{ Params: { prefixDigest: string } }>(
+      '/v1/kv-cache/:prefixDigest',
       async (request, reply) => {
-        const { fencingNumber } = request.body;
-        if (this.#options.checksFencing && fencingNumber < this.#fencingNumber) {
-          return reply.code(409).send({ notRun: true, fencingNumber: this.#fencingNumber });
-        }
-        this.#fencingNumber = Math.max(this.#fencingNumber, fencingNumber);
-        return { accepted: true };
+        const prefix = this.#cache.get(request.params.prefixDigest);
+        return prefix ?? reply.code(404).send({ detail: 'The prefix is not in the cache.' });
       },
     );
+    fastify.post<{ Body: CachedPrefix }>('/v1/kv-cache', async (request) => {
+      this.#cache.add(request.body);
+      return { isImported: true };
+    });
   }
 
   async #generate(body: GenerateBody, reply: FastifyReply): Promise<void> {
@@ -143,7 +175,9 @@
   ): Promise<void> {
     const { server } = this;
     const { attemptId } = body;
-    const isWarmedUp = await server.work(server.options.serviceMs, signal);
+    const isCached = this.#cache.use(body.prompt);
+    const firstTokenMs = isCached ? this.#options.cachedServiceMs : server.options.serviceMs;
+    const isStarted = await server.work(firstTokenMs, signal);
     if (server.faults.take('fail') !== null) {
       await reply.code(500).send({
         attemptId, incarnation, costMicros: 0, detail: 'The fault `fail` is active.',
@@ -157,11 +191,14 @@
     });
     const isTruncated = server.faults.take('truncate') !== null;
     const isRepeated = server.faults.take('duplicate') !== null;
-    const tokenCount = isWarmedUp
+    const tokenCount = isStarted
       ? await stream.writeTokens(server, signal, {
         fromOffset: body.resumeFromOffset, isTruncated, isRepeated,
       })
       : 0;
+    if (incarnation !== server.incarnation) {
+      return;
+    }
     const costMicros = server.options.priceMicros * tokenCount;
     server.counts.addBill(body.accountId, body.stageId ?? ENGINE_STAGE_ID, costMicros);
     if (server.faults.take('loseAnswer') !== null) {
--- a/standins/StandinServer.ts
+++ b/standins/StandinServer.ts
@@ -11,7 +11,6 @@
 const LOOPBACK = '127.0.0.1';
 const INCARNATION_BYTES = 16;
 const BODY_LIMIT_BYTES = 8 * 1024 * 1024;
-const MS_PER_SECOND = 1000;
 /** Routes that answer whatever fault is active. */
 const CONTROL_PATHS: ReadonlySet<string> = new Set(['/fault', '/counts']);
 
@@ -42,6 +41,8 @@
 
   #port = 0;
 
+  #onCrash: (() => void) | null = null;
+
   #isClosed = false;
 
   readonly #sockets = new Set<Socket>();
@@ -76,6 +77,13 @@
     return performance.now() < this.#warmAtMs;
   }
 
+  /**
+   * @param onCrash - called at each crash, to lose what the incarnation held
+   */
+  setCrashListener(onCrash: () => void): void {
+    this.#onCrash = onCrash;
+  }
+
   /** Listens at a free port of the loopback interface, or at the port of the options. */
   async listen(): Promise<void> {
     await this.fastify.listen({ host: LOOPBACK, port: this.options.port });
@@ -138,6 +146,7 @@
    */
   crash(downMs: number): void {
     this.counts.crashCount += 1;
+    this.#onCrash?.();
     this.#incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
     this.#slots.clear();
     this.#slots = new WorkSlots(this.options.capacity, this.options.queueLimit);
@@ -285,5 +294,5 @@
  * @returns the value of the header `Retry-After`, in whole seconds
  */
 export function getRetryAfterS(refusal: StandinRefusal): string {
-  return String(Math.ceil((refusal.retryAfterS * MS_PER_SECOND) / MS_PER_SECOND));
+  return String(Math.ceil(refusal.retryAfterS));
 }
