Make plans from intents: changes, affected, conflicts and predictions

Cause: an operator confirms a plan, so all conflicts have to come together, and the configuration that a plan writes must depend on nothing but the intent, the plan's id and the base configuration, so that any host makes the same one. The configuration now names its last 128 accepted plans: a repeated confirmation finds itself there, a racing one shows the other's changes. Ruled out: an M/M/c estimate with exponential service (too pessimistic for batching engines at light load); the estimate takes a coefficient of variation of 0.5 and documents it.

--- a/src/configuration/records/ConfigurationRecord.ts
+++ b/src/configuration/records/ConfigurationRecord.ts
@@ -3,6 +3,7 @@
 import { drainRecordSchema } from './DrainRecord.ts';
 import { pipelineRecordSchema } from './PipelineRecord.ts';
 import { poolRecordSchema } from './PoolRecord.ts';
+import { recentPlanRecordSchema } from './RecentPlanRecord.ts';
 import { upstreamRecordSchema } from './UpstreamRecord.ts';
 
 /** The operators' configuration: one value, replaced as a whole by compare-and-swap. */
@@ -16,6 +17,8 @@
   pipelines: Type.Array(pipelineRecordSchema),
   accounts: Type.Array(accountRecordSchema),
   drains: Type.Array(drainRecordSchema),
+  /** The plans that were accepted last, the latest last; bounded. */
+  recentPlans: Type.Optional(Type.Array(recentPlanRecordSchema)),
 }, { additionalProperties: false });
 
 /** The operators' configuration. */
--- /dev/null
+++ b/src/intents/PlanFacts.ts
@@ -0,0 +1,19 @@
+/** Measured load of a pipeline. */
+export interface PipelineLoad {
+  readonly pipelineId: string;
+  /** Requests a second, over all entry hosts. */
+  readonly requestsPerSecond: number;
+}
+
+/** What a plan takes from the running system, beside the configuration. */
+export interface PlanFacts {
+  /** Entry hosts that are known now. */
+  readonly hosts: readonly { readonly hostId: string; readonly failureDomainId: string }[];
+  /** Load to plan for; a pipeline that is missing counts as unloaded. */
+  readonly loads: readonly PipelineLoad[];
+  /** Largest value that the platform stores, in bytes. */
+  readonly maxValueBytes: number;
+}
+
+/** Facts of a system that was not measured yet. */
+export const EMPTY_PLAN_FACTS: PlanFacts = { hosts: [], loads: [], maxValueBytes: 1_000_000 };
