Add the claim log: at most once by fenced group commits, and tickets

Cause: a stage that may not be repeated may be sent only under a claim that is durable. Safety rests on the version of the shard's open bucket alone; a bucket is sealed before the next is opened, so a claim can't slip in behind a reader. Owners only gather operations. PeerMessage gains claimAsk, ticketAsk and claimReply. Ruled out: a lease per shard (a paused holder's write would still need the version), one platform key per claim (writes grow with requests), blind retries of a swap.

--- /dev/null
+++ b/src/claims/ClaimManager.ts
@@ -0,0 +1,368 @@
+import type { RequestAnswer } from '../answers/RequestAnswer.ts';
+import type { CoreContext } from '../core/CoreContext.ts';
+import type {
+  AccountId, HostId, IdempotencyKey, IncarnationId, OperationId, RequestId,
+} from '../lib/ids.ts';
+import type { PeerMessage } from '../peers/PeerMessage.ts';
+import type { KeyValueAnswer } from '../platform/KeyValueCall.ts';
+import { ClaimAskTable, type ClaimAsk } from './ClaimAskTable.ts';
+import { OUTCOME_UNKNOWN_REASON, type ClaimEvent } from './ClaimEvent.ts';
+import type { ClaimOperation, ClaimResult } from './ClaimOperation.ts';
+import type { ClaimOptions } from './ClaimOptions.ts';
+import { ClaimShard } from './ClaimShard.ts';
+import { createClaimEvent } from './createClaimEvent.ts';
+import { createRecordedOutcome } from './createRecordedOutcome.ts';
+import { getClaimKey, getShardIndex } from './getClaimKey.ts';
+import { getKeyCreatedMs } from './getKeyCreatedMs.ts';
+import { parseTicket, TicketMint } from './TicketMint.ts';
+
+const MAX_GONE_INCARNATIONS = 4096;
+
+/** A request that needs a claim before its first non-repeatable stage is sent. */
+export interface ClaimRequest {
+  readonly requestId: RequestId;
+  readonly accountId: AccountId;
+  readonly idempotencyKey: IdempotencyKey;
+  /** Digest of everything that makes up the input. */
+  readonly inputDigest: string;
+}
+
+/** A host that takes part in the claim log. */
+export interface ClaimMember {
+  readonly hostId: HostId;
+  readonly incarnationId: IncarnationId;
+  /** `IP:port` of its peer listener. */
+  readonly address: string;
+}
+
+/** Who gathers the claims of which shard. Nothing but efficiency rests on it. */
+export interface ClaimOwners {
+  readonly members: readonly ClaimMember[];
+  /** By shard index; null or missing lets each host write for itself. */
+  readonly ownerHostIds: readonly (HostId | null)[];
+}
+
+/** A claim under way or held by this incarnation. */
+interface ClaimRecord {
+  readonly request: ClaimRequest;
+  readonly operationKey: string;
+  readonly token: string;
+  /** `asking` until the event, `granted` until the outcome or the release, then `closing`. */
+  readonly state: 'asking' | 'granted' | 'closing';
+  /** Whether a peer may have written the claim. */
+  readonly wasAsked: boolean;
+}
+
+/**
+ * Makes sure that requests which may not be repeated run at most once: gives exactly one event per
+ * requested claim, and `granted` only after the claim is durable in the platform (or, for a ticket,
+ * recorded by the incarnation that minted it).
+ */
+export class ClaimManager {
+  readonly #context: CoreContext;
+
+  readonly #options: ClaimOptions;
+
+  readonly #mint: TicketMint;
+
+  readonly #asks: ClaimAskTable;
+
+  readonly #shards = new Map<number, ClaimShard>();
+
+  readonly #records = new Map<string, ClaimRecord>();
+
+  readonly #tokens = new Map<RequestId, string>();
+
+  readonly #goneIncarnationIds = new Set<IncarnationId>();
+
+  #events: ClaimEvent[] = [];
+
+  /**
+   * @param context - identity, time, randomness and the way out
+   * @param options - settings; start from `DEFAULT_CLAIM_OPTIONS`
+   */
+  constructor(context: CoreContext, options: ClaimOptions) {
+    this.#context = context;
+    this.#options = options;
+    this.#mint = new TicketMint(context, options);
+    this.#asks = new ClaimAskTable(context, options);
+  }
+
+  /**
+   * @param accountId - the only account that may use the ticket
+   * @returns an idempotency key that works without the platform while this process lives
+   */
+  createTicket(accountId: AccountId): IdempotencyKey {
+    return this.#mint.createTicket(accountId) as IdempotencyKey;
+  }
+
+  /**
+   * Asks for a claim. Exactly one event for the request follows from {@link takeEvents}.
+   *
+   * @param request - whose key is to be claimed
+   */
+  requestClaim(request: ClaimRequest): void {
+    const createdMs = getKeyCreatedMs(request.idempotencyKey);
+    if (createdMs !== null && createdMs < this.#options.getWallMs() - this.#options.retentionMs) {
+      const { requestId } = request;
+      const reason = OUTCOME_UNKNOWN_REASON.keyExpired;
+      this.#events.push({ kind: 'outcomeUnknown', requestId, reason });
+      return;
+    }
+    const token = this.#context.random.getHexId();
+    const operationKey = getClaimKey(request.accountId, request.idempotencyKey);
+    const record: ClaimRecord = {
+      request, operationKey, token, state: 'asking', wasAsked: false,
+    };
+    this.#records.set(token, record);
+    this.#tokens.set(request.requestId, token);
+    const { hostId, incarnationId } = this.#context.self;
+    const { inputDigest } = request;
+    this.#deliver(record, {
+      kind: 'claim', key: operationKey, token, hostId, incarnationId, inputDigest,
+    });
+  }
+
+  /**
+   * Records the outcome of a granted claim, so that a retry gets it. Repeated until it is durable.
+   *
+   * @param requestId - the request that was granted
+   * @param answer - its final answer
+   */
+  recordOutcome(requestId: RequestId, answer: RequestAnswer): void {
+    const record = this.#closeGranted(requestId);
+    if (record !== null) {
+      const { hostId } = this.#context.self;
+      const outcome = createRecordedOutcome(answer, hostId, this.#options.maxOutcomeBytes);
+      const { operationKey: key, token } = record;
+      this.#deliver(record, {
+        kind: 'outcome', key, token, outcome,
+      });
+    }
+  }
+
+  /**
+   * Gives up a granted claim, or one still asked for, under which no byte was or will be sent. The
+   * caller of this method must not send anything for the request from here on.
+   *
+   * @param requestId - the request
+   */
+  releaseNotRun(requestId: RequestId): void {
+    const token = this.#tokens.get(requestId);
+    const record = token === undefined ? undefined : this.#records.get(token);
+    if (record !== undefined && record.state !== 'closing') {
+      this.#release(record);
+    }
+  }
+
+  /**
+   * @param owners - who gathers the claims of which shard, and where the members are
+   */
+  setOwners(owners: ClaimOwners): void {
+    this.#asks.setOwners(owners);
+  }
+
+  /**
+   * @param incarnationId - a process that is certainly or most probably gone
+   */
+  noteIncarnationGone(incarnationId: IncarnationId): void {
+    this.#goneIncarnationIds.add(incarnationId);
+    if (this.#goneIncarnationIds.size > MAX_GONE_INCARNATIONS) {
+      const [oldest] = this.#goneIncarnationIds;
+      this.#goneIncarnationIds.delete(oldest as IncarnationId);
+    }
+  }
+
+  /**
+   * @param hostId - a peer to which a message could not be handed
+   */
+  notePeerUnreachable(hostId: HostId): void {
+    this.#asks.takeAsksTo(hostId).forEach((ask) => this.#failAsk(ask));
+  }
+
+  /**
+   * @param fromHostId - the sender
+   * @param message - a message from an authenticated peer
+   * @returns whether the message was one of the claim log's
+   */
+  handlePeerMessage(fromHostId: HostId, message: PeerMessage): boolean {
+    switch (message.kind) {
+      case 'claimAsk':
+      case 'ticketAsk': {
+        const { askId, operation, replyAddress } = message;
+        const reply = (result: ClaimResult): void => this.#context.emit({
+          kind: 'sendPeerMessage',
+          toHostId: fromHostId,
+          address: replyAddress,
+          message: {
+            kind: 'claimReply', askId, operation, result,
+          },
+        });
+        if (message.kind === 'claimAsk') {
+          this.#getShard(operation.key).submit(operation, reply);
+        } else {
+          reply(this.#applyTicket(message.accountId, message.ticket, operation));
+        }
+        return true;
+      }
+      case 'claimReply':
+        this.#handleReply(message.askId, message.operation, message.result);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  /**
+   * @param operationId - which platform call was answered
+   * @param answer - the answer
+   * @returns whether the call was one of the claim log's
+   */
+  handleKeyValueAnswer(operationId: OperationId, answer: KeyValueAnswer): boolean {
+    return [...this.#shards.values()]
+      .some((shard) => shard.handleKeyValueAnswer(operationId, answer));
+  }
+
+  /** Carries on whatever is due. */
+  tick(): void {
+    this.#asks.takeTimedOut().forEach((ask) => this.#failAsk(ask));
+    this.#shards.forEach((shard) => shard.tick());
+  }
+
+  /** @returns when {@link tick} is needed next, in monotonic milliseconds */
+  getNextWakeMs(): number {
+    const shardsMs = [...this.#shards.values()].map((shard) => shard.getNextWakeMs());
+    return Math.min(this.#asks.getNextWakeMs(), ...shardsMs);
+  }
+
+  /** @returns the events since the last call */
+  takeEvents(): ClaimEvent[] {
+    const events = this.#events;
+    this.#events = [];
+    return events;
+  }
+
+  #getShard(claimKey: string): ClaimShard {
+    const index = getShardIndex(claimKey, this.#options.shardCount);
+    const known = this.#shards.get(index);
+    if (known !== undefined) {
+      return known;
+    }
+    const shard = new ClaimShard(this.#context, index, this.#options);
+    this.#shards.set(index, shard);
+    return shard;
+  }
+
+  #deliver(record: ClaimRecord, operation: ClaimOperation): void {
+    const { accountId, idempotencyKey } = record.request;
+    const origin = parseTicket(idempotencyKey);
+    if (origin?.incarnationId === this.#context.self.incarnationId) {
+      this.#handleResult(operation, this.#applyTicket(accountId, idempotencyKey, operation));
+      return;
+    }
+    const ask: ClaimAsk = {
+      operation, ticket: idempotencyKey, accountId, origin,
+    };
+    const isAsked = origin === null
+      ? this.#asks.askOwner(getShardIndex(operation.key, this.#options.shardCount), ask)
+      : !this.#goneIncarnationIds.has(origin.incarnationId) && this.#asks.askMint(ask);
+    if (isAsked) {
+      this.#records.set(record.token, { ...record, wasAsked: true });
+      return;
+    }
+    this.#failAsk(ask);
+  }
+
+  #submitLocally(operation: ClaimOperation): void {
+    this.#getShard(operation.key)
+      .submit(operation, (result) => this.#handleResult(operation, result));
+  }
+
+  #applyTicket(accountId: AccountId, ticket: string, operation: ClaimOperation): ClaimResult {
+    const isOwn = parseTicket(ticket)?.incarnationId === this.#context.self.incarnationId;
+    return isOwn ? this.#mint.apply(accountId, ticket, operation) : { kind: 'expired' };
+  }
+
+  #failAsk(ask: ClaimAsk): void {
+    if (ask.origin === null) {
+      this.#submitLocally(ask.operation);
+      return;
+    }
+    this.#handleResult(ask.operation, { kind: 'expired' });
+  }
+
+  #handleReply(askId: string, operation: ClaimOperation, result: ClaimResult): void {
+    const ask = this.#asks.take(askId);
+    const isRefused = result.kind === 'unavailable';
+    if (ask !== null && ask.origin === null && isRefused) {
+      this.#submitLocally(operation);
+      return;
+    }
+    this.#handleResult(operation, result);
+  }
+
+  #handleResult(operation: ClaimOperation, result: ClaimResult): void {
+    const record = this.#records.get(operation.token);
+    if (operation.kind !== 'claim') {
+      this.#forget(record);
+      return;
+    }
+    if (record === undefined) {
+      this.#releaseLateGrant(operation, result);
+      return;
+    }
+    if (record.state !== 'asking') {
+      return;
+    }
+    if (result.kind === 'granted') {
+      this.#records.set(record.token, { ...record, state: 'granted' });
+      this.#events.push({ kind: 'granted', requestId: record.request.requestId });
+      return;
+    }
+    this.#events.push(createClaimEvent(record.request.requestId, result, {
+      goneIncarnationIds: this.#goneIncarnationIds, maxRunMs: this.#options.maxRunMs,
+    }));
+    const isUncertain = result.kind === 'expired'
+      || (result.kind === 'unavailable' && (result.isUncertain || record.wasAsked));
+    if (isUncertain) {
+      this.#release(record);
+    } else {
+      this.#forget(record);
+    }
+  }
+
+  /** A claim was granted after its request had been refused: nothing was or will be sent. */
+  #releaseLateGrant(operation: ClaimOperation, result: ClaimResult): void {
+    if (result.kind === 'granted') {
+      const { key, token } = operation;
+      this.#submitLocally({ kind: 'release', key, token });
+    }
+  }
+
+  #closeGranted(requestId: RequestId): ClaimRecord | null {
+    const token = this.#tokens.get(requestId);
+    const record = token === undefined ? undefined : this.#records.get(token);
+    if (record?.state !== 'granted') {
+      return null;
+    }
+    return this.#close(record);
+  }
+
+  #release(record: ClaimRecord): void {
+    const { operationKey: key, token } = record;
+    this.#deliver(this.#close(record), { kind: 'release', key, token });
+  }
+
+  #close(record: ClaimRecord): ClaimRecord {
+    const closing: ClaimRecord = { ...record, state: 'closing' };
+    this.#records.set(record.token, closing);
+    return closing;
+  }
+
+  #forget(record: ClaimRecord | undefined): void {
+    if (record !== undefined) {
+      this.#records.delete(record.token);
+      this.#tokens.delete(record.request.requestId);
+    }
+  }
+}
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,3 +1,4 @@
+import type { ClaimMessage } from '../claims/ClaimMessage.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { FailureDomainId, HostId, IncarnationId } from '../lib/ids.ts';
 
@@ -38,4 +39,6 @@
 }
 
 /** A message between entry hosts. */
-export type PeerMessage = HeartbeatMessage | ConfigurationMessage | ConfigurationAskMessage;
+export type PeerMessage =
+  | HeartbeatMessage | ConfigurationMessage | ConfigurationAskMessage
+  | ClaimMessage;
