--- a/src/claims/ClaimManager.ts
+++ b/src/claims/ClaimManager.ts
@@ -1,10 +1,11 @@
 import type { RequestAnswer } from '../answers/RequestAnswer.ts';
 import type { CoreContext } from '../core/CoreContext.ts';
+import type { KeyValueAnsweredInput } from '../core/CoreInput.ts';
 import type {
-  AccountId, HostId, IdempotencyKey, IncarnationId, OperationId, RequestId,
+  AccountId, HostId, IdempotencyKey, IncarnationId, RequestId,
 } from '../lib/ids.ts';
 import type { PeerMessage } from '../peers/PeerMessage.ts';
-import type { KeyValueAnswer } from '../platform/KeyValueCall.ts';
+import type { ClaimPort, ClaimRequest } from './ClaimPort.ts';
 import { ClaimAskTable, type ClaimAsk } from './ClaimAskTable.ts';
 import { OUTCOME_UNKNOWN_REASON, type ClaimEvent } from './ClaimEvent.ts';
 import type { ClaimOperation, ClaimResult } from './ClaimOperation.ts';
@@ -18,15 +19,6 @@
 
 const MAX_GONE_INCARNATIONS = 4096;
 
-/** A request that needs a claim before its first non-repeatable stage is sent. */
-export interface ClaimRequest {
-  readonly requestId: RequestId;
-  readonly accountId: AccountId;
-  readonly idempotencyKey: IdempotencyKey;
-  /** Digest of everything that makes up the input. */
-  readonly inputDigest: string;
-}
-
 /** A host that takes part in the claim log. */
 export interface ClaimMember {
   readonly hostId: HostId;
@@ -58,7 +50,7 @@
  * requested claim, and `granted` only after the claim is durable in the platform (or, for a ticket,
  * recorded by the incarnation that minted it).
  */
-export class ClaimManager {
+export class ClaimManager implements ClaimPort {
   readonly #context: CoreContext;
 
   readonly #options: ClaimOptions;
@@ -182,10 +174,15 @@
 
   /**
    * @param fromHostId - the sender
+   * @param _fromIncarnationId - its process; operations name their claimer themselves
    * @param message - a message from an authenticated peer
    * @returns whether the message was one of the claim log's
    */
-  handlePeerMessage(fromHostId: HostId, message: PeerMessage): boolean {
+  handlePeerMessage(
+    fromHostId: HostId,
+    _fromIncarnationId: IncarnationId,
+    message: PeerMessage,
+  ): boolean {
     switch (message.kind) {
       case 'claimAsk':
       case 'ticketAsk': {
@@ -214,11 +211,10 @@
   }
 
   /**
-   * @param operationId - which platform call was answered
-   * @param answer - the answer
+   * @param input - the answer to a platform call
    * @returns whether the call was one of the claim log's
    */
-  handleKeyValueAnswer(operationId: OperationId, answer: KeyValueAnswer): boolean {
+  handleKeyValueAnswer({ operationId, answer }: KeyValueAnsweredInput): boolean {
     return [...this.#shards.values()]
       .some((shard) => shard.handleKeyValueAnswer(operationId, answer));
   }
--- a/test/support/ClaimTestBed.ts
+++ b/test/support/ClaimTestBed.ts
@@ -137,7 +137,9 @@
         this.store.execute(item.output.call);
         break;
       case 'answer':
-        this.getHost(item.host).manager.handleKeyValueAnswer(item.operationId, item.answer);
+        this.getHost(item.host).manager.handleKeyValueAnswer({
+          kind: 'keyValueAnswered', operationId: item.operationId, answer: item.answer,
+        });
         break;
       default:
         this.#meetMessage(item, fate);
@@ -236,8 +238,8 @@
       return;
     }
     const target = this.#getTarget(output);
-    const { hostId } = this.getHost(host).context.self;
-    this.getHost(target).manager.handlePeerMessage(hostId, output.message);
+    const { hostId, incarnationId } = this.getHost(host).context.self;
+    this.getHost(target).manager.handlePeerMessage(hostId, incarnationId, output.message);
     if (fate === 'duplicate' || fate === 'delayEffect') {
       this.inFlight.push({ kind: 'message', host, output });
     }
