--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,3 +1,4 @@
+import type { ClaimMessage } from '../claims/ClaimMessage.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { GrantMessage } from '../grants/GrantMessage.ts';
 import type { FailureDomainId, HostId, IncarnationId } from '../lib/ids.ts';
@@ -41,4 +42,4 @@
 /** A message between entry hosts. */
 export type PeerMessage =
   | HeartbeatMessage | ConfigurationMessage | ConfigurationAskMessage
-  | GrantMessage;
+  | ClaimMessage | GrantMessage;
