Queue stages fairly, admit by deadline and cost, claim before the first stage

Ruled out: finding records of the configuration by a scan per dispatch (890 upstreams). Conclusion: the request life is whole; routing, stewards and cost follow behind their interfaces.

--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -1,3 +1,6 @@
+import { Admission } from '../admission/Admission.ts';
+import { StageLatencies } from '../admission/StageLatencies.ts';
+import { ConfigurationIndex } from '../configuration/ConfigurationIndex.ts';
 import {
   createEmptyConfiguration, type ConfigurationRecord,
 } from '../configuration/records/ConfigurationRecord.ts';
@@ -14,12 +17,15 @@
 import { DueQueue } from './DueQueue.ts';
 import { admitRequests } from './systems/admitRequests.ts';
 import { applyClaimEvents } from './systems/applyClaimEvents.ts';
+import { askClaimsAgain } from './systems/askClaimsAgain.ts';
+import { expireQueued, getNextQueueExpiryMs } from './systems/expireQueued.ts';
 import { dispatchStages } from './systems/dispatchStages.ts';
 import { expireAttempts } from './systems/expireAttempts.ts';
 import { expireRequests } from './systems/expireRequests.ts';
 import { finishAttempts } from './systems/finishAttempts.ts';
 import { forwardChunks } from './systems/forwardChunks.ts';
 import { stopHost } from './systems/stopHost.ts';
+import { PoolTable } from './tables/PoolTable.ts';
 import type { RequestRecord } from './tables/RequestRecord.ts';
 
 /** The managers that the core composes. */
@@ -39,8 +45,10 @@
   expireAttempts,
   expireRequests,
   admitRequests,
+  askClaimsAgain,
   applyClaimEvents,
   dispatchStages,
+  expireQueued,
   stopHost,
 ];
 
@@ -61,21 +69,28 @@
     managers: CoreManagers,
     options: Partial<CoreOptions> = {},
   ) {
+    const latencies = new StageLatencies(context);
+    const pools = new PoolTable(context, managers.router);
     this.#world = {
       ...managers,
       context,
+      latencies,
+      pools,
+      admission: new Admission(context, latencies, pools),
       options: { ...DEFAULT_CORE_OPTIONS, ...options },
       inbox: new CoreInbox(),
       requests: new Map(),
       attempts: new Map(),
       lateAttempts: new DueQueue(),
-      waiting: new Map(),
+      followings: new DueQueue(),
+      abandonments: new DueQueue(),
       deadlines: new DueQueue(),
       answered: [],
       forgettings: new DueQueue(),
-      configuration: createEmptyConfiguration(),
+      configuration: new ConfigurationIndex(createEmptyConfiguration()),
       inFlightCount: 0,
-      stopRequestedAtMs: null,
+      leavingSinceMs: null,
+      isStopping: false,
       isStopped: false,
     };
   }
@@ -96,19 +111,21 @@
    * @returns when the next step is due without any input; Infinity for never
    */
   getNextWakeMs(): number {
-    const {
-      deadlines, forgettings, lateAttempts, claims, router, stopRequestedAtMs, options,
-    } = this.#world;
-    const leaveAtMs = stopRequestedAtMs === null
+    const world = this.#world;
+    const nowMs = world.context.getNowMs();
+    const leaveAtMs = world.leavingSinceMs === null
       ? Infinity
-      : Math.max(this.#world.context.getNowMs(), stopRequestedAtMs + options.leaveGraceMs);
+      : Math.max(nowMs, world.leavingSinceMs + world.options.leaveGraceMs);
     return Math.min(
-      deadlines.getNextWakeMs(),
-      forgettings.getNextWakeMs(),
-      lateAttempts.getNextWakeMs(),
-      claims.getNextWakeMs(),
-      router.getNextWakeMs(),
-      this.#world.isStopped ? Infinity : leaveAtMs,
+      world.deadlines.getNextWakeMs(),
+      world.forgettings.getNextWakeMs(),
+      world.lateAttempts.getNextWakeMs(),
+      world.followings.getNextWakeMs(),
+      world.abandonments.getNextWakeMs(),
+      getNextQueueExpiryMs(world),
+      world.claims.getNextWakeMs(),
+      world.router.getNextWakeMs(),
+      world.isStopping && !world.isStopped ? leaveAtMs : Infinity,
     );
   }
 
@@ -118,22 +135,31 @@
    * @param configuration - the adopted configuration
    */
   setConfiguration(configuration: ConfigurationRecord): void {
-    this.#world.configuration = configuration;
-    this.#world.router.setConfiguration(configuration);
+    const world = this.#world;
+    const { hostId, failureDomainId } = world.context.self;
+    world.configuration = new ConfigurationIndex(configuration);
+    world.pools.setAccounts(configuration.accounts);
+    world.router.setConfiguration(configuration);
+    if (world.configuration.isHostDrained(hostId, failureDomainId)) {
+      world.leavingSinceMs ??= world.context.getNowMs();
+    } else if (!world.isStopping) {
+      world.leavingSinceMs = null;
+    }
   }
 
   /**
    * @returns whether the balancer should send requests here
    */
   isReady(): boolean {
-    return this.#world.configuration.version > 0 && this.#world.stopRequestedAtMs === null;
+    const { configuration, leavingSinceMs } = this.#world;
+    return configuration.record.version > 0 && leavingSinceMs === null;
   }
 
   /**
    * @returns the configuration in force
    */
   getConfiguration(): ConfigurationRecord {
-    return this.#world.configuration;
+    return this.#world.configuration.record;
   }
 
   /**
@@ -151,7 +177,8 @@
         inbox.submitted.push(input);
         return;
       case 'requestAbandoned':
-        inbox.abandoned.push(input);
+      case 'requestResumed':
+        inbox.callerChanges.push(input);
         return;
       case 'attemptChunk':
         inbox.chunks.push(input);
@@ -178,7 +205,8 @@
       case 'operatorCalled':
         return;
       case 'stopRequested':
-        this.#world.stopRequestedAtMs ??= this.#world.context.getNowMs();
+        this.#world.isStopping = true;
+        this.#world.leavingSinceMs ??= this.#world.context.getNowMs();
         return;
       default:
         throw exhaustiveSwitchError(input);
--- a/src/core/CoreInbox.ts
+++ b/src/core/CoreInbox.ts
@@ -1,6 +1,6 @@
 import type {
   AttemptChunkInput, AttemptFailedInput, AttemptSucceededInput, RequestAbandonedInput,
-  RequestSubmittedInput,
+  RequestResumedInput, RequestSubmittedInput,
 } from './CoreInput.ts';
 
 /** An attempt that ended, with or without a result. */
@@ -10,7 +10,7 @@
 export class CoreInbox {
   readonly submitted: RequestSubmittedInput[] = [];
 
-  readonly abandoned: RequestAbandonedInput[] = [];
+  readonly callerChanges: (RequestAbandonedInput | RequestResumedInput)[] = [];
 
   readonly chunks: AttemptChunkInput[] = [];
 
--- a/src/core/CoreInput.ts
+++ b/src/core/CoreInput.ts
@@ -28,6 +28,12 @@
   readonly requestId: RequestId;
 }
 
+/** A caller listens again to a request that it had left. */
+export interface RequestResumedInput {
+  readonly kind: 'requestResumed';
+  readonly requestId: RequestId;
+}
+
 /** An upstream streamed a part of its result. */
 export interface AttemptChunkInput {
   readonly kind: 'attemptChunk';
@@ -115,7 +121,7 @@
 
 /** Everything that the core learns from outside. */
 export type CoreInput =
-  | RequestSubmittedInput | RequestAbandonedInput
+  | RequestSubmittedInput | RequestAbandonedInput | RequestResumedInput
   | AttemptChunkInput | AttemptSucceededInput | AttemptFailedInput
   | LoadReportedInput | LoadUnavailableInput
   | KeyValueAnsweredInput | HostListReadInput
--- a/src/core/CoreOptions.ts
+++ b/src/core/CoreOptions.ts
@@ -12,6 +12,10 @@
   readonly leaveGraceMs: number;
   /** How long the end of an attempt that timed out is waited for, with its cost. */
   readonly lateAttemptMs: number;
+  /** Time between two questions for the outcome of a key that runs elsewhere. */
+  readonly followPeriodMs: number;
+  /** How long a caller that went away may take to come back before its request is given up. */
+  readonly resumeGraceMs: number;
   /** Attempts of one repeatable stage at most. */
   readonly maxAttemptsPerStage: number;
   /** Time to come back that a refusal names when nothing better is known. */
@@ -26,6 +30,8 @@
   maxDeadlineMs: 600_000,
   leaveGraceMs: 1_500,
   lateAttemptMs: 5_000,
+  followPeriodMs: 200,
+  resumeGraceMs: 2_000,
   maxAttemptsPerStage: 3,
   defaultRetryAfterMs: 1_000,
 };
--- a/src/core/CoreWorld.ts
+++ b/src/core/CoreWorld.ts
@@ -1,13 +1,16 @@
+import type { Admission } from '../admission/Admission.ts';
+import type { StageLatencies } from '../admission/StageLatencies.ts';
 import type { ClaimPort } from '../claims/ClaimPort.ts';
-import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
+import type { ConfigurationIndex } from '../configuration/ConfigurationIndex.ts';
 import type { CostPort } from '../cost/CostPort.ts';
-import type { AttemptId, PoolId, RequestId } from '../lib/ids.ts';
+import type { AttemptId, RequestId } from '../lib/ids.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
 import type { CoreContext } from './CoreContext.ts';
 import type { CoreInbox } from './CoreInbox.ts';
 import type { CoreOptions } from './CoreOptions.ts';
 import type { DueQueue } from './DueQueue.ts';
 import type { AttemptRecord } from './tables/AttemptRecord.ts';
+import type { PoolTable } from './tables/PoolTable.ts';
 import type { RequestRecord } from './tables/RequestRecord.ts';
 
 /** The tables, work lists and managers over which the systems run. */
@@ -17,22 +20,29 @@
   readonly inbox: CoreInbox;
   readonly requests: Map<RequestId, RequestRecord>;
   readonly attempts: Map<AttemptId, AttemptRecord>;
+  readonly pools: PoolTable;
   /** Attempts that timed out and may still end. */
   readonly lateAttempts: DueQueue<AttemptId>;
-  /** Requests that wait for an upstream, by pool. */
-  readonly waiting: Map<PoolId, RequestRecord[]>;
   readonly deadlines: DueQueue<RequestId>;
+  /** Requests that follow another one under their key, by when they ask again. */
+  readonly followings: DueQueue<RequestId>;
+  /** Requests whose caller went away, by when they are given up. */
+  readonly abandonments: DueQueue<RequestId>;
   /** Requests that were answered, oldest first. */
   readonly answered: RequestId[];
   /** Answers to forget. */
   readonly forgettings: DueQueue<RequestId>;
+  readonly admission: Admission;
+  readonly latencies: StageLatencies;
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
-  configuration: ConfigurationRecord;
+  configuration: ConfigurationIndex;
   /** Requests without a final answer. */
   inFlightCount: number;
-  /** When the stop was requested; null while serving. */
-  stopRequestedAtMs: number | null;
+  /** When this host was told to stop, or was taken out of service; null while it serves. */
+  leavingSinceMs: number | null;
+  /** Whether the process is to end once nothing runs. */
+  isStopping: boolean;
   isStopped: boolean;
 }
--- a/src/core/requests/finishRequest.ts
+++ b/src/core/requests/finishRequest.ts
@@ -1,21 +1,13 @@
 import { createHash } from 'node:crypto';
 import type { CompletedAnswer, RequestAnswer, StageSummary } from '../../answers/RequestAnswer.ts';
-import type { RefusalCode } from '../../answers/REFUSAL_CODE.ts';
-import { toId } from '../../lib/ids.ts';
+import { toId, type PoolId } from '../../lib/ids.ts';
 import type { CoreWorld } from '../CoreWorld.ts';
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
 import { abandonAttempt } from './abandonAttempt.ts';
 import { explain } from './explain.ts';
+import type { Refusal } from './Refusal.ts';
 import { getCurrentStage } from './getCurrentStage.ts';
 
-/** Why a request ends without a result. */
-export interface Refusal {
-  readonly code: RefusalCode;
-  readonly detail: string;
-  /** When the caller may come back; null when asking again can't help. */
-  readonly retryAfterMs: number | null;
-}
-
 function getStageSummaries(request: RequestRecord): StageSummary[] {
   return request.stages.map((progress) => ({
     stageId: toId(progress.stage.id),
@@ -40,6 +32,13 @@
   }
 }
 
+function leaveQueue(world: CoreWorld, request: RequestRecord): void {
+  if (request.state === REQUEST_STATE.queued && request.stages.length > 0) {
+    const poolId = toId<PoolId>(getCurrentStage(request).stage.poolId);
+    world.pools.getRow(poolId).queue.remove(request.requestId);
+  }
+}
+
 /**
  * Sends the final answer of a request, at once, and keeps it for callers who resume.
  *
@@ -52,6 +51,7 @@
   request: RequestRecord,
   answer: RequestAnswer,
 ): void {
+  leaveQueue(world, request);
   abandonAttempt(world, request);
   request.answer = answer;
   request.state = REQUEST_STATE.answered;
--- a/src/core/requests/startStage.ts
+++ b/src/core/requests/startStage.ts
@@ -1,9 +1,15 @@
+import { REFUSAL_CODE } from '../../answers/REFUSAL_CODE.ts';
 import { assertExists } from '../../lib/assertExists.ts';
-import { toId, type PoolId } from '../../lib/ids.ts';
+import { toId, type PipelineId, type PoolId } from '../../lib/ids.ts';
 import type { CoreWorld } from '../CoreWorld.ts';
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
+import { refuseRequest } from './finishRequest.ts';
+import { getVerdict } from './getAdmissionRefusal.ts';
 import { getCurrentStage } from './getCurrentStage.ts';
 
+const MEDIAN = 0.5;
+const DEFAULT_PRIORITY = 0;
+
 /**
  * Puts a request into the queue of its stage's pool.
  *
@@ -11,11 +17,30 @@
  * @param request - the request
  */
 export function queueStage(world: CoreWorld, request: RequestRecord): void {
-  const poolId = toId<PoolId>(getCurrentStage(request).stage.poolId);
-  const queue = world.waiting.get(poolId) ?? [];
-  queue.push(request);
-  world.waiting.set(poolId, queue);
+  const { stage } = getCurrentStage(request);
+  const pipelineId = toId<PipelineId>(request.pipeline.id);
+  const verdict = getVerdict(world, request);
+  if (verdict.kind === 'refused') {
+    refuseRequest(world, request, verdict);
+    return;
+  }
   request.state = REQUEST_STATE.queued;
+  const isQueued = world.pools.getRow(toId<PoolId>(stage.poolId)).queue.enqueue({
+    requestId: request.requestId,
+    accountId: request.accountId,
+    priority: DEFAULT_PRIORITY,
+    deadlineAtMs: verdict.latestStartAtMs,
+    // Accounts share the time of the pool's upstreams, so that is what they are charged.
+    expectedCost: world.latencies.getQuantileMs(pipelineId, stage, MEDIAN),
+    payload: request,
+  });
+  if (!isQueued) {
+    refuseRequest(world, request, {
+      code: REFUSAL_CODE.overloaded,
+      detail: `Too many requests of this account wait for pool ${stage.poolId}`,
+      retryAfterMs: world.options.defaultRetryAfterMs,
+    });
+  }
 }
 
 /**
--- a/src/core/systems/admitRequests.ts
+++ b/src/core/systems/admitRequests.ts
@@ -4,8 +4,10 @@
 import type { RequestSubmittedInput } from '../CoreInput.ts';
 import type { CoreWorld } from '../CoreWorld.ts';
 import { explain } from '../requests/explain.ts';
-import { refuseRequest, type Refusal } from '../requests/finishRequest.ts';
+import { refuseRequest } from '../requests/finishRequest.ts';
+import type { Refusal } from '../requests/Refusal.ts';
 import { getFingerprint } from '../requests/getFingerprint.ts';
+import { getAdmissionRefusal } from '../requests/getAdmissionRefusal.ts';
 import { startRequest } from '../requests/startStage.ts';
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
 
@@ -36,6 +38,7 @@
     })),
     attemptId: null,
     failedUpstreamIds: [],
+    isAbandoned: false,
     isClaimed: false,
     mayHaveRun: false,
     streamedText: '',
@@ -45,32 +48,23 @@
 }
 
 function isAllowed(world: CoreWorld, request: RequestRecord): boolean {
-  const account = world.configuration.accounts.find(({ id }) => id === request.accountId);
+  const account = world.configuration.accounts.get(request.accountId);
   return account?.pipelineIds.includes(request.pipeline.id) ?? false;
 }
 
-function isLeaving(world: CoreWorld): boolean {
-  const { stopRequestedAtMs, context, options } = world;
-  return stopRequestedAtMs !== null
-    && context.getNowMs() >= stopRequestedAtMs + options.leaveGraceMs;
+function isLeaving({ leavingSinceMs, context, options }: CoreWorld): boolean {
+  return leavingSinceMs !== null && context.getNowMs() >= leavingSinceMs + options.leaveGraceMs;
 }
 
-function getRefusal(world: CoreWorld, request: RequestRecord): Refusal | null {
+function getHostRefusal(world: CoreWorld): Refusal | null {
   const { options } = world;
   if (isLeaving(world)) {
     return {
       code: REFUSAL_CODE.notReady,
-      detail: 'This host is leaving; another one serves the request',
+      detail: 'This host is out of service; another one serves the request',
       retryAfterMs: options.defaultRetryAfterMs,
     };
   }
-  if (!isAllowed(world, request)) {
-    return {
-      code: REFUSAL_CODE.pipelineUnknown,
-      detail: 'The account may not call this pipeline, or the pipeline does not exist',
-      retryAfterMs: null,
-    };
-  }
   if (world.inFlightCount > options.maxRequestsInFlight) {
     return {
       code: REFUSAL_CODE.overloaded,
@@ -78,6 +72,17 @@
       retryAfterMs: options.defaultRetryAfterMs,
     };
   }
+  return null;
+}
+
+function getRequestRefusal(world: CoreWorld, request: RequestRecord): Refusal | null {
+  if (!isAllowed(world, request)) {
+    return {
+      code: REFUSAL_CODE.pipelineUnknown,
+      detail: 'The account may not call this pipeline, or the pipeline does not exist',
+      retryAfterMs: null,
+    };
+  }
   const needsKey = request.pipeline.stages.some(({ repeatable }) => !repeatable);
   if (needsKey && request.idempotencyKey === null) {
     return {
@@ -89,6 +94,12 @@
   return null;
 }
 
+function getRefusal(world: CoreWorld, request: RequestRecord): Refusal | null {
+  return getHostRefusal(world)
+    ?? getRequestRefusal(world, request)
+    ?? getAdmissionRefusal(world, request);
+}
+
 /**
  * Takes the requests that arrived: refuses at once those that can't be served, starts the others.
  *
@@ -96,7 +107,7 @@
  */
 export function admitRequests(world: CoreWorld): void {
   takeAll(world.inbox.submitted).forEach((input) => {
-    const pipeline = world.configuration.pipelines.find(({ id }) => id === input.pipelineId);
+    const pipeline = world.configuration.pipelines.get(input.pipelineId);
     const request = createRequestRecord(world, input, pipeline ?? NO_PIPELINE);
     world.requests.set(request.requestId, request);
     world.inFlightCount += 1;
--- a/src/core/systems/applyClaimEvents.ts
+++ b/src/core/systems/applyClaimEvents.ts
@@ -32,11 +32,11 @@
       }, false);
       return;
     case 'runningElsewhere':
-      refuseRequest(world, request, {
-        code: REFUSAL_CODE.outcomeUnknown,
-        detail: `The key is running at host ${event.hostId}; ask again`,
-        retryAfterMs: options.defaultRetryAfterMs,
-      }, false);
+      request.state = REQUEST_STATE.following;
+      world.followings.add(
+        request.requestId,
+        world.context.getNowMs() + options.followPeriodMs,
+      );
       return;
     case 'outcomeUnknown':
       refuseRequest(world, request, {
--- /dev/null
+++ b/src/core/systems/askClaimsAgain.ts
@@ -0,0 +1,20 @@
+import type { CoreWorld } from '../CoreWorld.ts';
+import { claimKey } from '../requests/startStage.ts';
+import { REQUEST_STATE } from '../tables/RequestRecord.ts';
+
+/**
+ * Asks again for the claims of requests whose key was running elsewhere.
+ *
+ * @param world - the core's state
+ */
+export function askClaimsAgain(world: CoreWorld): void {
+  const nowMs = world.context.getNowMs();
+  let requestId = world.followings.takeDue(nowMs);
+  while (requestId !== null) {
+    const request = world.requests.get(requestId);
+    if (request?.state === REQUEST_STATE.following) {
+      claimKey(world, request);
+    }
+    requestId = world.followings.takeDue(nowMs);
+  }
+}
--- a/src/core/systems/dispatchStages.ts
+++ b/src/core/systems/dispatchStages.ts
@@ -5,6 +5,7 @@
 import type { CoreWorld } from '../CoreWorld.ts';
 import { explain } from '../requests/explain.ts';
 import { getCurrentStage } from '../requests/getCurrentStage.ts';
+import type { PoolRow } from '../tables/PoolTable.ts';
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
 
 const DEFAULT_PRIORITY = 0;
@@ -21,11 +22,11 @@
   const stageId = toId<StageId>(progress.stage.id);
   const attemptId = toId<AttemptId>(context.random.getHexId());
   const upstream = assertExists(
-    configuration.upstreams.find(({ id }) => id === upstreamId),
+    configuration.upstreams.get(upstreamId),
     'The router chooses among the configured upstreams',
   );
   const pool = assertExists(
-    configuration.pools.find(({ id }) => id === poolId),
+    configuration.pools.get(poolId),
     'An upstream belongs to a configured pool',
   );
   progress.attemptCount += 1;
@@ -63,25 +64,26 @@
   });
 }
 
-function dispatchPool(world: CoreWorld, poolId: PoolId, queue: RequestRecord[]): void {
-  while (queue.length > 0) {
-    const request = assertExists(queue[0], 'The queue is not empty');
-    if (request.state !== REQUEST_STATE.queued) {
-      queue.shift();
-    } else {
-      const upstreamId = world.router.tryAcquire({
-        poolId,
-        requestId: request.requestId,
-        accountId: request.accountId,
-        affinityKey: null,
-        excludedUpstreamIds: request.failedUpstreamIds,
-      });
-      if (upstreamId === null) {
-        return;
-      }
-      queue.shift();
-      sendStage(world, request, poolId, upstreamId);
+function dispatchPool(world: CoreWorld, { poolId, queue, retryBudget }: PoolRow): void {
+  let next = queue.peek();
+  while (next !== undefined) {
+    const request = next.payload;
+    const upstreamId = world.router.tryAcquire({
+      poolId,
+      requestId: request.requestId,
+      accountId: request.accountId,
+      affinityKey: null,
+      excludedUpstreamIds: request.failedUpstreamIds,
+    });
+    if (upstreamId === null) {
+      return;
     }
+    queue.dequeue();
+    if (request.failedUpstreamIds.length === 0) {
+      retryBudget.noteOffered();
+    }
+    sendStage(world, request, poolId, upstreamId);
+    next = queue.peek();
   }
 }
 
@@ -91,5 +93,5 @@
  * @param world - the core's state
  */
 export function dispatchStages(world: CoreWorld): void {
-  world.waiting.forEach((queue, poolId) => dispatchPool(world, poolId, queue));
+  [...world.pools.getRows()].forEach((row) => dispatchPool(world, row));
 }
--- a/src/core/systems/finishAttempts.ts
+++ b/src/core/systems/finishAttempts.ts
@@ -12,6 +12,8 @@
 import type { AttemptRecord } from '../tables/AttemptRecord.ts';
 import type { RequestRecord } from '../tables/RequestRecord.ts';
 
+const MEDIAN = 0.5;
+
 function isCertainlyNotRun(input: AttemptFailedInput): boolean {
   return input.failure === ATTEMPT_FAILURE.unreachable || input.failure === ATTEMPT_FAILURE.refused;
 }
@@ -76,6 +78,47 @@
   });
 }
 
+function canRetry(
+  world: CoreWorld,
+  request: RequestRecord,
+  attempt: AttemptRecord,
+  input: AttemptFailedInput,
+): boolean {
+  const { stage, attemptCount } = getCurrentStage(request);
+  if (input.failure === ATTEMPT_FAILURE.rejected) {
+    return false;
+  }
+  if (attemptCount >= world.options.maxAttemptsPerStage) {
+    return false;
+  }
+  return world.pools.getRow(attempt.poolId).retryBudget.tryRetry({
+    isRepeatable: true,
+    remainingMs: request.deadlineAtMs - world.context.getNowMs(),
+    medianMs: world.latencies.getQuantileMs(toId<PipelineId>(request.pipeline.id), stage, MEDIAN),
+  });
+}
+
+function noteLatency(
+  world: CoreWorld,
+  request: RequestRecord,
+  attempt: AttemptRecord,
+  input: AttemptEndedInput,
+): void {
+  const latencyMs = world.context.getNowMs() - attempt.sentAtMs;
+  const pipelineId = toId<PipelineId>(request.pipeline.id);
+  const stage = request.stages[attempt.stageIndex]?.stage;
+  if (stage !== undefined) {
+    const expectedMs = world.latencies.getQuantileMs(pipelineId, stage, MEDIAN);
+    world.pools.getRow(attempt.poolId).queue
+      .correctCharge(request.accountId, latencyMs - expectedMs);
+  }
+  if (input.kind === 'attemptSucceeded') {
+    world.latencies.note({
+      pipelineId, stageId: attempt.stageId, latencyMs, costMicros: input.costMicros,
+    });
+  }
+}
+
 function handleFailure(
   world: CoreWorld,
   request: RequestRecord,
@@ -91,8 +134,7 @@
       .slice(0, request.stageIndex)
       .some(({ stage }) => !stage.repeatable);
   }
-  const canHelp = input.failure !== ATTEMPT_FAILURE.rejected;
-  if (isSafe && canHelp && progress.attemptCount < world.options.maxAttemptsPerStage) {
+  if (isSafe && canRetry(world, request, attempt, input)) {
     queueStage(world, request);
     return;
   }
@@ -117,6 +159,7 @@
     return;
   }
   bookCost(world, attempt, request, input);
+  noteLatency(world, request, attempt, input);
   if (attempt.decidesOutcome && !isTimedOut) {
     settleLateOutcome(world, attempt, request, input);
   }
--- a/src/core/systems/stopHost.ts
+++ b/src/core/systems/stopHost.ts
@@ -6,11 +6,11 @@
  * @param world - the core's state
  */
 export function stopHost(world: CoreWorld): void {
-  const { stopRequestedAtMs, options, context } = world;
-  if (stopRequestedAtMs === null || world.isStopped) {
+  const { leavingSinceMs, options, context } = world;
+  if (!world.isStopping || world.isStopped || leavingSinceMs === null) {
     return;
   }
-  const isGraceOver = context.getNowMs() >= stopRequestedAtMs + options.leaveGraceMs;
+  const isGraceOver = context.getNowMs() >= leavingSinceMs + options.leaveGraceMs;
   if (isGraceOver && world.inFlightCount === 0 && world.attempts.size === 0) {
     world.isStopped = true;
     context.emit({ kind: 'stopped' });
--- a/src/core/tables/RequestRecord.ts
+++ b/src/core/tables/RequestRecord.ts
@@ -55,6 +55,8 @@
   attemptId: AttemptId | null;
   /** Upstreams that failed the present stage. */
   failedUpstreamIds: UpstreamId[];
+  /** True while nobody listens for the answer. */
+  isAbandoned: boolean;
   /** True once the claim of the request's key is durable in its name. */
   isClaimed: boolean;
   /** True once a byte of a non-repeatable stage may have left this host. */
--- a/src/serve/CallerDesk.ts
+++ b/src/serve/CallerDesk.ts
@@ -83,6 +83,7 @@
       listener.onChunk(0, request.streamedText);
     }
     this.#options.listeners.add(requestId, listener);
+    this.#options.post({ kind: 'requestResumed', requestId });
     return true;
   }
 
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -2,7 +2,8 @@
 import type { Logger } from 'pino';
 import { createHttpServer } from '../callers/createHttpServer.ts';
 import { registerCallerRoutes } from '../callers/registerCallerRoutes.ts';
-import { RefusingClaims } from '../claims/RefusingClaims.ts';
+import { ClaimManager } from '../claims/ClaimManager.ts';
+import { DEFAULT_CLAIM_OPTIONS } from '../claims/ClaimOptions.ts';
 import type { ServedHost, ServeHostOptions } from '../cli/CliContext.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import { Core } from '../core/Core.ts';
@@ -60,6 +61,7 @@
    * @param options - settings and keys
    */
   private constructor({ settings }: ServeHostOptions) {
+    const clock = new SystemClock();
     const random = new SystemRandomSource();
     const incarnationId = random.getHexId();
     this.stopped = new Promise((resolve) => {
@@ -72,7 +74,7 @@
     this.#tracer = new HostTracer(this.#tracing);
     this.#keyValue = new HttpKeyValueClient({ url: settings.platformUrl });
     this.#loop = new CoreLoop({
-      clock: new SystemClock(),
+      clock,
       random,
       self: {
         hostId: toId(settings.hostId),
@@ -84,7 +86,9 @@
         router: new PoolRouter(context, {
           getSteward: () => null, getOwnDuty: () => null, getHostCountBound: () => 1,
         }),
-        claims: new RefusingClaims(),
+        claims: new ClaimManager(context, {
+          ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
+        }),
         costs: { book: () => undefined },
       }),
       perform: (output) => this.#perform(output),
