--- a/standins/PlatformStandin.ts
+++ b/standins/PlatformStandin.ts
@@ -149,7 +149,8 @@
   }
 
   #addFaultHook(): void {
-    this.#fastify.addHook('onRequest', async (request, reply) => {
+    // After the body is read, so that a late call still takes effect.
+    this.#fastify.addHook('preHandler', async (request, reply) => {
       if (CONTROL_PATHS.has(request.url)) {
         return;
       }
--- a/standins/StandinServer.ts
+++ b/standins/StandinServer.ts
@@ -45,6 +45,9 @@
 
   #isClosed = false;
 
+  /** Aborted when the incarnation ends. */
+  #life = new AbortController();
+
   readonly #sockets = new Set<Socket>();
 
   #thawWaiters: (() => void)[] = [];
@@ -96,6 +99,7 @@
     this.#isClosed = true;
     this.#thaw();
     this.#slots.clear();
+    this.#life.abort();
     this.#sockets.forEach((socket) => socket.destroy());
     await this.fastify.close();
   }
@@ -148,6 +152,8 @@
     this.counts.crashCount += 1;
     this.#onCrash?.();
     this.#incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+    this.#life.abort();
+    this.#life = new AbortController();
     this.#slots.clear();
     this.#slots = new WorkSlots(this.options.capacity, this.options.queueLimit);
     this.#startedAtMs = performance.now() + downMs;
@@ -183,7 +189,8 @@
   async work(serviceMs: number, signal: AbortSignal): Promise<boolean> {
     const delayMs = this.faults.take('slow')?.delayMs ?? 0;
     try {
-      await sleep(serviceMs + delayMs, undefined, { signal });
+      const ends = AbortSignal.any([signal, this.#life.signal]);
+      await sleep(serviceMs + delayMs, undefined, { signal: ends });
     } catch {
       return false;
     }
@@ -227,7 +234,8 @@
   }
 
   #addFaultHook(): void {
-    this.fastify.addHook('onRequest', async (request, reply) => {
+    // After the body is read, so that a frozen stand-in does later what it was sent.
+    this.fastify.addHook('preHandler', async (request, reply) => {
       if (CONTROL_PATHS.has(request.url)) {
         return;
       }
