--- a/standins/deployments/EmbeddedDeployment.ts
+++ b/standins/deployments/EmbeddedDeployment.ts
@@ -1,6 +1,5 @@
 import type { ConfigurationRecord } from '../../src/configuration/records/ConfigurationRecord.ts';
 import { exhaustiveSwitchError } from '../../src/lib/exhaustiveSwitchError.ts';
-import { HttpKeyValueClient } from '../../src/platform/HttpKeyValueClient.ts';
 import { EngineStandin } from '../EngineStandin.ts';
 import { PlatformStandin, type PlatformStandinOptions } from '../PlatformStandin.ts';
 import { ServiceStandin } from '../ServiceStandin.ts';
@@ -8,6 +7,7 @@
 import type { DeployedUpstream, DeploymentDescription } from './DeploymentDescription.ts';
 import { createDeploymentConfiguration } from './createDeploymentConfiguration.ts';
 import { getDeployedUpstreams } from './getDeployedUpstreams.ts';
+import { putConfiguration } from './putConfiguration.ts';
 
 type UpstreamStandin = EngineStandin | StagePoolStandin | ServiceStandin;
 
@@ -81,17 +81,7 @@
    * @throws Error when the platform has one already
    */
   async putConfiguration(): Promise<void> {
-    const client = new HttpKeyValueClient({ url: this.platform.url });
-    const answer = await client.call('configuration', {
-      kind: 'compareAndSwap',
-      key: 'configuration/head',
-      expectedVersion: 0,
-      value: JSON.stringify(this.configuration),
-    });
-    await client.close();
-    if (answer.kind !== 'swapped') {
-      throw new Error(`The first configuration was not written: ${answer.kind}`);
-    }
+    await putConfiguration(this.platform.url, this.configuration);
   }
 
   /** Stops all stand-ins. */
