Add the managers that follow and change the configuration

Cause: one head changed by compare-and-swap, adopted upwards only, with few watches, notices to peers and digests; a confirmation whose answer was lost is resolved by reading back and looking for the plan's id.

--- /dev/null
+++ b/src/configuration/ProposeFlow.ts
@@ -0,0 +1,99 @@
+import { createPlan } from '../intents/createPlan.ts';
+import type { Intent } from '../intents/Intent.ts';
+import type { Plan } from '../intents/Plan.ts';
+import type { PlanFacts } from '../intents/PlanFacts.ts';
+import { toId, type PlanId } from '../lib/ids.ts';
+import type { KeyValueAnswer } from '../platform/KeyValueCall.ts';
+import { CONFIGURATION_HEAD_KEY, getPlanKey } from './CONFIGURATION_KEY.ts';
+import type { ConfigurationFollower } from './ConfigurationFollower.ts';
+import type { PlanStore } from './PlanStore.ts';
+import type { StoredPlan } from './StoredPlan.ts';
+import { WriterFlow, type WriterFlowParts } from './WriterFlow.ts';
+
+/** What a proposal is made with. */
+export interface ProposeFlowParts extends WriterFlowParts {
+  readonly follower: ConfigurationFollower;
+  readonly plans: PlanStore;
+  readonly facts: PlanFacts;
+  readonly intent: Intent;
+}
+
+/**
+ * Proposes an intent: reads the head so that the plan is made for the latest version, makes the
+ * plan, and stores it in the platform so that any host can confirm it. A plan is answered also when
+ * it could not be stored; then only this host can confirm it.
+ */
+export class ProposeFlow extends WriterFlow {
+  readonly #parts: ProposeFlowParts;
+
+  #plan: Plan | null = null;
+
+  /**
+   * @param parts - what the flow works with
+   */
+  constructor(parts: ProposeFlowParts) {
+    super(parts);
+    this.#parts = parts;
+  }
+
+  /** Begins the flow. */
+  start(): void {
+    this.send(
+      { kind: 'get', key: CONFIGURATION_HEAD_KEY },
+      (answer) => this.#handleHead(answer),
+    );
+  }
+
+  /** @inheritdoc */
+  protected handleTimeout(): void {
+    if (this.#plan === null) {
+      this.#propose();
+    } else {
+      this.finish({ kind: 'planProposed', plan: this.#plan });
+    }
+  }
+
+  #handleHead(answer: KeyValueAnswer): void {
+    this.#parts.follower.noteHead(answer);
+    this.#propose();
+  }
+
+  #propose(): void {
+    const {
+      follower, plans, facts, intent,
+    } = this.#parts;
+    if (!follower.isReady()) {
+      this.finishUnavailable(false);
+      return;
+    }
+    const planId = toId<PlanId>(this.context.random.getHexId());
+    const plan = createPlan({
+      planId, intent, configuration: follower.getConfiguration(), facts,
+    });
+    this.#plan = plan;
+    const stored: StoredPlan = { planId, baseVersion: plan.baseVersion, intent };
+    plans.add(stored);
+    if (plan.conflicts.length > 0) {
+      // It can't be confirmed, so other hosts need not know it.
+      this.finish({ kind: 'planProposed', plan });
+      return;
+    }
+    this.#store(stored, plan, 0);
+  }
+
+  #store(stored: StoredPlan, plan: Plan, expectedVersion: number): void {
+    this.send({
+      kind: 'compareAndSwap',
+      key: getPlanKey(plan.planId),
+      expectedVersion,
+      value: JSON.stringify(stored),
+    }, (answer) => {
+      // The key is used again for later plans; its version is learnt from the first try.
+      if (answer.kind === 'conflict' && answer.version !== expectedVersion) {
+        this.#store(stored, plan, answer.version);
+      } else {
+        this.finish({ kind: 'planProposed', plan });
+      }
+    });
+  }
+}
