--- a/src/configuration/ConfigurationWriter.test.ts
+++ b/src/configuration/ConfigurationWriter.test.ts
@@ -4,7 +4,7 @@
 import { describe, it } from 'node:test';
 import { ConfigurationFleet, UNKNOWN_PLAN_ID } from '../../test/support/ConfigurationFleet.ts';
 import { createSampleConfiguration } from '../../test/support/createSampleConfiguration.ts';
-import type { StoreFault } from '../../test/support/FakeKeyValueStore.ts';
+import type { StoreFault } from '../../test/support/FakeConfigurationStore.ts';
 import type { Intent } from '../intents/Intent.ts';
 import { assertExists } from '../lib/assertExists.ts';
 import type { OperatorAnswer } from '../operators/OperatorAnswer.ts';
--- a/test/support/ConfigurationFleet.ts
+++ b/test/support/ConfigurationFleet.ts
@@ -14,7 +14,7 @@
 import type { KeyValueCall, WatchCall } from '../../src/platform/KeyValueCall.ts';
 import { ManualClock } from '../../src/time/ManualClock.ts';
 import { FakeCoreContext } from './FakeCoreContext.ts';
-import { FakeKeyValueStore } from './FakeKeyValueStore.ts';
+import { FakeConfigurationStore } from './FakeConfigurationStore.ts';
 
 interface ParkedWatch {
   readonly call: WatchCall;
@@ -34,7 +34,7 @@
 export class ConfigurationFleet {
   readonly clock = new ManualClock();
 
-  readonly store = new FakeKeyValueStore();
+  readonly store = new FakeConfigurationStore();
 
   readonly hosts: FleetHost[] = [];
 
