--- /dev/null
+++ b/src/peers/FrameTooLargeError.ts
@@ -0,0 +1,11 @@
+/** A message does not fit into a frame; it is not sent. */
+export class FrameTooLargeError extends Error {
+  /**
+   * @param sizeBytes - size of the encoded message
+   * @param limitBytes - the largest size allowed
+   */
+  constructor(sizeBytes: number, limitBytes: number) {
+    super(`Peer frame of ${sizeBytes} bytes exceeds the limit of ${limitBytes} bytes`);
+    this.name = 'FrameTooLargeError';
+  }
+}
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,4 +1,5 @@
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
+import type { GossipRecord } from '../gossip/GossipRecord.ts';
 import type { FailureDomainId, HostId, IncarnationId } from '../lib/ids.ts';
 
 /** One member as its sender knows it. */
@@ -37,5 +38,33 @@
   readonly knownVersion: number;
 }
 
+/** Answers a heartbeat; shows that the way to the sender and back works. */
+export interface HeartbeatAnswerMessage {
+  readonly kind: 'heartbeatAnswer';
+  /** The sequence of the heartbeat that is answered. */
+  readonly sequence: number;
+  readonly self: MemberRecord;
+  /** A bounded selection of other members, changed ones first. */
+  readonly members: readonly MemberRecord[];
+}
+
+/** Records that changed, or that a digest showed to be missing at the receiver. */
+export interface GossipPushMessage {
+  readonly kind: 'gossipPush';
+  readonly records: readonly GossipRecord[];
+}
+
+/** Hashes over the sender's records by bucket; the receiver pushes the buckets that differ. */
+export interface GossipDigestMessage {
+  readonly kind: 'gossipDigest';
+  /** One unsigned 32-bit hash for each bucket. */
+  readonly buckets: readonly number[];
+  /** True when the receiver should answer with its own digest. */
+  readonly isAnswerWanted: boolean;
+}
+
 /** A message between entry hosts. */
-export type PeerMessage = HeartbeatMessage | ConfigurationMessage | ConfigurationAskMessage;
+export type PeerMessage =
+  | HeartbeatMessage | HeartbeatAnswerMessage
+  | ConfigurationMessage | ConfigurationAskMessage
+  | GossipPushMessage | GossipDigestMessage;
--- /dev/null
+++ b/src/peers/isPeerMessage.ts
@@ -0,0 +1,78 @@
+import { Type, type TSchema } from '@sinclair/typebox';
+import { Ajv, type ValidateFunction } from 'ajv';
+import { configurationRecordSchema } from '../configuration/records/ConfigurationRecord.ts';
+import { GOSSIP_TOPIC } from '../gossip/GossipRecord.ts';
+import type { PeerMessage } from './PeerMessage.ts';
+
+const MAX_ID_LENGTH = 256;
+const MAX_LIST_LENGTH = 4096;
+
+const id = Type.String({ minLength: 1, maxLength: MAX_ID_LENGTH });
+const count = Type.Integer({ minimum: 0 });
+
+const memberRecord = Type.Object({
+  hostId: id,
+  incarnationId: id,
+  failureDomainId: id,
+  peerAddress: id,
+  state: Type.Union(
+    ['alive', 'suspect', 'leaving', 'dead'].map((state) => Type.Literal(state)),
+  ),
+  generation: count,
+  configurationVersion: count,
+});
+
+const memberRecords = Type.Array(memberRecord, { maxItems: MAX_LIST_LENGTH });
+
+const gossipRecord = Type.Object({
+  topic: Type.Union(Object.values(GOSSIP_TOPIC).map((topic) => Type.Literal(topic))),
+  key: Type.String({ maxLength: MAX_ID_LENGTH }),
+  version: count,
+  origin: id,
+  value: Type.Union([Type.String(), Type.Null()]),
+  remainingMs: Type.Number({ minimum: 0 }),
+});
+
+/**
+ * A newer program may send more fields than this one knows; they are kept and passed on.
+ *
+ * @param schema - a schema that refuses unknown fields
+ * @returns the same schema without the refusal
+ */
+function createOpenSchema(schema: TSchema): TSchema {
+  const text = JSON.stringify(
+    schema,
+    (name, value: unknown) => (name === 'additionalProperties' ? undefined : value),
+  );
+  return JSON.parse(text) as TSchema;
+}
+
+/** The schema of each message; a new kind of `PeerMessage` needs its entry here. */
+const schemas: Readonly<Record<PeerMessage['kind'], TSchema>> = {
+  heartbeat: Type.Object({
+    sequence: count, self: memberRecord, members: memberRecords, configurationVersion: count,
+  }),
+  heartbeatAnswer: Type.Object({ sequence: count, self: memberRecord, members: memberRecords }),
+  configuration: Type.Object({ configuration: createOpenSchema(configurationRecordSchema) }),
+  configurationAsk: Type.Object({ knownVersion: count }),
+  gossipPush: Type.Object({ records: Type.Array(gossipRecord, { maxItems: MAX_LIST_LENGTH }) }),
+  gossipDigest: Type.Object({
+    buckets: Type.Array(count, { maxItems: MAX_LIST_LENGTH }), isAnswerWanted: Type.Boolean(),
+  }),
+};
+
+const ajv = new Ajv();
+const checks = new Map<string, ValidateFunction>(
+  Object.entries(schemas).map(([kind, schema]) => [kind, ajv.compile(schema)]),
+);
+
+/**
+ * @param message - what was decoded from a frame
+ * @returns whether it is a message that this program knows; unknown fields are allowed
+ */
+export function isPeerMessage(message: unknown): message is PeerMessage {
+  if (typeof message !== 'object' || message === null || !('kind' in message)) {
+    return false;
+  }
+  return checks.get(String(message.kind))?.(message) === true;
+}
