--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,5 +1,7 @@
+import type { ClaimMessage } from '../claims/ClaimMessage.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { GossipRecord } from '../gossip/GossipRecord.ts';
+import type { GrantMessage } from '../grants/GrantMessage.ts';
 import type { FailureDomainId, HostId, IncarnationId } from '../lib/ids.ts';
 
 /** One member as its sender knows it. */
@@ -67,4 +69,5 @@
 export type PeerMessage =
   | HeartbeatMessage | HeartbeatAnswerMessage
   | ConfigurationMessage | ConfigurationAskMessage
-  | GossipPushMessage | GossipDigestMessage;
+  | GossipPushMessage | GossipDigestMessage
+  | ClaimMessage | GrantMessage;
--- a/src/peers/isPeerMessage.ts
+++ b/src/peers/isPeerMessage.ts
@@ -33,6 +33,14 @@
   remainingMs: Type.Number({ minimum: 0 }),
 });
 
+const claimOperation = Type.Object({
+  kind: Type.Union(['claim', 'outcome', 'release'].map((kind) => Type.Literal(kind))),
+  key: Type.String(),
+  token: id,
+});
+
+const duration = Type.Number({ minimum: 0 });
+
 /**
  * A newer program may send more fields than this one knows; they are kept and passed on.
  *
@@ -59,6 +67,22 @@
   gossipDigest: Type.Object({
     buckets: Type.Array(count, { maxItems: MAX_LIST_LENGTH }), isAnswerWanted: Type.Boolean(),
   }),
+  claimAsk: Type.Object({ askId: id, replyAddress: id, operation: claimOperation }),
+  ticketAsk: Type.Object({
+    askId: id,
+    replyAddress: id,
+    accountId: id,
+    ticket: Type.String(),
+    operation: claimOperation,
+  }),
+  claimReply: Type.Object({
+    askId: id, operation: claimOperation, result: Type.Object({ kind: id }),
+  }),
+  grantAsk: Type.Object({ askId: id, upstreamId: id, durationMs: duration }),
+  grantReply: Type.Object({
+    askId: id, upstreamId: id, epoch: count, durationMs: duration, retryAfterMs: duration,
+  }),
+  grantReturn: Type.Object({ askId: id, upstreamId: id }),
 };
 
 const ajv = new Ajv();
