--- a/src/claims/ClaimAskTable.ts
+++ b/src/claims/ClaimAskTable.ts
@@ -1,4 +1,5 @@
 import type { CoreContext } from '../core/CoreContext.ts';
+import { DueQueue } from '../core/DueQueue.ts';
 import type { AccountId, HostId } from '../lib/ids.ts';
 import type { ClaimMember, ClaimOwners } from './ClaimManager.ts';
 import type { ClaimOperation } from './ClaimOperation.ts';
@@ -19,7 +20,7 @@
   readonly ask: ClaimAsk;
   readonly member: ClaimMember;
   readonly firstSentAtMs: number;
-  readonly sentAtMs: number;
+  readonly timesOutAtMs: number;
 }
 
 /** The operations that peers were asked to carry out and have not answered yet. */
@@ -30,9 +31,10 @@
 
   readonly #avoidedUntilMs = new Map<HostId, number>();
 
-  /** In the order of sending, so that the first is the next to time out. */
   readonly #sent = new Map<string, SentAsk>();
 
+  readonly #timeouts = new DueQueue<string>();
+
   #members = new Map<HostId, ClaimMember>();
 
   #ownerHostIds: readonly (HostId | null)[] = [];
@@ -113,18 +115,12 @@
    */
   takeTimedOut(): ClaimAsk[] {
     const nowMs = this.#context.getNowMs();
-    const { askTimeoutMs, claimTimeoutMs } = this.#options;
-    if (nowMs < this.getNextWakeMs()) {
-      return [];
-    }
-    const due = [...this.#sent].filter(([, { sentAtMs }]) => nowMs >= sentAtMs + askTimeoutMs);
-    due.forEach(([askId]) => this.#sent.delete(askId));
+    const due = this.#takeDue(nowMs);
     const isRepeated = ({ ask, firstSentAtMs }: SentAsk): boolean => (
-      ask.origin !== null && nowMs < firstSentAtMs + claimTimeoutMs
+      ask.origin !== null && nowMs < firstSentAtMs + this.#options.claimTimeoutMs
     );
-    const timedOut = due.map(([, sent]) => sent).filter((sent) => !isRepeated(sent));
-    due.map(([, sent]) => sent)
-      .filter(isRepeated)
+    const timedOut = due.filter((sent) => !isRepeated(sent));
+    due.filter(isRepeated)
       .forEach(({ ask, member, firstSentAtMs }) => this.#send(ask, member, firstSentAtMs));
     timedOut.forEach(({ member }) => this.#avoid(member.hostId));
     return timedOut.map(({ ask }) => ask);
@@ -132,8 +128,22 @@
 
   /** @returns when the next ask times out, in monotonic milliseconds */
   getNextWakeMs(): number {
-    const first = this.#sent.values().next().value;
-    return first === undefined ? Infinity : first.sentAtMs + this.#options.askTimeoutMs;
+    return this.#timeouts.getNextWakeMs();
+  }
+
+  #takeDue(nowMs: number): SentAsk[] {
+    const due: SentAsk[] = [];
+    let askId = this.#timeouts.takeDue(nowMs);
+    while (askId !== null) {
+      const sent = this.#sent.get(askId);
+      // An answered ask, or one that was sent again since, leaves its old entry in the queue.
+      if (sent !== undefined && sent.timesOutAtMs <= nowMs) {
+        this.#sent.delete(askId);
+        due.push(sent);
+      }
+      askId = this.#timeouts.takeDue(nowMs);
+    }
+    return due;
   }
 
   #avoid(hostId: HostId): void {
@@ -145,11 +155,13 @@
       operation, origin, accountId, ticket,
     } = ask;
     const askId = `${operation.kind}:${operation.token}`;
-    const sentAtMs = this.#context.getNowMs();
-    this.#sent.delete(askId);
+    const isClaim = operation.kind === 'claim' || origin !== null;
+    const { askTimeoutMs, outcomeAskTimeoutMs } = this.#options;
+    const timesOutAtMs = this.#context.getNowMs() + (isClaim ? askTimeoutMs : outcomeAskTimeoutMs);
     this.#sent.set(askId, {
-      ask, member, firstSentAtMs, sentAtMs,
+      ask, member, firstSentAtMs, timesOutAtMs,
     });
+    this.#timeouts.add(askId, timesOutAtMs);
     const replyAddress = this.#context.self.peerAddress;
     const common = { askId, replyAddress, operation };
     this.#context.emit({
--- a/src/claims/ClaimOptions.ts
+++ b/src/claims/ClaimOptions.ts
@@ -14,10 +14,18 @@
   readonly retentionMs: number;
   /** How long claims are gathered before one write. */
   readonly batchDelayMs: number;
+  /** How long an outcome or a release waits for claims to share a write with. */
+  readonly outcomeDelayMs: number;
+  /** Age at which outcomes and releases are written before claims. */
+  readonly outcomeOverdueMs: number;
+  /** Time between two writes of a shard; with `shardCount` it bounds the platform writes. */
+  readonly minWriteIntervalMs: number;
   /** Time a request waits for its claim. */
   readonly claimTimeoutMs: number;
   /** Time an owner may take before the asker writes the claim itself. */
   readonly askTimeoutMs: number;
+  /** The same for an outcome or a release, for which nobody waits. */
+  readonly outcomeAskTimeoutMs: number;
   /** How long an owner that did not answer is passed over. */
   readonly ownerAvoidanceMs: number;
   /** Time after which a platform call without an answer counts as lost. */
@@ -45,15 +53,19 @@
 
 /** Defaults but for the wall clock, which the composition root passes in. */
 export const DEFAULT_CLAIM_OPTIONS: Omit<ClaimOptions, 'getWallMs'> = {
-  shardCount: 16,
-  slotCount: 256,
+  shardCount: 8,
+  slotCount: 512,
   maxBucketClaims: 256,
   maxOutcomeBytes: 2048,
   bucketMs: 600_000,
   retentionMs: 7_200_000,
   batchDelayMs: 4,
+  outcomeDelayMs: 100,
+  outcomeOverdueMs: 500,
+  minWriteIntervalMs: 45,
   claimTimeoutMs: 1000,
-  askTimeoutMs: 100,
+  askTimeoutMs: 250,
+  outcomeAskTimeoutMs: 3000,
   ownerAvoidanceMs: 1000,
   platformTimeoutMs: 2000,
   backoffMinMs: 10,
--- a/src/claims/ClaimShard.ts
+++ b/src/claims/ClaimShard.ts
@@ -66,6 +66,8 @@
 
   #isBatchCut = false;
 
+  #lastWriteAtMs = -Infinity;
+
   #failureCount = 0;
 
   #backoffUntilMs = 0;
@@ -145,10 +147,17 @@
   }
 
   #getBatchDueMs(): number {
-    const first = this.#pending[0];
-    const isImmediate = this.#isBatchCut || this.#refreshSequence !== null;
-    return first === undefined || isImmediate
-      ? 0 : first.submittedAtMs + this.#options.batchDelayMs;
+    if (this.#refreshSequence !== null) {
+      return 0;
+    }
+    const { batchDelayMs, outcomeDelayMs, minWriteIntervalMs } = this.#options;
+    const claim = this.#pending.find(({ operation }) => operation.kind === 'claim');
+    const other = this.#pending.find(({ operation }) => operation.kind !== 'claim');
+    const dueMs = this.#isBatchCut ? 0 : Math.min(
+      (claim?.submittedAtMs ?? Infinity) + batchDelayMs,
+      (other?.submittedAtMs ?? Infinity) + outcomeDelayMs,
+    );
+    return Math.max(dueMs, this.#lastWriteAtMs + minWriteIntervalMs);
   }
 
   #expireClaims(): void {
@@ -211,6 +220,7 @@
     const batch = this.#createBatch();
     if (batch !== null) {
       batch.pending.forEach((pending) => this.#uncertain.add(pending));
+      this.#lastWriteAtMs = this.#context.getNowMs();
       this.#send({ kind: 'writeBucket', batch }, this.#view.createWrite(batch.bucket));
       return;
     }
@@ -226,7 +236,7 @@
     const written: PendingOperation[] = [];
     const resolved: { pending: PendingOperation; result: ClaimResult }[] = [];
     let sequence: number | null = null;
-    const kept = this.#pending.filter((pending) => {
+    const kept = this.#getInWriteOrder().filter((pending) => {
       const { operation, submittedAtMs } = pending;
       if (entries.has(operation.key)) {
         return true;
@@ -267,6 +277,15 @@
       };
   }
 
+  /** Claims choose the bucket of a write, because callers wait for them; unless others are old. */
+  #getInWriteOrder(): PendingOperation[] {
+    const overdueBeforeMs = this.#context.getNowMs() - this.#options.outcomeOverdueMs;
+    const claims = this.#pending.filter(({ operation }) => operation.kind === 'claim');
+    const others = this.#pending.filter(({ operation }) => operation.kind !== 'claim');
+    const isOverdue = (others[0]?.submittedAtMs ?? Infinity) <= overdueBeforeMs;
+    return isOverdue ? [...others, ...claims] : [...claims, ...others];
+  }
+
   #send(call: ShardCall, keyValueCall: KeyValueCall): void {
     const operationId = toId<OperationId>(this.#context.random.getHexId());
     this.#running = { operationId, sentAtMs: this.#context.getNowMs(), call };
