--- a/standins/StandinServer.ts
+++ b/standins/StandinServer.ts
@@ -11,7 +11,6 @@
 const LOOPBACK = '127.0.0.1';
 const INCARNATION_BYTES = 16;
 const BODY_LIMIT_BYTES = 8 * 1024 * 1024;
-const MS_PER_SECOND = 1000;
 /** Routes that answer whatever fault is active. */
 const CONTROL_PATHS: ReadonlySet<string> = new Set(['/fault', '/counts']);
 
@@ -42,8 +41,13 @@
 
   #port = 0;
 
+  #onCrash: (() => void) | null = null;
+
   #isClosed = false;
 
+  /** Aborted when the incarnation ends. */
+  #life = new AbortController();
+
   readonly #sockets = new Set<Socket>();
 
   #thawWaiters: (() => void)[] = [];
@@ -76,6 +80,13 @@
     return performance.now() < this.#warmAtMs;
   }
 
+  /**
+   * @param onCrash - called at each crash, to lose what the incarnation held
+   */
+  setCrashListener(onCrash: () => void): void {
+    this.#onCrash = onCrash;
+  }
+
   /** Listens at a free port of the loopback interface, or at the port of the options. */
   async listen(): Promise<void> {
     await this.fastify.listen({ host: LOOPBACK, port: this.options.port });
@@ -88,6 +99,7 @@
     this.#isClosed = true;
     this.#thaw();
     this.#slots.clear();
+    this.#life.abort();
     this.#sockets.forEach((socket) => socket.destroy());
     await this.fastify.close();
   }
@@ -138,7 +150,10 @@
    */
   crash(downMs: number): void {
     this.counts.crashCount += 1;
+    this.#onCrash?.();
     this.#incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+    this.#life.abort();
+    this.#life = new AbortController();
     this.#slots.clear();
     this.#slots = new WorkSlots(this.options.capacity, this.options.queueLimit);
     this.#startedAtMs = performance.now() + downMs;
@@ -174,7 +189,8 @@
   async work(serviceMs: number, signal: AbortSignal): Promise<boolean> {
     const delayMs = this.faults.take('slow')?.delayMs ?? 0;
     try {
-      await sleep(serviceMs + delayMs, undefined, { signal });
+      const ends = AbortSignal.any([signal, this.#life.signal]);
+      await sleep(serviceMs + delayMs, undefined, { signal: ends });
     } catch {
       return false;
     }
@@ -218,7 +234,8 @@
   }
 
   #addFaultHook(): void {
-    this.fastify.addHook('onRequest', async (request, reply) => {
+    // After the body is read, so that a frozen stand-in does later what it was sent.
+    this.fastify.addHook('preHandler', async (request, reply) => {
       if (CONTROL_PATHS.has(request.url)) {
         return;
       }
@@ -285,5 +302,5 @@
  * @returns the value of the header `Retry-After`, in whole seconds
  */
 export function getRetryAfterS(refusal: StandinRefusal): string {
-  return String(Math.ceil((refusal.retryAfterS * MS_PER_SECOND) / MS_PER_SECOND));
+  return String(Math.ceil(refusal.retryAfterS));
 }
