Let the pool router go by health, limits, grants and ejection

Upstreams with room stand in lists kept as they change, so that a choice costs the same in a large pool; cold ones are used by granted slots only, never by a retry. Capacity is kept as a sum.

--- a/src/grants/SoleSteward.ts
+++ b/src/grants/SoleSteward.ts
@@ -23,6 +23,11 @@
     return { epoch: 1, sinceMs: -Infinity, untilMs: Infinity };
   }
 
+  /** @inheritdoc */
+  getAddress(): string {
+    return this.#context.self.peerAddress;
+  }
+
   /** @inheritdoc */
   getHostCountBound(): number {
     return 1;
--- a/src/grants/StewardDirectory.ts
+++ b/src/grants/StewardDirectory.ts
@@ -32,6 +32,11 @@
    * @returns this host's duty as its steward; null when another host has it
    */
   getOwnDuty(upstreamId: UpstreamId): StewardDuty | null;
+  /**
+   * @param hostId - a host that has sent a message
+   * @returns `IP:port` of its peer listener; empty when it is not known
+   */
+  getAddress(hostId: HostId): string;
   /**
    * @returns how many entry hosts may send to upstreams at most, for the share of a host that
    *   reaches no steward; never lower than the true number
--- a/src/limits/ConcurrencyLimit.test.ts
+++ b/src/limits/ConcurrencyLimit.test.ts
@@ -19,10 +19,13 @@
 describe('ConcurrencyLimit', () => {
   it('doubles while it is in use and answers stay fast, up to its cap', () => {
     const limit = new ConcurrencyLimit(new FakeCoreContext(), 2, CAP);
-    addWindows(limit, 3, 100);
-    equal(limit.value, 16);
-    addWindows(limit, 5, 100);
-    equal(limit.value, CAP);
+    [4, 8, 16, 32, CAP].forEach((next) => {
+      const samples = Math.min(10, Math.max(3, limit.value));
+      for (let index = 0; index < samples; index += 1) {
+        limit.noteLatency(100, limit.value);
+      }
+      equal(limit.value, next);
+    });
     limit.setCap(10);
     equal(limit.value, 10);
   });
--- a/src/limits/ConcurrencyLimit.ts
+++ b/src/limits/ConcurrencyLimit.ts
@@ -42,6 +42,7 @@
 /** Part of the limit that must have been in use for the limit to grow. */
 const GROWTH_USE = 0.8;
 const QUIET_USE = 0.5;
+const MIN_WINDOW_SAMPLES = 3;
 const SLOW_START_FACTOR = 2;
 
 /** The load that an upstream reported. */
@@ -54,7 +55,7 @@
  * How many attempts this host may run at one upstream at once. The limit follows the gradient of
  * the latency (base latency × tolerance over the window's mean), falls on refusals, timeouts and
  * reported queues, and grows by the square root of itself while it is in use. Until the first fall
- * it doubles with each window.
+ * it doubles with each window, and a window is as short as the limit.
  *
  * ```ts
  * if (running < limit.value) send(...);
@@ -143,7 +144,11 @@
     this.#sumMs += latencyMs;
     this.#sampleCount += 1;
     this.#peakRunning = Math.max(this.#peakRunning, runningCount);
-    if (this.#sampleCount >= this.#options.windowSamples) {
+    const { windowSamples } = this.#options;
+    const neededCount = this.#isStarting
+      ? Math.min(windowSamples, Math.max(MIN_WINDOW_SAMPLES, this.value))
+      : windowSamples;
+    if (this.#sampleCount >= neededCount) {
       this.#endWindow();
     }
   }
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -1,16 +1,23 @@
-/* eslint-disable @typescript-eslint/class-methods-use-this
-   -- the first version learns nothing from reports and grants yet */
 import type { DrainRecord } from '../configuration/records/DrainRecord.ts';
 import type { PoolRecord } from '../configuration/records/PoolRecord.ts';
 import type { UpstreamRecord } from '../configuration/records/UpstreamRecord.ts';
 import type { CoreContext } from '../core/CoreContext.ts';
 import type { LoadReportedInput } from '../core/CoreInput.ts';
+import { GrantHolder } from '../grants/GrantHolder.ts';
+import type { GrantAskMessage, GrantMessage } from '../grants/GrantMessage.ts';
+import type { GrantOptions } from '../grants/GrantOptions.ts';
+import { GrantSteward } from '../grants/GrantSteward.ts';
+import type { Steward, StewardDirectory } from '../grants/StewardDirectory.ts';
+import type { PoolEjectionOptions } from '../health/PoolEjection.ts';
 import type {
   AccountId, HostId, PoolId, RequestId, UpstreamId,
 } from '../lib/ids.ts';
 import type { PeerMessage } from '../peers/PeerMessage.ts';
-import type { AttemptFailure } from '../upstreams/AttemptFailure.ts';
-import type { StewardDirectory } from '../grants/StewardDirectory.ts';
+import type { AttemptOutcome } from './AttemptOutcome.ts';
+import { isCertainEnd, isUpstreamError } from './isUpstreamError.ts';
+import { RoutedPool, type PoolCapacity } from './RoutedPool.ts';
+import { RoutedUpstream, type RoutedUpstreamOptions } from './RoutedUpstream.ts';
+import { UpstreamSelector, type UpstreamSelectorOptions } from './UpstreamSelector.ts';
 
 /** The part of the configuration that the router follows. */
 export interface RouterConfiguration {
@@ -26,28 +33,33 @@
   readonly accountId: AccountId;
   /** Requests with the same key go to the same upstream while it has room; null for none. */
   readonly affinityKey: string | null;
-  /** Upstreams that just failed this request; taken only when no other has room. */
+  /** Upstreams that just failed this request; never chosen for it. */
   readonly excludedUpstreamIds: readonly UpstreamId[];
+  /** How long the attempt may take; bounds the slot at a cold upstream. */
+  readonly timeoutMs?: number;
+  /** False for a stage that may not be repeated: a cold upstream is its last choice. */
+  readonly isRepeatable?: boolean;
 }
 
-/** How an attempt ended. */
-export interface AttemptOutcome {
-  readonly upstreamId: UpstreamId;
-  /** Incarnation that answered; null when none did. */
-  readonly upstreamIncarnation: string | null;
-  /** Null for a success. */
-  readonly failure: AttemptFailure | null;
-  readonly latencyMs: number;
+/** How the router decides. */
+export interface PoolRouterOptions extends RoutedUpstreamOptions {
+  readonly ejection: Partial<PoolEjectionOptions>;
+  readonly grants: Partial<GrantOptions>;
+  readonly selector: Partial<UpstreamSelectorOptions>;
 }
 
-/** What a pool can take now. */
-export interface PoolCapacity {
-  /** Attempts that the pool's usable upstreams bear together, by this host's limits. */
-  readonly limit: number;
-  /** Attempts of this host that run there. */
-  readonly running: number;
-  /** Upstreams that get new work. */
-  readonly usableUpstreams: number;
+/** Defaults of the router: those of its parts. */
+export const DEFAULT_POOL_ROUTER_OPTIONS: PoolRouterOptions = {
+  health: {}, limit: {}, ejection: {}, grants: {}, selector: {},
+};
+
+const DEFAULT_TIMEOUT_MS = 6_000;
+/** Cold upstreams that one attempt tries when no warm one has room. */
+const COLD_TRIES = 4;
+
+function isDrained(upstream: UpstreamRecord, drains: readonly DrainRecord[]): boolean {
+  return drains.some((drain) => (drain.kind === 'upstream' && drain.id === upstream.id)
+    || (drain.kind === 'failureDomain' && drain.id === upstream.failureDomainId));
 }
 
 /**
@@ -57,7 +69,10 @@
  * const router = new PoolRouter(context, stewards);
  * router.setConfiguration(configuration);           // at each adopted version
  * const upstreamId = router.tryAcquire(request);    // null: queue the request
- * if (upstreamId !== null) context.emit({ kind: 'sendAttempt', upstreamId, ... });
+ * if (upstreamId !== null) {
+ *   const timeoutMs = router.getAttemptTimeoutMs(upstreamId, wantedMs); // a slot may end earlier
+ *   context.emit({ kind: 'sendAttempt', upstreamId, timeoutMs, ... });
+ * }
  * router.noteOutcome(outcome);                      // attemptSucceeded, attemptFailed
  * router.noteCancelled(upstreamId);                 // cancelAttempt: frees it without evidence
  * router.noteLoad(input);                           // loadReported
@@ -68,24 +83,51 @@
  * ```
  */
 export class PoolRouter {
-  readonly #pools = new Map<PoolId, PoolRecord>();
+  readonly #context: CoreContext;
+
+  readonly #stewards: StewardDirectory;
+
+  readonly #options: PoolRouterOptions;
+
+  readonly #selector: UpstreamSelector;
+
+  readonly #steward: GrantSteward;
+
+  readonly #holder: GrantHolder;
 
-  readonly #upstreams = new Map<UpstreamId, UpstreamRecord>();
+  readonly #pools = new Map<PoolId, RoutedPool>();
 
-  readonly #running = new Map<UpstreamId, number>();
+  readonly #upstreams = new Map<UpstreamId, RoutedUpstream>();
+
+  readonly #drained = new Set<UpstreamId>();
 
   readonly #changedPools = new Set<PoolId>();
 
-  #drains: readonly DrainRecord[] = [];
+  /** When the attempt that was acquired last has to have ended; null without a slot. */
+  #acquiredUntilMs: number | null = null;
 
   /**
    * @param context - the time of the step and the way out
    * @param stewards - who grants the slots of cold upstreams
+   * @param options - how its parts decide; what is left out takes its default
    */
   constructor(
-    readonly context: CoreContext,
-    readonly stewards: StewardDirectory,
-  ) {}
+    context: CoreContext,
+    stewards: StewardDirectory,
+    options: Partial<PoolRouterOptions> = {},
+  ) {
+    this.#context = context;
+    this.#stewards = stewards;
+    this.#options = { ...DEFAULT_POOL_ROUTER_OPTIONS, ...options };
+    this.#selector = new UpstreamSelector(context.random, this.#options.selector);
+    this.#steward = new GrantSteward(context, stewards, this.#options.grants);
+    this.#holder = new GrantHolder(
+      context,
+      stewards,
+      (steward, message) => this.#sendToSteward(steward, message),
+      this.#options.grants,
+    );
+  }
 
   /**
    * Adopts pools, upstreams and drains; slots that run go on.
@@ -93,11 +135,20 @@
    * @param configuration - the records in force
    */
   setConfiguration(configuration: RouterConfiguration): void {
-    this.#pools.clear();
-    this.#upstreams.clear();
-    configuration.pools.forEach((pool) => this.#pools.set(pool.id as PoolId, pool));
-    configuration.upstreams
-      .forEach((upstream) => this.#upstreams.set(upstream.id as UpstreamId, upstream));
+    const pools = new Map(configuration.pools.map((pool) => [pool.id, pool]));
+    const ids = new Set(configuration.upstreams.map((upstream) => upstream.id as UpstreamId));
+    this.#upstreams.forEach((upstream, id) => {
+      if (!ids.has(id)) {
+        this.#remove(upstream);
+      }
+    });
+    configuration.upstreams.forEach((record) => {
+      const pool = pools.get(record.poolId);
+      if (pool !== undefined) {
+        this.#adopt(record, pool);
+      }
+    });
+    this.#countMembers();
     this.setDrains(configuration.drains);
   }
 
@@ -107,8 +158,19 @@
    * @param drains - all that is out of service
    */
   setDrains(drains: readonly DrainRecord[]): void {
-    this.#drains = drains;
-    this.#pools.forEach((_, poolId) => this.#changedPools.add(poolId));
+    this.#upstreams.forEach((upstream, id) => {
+      const isOut = isDrained(upstream.record, drains);
+      if (isOut !== this.#drained.has(id)) {
+        upstream.setDrained(isOut);
+        if (isOut) {
+          this.#drained.add(id);
+        } else {
+          this.#drained.delete(id);
+        }
+      }
+      this.#refresh(upstream);
+    });
+    this.#countMembers();
   }
 
   /**
@@ -118,15 +180,36 @@
    * @returns the upstream; null when none has room now
    */
   tryAcquire(request: AcquireRequest): UpstreamId | null {
-    const candidates = this.#getUsable(request.poolId).filter((id) => this.#hasRoom(id));
-    const others = candidates.filter((id) => !request.excludedUpstreamIds.includes(id));
-    const choice = (others.length > 0 ? others : candidates)
-      .sort((left, right) => this.#getRunning(left) - this.#getRunning(right))[0];
-    if (choice === undefined) {
+    this.#acquiredUntilMs = null;
+    const pool = this.#pools.get(request.poolId);
+    if (pool === undefined) {
+      return null;
+    }
+    const mayBeCold = request.excludedUpstreamIds.length === 0;
+    const cold = mayBeCold && (request.isRepeatable ?? true)
+      ? this.#acquireCold(pool, request, 1)
+      : null;
+    const chosen = cold
+      ?? (this.#selector.select(pool, request) as RoutedUpstream | null)
+      ?? (mayBeCold ? this.#acquireCold(pool, request, COLD_TRIES) : null);
+    if (chosen === null) {
       return null;
     }
-    this.#running.set(choice, this.#getRunning(choice) + 1);
-    return choice;
+    chosen.start(this.#acquiredUntilMs !== null);
+    this.#refresh(chosen);
+    return chosen.upstreamId;
+  }
+
+  /**
+   * Bounds an attempt by the end of its slot; to be called directly after `tryAcquire`.
+   *
+   * @param wantedMs - how long the attempt may take by its deadline
+   * @returns how long it may take
+   */
+  getAttemptTimeoutMs(wantedMs: number): number {
+    return this.#acquiredUntilMs === null
+      ? wantedMs
+      : Math.min(wantedMs, this.#acquiredUntilMs - this.#context.getNowMs());
   }
 
   /**
@@ -135,7 +218,15 @@
    * @param outcome - how it ended
    */
   noteOutcome(outcome: AttemptOutcome): void {
-    this.noteCancelled(outcome.upstreamId);
+    const upstream = this.#upstreams.get(outcome.upstreamId);
+    if (upstream === undefined) {
+      return;
+    }
+    this.#end(upstream, isCertainEnd(outcome.failure));
+    upstream.learn(outcome);
+    const isError = outcome.failure !== null && isUpstreamError(outcome.failure);
+    this.#pools.get(upstream.poolId)?.ejection.note(upstream.upstreamId, isError);
+    this.#refresh(upstream);
   }
 
   /**
@@ -144,43 +235,93 @@
    * @param upstreamId - where it ran
    */
   noteCancelled(upstreamId: UpstreamId): void {
-    this.#running.set(upstreamId, Math.max(0, this.#getRunning(upstreamId) - 1));
-    const poolId = this.#upstreams.get(upstreamId)?.poolId;
-    if (poolId !== undefined) {
-      this.#changedPools.add(poolId as PoolId);
+    const upstream = this.#upstreams.get(upstreamId);
+    if (upstream !== undefined) {
+      this.#end(upstream, false);
+      this.#refresh(upstream);
     }
   }
 
   /**
    * Learns from a load report.
    *
-   * @param _report - what the upstream said, with its lag
+   * @param report - what the upstream said, with its lag
    */
-  noteLoad(_report: LoadReportedInput): void {}
+  noteLoad(report: LoadReportedInput): void {
+    const upstream = this.#upstreams.get(report.upstreamId);
+    if (upstream !== undefined) {
+      upstream.noteReport(report);
+      this.#refresh(upstream);
+    }
+  }
 
   /**
-   * Learns that an upstream's load report could not be fetched.
+   * Learns that an upstream's load report could not be fetched. Attempts tell more about it: one
+   * that can't be reached is noticed by the next of them.
    *
-   * @param _upstreamId - the upstream
+   * @param upstreamId - the upstream
    */
-  noteLoadUnavailable(_upstreamId: UpstreamId): void {}
+  noteLoadUnavailable(upstreamId: UpstreamId): void {
+    const upstream = this.#upstreams.get(upstreamId);
+    if (upstream !== undefined) {
+      this.#refresh(upstream);
+    }
+  }
 
   /**
    * Takes a peer's message about grants; others are passed over.
    *
-   * @param _fromHostId - the sender
-   * @param _message - the message
+   * @param fromHostId - the sender
+   * @param message - the message
    */
-  handlePeerMessage(_fromHostId: HostId, _message: PeerMessage): void {}
+  handlePeerMessage(fromHostId: HostId, message: PeerMessage): void {
+    switch (message.kind) {
+      case 'grantAsk':
+        this.#answerAsk(fromHostId, message);
+        break;
+      case 'grantReply': {
+        this.#holder.handleReply(message);
+        const upstream = this.#upstreams.get(message.upstreamId);
+        if (upstream !== undefined) {
+          this.#refresh(upstream);
+        }
+        break;
+      }
+      case 'grantReturn':
+        this.#steward.handleReturn(fromHostId, message);
+        break;
+      default:
+        break;
+    }
+  }
 
   /** Does the periodic work that is due. */
-  tick(): void {}
+  tick(): void {
+    if (this.#context.getNowMs() < this.getNextWakeMs()) {
+      return;
+    }
+    this.#holder.tick();
+    this.#pools.forEach((pool) => {
+      pool.ejection.tick().forEach((id) => this.#endEjection(id));
+      [...pool.cold.items].forEach((upstream) => {
+        upstream.health.tick();
+        this.#refresh(upstream);
+      });
+    });
+  }
 
   /**
    * @returns when the next tick is due; Infinity for never
    */
   getNextWakeMs(): number {
-    return Infinity;
+    let nextMs = this.#holder.getNextWakeMs();
+    this.#pools.forEach((pool) => {
+      nextMs = Math.min(nextMs, pool.ejection.getNextWakeMs());
+      pool.cold.items.forEach((upstream) => {
+        nextMs = Math.min(nextMs, upstream.health.getNextWakeMs());
+      });
+    });
+    return nextMs;
   }
 
   /**
@@ -197,29 +338,128 @@
    * @returns what it can take now
    */
   getCapacity(poolId: PoolId): PoolCapacity {
-    const usable = this.#getUsable(poolId);
-    const limit = usable.length * (this.#pools.get(poolId)?.maxConcurrency ?? 0);
-    const running = usable.reduce((sum, id) => sum + this.#getRunning(id), 0);
-    return { limit, running, usableUpstreams: usable.length };
+    return this.#pools.get(poolId)?.capacity ?? { limit: 0, running: 0, usableUpstreams: 0 };
   }
 
-  #getUsable(poolId: PoolId): UpstreamId[] {
-    return [...this.#upstreams.values()]
-      .filter((upstream) => upstream.poolId === poolId && !this.#isDrained(upstream))
-      .map((upstream) => upstream.id as UpstreamId);
+  /**
+   * @param upstreamId - the upstream
+   * @returns what this host knows of it, for operators; null when it is not configured
+   */
+  getUpstream(upstreamId: UpstreamId): RoutedUpstream | null {
+    return this.#upstreams.get(upstreamId) ?? null;
   }
 
-  #isDrained(upstream: UpstreamRecord): boolean {
-    return this.#drains.some((drain) => (drain.kind === 'upstream' && drain.id === upstream.id)
-      || (drain.kind === 'failureDomain' && drain.id === upstream.failureDomainId));
+  #acquireCold(pool: RoutedPool, request: AcquireRequest, tries: number): RoutedUpstream | null {
+    const timeoutMs = request.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    const granted = pool.granted.items[0];
+    if (granted !== undefined && this.#takeSlot(granted, timeoutMs)) {
+      return granted;
+    }
+    for (let index = 0; index < Math.min(tries, pool.cold.size); index += 1) {
+      const upstream = pool.getNextCold();
+      if (upstream?.health.takesWork() === true) {
+        if (this.#takeSlot(upstream, timeoutMs)) {
+          return upstream;
+        }
+        this.#holder.ask(upstream.upstreamId, timeoutMs);
+      }
+    }
+    return null;
   }
 
-  #hasRoom(upstreamId: UpstreamId): boolean {
-    const poolId = this.#upstreams.get(upstreamId)?.poolId as PoolId;
-    return this.#getRunning(upstreamId) < (this.#pools.get(poolId)?.maxConcurrency ?? 0);
+  #takeSlot(upstream: RoutedUpstream, timeoutMs: number): boolean {
+    const bearable = upstream.pool.coldConcurrency;
+    this.#acquiredUntilMs = this.#holder.take(upstream.upstreamId, bearable, timeoutMs);
+    return this.#acquiredUntilMs !== null;
   }
 
-  #getRunning(upstreamId: UpstreamId): number {
-    return this.#running.get(upstreamId) ?? 0;
+  #answerAsk(fromHostId: HostId, ask: GrantAskMessage): void {
+    const upstream = this.#upstreams.get(ask.upstreamId);
+    const bearable = upstream?.pool.coldConcurrency ?? 0;
+    const reply = this.#steward.handleAsk(fromHostId, ask, bearable);
+    const { hostId } = this.#context.self;
+    if (fromHostId === hostId) {
+      this.handlePeerMessage(hostId, reply);
+      return;
+    }
+    this.#context.emit({
+      kind: 'sendPeerMessage',
+      toHostId: fromHostId,
+      address: this.#stewards.getAddress(fromHostId),
+      message: reply,
+    });
+  }
+
+  #sendToSteward(steward: Steward, message: GrantMessage): void {
+    const { hostId } = this.#context.self;
+    if (steward.hostId === hostId) {
+      this.handlePeerMessage(hostId, message);
+      return;
+    }
+    const { address } = steward;
+    this.#context.emit({
+      kind: 'sendPeerMessage', toHostId: steward.hostId, address, message,
+    });
+  }
+
+  #end(upstream: RoutedUpstream, isCertain: boolean): void {
+    if (upstream.end()) {
+      this.#holder.release(upstream.upstreamId, isCertain);
+    }
+  }
+
+  #endEjection(upstreamId: UpstreamId): void {
+    const upstream = this.#upstreams.get(upstreamId);
+    if (upstream !== undefined) {
+      upstream.restartLimit();
+      this.#refresh(upstream);
+    }
+  }
+
+  #adopt(record: UpstreamRecord, pool: PoolRecord): void {
+    const id = record.id as UpstreamId;
+    const bound = this.#stewards.getHostCountBound();
+    const known = this.#upstreams.get(id);
+    if (known?.pool.id === pool.id) {
+      known.setRecords(record, pool, bound);
+      return;
+    }
+    if (known !== undefined) {
+      this.#remove(known);
+    }
+    const created = new RoutedUpstream(this.#context, record, pool, bound, this.#options);
+    this.#upstreams.set(id, created);
+    const poolId = pool.id as PoolId;
+    if (!this.#pools.has(poolId)) {
+      this.#pools.set(poolId, new RoutedPool(this.#context, this.#options.ejection));
+    }
+  }
+
+  #remove(upstream: RoutedUpstream): void {
+    this.#upstreams.delete(upstream.upstreamId);
+    this.#drained.delete(upstream.upstreamId);
+    this.#pools.get(upstream.poolId)?.remove(upstream);
+    this.#holder.drop(upstream.upstreamId);
+  }
+
+  #countMembers(): void {
+    const counts = new Map<PoolId, number>();
+    this.#upstreams.forEach(({ poolId, upstreamId }) => {
+      if (!this.#drained.has(upstreamId)) {
+        counts.set(poolId, (counts.get(poolId) ?? 0) + 1);
+      }
+    });
+    this.#pools.forEach((pool, id) => pool.ejection.setMemberCount(counts.get(id) ?? 0));
+  }
+
+  #refresh(upstream: RoutedUpstream): void {
+    const { upstreamId, poolId } = upstream;
+    const isCold = upstream.health.needsGrant();
+    if (!isCold) {
+      this.#holder.drop(upstreamId);
+    }
+    const hasFreeSlot = isCold && this.#holder.hasFree(upstreamId);
+    this.#pools.get(poolId)?.refresh(upstream, hasFreeSlot);
+    this.#changedPools.add(poolId);
   }
 }
--- /dev/null
+++ b/src/routing/RoutedPool.ts
@@ -0,0 +1,114 @@
+import type { CoreContext } from '../core/CoreContext.ts';
+import { PoolEjection, type PoolEjectionOptions } from '../health/PoolEjection.ts';
+import { IndexedList } from '../lib/IndexedList.ts';
+import type { FailureDomainId } from '../lib/ids.ts';
+import type { RoutedUpstream } from './RoutedUpstream.ts';
+import type { SelectableUpstreams } from './UpstreamSelector.ts';
+
+/** What a pool can take now. */
+export interface PoolCapacity {
+  /** Attempts that the pool's usable upstreams bear together, by this host's limits. */
+  readonly limit: number;
+  /** Attempts of this host that run there. */
+  readonly running: number;
+  /** Upstreams that get new work without a grant. */
+  readonly usableUpstreams: number;
+}
+
+interface Contribution {
+  readonly limit: number;
+  readonly running: number;
+}
+
+/** The upstreams of one pool, sorted by what may be sent to them, kept as they change. */
+export class RoutedPool implements SelectableUpstreams {
+  readonly near = new IndexedList<RoutedUpstream>();
+
+  readonly far = new IndexedList<RoutedUpstream>();
+
+  /** Upstreams that need a granted slot for each attempt. */
+  readonly cold = new IndexedList<RoutedUpstream>();
+
+  /** Upstreams of `cold` with a free slot. */
+  readonly granted = new IndexedList<RoutedUpstream>();
+
+  readonly ejection: PoolEjection;
+
+  readonly #nearDomainId: FailureDomainId;
+
+  readonly #contributions = new Map<RoutedUpstream, Contribution>();
+
+  #limit = 0;
+
+  #running = 0;
+
+  #coldIndex = 0;
+
+  /**
+   * @param context - the time of the step
+   * @param options - how failing upstreams are ejected
+   */
+  constructor(context: CoreContext, options: Partial<PoolEjectionOptions>) {
+    this.#nearDomainId = context.self.failureDomainId;
+    this.ejection = new PoolEjection(context, options);
+  }
+
+  /** What the pool can take now. */
+  get capacity(): PoolCapacity {
+    return {
+      limit: this.#limit, running: this.#running, usableUpstreams: this.#contributions.size,
+    };
+  }
+
+  /**
+   * Takes over what changed at an upstream.
+   *
+   * @param upstream - the upstream, a member of this pool
+   * @param hasFreeSlot - whether this host holds a granted slot there that is free
+   */
+  refresh(upstream: RoutedUpstream, hasFreeSlot: boolean): void {
+    const { health } = upstream;
+    const isEjected = this.ejection.isEjected(upstream.upstreamId);
+    const isNear = upstream.record.failureDomainId === this.#nearDomainId;
+    const hasRoom = !isEjected && upstream.hasRoom();
+    const isCold = health.needsGrant();
+    this.near.set(upstream, hasRoom && isNear);
+    this.far.set(upstream, hasRoom && !isNear);
+    this.cold.set(upstream, isCold);
+    this.granted.set(upstream, isCold && health.takesWork() && hasFreeSlot);
+    this.#count(upstream, !isEjected && !isCold && health.takesWork());
+  }
+
+  /**
+   * Forgets an upstream.
+   *
+   * @param upstream - a member of this pool
+   */
+  remove(upstream: RoutedUpstream): void {
+    [this.near, this.far, this.cold, this.granted].forEach((list) => list.set(upstream, false));
+    this.ejection.forget(upstream.upstreamId);
+    this.#count(upstream, false);
+  }
+
+  /**
+   * @returns the cold upstreams in turn; undefined when there is none
+   */
+  getNextCold(): RoutedUpstream | undefined {
+    this.#coldIndex = (this.#coldIndex + 1) % Math.max(1, this.cold.size);
+    return this.cold.items[this.#coldIndex];
+  }
+
+  #count(upstream: RoutedUpstream, isUsable: boolean): void {
+    const before = this.#contributions.get(upstream);
+    this.#limit -= before?.limit ?? 0;
+    this.#running -= before?.running ?? 0;
+    if (!isUsable) {
+      this.#contributions.delete(upstream);
+      return;
+    }
+    const after = { limit: upstream.limit.value, running: upstream.runningCount };
+    this.#contributions.set(upstream, after);
+    this.#limit += after.limit;
+    this.#running += after.running;
+  }
+}
--- /dev/null
+++ b/src/routing/RoutedUpstream.ts
@@ -0,0 +1,257 @@
+import type { PoolRecord } from '../configuration/records/PoolRecord.ts';
+import type { UpstreamRecord } from '../configuration/records/UpstreamRecord.ts';
+import type { CoreContext } from '../core/CoreContext.ts';
+import type { LoadReportedInput } from '../core/CoreInput.ts';
+import type { HealthOptions } from '../health/HealthOptions.ts';
+import { UpstreamHealth } from '../health/UpstreamHealth.ts';
+import type { PoolId, UpstreamId } from '../lib/ids.ts';
+import { ConcurrencyLimit, type ConcurrencyLimitOptions } from '../limits/ConcurrencyLimit.ts';
+import type { AttemptOutcome } from './AttemptOutcome.ts';
+import { getTextHash } from './getTextHash.ts';
+import { isOverloadFailure, isUpstreamError } from './isUpstreamError.ts';
+import type { SelectableUpstream } from './UpstreamSelector.ts';
+
+/** How one upstream is judged. */
+export interface RoutedUpstreamOptions {
+  readonly health: Partial<HealthOptions>;
+  readonly limit: Partial<ConcurrencyLimitOptions>;
+}
+
+const LATENCY_SMOOTHING = 0.2;
+/** A failed attempt counts as this multiple of the expected latency, if it was faster. */
+const FAILURE_LATENCY_FACTOR = 3;
+/** Time after which half of a latency that was not confirmed is forgotten. */
+const LATENCY_HALF_LIFE_MS = 10_000;
+/** Time after which half of the other hosts' reported load is forgotten. */
+const OTHERS_HALF_LIFE_MS = 2_000;
+
+function getFading(ageMs: number, halfLifeMs: number): number {
+  return 0.5 ** (Math.max(0, ageMs) / halfLifeMs);
+}
+
+/** One upstream as the router of this host sees it: health, limit and running attempts. */
+export class RoutedUpstream implements SelectableUpstream {
+  readonly upstreamId: UpstreamId;
+
+  readonly idHash: number;
+
+  readonly health: UpstreamHealth;
+
+  readonly limit: ConcurrencyLimit;
+
+  readonly #context: CoreContext;
+
+  #record: UpstreamRecord;
+
+  #pool: PoolRecord;
+
+  #hostCountBound: number;
+
+  /** Attempts that were sent while no grant was needed. */
+  #ungrantedCount = 0;
+
+  /** Attempts that hold a slot. */
+  #grantedCount = 0;
+
+  #latencyMs: number | null = null;
+
+  #latencyAtMs = 0;
+
+  #othersCount = 0;
+
+  #othersAtMs = -Infinity;
+
+  /**
+   * @param context - the time of the step
+   * @param record - the upstream
+   * @param pool - its pool
+   * @param hostCountBound - entry hosts that may send to it at most
+   * @param options - how it is judged
+   */
+  constructor(
+    context: CoreContext,
+    record: UpstreamRecord,
+    pool: PoolRecord,
+    hostCountBound: number,
+    options: RoutedUpstreamOptions,
+  ) {
+    this.upstreamId = record.id as UpstreamId;
+    this.idHash = getTextHash(record.id);
+    this.#context = context;
+    this.#record = record;
+    this.#pool = pool;
+    this.#hostCountBound = hostCountBound;
+    this.health = new UpstreamHealth(context, pool, options.health);
+    const share = this.#getShare();
+    this.limit = new ConcurrencyLimit(context, share, share, options.limit);
+  }
+
+  /** The upstream's record. */
+  get record(): UpstreamRecord {
+    return this.#record;
+  }
+
+  /** The pool's record. */
+  get pool(): PoolRecord {
+    return this.#pool;
+  }
+
+  /** The pool's id. */
+  get poolId(): PoolId {
+    return this.#pool.id as PoolId;
+  }
+
+  /** Attempts of this host that run there. */
+  get runningCount(): number {
+    return this.#ungrantedCount + this.#grantedCount;
+  }
+
+  /** @inheritdoc */
+  get utilization(): number {
+    return this.runningCount / Math.max(1, this.limit.value);
+  }
+
+  /** @inheritdoc */
+  get expectedMs(): number {
+    const ageMs = this.#context.getNowMs() - this.#latencyAtMs;
+    const usualMs = this.limit.baseMs ?? this.#latencyMs ?? 1;
+    const excessMs = (this.#latencyMs ?? usualMs) - usualMs;
+    const latencyMs = usualMs + excessMs * getFading(ageMs, LATENCY_HALF_LIFE_MS);
+    return latencyMs * (1 + this.runningCount + this.#getOthers());
+  }
+
+  /**
+   * Adopts changed records.
+   *
+   * @param record - the upstream
+   * @param pool - its pool
+   * @param hostCountBound - entry hosts that may send to it at most
+   */
+  setRecords(record: UpstreamRecord, pool: PoolRecord, hostCountBound: number): void {
+    this.#record = record;
+    this.#pool = pool;
+    this.#hostCountBound = hostCountBound;
+    this.health.setPool(pool);
+    this.#updateCap();
+  }
+
+  /**
+   * @returns whether a further attempt without a grant may be sent now
+   */
+  hasRoom(): boolean {
+    return !this.health.needsGrant()
+      && this.health.takesWork()
+      && this.runningCount < this.limit.value;
+  }
+
+  /**
+   * Counts an attempt that is sent.
+   *
+   * @param isGranted - whether it holds a slot
+   */
+  start(isGranted: boolean): void {
+    if (isGranted) {
+      this.#grantedCount += 1;
+    } else {
+      this.#ungrantedCount += 1;
+    }
+  }
+
+  /**
+   * Counts an attempt that has ended. Which one is not known: those without a slot go first, so
+   * that a slot is rather kept too long.
+   *
+   * @returns whether it may have held a slot
+   */
+  end(): boolean {
+    const isGranted = this.#ungrantedCount === 0 && this.#grantedCount > 0;
+    if (isGranted) {
+      this.#grantedCount -= 1;
+    } else {
+      this.#ungrantedCount = Math.max(0, this.#ungrantedCount - 1);
+    }
+    if (this.runningCount === 0) {
+      this.health.noteEmptied();
+    }
+    return isGranted;
+  }
+
+  /**
+   * Learns from an attempt that has ended.
+   *
+   * @param outcome - how it ended
+   */
+  learn(outcome: AttemptOutcome): void {
+    this.#keepRamp(() => this.health.noteOutcome({
+      incarnation: outcome.upstreamIncarnation,
+      failure: outcome.failure,
+      latencyMs: outcome.latencyMs,
+    }));
+    if (outcome.failure === null) {
+      this.limit.noteLatency(outcome.latencyMs, this.runningCount + 1);
+    } else if (isOverloadFailure(outcome.failure)) {
+      this.limit.noteOverload();
+    }
+    this.#noteLatency(outcome);
+  }
+
+  /**
+   * Learns from a load report.
+   *
+   * @param report - what the upstream said
+   */
+  noteReport(report: LoadReportedInput): void {
+    this.#keepRamp(() => this.health.noteReport(report));
+    this.limit.noteReport(report);
+    const total = report.runningCount + report.queuedCount;
+    this.#othersCount = Math.max(0, total - this.runningCount);
+    this.#othersAtMs = this.#context.getNowMs();
+    this.#updateCap();
+  }
+
+  /**
+   * @param isDrained - whether operators have taken it out of service
+   */
+  setDrained(isDrained: boolean): void {
+    this.#keepRamp(() => this.health.setDrained(isDrained, this.runningCount));
+  }
+
+  /** Starts the limit from this host's share again, as after an ejection. */
+  restartLimit(): void {
+    this.limit.restart(this.#getShare());
+  }
+
+  /** A start of the upstream makes the limit ramp up again. */
+  #keepRamp(change: () => void): void {
+    const wasCold = this.health.needsGrant();
+    change();
+    if (wasCold && !this.health.needsGrant()) {
+      this.restartLimit();
+    }
+  }
+
+  #noteLatency(outcome: AttemptOutcome): void {
+    const usualMs = this.#latencyMs ?? this.limit.baseMs ?? outcome.latencyMs;
+    const isError = outcome.failure !== null && isUpstreamError(outcome.failure);
+    const sampleMs = isError
+      ? Math.max(outcome.latencyMs, usualMs * FAILURE_LATENCY_FACTOR)
+      : outcome.latencyMs;
+    this.#latencyMs = usualMs + LATENCY_SMOOTHING * (sampleMs - usualMs);
+    this.#latencyAtMs = this.#context.getNowMs();
+  }
+
+  #getOthers(): number {
+    const ageMs = this.#context.getNowMs() - this.#othersAtMs;
+    return this.#othersCount === 0 ? 0 : this.#othersCount * getFading(ageMs, OTHERS_HALF_LIFE_MS);
+  }
+
+  #getShare(): number {
+    return Math.max(1, Math.ceil(this.#pool.maxConcurrency / this.#hostCountBound));
+  }
+
+  /** This host leaves the others what they use, but never goes below its own share. */
+  #updateCap(): void {
+    const left = this.#pool.maxConcurrency - Math.round(this.#othersCount);
+    this.limit.setCap(Math.max(this.#getShare(), left));
+  }
+}
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -84,7 +84,10 @@
       },
       createCore: (context) => new Core(context, {
         router: new PoolRouter(context, {
-          getSteward: () => null, getOwnDuty: () => null, getHostCountBound: () => 1,
+          getSteward: () => null,
+          getOwnDuty: () => null,
+          getAddress: () => '',
+          getHostCountBound: () => 1,
         }),
         claims: new ClaimManager(context, {
           ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
--- a/test/property/GrantModelHost.ts
+++ b/test/property/GrantModelHost.ts
@@ -36,6 +36,10 @@
     return this.duty;
   }
 
+  getAddress(): string {
+    return '';
+  }
+
   getHostCountBound(): number {
     return this.model.hosts.length;
   }
