--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -9,6 +9,7 @@
 import { Core } from '../core/Core.ts';
 import type { CoreOutput } from '../core/CoreOutput.ts';
 import type { RequestAnswer } from '../answers/RequestAnswer.ts';
+import { SoleSteward } from '../grants/SoleSteward.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import { toId, type RequestId } from '../lib/ids.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
@@ -83,9 +84,7 @@
         peerAddress: `${settings.peers.host}:${settings.peers.port}`,
       },
       createCore: (context) => new Core(context, {
-        router: new PoolRouter(context, {
-          getSteward: () => null, getOwnDuty: () => null, getHostCountBound: () => 1,
-        }),
+        router: new PoolRouter(context, new SoleSteward(context)),
         claims: new ClaimManager(context, {
           ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
         }),
