--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,6 +30,8 @@
     },
   },
   { files: ['eslint.config.js'], rules: { 'import-x/no-default-export': 'off' } },
+  // A test's fakes stand beside it.
+  { files: ['**/*.test.ts'], rules: { 'max-classes-per-file': 'off' } },
   {
     files: ['scripts/**', 'bench/**', 'standins/**', 'examples/**'],
     rules: { 'no-console': 'off' },
