--- a/bench/BENCHES.ts
+++ b/bench/BENCHES.ts
@@ -7,4 +7,9 @@
     summary: 'throughput and latency of an entry host to those of a bare relay',
     load: () => import('./overhead.ts'),
   },
+  {
+    name: 'claims',
+    summary: 'platform writes and latency of claims; service while the platform is down',
+    load: async () => ({ run: (await import('./claims.ts')).runClaims }),
+  },
 ];
--- a/src/operators/RequestExplanation.ts
+++ b/src/operators/RequestExplanation.ts
@@ -1,14 +1,4 @@
-/** One decision about a request. */
-export interface ExplanationStep {
-  /** Time since the request arrived. */
-  readonly elapsedMs: number;
-  /** The stage that was decided about; empty for the request as a whole. */
-  readonly stageId: string;
-  /** The upstream that was chosen; empty when none was. */
-  readonly upstreamId: string;
-  /** What was decided and why. */
-  readonly decision: string;
-}
+import type { ExplanationLine } from '../core/ExplanationLine.ts';
 
 /** Why a request ran where it ran, or why it did not run. */
 export interface RequestExplanation {
@@ -17,5 +7,5 @@
   readonly pipelineId: string;
   /** `running`, `completed`, or the code of the refusal. */
   readonly outcome: string;
-  readonly steps: readonly ExplanationStep[];
+  readonly lines: readonly ExplanationLine[];
 }
