--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -304,7 +304,7 @@
     this.#pools.forEach((pool) => {
       pool.ejection.tick().forEach((id) => this.#endEjection(id));
       [...pool.cold.items].forEach((upstream) => {
-        upstream.health.tick();
+        upstream.tick();
         this.#refresh(upstream);
       });
     });
@@ -357,16 +357,22 @@
     }
     for (let index = 0; index < Math.min(tries, pool.cold.size); index += 1) {
       const upstream = pool.getNextCold();
-      if (upstream?.health.takesWork() === true) {
-        if (this.#takeSlot(upstream, timeoutMs)) {
-          return upstream;
-        }
-        this.#holder.ask(upstream.upstreamId, timeoutMs);
+      if (upstream?.health.takesWork() === true && this.#takeOrAsk(upstream, timeoutMs)) {
+        return upstream;
       }
     }
     return null;
   }
 
+  /** A steward that is this host itself answers at once. */
+  #takeOrAsk(upstream: RoutedUpstream, timeoutMs: number): boolean {
+    if (this.#takeSlot(upstream, timeoutMs)) {
+      return true;
+    }
+    this.#holder.ask(upstream.upstreamId, timeoutMs);
+    return this.#holder.hasFree(upstream.upstreamId) && this.#takeSlot(upstream, timeoutMs);
+  }
+
   #takeSlot(upstream: RoutedUpstream, timeoutMs: number): boolean {
     const bearable = upstream.pool.coldConcurrency;
     this.#acquiredUntilMs = this.#holder.take(upstream.upstreamId, bearable, timeoutMs);
--- a/src/routing/RoutedUpstream.ts
+++ b/src/routing/RoutedUpstream.ts
@@ -216,16 +216,22 @@
     this.#keepRamp(() => this.health.setDrained(isDrained, this.runningCount));
   }
 
-  /** Starts the limit from this host's share again, as after an ejection. */
+  /** Lets time take effect. */
+  tick(): void {
+    this.#keepRamp(() => this.health.tick(), ['cold', 'warming']);
+  }
+
+  /** Lets the limit ramp up from what this host's part of a cold upstream is. */
   restartLimit(): void {
-    this.limit.restart(this.#getShare());
+    this.limit.restart(Math.max(1, Math.ceil(this.#pool.coldConcurrency / this.#hostCountBound)));
   }
 
-  /** A start of the upstream makes the limit ramp up again. */
-  #keepRamp(change: () => void): void {
-    const wasCold = this.health.needsGrant();
+  /** An upstream that proved itself after a start ramps up; one that was only unknown need not. */
+  #keepRamp(change: () => void, rampKinds: readonly string[] = ['warming']): void {
+    const before: string = this.health.state.kind;
     change();
-    if (wasCold && !this.health.needsGrant()) {
+    const after: string = this.health.state.kind;
+    if (after === 'warm' && rampKinds.includes(before)) {
       this.restartLimit();
     }
   }
