--- a/src/routing/PoolRouter.test.ts
+++ b/src/routing/PoolRouter.test.ts
@@ -9,7 +9,8 @@
 import { toId, type PoolId, type UpstreamId } from '../lib/ids.ts';
 import { FakeCoreContext } from '../../test/support/FakeCoreContext.ts';
 import type { AttemptFailure } from '../upstreams/AttemptFailure.ts';
-import { PoolRouter, type AcquireRequest } from './PoolRouter.ts';
+import type { AcquireRequest } from './AcquireRequest.ts';
+import { PoolRouter } from './PoolRouter.ts';
 
 const POOL: PoolRecord = {
   id: 'engines',
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -3,21 +3,17 @@
 import type { UpstreamRecord } from '../configuration/records/UpstreamRecord.ts';
 import type { CoreContext } from '../core/CoreContext.ts';
 import type { LoadReportedInput } from '../core/CoreInput.ts';
-import { GrantHolder } from '../grants/GrantHolder.ts';
-import type { GrantAskMessage, GrantMessage } from '../grants/GrantMessage.ts';
-import type { GrantOptions } from '../grants/GrantOptions.ts';
-import { GrantSteward } from '../grants/GrantSteward.ts';
-import type { Steward, StewardDirectory } from '../grants/StewardDirectory.ts';
-import type { PoolEjectionOptions } from '../health/PoolEjection.ts';
-import type {
-  AccountId, HostId, PoolId, RequestId, UpstreamId,
-} from '../lib/ids.ts';
+import { GrantDesk } from '../grants/GrantDesk.ts';
+import type { StewardDirectory } from '../grants/StewardDirectory.ts';
+import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
 import type { PeerMessage } from '../peers/PeerMessage.ts';
+import type { AcquireRequest } from './AcquireRequest.ts';
 import type { AttemptOutcome } from './AttemptOutcome.ts';
 import { isCertainEnd, isUpstreamError } from './isUpstreamError.ts';
 import { RoutedPool, type PoolCapacity } from './RoutedPool.ts';
-import { RoutedUpstream, type RoutedUpstreamOptions } from './RoutedUpstream.ts';
-import { UpstreamSelector, type UpstreamSelectorOptions } from './UpstreamSelector.ts';
+import { DEFAULT_POOL_ROUTER_OPTIONS, type PoolRouterOptions } from './PoolRouterOptions.ts';
+import { RoutedUpstream } from './RoutedUpstream.ts';
+import { UpstreamSelector } from './UpstreamSelector.ts';
 
 /** The part of the configuration that the router follows. */
 export interface RouterConfiguration {
@@ -26,33 +22,6 @@
   readonly drains: readonly DrainRecord[];
 }
 
-/** What an attempt needs. */
-export interface AcquireRequest {
-  readonly poolId: PoolId;
-  readonly requestId: RequestId;
-  readonly accountId: AccountId;
-  /** Requests with the same key go to the same upstream while it has room; null for none. */
-  readonly affinityKey: string | null;
-  /** Upstreams that just failed this request; never chosen for it. */
-  readonly excludedUpstreamIds: readonly UpstreamId[];
-  /** How long the attempt may take; bounds the slot at a cold upstream. */
-  readonly timeoutMs?: number;
-  /** False for a stage that may not be repeated: a cold upstream is its last choice. */
-  readonly isRepeatable?: boolean;
-}
-
-/** How the router decides. */
-export interface PoolRouterOptions extends RoutedUpstreamOptions {
-  readonly ejection: Partial<PoolEjectionOptions>;
-  readonly grants: Partial<GrantOptions>;
-  readonly selector: Partial<UpstreamSelectorOptions>;
-}
-
-/** Defaults of the router: those of its parts. */
-export const DEFAULT_POOL_ROUTER_OPTIONS: PoolRouterOptions = {
-  health: {}, limit: {}, ejection: {}, grants: {}, selector: {},
-};
-
 const DEFAULT_TIMEOUT_MS = 6_000;
 /** Cold upstreams that one attempt tries when no warm one has room. */
 const COLD_TRIES = 4;
@@ -91,9 +60,7 @@
 
   readonly #selector: UpstreamSelector;
 
-  readonly #steward: GrantSteward;
-
-  readonly #holder: GrantHolder;
+  readonly #grants: GrantDesk;
 
   readonly #pools = new Map<PoolId, RoutedPool>();
 
@@ -120,11 +87,10 @@
     this.#stewards = stewards;
     this.#options = { ...DEFAULT_POOL_ROUTER_OPTIONS, ...options };
     this.#selector = new UpstreamSelector(context.random, this.#options.selector);
-    this.#steward = new GrantSteward(context, stewards, this.#options.grants);
-    this.#holder = new GrantHolder(
+    this.#grants = new GrantDesk(
       context,
       stewards,
-      (steward, message) => this.#sendToSteward(steward, message),
+      (id) => this.#upstreams.get(id)?.pool.coldConcurrency ?? 0,
       this.#options.grants,
     );
   }
@@ -275,23 +241,10 @@
    * @param message - the message
    */
   handlePeerMessage(fromHostId: HostId, message: PeerMessage): void {
-    switch (message.kind) {
-      case 'grantAsk':
-        this.#answerAsk(fromHostId, message);
-        break;
-      case 'grantReply': {
-        this.#holder.handleReply(message);
-        const upstream = this.#upstreams.get(message.upstreamId);
-        if (upstream !== undefined) {
-          this.#refresh(upstream);
-        }
-        break;
-      }
-      case 'grantReturn':
-        this.#steward.handleReturn(fromHostId, message);
-        break;
-      default:
-        break;
+    const upstreamId = this.#grants.handlePeerMessage(fromHostId, message);
+    const upstream = upstreamId === null ? undefined : this.#upstreams.get(upstreamId);
+    if (upstream !== undefined) {
+      this.#refresh(upstream);
     }
   }
 
@@ -300,7 +253,7 @@
     if (this.#context.getNowMs() < this.getNextWakeMs()) {
       return;
     }
-    this.#holder.tick();
+    this.#grants.holder.tick();
     this.#pools.forEach((pool) => {
       pool.ejection.tick().forEach((id) => this.#endEjection(id));
       [...pool.cold.items].forEach((upstream) => {
@@ -314,7 +267,7 @@
    * @returns when the next tick is due; Infinity for never
    */
   getNextWakeMs(): number {
-    let nextMs = this.#holder.getNextWakeMs();
+    let nextMs = this.#grants.holder.getNextWakeMs();
     this.#pools.forEach((pool) => {
       nextMs = Math.min(nextMs, pool.ejection.getNextWakeMs());
       pool.cold.items.forEach((upstream) => {
@@ -364,53 +317,25 @@
     return null;
   }
 
-  /** A steward that is this host itself answers at once. */
   #takeOrAsk(upstream: RoutedUpstream, timeoutMs: number): boolean {
     if (this.#takeSlot(upstream, timeoutMs)) {
       return true;
     }
-    this.#holder.ask(upstream.upstreamId, timeoutMs);
-    return this.#holder.hasFree(upstream.upstreamId) && this.#takeSlot(upstream, timeoutMs);
+    this.#grants.holder.ask(upstream.upstreamId, timeoutMs);
+    // A steward that is this host itself has answered already.
+    const hasFree = this.#grants.holder.hasFree(upstream.upstreamId);
+    return hasFree && this.#takeSlot(upstream, timeoutMs);
   }
 
-  #takeSlot(upstream: RoutedUpstream, timeoutMs: number): boolean {
-    const bearable = upstream.pool.coldConcurrency;
-    this.#acquiredUntilMs = this.#holder.take(upstream.upstreamId, bearable, timeoutMs);
+  #takeSlot({ upstreamId, pool }: RoutedUpstream, timeoutMs: number): boolean {
+    const { holder } = this.#grants;
+    this.#acquiredUntilMs = holder.take(upstreamId, pool.coldConcurrency, timeoutMs);
     return this.#acquiredUntilMs !== null;
   }
 
-  #answerAsk(fromHostId: HostId, ask: GrantAskMessage): void {
-    const upstream = this.#upstreams.get(ask.upstreamId);
-    const bearable = upstream?.pool.coldConcurrency ?? 0;
-    const reply = this.#steward.handleAsk(fromHostId, ask, bearable);
-    const { hostId } = this.#context.self;
-    if (fromHostId === hostId) {
-      this.handlePeerMessage(hostId, reply);
-      return;
-    }
-    this.#context.emit({
-      kind: 'sendPeerMessage',
-      toHostId: fromHostId,
-      address: this.#stewards.getAddress(fromHostId),
-      message: reply,
-    });
-  }
-
-  #sendToSteward(steward: Steward, message: GrantMessage): void {
-    const { hostId } = this.#context.self;
-    if (steward.hostId === hostId) {
-      this.handlePeerMessage(hostId, message);
-      return;
-    }
-    const { address } = steward;
-    this.#context.emit({
-      kind: 'sendPeerMessage', toHostId: steward.hostId, address, message,
-    });
-  }
-
   #end(upstream: RoutedUpstream, isCertain: boolean): void {
     if (upstream.end()) {
-      this.#holder.release(upstream.upstreamId, isCertain);
+      this.#grants.holder.release(upstream.upstreamId, isCertain);
     }
   }
 
@@ -445,7 +370,7 @@
     this.#upstreams.delete(upstream.upstreamId);
     this.#drained.delete(upstream.upstreamId);
     this.#pools.get(upstream.poolId)?.remove(upstream);
-    this.#holder.drop(upstream.upstreamId);
+    this.#grants.holder.drop(upstream.upstreamId);
   }
 
   #countMembers(): void {
@@ -462,9 +387,9 @@
     const { upstreamId, poolId } = upstream;
     const isCold = upstream.health.needsGrant();
     if (!isCold) {
-      this.#holder.drop(upstreamId);
+      this.#grants.holder.drop(upstreamId);
     }
-    const hasFreeSlot = isCold && this.#holder.hasFree(upstreamId);
+    const hasFreeSlot = isCold && this.#grants.holder.hasFree(upstreamId);
     this.#pools.get(poolId)?.refresh(upstream, hasFreeSlot);
     this.#changedPools.add(poolId);
   }
