--- a/src/cli/commands/createCostCommand.ts
+++ b/src/cli/commands/createCostCommand.ts
@@ -2,7 +2,7 @@
 import { COST_GROUPING, type CostGrouping, type CostReport } from '../../operators/CostReport.ts';
 import type { CliContext } from '../CliContext.ts';
 import { formatTable } from '../formatTable.ts';
-import { formatMoney } from '../formatValues.ts';
+import { formatMoney } from '../../lib/formatValues.ts';
 import { addRemoteOptions, createOperatorClient, type RemoteArguments } from '../remoteOptions.ts';
 
 interface CostArguments extends RemoteArguments {
--- a/src/cli/formatPlan.ts
+++ b/src/cli/formatPlan.ts
@@ -1,5 +1,5 @@
 import type { PlanSummary } from '../operators/PlanSummary.ts';
-import { formatMoney, formatPercent } from './formatValues.ts';
+import { formatMoney, formatPercent } from '../lib/formatValues.ts';
 
 function formatList(title: string, lines: readonly string[]): string {
   const items = lines.length === 0 ? ['(none)'] : lines;
--- a/src/cli/formatStatus.ts
+++ b/src/cli/formatStatus.ts
@@ -1,6 +1,6 @@
 import type { HostStatus } from '../operators/HostStatus.ts';
 import { formatTable } from './formatTable.ts';
-import { formatMoney, formatPercent } from './formatValues.ts';
+import { formatMoney, formatPercent } from '../lib/formatValues.ts';
 
 function getReadiness(status: HostStatus): string {
   return status.isReady ? 'ready' : `not ready (${status.notReadyReason})`;
