Wire the configuration managers and the operators' face into core and host

Cause: the host polled the head every 500 ms and adopted without checks; it now follows by watch and carries out operators' calls. Until the membership is wired in, each host watches and knows only itself as a member, and the state of an upstream reads 'known'.

--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -1,5 +1,6 @@
 import { Admission } from '../admission/Admission.ts';
 import { StageLatencies } from '../admission/StageLatencies.ts';
+import type { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import { ConfigurationIndex } from '../configuration/ConfigurationIndex.ts';
 import {
   createEmptyConfiguration, type ConfigurationRecord,
@@ -7,7 +8,7 @@
 import type { ClaimPort } from '../claims/ClaimPort.ts';
 import type { CostPort } from '../cost/CostPort.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
-import type { RequestId } from '../lib/ids.ts';
+import type { RequestId, UpstreamId } from '../lib/ids.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
 import type { CoreContext } from './CoreContext.ts';
 import { CoreInbox } from './CoreInbox.ts';
@@ -33,6 +34,7 @@
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
+  readonly configurationManager: ConfigurationManager;
 }
 
 /**
@@ -93,6 +95,8 @@
       isStopping: false,
       isStopped: false,
     };
+    managers.configurationManager.follower
+      .onChange((configuration) => this.setConfiguration(configuration));
   }
 
   /**
@@ -102,6 +106,7 @@
    */
   step(inputs: readonly CoreInput[]): void {
     inputs.forEach((input) => this.#sortInput(input));
+    this.#world.configurationManager.tick();
     this.#world.claims.tick();
     this.#world.router.tick();
     SYSTEMS.forEach((system) => system(this.#world));
@@ -124,6 +129,7 @@
       world.abandonments.getNextWakeMs(),
       getNextQueueExpiryMs(world),
       world.claims.getNextWakeMs(),
+      world.configurationManager.getNextWakeMs(),
       world.router.getNextWakeMs(),
       world.isStopping && !world.isStopped ? leaveAtMs : Infinity,
     );
@@ -155,6 +161,27 @@
     return configuration.record.version > 0 && leavingSinceMs === null;
   }
 
+  /**
+   * @param upstreamId - an upstream
+   * @returns attempts that this host has there
+   */
+  countAttempts(upstreamId: UpstreamId): number {
+    return [...this.#world.attempts.values()]
+      .filter((attempt) => attempt.upstreamId === upstreamId).length;
+  }
+
+  /**
+   * @returns whether the host stops or is taken out of service
+   */
+  isLeaving(): boolean {
+    return this.#world.leavingSinceMs !== null;
+  }
+
+  /** Follows the configuration and carries out operators' calls. */
+  get configurationManager(): ConfigurationManager {
+    return this.#world.configurationManager;
+  }
+
   /**
    * @returns the configuration in force
    */
@@ -171,7 +198,9 @@
   }
 
   #sortInput(input: CoreInput): void {
-    const { inbox, router, claims } = this.#world;
+    const {
+      inbox, router, claims, configurationManager,
+    } = this.#world;
     switch (input.kind) {
       case 'requestSubmitted':
         inbox.submitted.push(input);
@@ -195,14 +224,18 @@
         return;
       case 'keyValueAnswered':
         claims.handleKeyValueAnswer(input);
+        configurationManager.handleKeyValueAnswer(input);
         return;
       case 'peerMessageReceived':
         claims.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
         router.handlePeerMessage(input.fromHostId, input.message);
+        configurationManager.handlePeerMessage(input);
         return;
       case 'hostListRead':
       case 'peerUnreachable':
+        return;
       case 'operatorCalled':
+        configurationManager.handleOperatorCall(input);
         return;
       case 'stopRequested':
         this.#world.isStopping = true;
--- a/src/core/CoreWorld.ts
+++ b/src/core/CoreWorld.ts
@@ -1,6 +1,7 @@
 import type { Admission } from '../admission/Admission.ts';
 import type { StageLatencies } from '../admission/StageLatencies.ts';
 import type { ClaimPort } from '../claims/ClaimPort.ts';
+import type { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import type { ConfigurationIndex } from '../configuration/ConfigurationIndex.ts';
 import type { CostPort } from '../cost/CostPort.ts';
 import type { AttemptId, RequestId } from '../lib/ids.ts';
@@ -37,6 +38,7 @@
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
+  readonly configurationManager: ConfigurationManager;
   configuration: ConfigurationIndex;
   /** Requests without a final answer. */
   inFlightCount: number;
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -5,14 +5,18 @@
 import { ClaimManager } from '../claims/ClaimManager.ts';
 import { DEFAULT_CLAIM_OPTIONS } from '../claims/ClaimOptions.ts';
 import type { ServedHost, ServeHostOptions } from '../cli/CliContext.ts';
+import { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import { Core } from '../core/Core.ts';
 import type { CoreOutput } from '../core/CoreOutput.ts';
 import type { RequestAnswer } from '../answers/RequestAnswer.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
-import { toId, type RequestId } from '../lib/ids.ts';
+import { toId, type RequestId, type UpstreamId } from '../lib/ids.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
 import { HttpKeyValueClient } from '../platform/HttpKeyValueClient.ts';
+import { registerOperatorRoutes } from '../operators/registerOperatorRoutes.ts';
+import type { HostStatus } from '../operators/HostStatus.ts';
+import type { MemberRecord } from '../peers/PeerMessage.ts';
 import { PoolRouter } from '../routing/PoolRouter.ts';
 import { createLogger } from '../telemetry/createLogger.ts';
 import { HostMetrics } from '../telemetry/HostMetrics.ts';
@@ -21,9 +25,12 @@
 import { UpstreamSender } from '../upstreams/UpstreamSender.ts';
 import { AnswerListeners } from './AnswerListeners.ts';
 import { CallerDesk } from './CallerDesk.ts';
+import { CostTotals } from './CostTotals.ts';
 import { CoreLoop } from './CoreLoop.ts';
+import { createHostStatus, type UpstreamLoad } from './createHostStatus.ts';
 import { HostTracer } from './HostTracer.ts';
 import { LoadPoller } from './LoadPoller.ts';
+import { OperatorDesk } from './OperatorDesk.ts';
 
 /** One entry host: the core and the adapters around it. */
 export class EntryHost implements ServedHost {
@@ -49,18 +56,22 @@
 
   readonly #desk: CallerDesk;
 
+  readonly #costs = new CostTotals();
+
+  readonly #configurationManager: ConfigurationManager;
+
+  readonly #operatorDesk: OperatorDesk;
+
   readonly #server: FastifyInstance;
 
   #httpUrl = '';
 
-  #configurationTimer: NodeJS.Timeout | undefined;
-
   #resolveStopped: () => void = () => undefined;
 
   /**
    * @param options - settings and keys
    */
-  private constructor({ settings }: ServeHostOptions) {
+  private constructor({ settings, operatorKey }: ServeHostOptions) {
     const clock = new SystemClock();
     const random = new SystemRandomSource();
     const incarnationId = random.getHexId();
@@ -83,13 +94,16 @@
         peerAddress: `${settings.peers.host}:${settings.peers.port}`,
       },
       createCore: (context) => new Core(context, {
+        configurationManager: new ConfigurationManager(context, {
+          getMembers: () => this.#getMembers(),
+        }),
         router: new PoolRouter(context, {
           getSteward: () => null, getOwnDuty: () => null, getHostCountBound: () => 1,
         }),
         claims: new ClaimManager(context, {
           ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
         }),
-        costs: { book: () => undefined },
+        costs: this.#costs,
       }),
       perform: (output) => this.#perform(output),
     });
@@ -111,6 +125,21 @@
     });
     this.#server = createHttpServer();
     registerCallerRoutes(this.#server, this.#desk);
+    this.#configurationManager = this.#loop.core.configurationManager;
+    this.#configurationManager.follower
+      .onChange((configuration) => this.#adoptConfiguration(configuration));
+    this.#configurationManager.follower.setIsWatcher(true);
+    this.#operatorDesk = new OperatorDesk({
+      random,
+      post: (input) => this.#loop.post(input),
+      getRequest: (requestId) => this.#loop.core.getRequest(requestId),
+      getStatus: () => this.#getStatus(),
+    });
+    registerOperatorRoutes(this.#server, {
+      port: this.#operatorDesk,
+      operatorKey,
+      getMetrics: () => this.#metrics.registry.metrics(),
+    });
   }
 
   /**
@@ -123,8 +152,7 @@
     const host = new EntryHost(options);
     const { http } = options.settings;
     host.#httpUrl = await host.#server.listen({ host: http.host, port: http.port });
-    host.#configurationTimer = setInterval(() => host.#followConfiguration(), 500);
-    await host.#followConfiguration();
+    host.#loop.wake();
     host.#logger.info({ httpUrl: host.#httpUrl }, 'entry host serves');
     return host;
   }
@@ -145,16 +173,47 @@
     this.#loop.post({ kind: 'stopRequested' });
   }
 
-  /**
-   * Puts a configuration in force.
-   *
-   * @param configuration - the adopted configuration
-   */
-  adoptConfiguration(configuration: ConfigurationRecord): void {
-    this.#loop.core.setConfiguration(configuration);
+  #adoptConfiguration(configuration: ConfigurationRecord): void {
     this.#desk.setConfiguration(configuration);
     this.#loads.setUpstreams(configuration.upstreams);
-    this.#loop.wake();
+    this.#logger.info({ version: configuration.version }, 'configuration adopted');
+  }
+
+  #getMembers(): MemberRecord[] {
+    const {
+      hostId, incarnationId, failureDomainId, peerAddress,
+    } = this.#loop.self;
+    return [{
+      hostId,
+      incarnationId,
+      failureDomainId,
+      peerAddress,
+      state: 'alive',
+      generation: 0,
+      configurationVersion: this.#loop.core.getConfiguration().version,
+    }];
+  }
+
+  #getUpstreamLoad(upstreamId: UpstreamId): UpstreamLoad {
+    const { upstreams, pools } = this.#loop.core.getConfiguration();
+    const poolId = upstreams.find(({ id }) => id === upstreamId)?.poolId;
+    return {
+      state: 'known',
+      limit: pools.find(({ id }) => id === poolId)?.maxConcurrency ?? 0,
+      inFlightCount: this.#loop.core.countAttempts(upstreamId),
+    };
+  }
+
+  #getStatus(): HostStatus {
+    return createHostStatus({
+      self: this.#loop.self,
+      follower: this.#configurationManager.follower,
+      members: this.#getMembers(),
+      metrics: this.#metrics,
+      costs: this.#costs,
+      isStopping: this.#loop.core.isLeaving(),
+      getUpstreamLoad: (upstreamId) => this.#getUpstreamLoad(upstreamId),
+    });
   }
 
   #perform(output: CoreOutput): void {
@@ -178,8 +237,10 @@
           this.#loop.post({ kind: 'keyValueAnswered', operationId: output.operationId, answer });
         });
         return;
-      case 'sendPeerMessage':
       case 'answerOperator':
+        this.#operatorDesk.passAnswer(output.callId, output.answer);
+        return;
+      case 'sendPeerMessage':
         return;
       case 'stopped':
         this.#close();
@@ -197,19 +258,7 @@
     }
   }
 
-  async #followConfiguration(): Promise<void> {
-    const call = { kind: 'get', key: 'configuration/head' } as const;
-    const answer = await this.#keyValue.call('configuration', call);
-    if (answer.kind === 'value') {
-      const configuration = JSON.parse(answer.value) as ConfigurationRecord;
-      if (configuration.version > this.#loop.core.getConfiguration().version) {
-        this.adoptConfiguration(configuration);
-      }
-    }
-  }
-
   async #close(): Promise<void> {
-    clearInterval(this.#configurationTimer);
     await this.#server.close();
     this.#loop.close();
     await this.#loads.close();
--- /dev/null
+++ b/src/serve/OperatorDesk.ts
@@ -0,0 +1,88 @@
+import type { CoreInput } from '../core/CoreInput.ts';
+import type { RequestRecord } from '../core/tables/RequestRecord.ts';
+import { toId, type RequestId } from '../lib/ids.ts';
+import type { RandomSource } from '../lib/RandomSource.ts';
+import type { CostGrouping, CostReport } from '../operators/CostReport.ts';
+import type { HostStatus } from '../operators/HostStatus.ts';
+import type { OperatorAnswer } from '../operators/OperatorAnswer.ts';
+import type { OperatorCall } from '../operators/OperatorCall.ts';
+import type { OperatorPort } from '../operators/OperatorPort.ts';
+import type { RequestExplanation } from '../operators/RequestExplanation.ts';
+
+/** What the desk needs of its host. */
+export interface OperatorDeskOptions {
+  readonly random: RandomSource;
+  readonly post: (input: CoreInput) => void;
+  readonly getRequest: (requestId: RequestId) => Readonly<RequestRecord> | undefined;
+  readonly getStatus: () => HostStatus;
+}
+
+function getOutcome({ answer }: Readonly<RequestRecord>): string {
+  if (answer === null) {
+    return 'running';
+  }
+  return answer.kind === 'completed' ? 'completed' : answer.code;
+}
+
+/** Stands between the operators' HTTP face and the core. */
+export class OperatorDesk implements OperatorPort {
+  readonly #options: OperatorDeskOptions;
+
+  readonly #waiting = new Map<string, (answer: OperatorAnswer) => void>();
+
+  /**
+   * @param options - what the desk needs of its host
+   */
+  constructor(options: OperatorDeskOptions) {
+    this.#options = options;
+  }
+
+  /** @inheritdoc */
+  call(call: OperatorCall): Promise<OperatorAnswer> {
+    const callId = this.#options.random.getHexId();
+    return new Promise((resolve) => {
+      this.#waiting.set(callId, resolve);
+      this.#options.post({ kind: 'operatorCalled', callId, call });
+    });
+  }
+
+  /**
+   * Passes the core's answer on.
+   *
+   * @param callId - the call
+   * @param answer - the answer
+   */
+  passAnswer(callId: string, answer: OperatorAnswer): void {
+    const resolve = this.#waiting.get(callId);
+    this.#waiting.delete(callId);
+    resolve?.(answer);
+  }
+
+  /** @inheritdoc */
+  getStatus(): HostStatus {
+    return this.#options.getStatus();
+  }
+
+  /** @inheritdoc */
+  getCost(by: CostGrouping): CostReport {
+    const { costByStage, costByAccount } = this.#options.getStatus();
+    const rows = by === 'stage' ? costByStage : costByAccount;
+    const totalMicros = rows.reduce((sum, { costMicros }) => sum + costMicros, 0);
+    return { by, rows, totalMicros };
+  }
+
+  /** @inheritdoc */
+  explain(requestId: string): RequestExplanation | null {
+    const request = this.#options.getRequest(toId(requestId));
+    if (request === undefined) {
+      return null;
+    }
+    return {
+      requestId,
+      accountId: request.accountId,
+      pipelineId: request.pipeline.id,
+      outcome: getOutcome(request),
+      lines: request.explanation,
+    };
+  }
+}
--- a/src/telemetry/HostMetrics.ts
+++ b/src/telemetry/HostMetrics.ts
@@ -27,6 +27,12 @@
   readonly fraction: number;
 }
 
+/** Refusals of one code. */
+export interface RefusalCount {
+  readonly code: string;
+  readonly count: number;
+}
+
 interface PipelineCounts {
   completedCount: number;
   refusedCount: number;
@@ -51,6 +57,8 @@
 
   readonly #pipelines = new Map<string, PipelineCounts>();
 
+  readonly #refusals = new Map<string, number>();
+
   readonly #answers = new Counter({
     name: 'parsleylift_answers_total',
     help: 'Final answers by pipeline and code; "completed" is a whole answer.',
@@ -83,6 +91,9 @@
   noteAnswer(pipelineId: string, durationMs: number, answer: RequestAnswer): void {
     const code = answer.kind === 'completed' ? 'completed' : answer.code;
     this.#answers.inc({ pipeline: pipelineId, code });
+    if (answer.kind === 'refused') {
+      this.#refusals.set(code, (this.#refusals.get(code) ?? 0) + 1);
+    }
     this.#requests.recordValue(Math.max(1, Math.round(durationMs)));
     this.#countPipeline(pipelineId, answer);
     answer.stages.forEach(({
@@ -102,6 +113,13 @@
     return new Map([...this.#stages].map(([id, histogram]) => [id, getSummary(histogram)]));
   }
 
+  /**
+   * @returns refusals by code
+   */
+  getRefusals(): RefusalCount[] {
+    return [...this.#refusals].map(([code, count]) => ({ code, count }));
+  }
+
   /**
    * @returns latency of whole requests
    */
--- a/test/support/CoreRig.ts
+++ b/test/support/CoreRig.ts
@@ -2,6 +2,7 @@
   CompletedAnswer, RefusedAnswer, RequestAnswer,
 } from '../../src/answers/RequestAnswer.ts';
 import type { ConfigurationRecord } from '../../src/configuration/records/ConfigurationRecord.ts';
+import { ConfigurationManager } from '../../src/configuration/ConfigurationManager.ts';
 import { Core } from '../../src/core/Core.ts';
 import type { CoreInput } from '../../src/core/CoreInput.ts';
 import type { CoreOutput, SendAttemptOutput } from '../../src/core/CoreOutput.ts';
@@ -37,7 +38,10 @@
       },
     };
     const router = new PoolRouter(this.context, new SoleSteward(this.context));
-    this.core = new Core(this.context, { router, claims: this.claims, costs });
+    const configurationManager = new ConfigurationManager(this.context);
+    this.core = new Core(this.context, {
+      router, claims: this.claims, costs, configurationManager,
+    });
     this.core.setConfiguration(configuration);
   }
 
