Add the membership: heartbeats with answers, suspicion, refutation, leaving, pauses

Cause: hosts must know of each other without a coordination service and at a traffic per host that does not grow with the fleet.

--- /dev/null
+++ b/src/membership/MemberTable.ts
@@ -0,0 +1,82 @@
+import type { FailureDomainId, HostId } from '../lib/ids.ts';
+import type { MemberRecord } from '../peers/PeerMessage.ts';
+import { getMergedRecord } from './getMergedRecord.ts';
+import type { MemberEntry } from './MemberEntry.ts';
+
+/** What is known of the other members; the own host is not in it. */
+export class MemberTable {
+  readonly #entries = new Map<HostId, MemberEntry>();
+
+  /** Members in every state. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /**
+   * @param hostId - a member
+   * @returns what is known of it
+   */
+  get(hostId: HostId): MemberEntry | undefined {
+    return this.#entries.get(hostId);
+  }
+
+  /**
+   * @returns all members, in the order in which they became known
+   */
+  getAll(): MemberEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  /**
+   * @param failureDomainId - a failure domain; undefined for all
+   * @returns members that can be reached as far as is known
+   */
+  getPresent(failureDomainId?: FailureDomainId): MemberRecord[] {
+    return this.getAll()
+      .map(({ record }) => record)
+      .filter((record) => record.state !== 'dead'
+        && (failureDomainId === undefined || record.failureDomainId === failureDomainId));
+  }
+
+  /**
+   * Takes a statement about a member.
+   *
+   * @param heard - the statement
+   * @param nowMs - the time of the step
+   * @returns whether the member's state, address or process start is now another one
+   */
+  merge(heard: MemberRecord, nowMs: number): boolean {
+    const entry = this.#entries.get(heard.hostId);
+    if (entry === undefined) {
+      this.#entries.set(heard.hostId, { record: heard, stateSinceMs: nowMs, heardAtMs: null });
+      return true;
+    }
+    const record = getMergedRecord(entry.record, heard);
+    if (record === entry.record) {
+      return false;
+    }
+    const isSameState = record.state === entry.record.state
+      && record.generation === entry.record.generation;
+    const stateSinceMs = isSameState ? entry.stateSinceMs : nowMs;
+    this.#entries.set(heard.hostId, { ...entry, record, stateSinceMs });
+    return !isSameState;
+  }
+
+  /**
+   * @param hostId - a member that answered or sent a heartbeat itself
+   * @param nowMs - the time of the step
+   */
+  noteHeard(hostId: HostId, nowMs: number): void {
+    const entry = this.#entries.get(hostId);
+    if (entry !== undefined) {
+      this.#entries.set(hostId, { ...entry, heardAtMs: nowMs });
+    }
+  }
+
+  /**
+   * @param hostId - a member to forget
+   */
+  remove(hostId: HostId): void {
+    this.#entries.delete(hostId);
+  }
+}
--- /dev/null
+++ b/src/membership/Membership.ts
@@ -0,0 +1,399 @@
+import type { CoreContext } from '../core/CoreContext.ts';
+import type { HostId, IncarnationId } from '../lib/ids.ts';
+import type {
+  HeartbeatAnswerMessage, HeartbeatMessage, MemberRecord, PeerMessage,
+} from '../peers/PeerMessage.ts';
+import type { HostListEntry } from '../platform/HostListEntry.ts';
+import { HeartbeatTargets } from './HeartbeatTargets.ts';
+import type { MemberEntry } from './MemberEntry.ts';
+import type { MembershipEvent } from './MembershipEvent.ts';
+import { DEFAULT_MEMBERSHIP_OPTIONS, type MembershipOptions } from './MembershipOptions.ts';
+import { MemberNews } from './MemberNews.ts';
+import { MemberTable } from './MemberTable.ts';
+
+/** Statements a process can make about itself within one millisecond of start time. */
+const GENERATIONS_PER_START_MS = 1024;
+
+/** What the membership is told of its process. */
+export interface MembershipStart {
+  /**
+   * Unix time of the process start in milliseconds; orders the starts of one host. A clock that
+   * is set back is caught up with when the host hears what is said about its earlier start.
+   */
+  readonly startedAtMs: number;
+}
+
+/**
+ * Who takes part in the fleet: heartbeats with answers, suspicion with refutation (after SWIM, Das,
+ * Gupta and Motivala, 2002), changes carried by the heartbeats. The traffic of one host does not
+ * grow with the fleet. A full view, direct contact within the failure domain and over few links.
+ */
+export class Membership {
+  readonly #context: CoreContext;
+
+  readonly #options: MembershipOptions;
+
+  readonly #table = new MemberTable();
+
+  readonly #news: MemberNews;
+
+  readonly #targets: HeartbeatTargets;
+
+  /** When the heartbeat was sent that a member has not answered yet. */
+  readonly #unanswered = new Map<HostId, number>();
+
+  /** When a suspected member counts as dead. */
+  readonly #suspicions = new Map<HostId, number>();
+
+  #self: MemberRecord;
+
+  #events: MembershipEvent[] = [];
+
+  #sequence = 0;
+
+  #round = 0;
+
+  #isReplaced = false;
+
+  readonly #bornAtMs: number;
+
+  #nextRoundAtMs: number;
+
+  /** When the process woke from a pause and has not heard of its peers since. */
+  #staleSinceMs: number | null = null;
+
+  /**
+   * @param context - time, randomness and the way out
+   * @param start - about the process
+   * @param options - see `DEFAULT_MEMBERSHIP_OPTIONS`
+   */
+  constructor(
+    context: CoreContext,
+    start: MembershipStart,
+    options: Partial<MembershipOptions> = {},
+  ) {
+    this.#context = context;
+    this.#options = { ...DEFAULT_MEMBERSHIP_OPTIONS, ...options };
+    this.#news = new MemberNews(this.#table, this.#options);
+    this.#bornAtMs = context.getNowMs();
+    this.#targets = new HeartbeatTargets(context.self, context.random, this.#table);
+    this.#nextRoundAtMs = context.getNowMs()
+      + Math.floor(context.random.getFraction() * this.#options.periodMs);
+    this.#self = {
+      hostId: context.self.hostId,
+      incarnationId: context.self.incarnationId,
+      failureDomainId: context.self.failureDomainId,
+      peerAddress: context.self.peerAddress,
+      state: 'alive',
+      generation: Math.floor(start.startedAtMs) * GENERATIONS_PER_START_MS,
+      configurationVersion: 0,
+    };
+  }
+
+  /**
+   * @returns the own record as the peers get it
+   */
+  getSelf(): MemberRecord {
+    return this.#self;
+  }
+
+  /**
+   * @returns all known members with the own host, the dead ones included for a time
+   */
+  getMembers(): MemberRecord[] {
+    return [this.#self, ...this.#table.getAll().map(({ record }) => record)];
+  }
+
+  /**
+   * @returns hosts that take part, suspected ones included; the own host unless it is leaving
+   */
+  getAliveHostIds(): HostId[] {
+    return this.getMembers()
+      .filter(({ state }) => state === 'alive' || state === 'suspect')
+      .map(({ hostId }) => hostId);
+  }
+
+  /**
+   * @param hostId - a member
+   * @returns when it last answered or sent a heartbeat itself; null for never
+   */
+  getHeardAtMs(hostId: HostId): number | null {
+    return this.#table.get(hostId)?.heardAtMs ?? null;
+  }
+
+  /**
+   * @returns false between waking from a pause and hearing of the peers again; a host does nothing
+   *   that rests on its duties until then
+   */
+  isViewFresh(): boolean {
+    const isLate = this.#context.getNowMs() - this.#nextRoundAtMs > this.#options.pauseThresholdMs;
+    return this.#staleSinceMs === null && !isLate;
+  }
+
+  /**
+   * Takes the platform's host list as a hint whom to contact. It lags, so that it neither revives
+   * nor removes anybody.
+   *
+   * @param hosts - the list
+   */
+  handleHostList(hosts: readonly HostListEntry[]): void {
+    hosts.filter(({ hostId }) => hostId !== this.#self.hostId).forEach((host) => {
+      const known = this.#table.get(host.hostId)?.record;
+      const hint: MemberRecord = {
+        hostId: host.hostId,
+        incarnationId: host.incarnationId,
+        failureDomainId: host.failureDomainId,
+        peerAddress: host.peerAddress,
+        state: host.isLeaving ? 'leaving' : 'alive',
+        generation: 0,
+        configurationVersion: 0,
+      };
+      if (known === undefined) {
+        this.#merge(hint);
+      } else if (known.incarnationId !== host.incarnationId && known.state === 'dead') {
+        this.#sendHeartbeat(hint);
+      }
+    });
+  }
+
+  /**
+   * @param fromIncarnationId - the process start that the connection belongs to
+   * @param message - a heartbeat or the answer to one
+   */
+  handleHeartbeat(
+    fromIncarnationId: IncarnationId,
+    message: HeartbeatMessage | HeartbeatAnswerMessage,
+  ): void {
+    const { self, members } = message;
+    if (self.hostId === this.#self.hostId || self.incarnationId !== fromIncarnationId) {
+      return;
+    }
+    this.#merge(self);
+    members.forEach((member) => this.#merge(member));
+    const known = this.#table.get(self.hostId)?.record;
+    if (known?.incarnationId !== self.incarnationId) {
+      return;
+    }
+    this.#noteHeard(self.hostId);
+    if (message.kind === 'heartbeat') {
+      this.#send(known, {
+        kind: 'heartbeatAnswer',
+        sequence: message.sequence,
+        self: this.#self,
+        members: this.#news.select(known),
+      });
+    }
+    if (self.configurationVersion > this.#self.configurationVersion) {
+      this.#events.push({ kind: 'newerConfigurationSeen', member: self });
+    }
+  }
+
+  /**
+   * @param hostId - a member to whom no connection could be made or kept
+   */
+  handleUnreachable(hostId: HostId): void {
+    this.#suspect(this.#table.get(hostId));
+  }
+
+  /**
+   * Tells the peers which configuration is in force here, some of them at once.
+   *
+   * @param version - the version of the configuration
+   */
+  setConfigurationVersion(version: number): void {
+    if (version <= this.#self.configurationVersion) {
+      return;
+    }
+    this.#self = { ...this.#self, configurationVersion: version };
+    [
+      ...this.#targets.takeOwnDomain(this.#options.noticeFanout),
+      ...this.#targets.getLinks(this.#options.linksPerDomain),
+    ].filter((member) => member.configurationVersion < version)
+      .forEach((member) => this.#sendHeartbeat(member));
+  }
+
+  /** Tells the peers that this host takes no new work, some of them at once. */
+  announceLeaving(): void {
+    if (this.#self.state === 'leaving') {
+      return;
+    }
+    this.#restate({ state: 'leaving' });
+    this.#targets.takeOwnDomain(this.#options.noticeFanout)
+      .forEach((member) => this.#sendHeartbeat(member));
+  }
+
+  /** Sends what is due and judges the members that did not answer. */
+  tick(): void {
+    const nowMs = this.#context.getNowMs();
+    this.#endPause(nowMs);
+    this.#judgeUnanswered(nowMs);
+    this.#judgeSuspicions(nowMs);
+    if (nowMs >= this.#nextRoundAtMs) {
+      this.#forgetDead(nowMs);
+      this.#startRound();
+      this.#nextRoundAtMs = nowMs + this.#options.periodMs;
+    }
+  }
+
+  /**
+   * @returns when the next tick is due
+   */
+  getNextWakeMs(): number {
+    const { answerTimeoutMs } = this.#options;
+    const answersMs = [...this.#unanswered.values()].map((sentAtMs) => sentAtMs + answerTimeoutMs);
+    return Math.min(this.#nextRoundAtMs, ...answersMs, ...this.#suspicions.values());
+  }
+
+  /**
+   * @returns what changed since the last call
+   */
+  takeEvents(): MembershipEvent[] {
+    const events = this.#events;
+    this.#events = [];
+    return events;
+  }
+
+  #endPause(nowMs: number): void {
+    const { pauseThresholdMs, answerTimeoutMs, suspicionMs } = this.#options;
+    if (nowMs - this.#nextRoundAtMs > pauseThresholdMs) {
+      // The silence of the peers was the own pause, so that nobody is suspected for it.
+      this.#unanswered.clear();
+      this.#staleSinceMs = nowMs;
+    }
+    const isAlone = this.#table.getPresent().length === 0;
+    const waitMs = isAlone ? answerTimeoutMs : suspicionMs;
+    if (this.#staleSinceMs !== null && nowMs - this.#staleSinceMs > waitMs) {
+      this.#refresh();
+    }
+  }
+
+  #refresh(): void {
+    if (this.#staleSinceMs !== null) {
+      this.#staleSinceMs = null;
+      this.#events.push({ kind: 'viewRefreshed' });
+    }
+  }
+
+  #judgeUnanswered(nowMs: number): void {
+    this.#unanswered.forEach((sentAtMs, hostId) => {
+      if (nowMs - sentAtMs >= this.#options.answerTimeoutMs) {
+        this.#unanswered.delete(hostId);
+        this.#suspect(this.#table.get(hostId));
+      }
+    });
+  }
+
+  #judgeSuspicions(nowMs: number): void {
+    this.#suspicions.forEach((deadAtMs, hostId) => {
+      const record = this.#table.get(hostId)?.record;
+      if (nowMs >= deadAtMs && record !== undefined) {
+        this.#merge({ ...record, state: 'dead' });
+      }
+    });
+  }
+
+  #forgetDead(nowMs: number): void {
+    this.#table.getAll()
+      .filter(({ record, stateSinceMs }) => record.state === 'dead'
+        && nowMs - stateSinceMs >= this.#options.deadRetentionMs)
+      .forEach(({ record }) => {
+        this.#table.remove(record.hostId);
+        this.#news.remove(record.hostId);
+      });
+  }
+
+  #suspect(entry: MemberEntry | undefined): void {
+    if (entry?.record.state === 'alive') {
+      this.#merge({ ...entry.record, state: 'suspect' });
+      // It learns of the suspicion at once, so that it can object.
+      this.#sendHeartbeat(entry.record);
+    } else if (entry?.record.state === 'leaving') {
+      this.#merge({ ...entry.record, state: 'dead' });
+    }
+  }
+
+  #startRound(): void {
+    const {
+      fanout, linksPerDomain, linkEveryRounds, deadEveryRounds,
+    } = this.#options;
+    this.#round += 1;
+    const suspects = this.#table.getPresent(this.#self.failureDomainId)
+      .filter(({ state }) => state === 'suspect');
+    const targets = [
+      ...suspects.slice(0, 1),
+      ...this.#targets.takeOwnDomain(fanout),
+      ...this.#round % linkEveryRounds === 0 ? this.#targets.takeLink(linksPerDomain) : [],
+      ...this.#round % deadEveryRounds === 0 ? this.#targets.takeDead() : [],
+    ];
+    new Map(targets.map((member) => [member.hostId, member]))
+      .forEach((member) => this.#sendHeartbeat(member));
+  }
+
+  #sendHeartbeat(member: MemberRecord): void {
+    this.#sequence += 1;
+    if (member.state !== 'dead' && !this.#unanswered.has(member.hostId)) {
+      this.#unanswered.set(member.hostId, this.#context.getNowMs());
+    }
+    this.#send(member, {
+      kind: 'heartbeat',
+      sequence: this.#sequence,
+      self: this.#self,
+      members: this.#news.select(member),
+      configurationVersion: this.#self.configurationVersion,
+    });
+  }
+
+  #send(member: MemberRecord, message: PeerMessage): void {
+    this.#context.emit({
+      kind: 'sendPeerMessage', toHostId: member.hostId, address: member.peerAddress, message,
+    });
+  }
+
+  #noteHeard(hostId: HostId): void {
+    this.#table.noteHeard(hostId, this.#context.getNowMs());
+    this.#unanswered.delete(hostId);
+    this.#refresh();
+  }
+
+  #merge(heard: MemberRecord): void {
+    if (heard.hostId === this.#self.hostId) {
+      this.#object(heard);
+      return;
+    }
+    if (this.#table.merge(heard, this.#context.getNowMs())) {
+      const { record } = this.#table.get(heard.hostId) as MemberEntry;
+      this.#news.add(record.hostId);
+      this.#noteSuspicion(record);
+      this.#events.push({ kind: 'memberChanged', member: record });
+    }
+  }
+
+  #noteSuspicion({ hostId, state }: MemberRecord): void {
+    if (state === 'suspect') {
+      this.#suspicions.set(hostId, this.#context.getNowMs() + this.#options.suspicionMs);
+    } else {
+      this.#suspicions.delete(hostId);
+    }
+  }
+
+  /** Outbids what is said about this host when it is not what this host says. */
+  #object(heard: MemberRecord): void {
+    const isWrong = heard.state !== this.#self.state
+      || heard.incarnationId !== this.#self.incarnationId;
+    if (!isWrong || heard.generation < this.#self.generation) {
+      return;
+    }
+    const ageMs = this.#context.getNowMs() - this.#bornAtMs;
+    if (heard.incarnationId === this.#self.incarnationId || ageMs < this.#options.youngMs) {
+      this.#restate({ generation: heard.generation + 1 });
+    } else if (!this.#isReplaced) {
+      // A later start has this host's name: this process was taken for dead and replaced.
+      this.#isReplaced = true;
+      this.#events.push({ kind: 'selfReplaced', incarnationId: heard.incarnationId });
+    }
+  }
+
+  #restate(change: Partial<MemberRecord>): void {
+    this.#self = { ...this.#self, generation: this.#self.generation + 1, ...change };
+  }
+}
--- /dev/null
+++ b/src/membership/MembershipOptions.ts
@@ -0,0 +1,49 @@
+/** Times and sizes of the membership; equal on all hosts of a fleet. */
+export interface MembershipOptions {
+  /** Time between two rounds of heartbeats. */
+  readonly periodMs: number;
+  /** Members of the own failure domain that get a heartbeat in each round. */
+  readonly fanout: number;
+  /** Hosts of each failure domain that hold links to each other domain. */
+  readonly linksPerDomain: number;
+  /** Rounds between two heartbeats over a link; links cross slower networks. */
+  readonly linkEveryRounds: number;
+  /** Time to wait for the answer to a heartbeat. */
+  readonly answerTimeoutMs: number;
+  /** Time in which a suspected member can object before it counts as dead. */
+  readonly suspicionMs: number;
+  /** Member records carried by one heartbeat or answer. */
+  readonly maxPiggyback: number;
+  /** Every so many messages carry one more member by turns, which mends what was missed. */
+  readonly fillerEveryMessages: number;
+  /** Members that hear at once of a newer configuration, beside the links. */
+  readonly noticeFanout: number;
+  /** Rounds between two heartbeats to a dead member, which heal a mended partition. */
+  readonly deadEveryRounds: number;
+  /** Times that a change is carried, multiplied by the logarithm of the fleet's size. */
+  readonly retransmitFactor: number;
+  /** How long a dead member is remembered, so that late news does not revive it. */
+  readonly deadRetentionMs: number;
+  /** Age up to which a process takes another start under its host's name for an earlier one. */
+  readonly youngMs: number;
+  /** A tick that comes later than this shows that the process was paused. */
+  readonly pauseThresholdMs: number;
+}
+
+/** Defaults of `MembershipOptions`. */
+export const DEFAULT_MEMBERSHIP_OPTIONS: MembershipOptions = {
+  periodMs: 1000,
+  fanout: 2,
+  linksPerDomain: 2,
+  linkEveryRounds: 2,
+  answerTimeoutMs: 400,
+  suspicionMs: 2000,
+  maxPiggyback: 6,
+  fillerEveryMessages: 4,
+  noticeFanout: 3,
+  deadEveryRounds: 4,
+  retransmitFactor: 3,
+  deadRetentionMs: 600_000,
+  youngMs: 60_000,
+  pauseThresholdMs: 1500,
+};
--- /dev/null
+++ b/src/membership/getMergedRecord.ts
@@ -0,0 +1,24 @@
+import type { MemberRecord } from '../peers/PeerMessage.ts';
+
+/** Of two statements about the same generation, the one that is harder to take back wins. */
+const STATE_RANK: Readonly<Record<MemberRecord['state'], number>> = {
+  alive: 0, suspect: 1, leaving: 2, dead: 3,
+};
+
+/**
+ * Decides between what is known of a member and what was heard. A process start that was replaced
+ * by another never comes back: the generation of a start begins above that of every earlier one.
+ *
+ * @param known - what is known
+ * @param heard - what a peer states
+ * @returns the one to keep; the known one when they are equal
+ */
+export function getMergedRecord(known: MemberRecord, heard: MemberRecord): MemberRecord {
+  if (heard.generation !== known.generation) {
+    return heard.generation > known.generation ? heard : known;
+  }
+  if (STATE_RANK[heard.state] !== STATE_RANK[known.state]) {
+    return STATE_RANK[heard.state] > STATE_RANK[known.state] ? heard : known;
+  }
+  return heard.configurationVersion > known.configurationVersion ? heard : known;
+}
