--- a/src/membership/MemberEntry.ts
+++ b/src/membership/MemberEntry.ts
@@ -7,4 +7,6 @@
   readonly stateSinceMs: number;
   /** When the member last answered or sent a heartbeat directly; null for never. */
   readonly heardAtMs: number | null;
+  /** Whether this start of the member told that it leaves, whatever became of it later. */
+  readonly hasLeft: boolean;
 }
--- a/src/membership/MemberTable.ts
+++ b/src/membership/MemberTable.ts
@@ -48,7 +48,9 @@
   merge(heard: MemberRecord, nowMs: number): boolean {
     const entry = this.#entries.get(heard.hostId);
     if (entry === undefined) {
-      this.#entries.set(heard.hostId, { record: heard, stateSinceMs: nowMs, heardAtMs: null });
+      this.#entries.set(heard.hostId, {
+        record: heard, stateSinceMs: nowMs, heardAtMs: null, hasLeft: heard.state === 'leaving',
+      });
       return true;
     }
     const record = getMergedRecord(entry.record, heard);
@@ -58,7 +60,13 @@
     const isSameState = record.state === entry.record.state
       && record.generation === entry.record.generation;
     const stateSinceMs = isSameState ? entry.stateSinceMs : nowMs;
-    this.#entries.set(heard.hostId, { ...entry, record, stateSinceMs });
+    const isSameStart = record.incarnationId === entry.record.incarnationId;
+    this.#entries.set(heard.hostId, {
+      ...entry,
+      record,
+      stateSinceMs,
+      hasLeft: record.state === 'leaving' || (isSameStart && entry.hasLeft),
+    });
     return !isSameState;
   }
 
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -4,25 +4,19 @@
   HeartbeatAnswerMessage, HeartbeatMessage, MemberRecord, PeerMessage,
 } from '../peers/PeerMessage.ts';
 import type { HostListEntry } from '../platform/HostListEntry.ts';
+import { createHintRecord } from './createHintRecord.ts';
 import { HeartbeatTargets } from './HeartbeatTargets.ts';
 import type { MemberEntry } from './MemberEntry.ts';
 import type { MembershipEvent } from './MembershipEvent.ts';
 import { DEFAULT_MEMBERSHIP_OPTIONS, type MembershipOptions } from './MembershipOptions.ts';
 import { MemberNews } from './MemberNews.ts';
+import type { MembershipStart } from './MembershipStart.ts';
 import { MemberTable } from './MemberTable.ts';
+import { PauseGuard } from './PauseGuard.ts';
 
 /** Statements a process can make about itself within one millisecond of start time. */
 const GENERATIONS_PER_START_MS = 1024;
 
-/** What the membership is told of its process. */
-export interface MembershipStart {
-  /**
-   * Unix time of the process start in milliseconds; orders the starts of one host. A clock that
-   * is set back is caught up with when the host hears what is said about its earlier start.
-   */
-  readonly startedAtMs: number;
-}
-
 /**
  * Who takes part in the fleet: heartbeats with answers, suspicion with refutation (after SWIM, Das,
  * Gupta and Motivala, 2002), changes carried by the heartbeats. The traffic of one host does not
@@ -37,6 +31,8 @@
 
   readonly #news: MemberNews;
 
+  readonly #pauses: PauseGuard;
+
   readonly #targets: HeartbeatTargets;
 
   /** When the heartbeat was sent that a member has not answered yet. */
@@ -59,9 +55,6 @@
 
   #nextRoundAtMs: number;
 
-  /** When the process woke from a pause and has not heard of its peers since. */
-  #staleSinceMs: number | null = null;
-
   /**
    * @param context - time, randomness and the way out
    * @param start - about the process
@@ -75,6 +68,7 @@
     this.#context = context;
     this.#options = { ...DEFAULT_MEMBERSHIP_OPTIONS, ...options };
     this.#news = new MemberNews(this.#table, this.#options);
+    this.#pauses = new PauseGuard(this.#options);
     this.#bornAtMs = context.getNowMs();
     this.#targets = new HeartbeatTargets(context.self, context.random, this.#table);
     this.#nextRoundAtMs = context.getNowMs()
@@ -121,13 +115,29 @@
     return this.#table.get(hostId)?.heardAtMs ?? null;
   }
 
+  /**
+   * @param hostId - a member
+   * @returns whether it told that it leaves
+   */
+  hasLeft(hostId: HostId): boolean {
+    return hostId === this.#self.hostId
+      ? this.#self.state === 'leaving'
+      : this.#table.get(hostId)?.hasLeft === true;
+  }
+
   /**
    * @returns false between waking from a pause and hearing of the peers again; a host does nothing
    *   that rests on its duties until then
    */
   isViewFresh(): boolean {
-    const isLate = this.#context.getNowMs() - this.#nextRoundAtMs > this.#options.pauseThresholdMs;
-    return this.#staleSinceMs === null && !isLate;
+    return this.#pauses.isFresh(this.#context.getNowMs(), this.#nextRoundAtMs);
+  }
+
+  /**
+   * @returns the members in other failure domains that this host holds links to
+   */
+  getLinks(): MemberRecord[] {
+    return this.#targets.getLinks(this.#options.linksPerDomain);
   }
 
   /**
@@ -139,15 +149,7 @@
   handleHostList(hosts: readonly HostListEntry[]): void {
     hosts.filter(({ hostId }) => hostId !== this.#self.hostId).forEach((host) => {
       const known = this.#table.get(host.hostId)?.record;
-      const hint: MemberRecord = {
-        hostId: host.hostId,
-        incarnationId: host.incarnationId,
-        failureDomainId: host.failureDomainId,
-        peerAddress: host.peerAddress,
-        state: host.isLeaving ? 'leaving' : 'alive',
-        generation: 0,
-        configurationVersion: 0,
-      };
+      const hint = createHintRecord(host);
       if (known === undefined) {
         this.#merge(hint);
       } else if (known.incarnationId !== host.incarnationId && known.state === 'dead') {
@@ -225,7 +227,7 @@
   /** Sends what is due and judges the members that did not answer. */
   tick(): void {
     const nowMs = this.#context.getNowMs();
-    this.#endPause(nowMs);
+    this.#notePause(nowMs);
     this.#judgeUnanswered(nowMs);
     this.#judgeSuspicions(nowMs);
     if (nowMs >= this.#nextRoundAtMs) {
@@ -253,23 +255,13 @@
     return events;
   }
 
-  #endPause(nowMs: number): void {
-    const { pauseThresholdMs, answerTimeoutMs, suspicionMs } = this.#options;
-    if (nowMs - this.#nextRoundAtMs > pauseThresholdMs) {
+  #notePause(nowMs: number): void {
+    if (this.#pauses.isLate(nowMs, this.#nextRoundAtMs)) {
       // The silence of the peers was the own pause, so that nobody is suspected for it.
       this.#unanswered.clear();
-      this.#staleSinceMs = nowMs;
+      this.#pauses.notePause(nowMs);
     }
-    const isAlone = this.#table.getPresent().length === 0;
-    const waitMs = isAlone ? answerTimeoutMs : suspicionMs;
-    if (this.#staleSinceMs !== null && nowMs - this.#staleSinceMs > waitMs) {
-      this.#refresh();
-    }
-  }
-
-  #refresh(): void {
-    if (this.#staleSinceMs !== null) {
-      this.#staleSinceMs = null;
+    if (this.#pauses.endWait(nowMs, this.#table.size === 0)) {
       this.#events.push({ kind: 'viewRefreshed' });
     }
   }
@@ -352,7 +344,9 @@
   #noteHeard(hostId: HostId): void {
     this.#table.noteHeard(hostId, this.#context.getNowMs());
     this.#unanswered.delete(hostId);
-    this.#refresh();
+    if (this.#pauses.noteHeard()) {
+      this.#events.push({ kind: 'viewRefreshed' });
+    }
   }
 
   #merge(heard: MemberRecord): void {
