--- a/src/cli/commands/createExplainCommand.ts
+++ b/src/cli/commands/createExplainCommand.ts
@@ -10,12 +10,11 @@
 
 function formatExplanation(explanation: RequestExplanation): string {
   const {
-    requestId, accountId, pipelineId, outcome, steps,
+    requestId, accountId, pipelineId, outcome, lines,
   } = explanation;
-  const rows = steps
-    .map((step) => [step.elapsedMs, step.stageId, step.upstreamId, step.decision]);
+  const rows = lines.map((line) => [line.afterMs, line.decision, line.detail]);
   return `request ${requestId} of ${accountId}, pipeline ${pipelineId}: ${outcome}\n${
-    formatTable(['ms', 'stage', 'upstream', 'decision'], rows)}`;
+    formatTable(['ms', 'decision', 'detail'], rows)}`;
 }
 
 /**
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -2,12 +2,14 @@
 import type { Logger } from 'pino';
 import { createHttpServer } from '../callers/createHttpServer.ts';
 import { registerCallerRoutes } from '../callers/registerCallerRoutes.ts';
-import { RefusingClaims } from '../claims/RefusingClaims.ts';
+import { ClaimManager } from '../claims/ClaimManager.ts';
+import { DEFAULT_CLAIM_OPTIONS } from '../claims/ClaimOptions.ts';
 import type { ServedHost, ServeHostOptions } from '../cli/CliContext.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import { Core } from '../core/Core.ts';
 import type { CoreOutput } from '../core/CoreOutput.ts';
 import type { RequestAnswer } from '../answers/RequestAnswer.ts';
+import { SoleSteward } from '../grants/SoleSteward.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import { toId, type RequestId } from '../lib/ids.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
@@ -60,6 +62,7 @@
    * @param options - settings and keys
    */
   private constructor({ settings }: ServeHostOptions) {
+    const clock = new SystemClock();
     const random = new SystemRandomSource();
     const incarnationId = random.getHexId();
     this.stopped = new Promise((resolve) => {
@@ -72,7 +75,7 @@
     this.#tracer = new HostTracer(this.#tracing);
     this.#keyValue = new HttpKeyValueClient({ url: settings.platformUrl });
     this.#loop = new CoreLoop({
-      clock: new SystemClock(),
+      clock,
       random,
       self: {
         hostId: toId(settings.hostId),
@@ -81,10 +84,10 @@
         peerAddress: `${settings.peers.host}:${settings.peers.port}`,
       },
       createCore: (context) => new Core(context, {
-        router: new PoolRouter(context, {
-          getSteward: () => null, getOwnDuty: () => null, getHostCountBound: () => 1,
+        router: new PoolRouter(context, new SoleSteward(context)),
+        claims: new ClaimManager(context, {
+          ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
         }),
-        claims: new RefusingClaims(),
         costs: { book: () => undefined },
       }),
       perform: (output) => this.#perform(output),
