--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,6 +1,7 @@
 import type { ClaimMessage } from '../claims/ClaimMessage.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { GrantMessage } from '../grants/GrantMessage.ts';
+import type { QuarantineMessage } from '../quarantine/QuarantineMessage.ts';
 import type { FailureDomainId, HostId, IncarnationId } from '../lib/ids.ts';
 
 /** One member as its sender knows it. */
@@ -42,4 +43,4 @@
 /** A message between entry hosts. */
 export type PeerMessage =
   | HeartbeatMessage | ConfigurationMessage | ConfigurationAskMessage
-  | ClaimMessage | GrantMessage;
+  | ClaimMessage | GrantMessage | QuarantineMessage;
