Add the fleet coordinator and the spread of versions in force

Cause: one place that composes membership, duties and records for the core; an operator asks on how many hosts a version is in force. Ruled out: versions as member records, ten times as large. Measured: npm test -- membership duties peers, 0 fail.

--- a/src/duties/DutyAssignment.test.ts
+++ b/src/duties/DutyAssignment.test.ts
@@ -34,10 +34,6 @@
     }));
   }
 
-  getSelf(): MemberRecord {
-    return this.#members[0] as MemberRecord;
-  }
-
   getMembers(): MemberRecord[] {
     return this.#members;
   }
--- a/src/duties/DutyAssignment.ts
+++ b/src/duties/DutyAssignment.ts
@@ -8,13 +8,15 @@
 
 /** What the assignment reads of the membership. */
 export interface DutyMembership {
-  getSelf(): MemberRecord;
   getMembers(): MemberRecord[];
   getHeardAtMs(hostId: HostId): number | null;
   hasLeft(hostId: HostId): boolean;
   isViewFresh(): boolean;
 }
 
+/** Bound while the size of the fleet is not known. */
+const UNKNOWN_HOST_COUNT_BOUND = 1024;
+
 interface DutyHolding {
   readonly hostId: HostId;
   readonly epoch: number;
@@ -48,6 +50,8 @@
 
   #movedCount = 0;
 
+  #isHostListRead = false;
+
   /**
    * @param context - identity and time
    * @param membership - the members
@@ -74,6 +78,11 @@
     return this.#movedCount;
   }
 
+  /** Notes that the members of the platform's host list are among the known ones. */
+  noteHostListRead(): void {
+    this.#isHostListRead = true;
+  }
+
   /** Reads the members again; call it when one of them changed. */
   noteMembersChanged(): void {
     const members = this.#membership.getMembers();
@@ -132,7 +141,9 @@
 
   /** @inheritdoc */
   getHostCountBound(): number {
-    return Math.max(1, this.#membership.getMembers().length);
+    return this.#isHostListRead
+      ? Math.max(1, this.#membership.getMembers().length)
+      : UNKNOWN_HOST_COUNT_BOUND;
   }
 
   /**
--- /dev/null
+++ b/src/fleet/FleetCoordinator.ts
@@ -0,0 +1,155 @@
+import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
+import type { CoreContext } from '../core/CoreContext.ts';
+import { DutyAssignment } from '../duties/DutyAssignment.ts';
+import type { DutyOptions } from '../duties/DutyOptions.ts';
+import { DigestExchange } from '../gossip/DigestExchange.ts';
+import type { GossipOptions } from '../gossip/GossipOptions.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { HostId, IncarnationId } from '../lib/ids.ts';
+import { Membership } from '../membership/Membership.ts';
+import type { MembershipEvent } from '../membership/MembershipEvent.ts';
+import type { MembershipOptions } from '../membership/MembershipOptions.ts';
+import type { MembershipStart } from '../membership/MembershipStart.ts';
+import type { MemberRecord, PeerMessage } from '../peers/PeerMessage.ts';
+import type { HostListEntry } from '../platform/HostListEntry.ts';
+import type { FleetListener } from './FleetListener.ts';
+
+/** Options of the parts; each has defaults. */
+export interface FleetCoordinatorOptions {
+  readonly start: MembershipStart;
+  readonly membership?: Partial<MembershipOptions>;
+  readonly duties?: Partial<DutyOptions>;
+  readonly gossip?: Partial<GossipOptions>;
+}
+
+/** This host's part in the fleet: who takes part, who has which duty, and the small records. */
+export class FleetCoordinator {
+  readonly membership: Membership;
+
+  readonly duties: DutyAssignment;
+
+  readonly gossip: DigestExchange;
+
+  #listener: FleetListener | null = null;
+
+  #areDutiesDue = true;
+
+  #isReplaced = false;
+
+  /**
+   * @param context - identity, time, randomness and the way out
+   * @param options - about the process, and what differs from the defaults
+   */
+  constructor(context: CoreContext, options: FleetCoordinatorOptions) {
+    this.membership = new Membership(context, options.start, options.membership);
+    this.duties = new DutyAssignment(context, this.membership, options.duties);
+    this.gossip = new DigestExchange(context, this.membership, options.gossip);
+  }
+
+  /** Whether a later process start has this host's name, so that this one must stop. */
+  get isReplaced(): boolean {
+    return this.#isReplaced;
+  }
+
+  /**
+   * @param listener - what follows the members and the duties from the next tick on
+   */
+  setListener(listener: FleetListener): void {
+    this.#listener = listener;
+    this.#areDutiesDue = true;
+  }
+
+  /**
+   * @returns all known members with the own host
+   */
+  getMembers(): MemberRecord[] {
+    return this.membership.getMembers();
+  }
+
+  /**
+   * Takes the messages of membership and record distribution; others are passed over.
+   *
+   * @param fromHostId - the sender
+   * @param fromIncarnationId - the sender's process start
+   * @param message - any message of a peer
+   */
+  handlePeerMessage(
+    fromHostId: HostId,
+    fromIncarnationId: IncarnationId,
+    message: PeerMessage,
+  ): void {
+    if (message.kind === 'heartbeat' || message.kind === 'heartbeatAnswer') {
+      this.membership.handleHeartbeat(fromIncarnationId, message);
+    } else if (message.kind === 'gossipPush' || message.kind === 'gossipDigest') {
+      this.gossip.handleMessage(fromHostId, message);
+    }
+  }
+
+  /**
+   * @param hostId - a member to whom no connection could be made or kept
+   */
+  handleUnreachable(hostId: HostId): void {
+    this.membership.handleUnreachable(hostId);
+  }
+
+  /**
+   * @param hosts - the platform's lagging host list
+   */
+  handleHostList(hosts: readonly HostListEntry[]): void {
+    this.membership.handleHostList(hosts);
+    this.duties.noteHostListRead();
+  }
+
+  /**
+   * @param configuration - the configuration in force
+   */
+  setConfiguration(configuration: ConfigurationRecord): void {
+    this.duties.setUpstreams(configuration.upstreams);
+    this.membership.setConfigurationVersion(configuration.version);
+  }
+
+  /** Tells the peers that this host takes no new work and hands its duties over. */
+  announceLeaving(): void {
+    this.membership.announceLeaving();
+    this.#areDutiesDue = true;
+  }
+
+  /** Runs what is due and passes on what changed. */
+  tick(): void {
+    this.membership.tick();
+    this.membership.takeEvents().forEach((event) => this.#handleEvent(event));
+    if (this.#areDutiesDue) {
+      this.#areDutiesDue = false;
+      this.duties.noteMembersChanged();
+      this.#listener?.onDutiesChanged(this.duties);
+    }
+    this.gossip.tick();
+  }
+
+  /**
+   * @returns when the next tick is due
+   */
+  getNextWakeMs(): number {
+    return Math.min(this.membership.getNextWakeMs(), this.gossip.getNextWakeMs());
+  }
+
+  #handleEvent(event: MembershipEvent): void {
+    switch (event.kind) {
+      case 'memberChanged':
+        this.#areDutiesDue = true;
+        this.#listener?.onMemberChanged(event.member);
+        return;
+      case 'newerConfigurationSeen':
+        this.#listener?.onNewerConfiguration(event.member);
+        return;
+      case 'viewRefreshed':
+        this.#areDutiesDue = true;
+        return;
+      case 'selfReplaced':
+        this.#isReplaced = true;
+        return;
+      default:
+        throw exhaustiveSwitchError(event);
+    }
+  }
+}
--- a/src/membership/MemberTable.ts
+++ b/src/membership/MemberTable.ts
@@ -70,6 +70,21 @@
     return !isSameState;
   }
 
+  /**
+   * @param hostId - a member
+   * @param version - configuration version that is in force there
+   * @returns whether it is higher than what was known
+   */
+  raiseVersion(hostId: HostId, version: number): boolean {
+    const entry = this.#entries.get(hostId);
+    if (entry === undefined || version <= entry.record.configurationVersion) {
+      return false;
+    }
+    const record = { ...entry.record, configurationVersion: version };
+    this.#entries.set(hostId, { ...entry, record });
+    return true;
+  }
+
   /**
    * @param hostId - a member that answered or sent a heartbeat itself
    * @param nowMs - the time of the step
@@ -82,9 +97,16 @@
   }
 
   /**
-   * @param hostId - a member to forget
+   * Forgets members that have been dead for long.
+   *
+   * @param sinceMs - those that died at this time or before
+   * @returns who was forgotten
    */
-  remove(hostId: HostId): void {
-    this.#entries.delete(hostId);
+  removeDead(sinceMs: number): HostId[] {
+    const hostIds = this.getAll()
+      .filter(({ record, stateSinceMs }) => record.state === 'dead' && stateSinceMs <= sinceMs)
+      .map(({ record }) => record.hostId);
+    hostIds.forEach((hostId) => this.#entries.delete(hostId));
+    return hostIds;
   }
 }
--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -68,7 +68,12 @@
     at(bed, 3).membership.handleHostList(bed.hostList);
     bed.run(5000);
     at(bed, 0).membership.handleHeartbeat(oldHeartbeat.incarnationId, {
-      kind: 'heartbeat', sequence: 99, self: oldHeartbeat, members: [], configurationVersion: 0,
+      kind: 'heartbeat',
+      sequence: 99,
+      self: oldHeartbeat,
+      members: [],
+      configurationVersion: 0,
+      versions: {},
     });
     const known = at(bed, 0).membership.getMembers().find(({ hostId }) => hostId === old.hostId);
     equal(known?.incarnationId, 'host-3-start-2');
@@ -79,7 +84,7 @@
     bed.run(3000);
     const self = { ...at(bed, 1).membership.getSelf(), state: 'dead' as const, generation: 1e15 };
     at(bed, 0).membership.handleHeartbeat(at(bed, 2).context.self.incarnationId, {
-      kind: 'heartbeat', sequence: 1, self, members: [], configurationVersion: 0,
+      kind: 'heartbeat', sequence: 1, self, members: [], configurationVersion: 0, versions: {},
     });
     equal(getState(at(bed, 0), at(bed, 1)), 'alive');
   });
@@ -130,6 +135,18 @@
       kind === 'newerConfigurationSeen'))));
   });
 
+  it('learns which configuration is in force at every host', () => {
+    const bed = createBed();
+    bed.run(3000);
+    bed.members.forEach(({ membership }) => membership.setConfigurationVersion(5));
+    bed.run(10_000);
+    bed.members.forEach(({ membership }) => {
+      deepEqual(membership.getMembers().map((member) => member.configurationVersion), [
+        5, 5, 5, 5, 5, 5, 5, 5,
+      ]);
+    });
+  });
+
   it('tells a process that a later start has its name', () => {
     const bed = createBed();
     bed.run(90_000);
@@ -141,6 +158,7 @@
       self: at(bed, 0).membership.getSelf(),
       members: [successor],
       configurationVersion: 0,
+      versions: {},
     });
     bed.run(50);
     ok(at(bed, 3).events.some(({ kind }) => kind === 'selfReplaced'));
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -13,6 +13,7 @@
 import type { MembershipStart } from './MembershipStart.ts';
 import { MemberTable } from './MemberTable.ts';
 import { PauseGuard } from './PauseGuard.ts';
+import { VersionNews } from './VersionNews.ts';
 
 /** Statements a process can make about itself within one millisecond of start time. */
 const GENERATIONS_PER_START_MS = 1024;
@@ -31,6 +32,8 @@
 
   readonly #news: MemberNews;
 
+  readonly #versions: VersionNews;
+
   readonly #pauses: PauseGuard;
 
   readonly #targets: HeartbeatTargets;
@@ -68,6 +71,7 @@
     this.#context = context;
     this.#options = { ...DEFAULT_MEMBERSHIP_OPTIONS, ...options };
     this.#news = new MemberNews(this.#table, this.#options);
+    this.#versions = new VersionNews(this.#table, this.#options);
     this.#pauses = new PauseGuard(this.#options);
     this.#bornAtMs = context.getNowMs();
     this.#targets = new HeartbeatTargets(context.self, context.random, this.#table);
@@ -172,6 +176,9 @@
     }
     this.#merge(self);
     members.forEach((member) => this.#merge(member));
+    this.#versions.receive({
+      ...message.versions, [self.hostId]: self.configurationVersion,
+    });
     const known = this.#table.get(self.hostId)?.record;
     if (known?.incarnationId !== self.incarnationId) {
       return;
@@ -183,6 +190,7 @@
         sequence: message.sequence,
         self: this.#self,
         members: this.#news.select(known),
+        versions: this.#versions.select(),
       });
     }
     if (self.configurationVersion > this.#self.configurationVersion) {
@@ -285,13 +293,8 @@
   }
 
   #forgetDead(nowMs: number): void {
-    this.#table.getAll()
-      .filter(({ record, stateSinceMs }) => record.state === 'dead'
-        && nowMs - stateSinceMs >= this.#options.deadRetentionMs)
-      .forEach(({ record }) => {
-        this.#table.remove(record.hostId);
-        this.#news.remove(record.hostId);
-      });
+    this.#table.removeDead(nowMs - this.#options.deadRetentionMs)
+      .forEach((hostId) => this.#news.remove(hostId));
   }
 
   #suspect(entry: MemberEntry | undefined): void {
@@ -332,6 +335,7 @@
       self: this.#self,
       members: this.#news.select(member),
       configurationVersion: this.#self.configurationVersion,
+      versions: this.#versions.select(),
     });
   }
 
--- a/src/membership/MembershipOptions.ts
+++ b/src/membership/MembershipOptions.ts
@@ -14,6 +14,8 @@
   readonly suspicionMs: number;
   /** Member records carried by one heartbeat or answer. */
   readonly maxPiggyback: number;
+  /** Configuration versions of other hosts carried by one heartbeat or answer. */
+  readonly maxVersions: number;
   /** Every so many messages carry one more member by turns, which mends what was missed. */
   readonly fillerEveryMessages: number;
   /** Members that hear at once of a newer configuration, beside the links. */
@@ -39,6 +41,7 @@
   answerTimeoutMs: 400,
   suspicionMs: 2000,
   maxPiggyback: 6,
+  maxVersions: 8,
   fillerEveryMessages: 4,
   noticeFanout: 3,
   deadEveryRounds: 4,
--- a/src/membership/getMergedRecord.ts
+++ b/src/membership/getMergedRecord.ts
@@ -20,5 +20,5 @@
   if (STATE_RANK[heard.state] !== STATE_RANK[known.state]) {
     return STATE_RANK[heard.state] > STATE_RANK[known.state] ? heard : known;
   }
-  return heard.configurationVersion > known.configurationVersion ? heard : known;
+  return known;
 }
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -26,6 +26,8 @@
   /** A bounded selection of other members, changed ones first. */
   readonly members: readonly MemberRecord[];
   readonly configurationVersion: number;
+  /** Configuration versions in force by host, a bounded selection. */
+  readonly versions: Readonly<Record<string, number>>;
 }
 
 /** A configuration that was accepted by the platform. */
@@ -48,6 +50,8 @@
   readonly self: MemberRecord;
   /** A bounded selection of other members, changed ones first. */
   readonly members: readonly MemberRecord[];
+  /** Configuration versions in force by host, a bounded selection. */
+  readonly versions: Readonly<Record<string, number>>;
 }
 
 /** Records that changed, or that a digest showed to be missing at the receiver. */
--- a/src/peers/isPeerMessage.ts
+++ b/src/peers/isPeerMessage.ts
@@ -58,9 +58,18 @@
 /** The schema of each message; a new kind of `PeerMessage` needs its entry here. */
 const schemas: Readonly<Record<PeerMessage['kind'], TSchema>> = {
   heartbeat: Type.Object({
-    sequence: count, self: memberRecord, members: memberRecords, configurationVersion: count,
+    sequence: count,
+    self: memberRecord,
+    members: memberRecords,
+    configurationVersion: count,
+    versions: Type.Record(Type.String(), count),
+  }),
+  heartbeatAnswer: Type.Object({
+    sequence: count,
+    self: memberRecord,
+    members: memberRecords,
+    versions: Type.Record(Type.String(), count),
   }),
-  heartbeatAnswer: Type.Object({ sequence: count, self: memberRecord, members: memberRecords }),
   configuration: Type.Object({ configuration: createOpenSchema(configurationRecordSchema) }),
   configurationAsk: Type.Object({ knownVersion: count }),
   gossipPush: Type.Object({ records: Type.Array(gossipRecord, { maxItems: MAX_LIST_LENGTH }) }),
