Add the cost ledger: sums per incarnation, merged by the larger

Ruled out: deltas, which a lost answer doubles or loses. The peer message schemas gain quarantine and cost.

--- /dev/null
+++ b/src/cost/createCostReport.ts
@@ -0,0 +1,39 @@
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { CostGrouping, CostReport } from '../operators/CostReport.ts';
+import type { CostRow } from '../operators/HostStatus.ts';
+import type { CostRecord } from './CostRecord.ts';
+
+function getName(record: CostRecord, by: CostGrouping): string {
+  switch (by) {
+    case 'stage':
+      return `${record.pipelineId}/${record.stageId}`;
+    case 'account':
+      return record.accountId;
+    default:
+      throw exhaustiveSwitchError(by);
+  }
+}
+
+/**
+ * Groups cost for operators. Both groupings add up the same records, so their totals are equal.
+ *
+ * @param records - sums over all incarnations
+ * @param by - what to group by
+ * @returns the report, rows by name
+ */
+export function createCostReport(records: readonly CostRecord[], by: CostGrouping): CostReport {
+  const rows = new Map<string, CostRow>();
+  records.forEach((record) => {
+    const name = getName(record, by);
+    const known = rows.get(name) ?? { name, attemptCount: 0, costMicros: 0 };
+    rows.set(name, {
+      name,
+      attemptCount: known.attemptCount + record.attemptCount,
+      costMicros: known.costMicros + record.costMicros,
+    });
+  });
+  const sorted = [...rows.values()].sort((left, right) => left.name.localeCompare(right.name));
+  return {
+    by, rows: sorted, totalMicros: sorted.reduce((sum, { costMicros }) => sum + costMicros, 0),
+  };
+}
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { GossipRecord } from '../gossip/GossipRecord.ts';
 import type { GrantMessage } from '../grants/GrantMessage.ts';
+import type { CostMessage } from '../cost/CostMessage.ts';
 import type { QuarantineMessage } from '../quarantine/QuarantineMessage.ts';
 import type { FailureDomainId, HostId, IncarnationId } from '../lib/ids.ts';
 
@@ -71,4 +72,4 @@
   | HeartbeatMessage | HeartbeatAnswerMessage
   | ConfigurationMessage | ConfigurationAskMessage
   | GossipPushMessage | GossipDigestMessage
-  | ClaimMessage | GrantMessage | QuarantineMessage;
+  | ClaimMessage | GrantMessage | QuarantineMessage | CostMessage;
--- a/src/peers/isPeerMessage.ts
+++ b/src/peers/isPeerMessage.ts
@@ -41,6 +41,16 @@
 
 const duration = Type.Number({ minimum: 0 });
 
+const suspectRecord = Type.Object({
+  fingerprint: id,
+  deaths: Type.Array(Type.Object({ deathId: Type.String(), poolId: id })),
+  expiresInMs: duration,
+});
+
+const costRecords = Type.Array(Type.Object({
+  accountId: id, pipelineId: id, stageId: id, attemptCount: count, costMicros: count,
+}), { maxItems: MAX_LIST_LENGTH });
+
 /**
  * A newer program may send more fields than this one knows; they are kept and passed on.
  *
@@ -83,6 +93,20 @@
     askId: id, upstreamId: id, epoch: count, durationMs: duration, retryAfterMs: duration,
   }),
   grantReturn: Type.Object({ askId: id, upstreamId: id }),
+  quarantine: Type.Object({
+    suspects: Type.Array(suspectRecord, { maxItems: MAX_LIST_LENGTH }),
+    clearedFingerprints: Type.Array(id, { maxItems: MAX_LIST_LENGTH }),
+    retractedDeathIds: Type.Array(Type.String(), { maxItems: MAX_LIST_LENGTH }),
+  }),
+  costReport: Type.Object({
+    shardIndex: count,
+    replyAddress: id,
+    incarnationId: id,
+    records: costRecords,
+    sequence: count,
+  }),
+  costStored: Type.Object({ shardIndex: count, sequence: count }),
+  costHold: Type.Object({ incarnationId: id, sequence: count, records: costRecords }),
 };
 
 const ajv = new Ajv();
