--- a/bench/BENCHES.ts
+++ b/bench/BENCHES.ts
@@ -2,6 +2,11 @@
 
 /** Every benchmark; a new one is one more line. */
 export const BENCHES: readonly BenchEntry[] = [
+  {
+    name: 'overhead',
+    summary: 'throughput and latency of an entry host to those of a bare relay',
+    load: () => import('./overhead.ts'),
+  },
   {
     name: 'claims',
     summary: 'platform writes and latency of claims; service while the platform is down',
