--- /dev/null
+++ b/src/membership/MemberTable.ts
@@ -0,0 +1,112 @@
+import type { FailureDomainId, HostId } from '../lib/ids.ts';
+import type { MemberRecord } from '../peers/PeerMessage.ts';
+import { getMergedRecord } from './getMergedRecord.ts';
+import type { MemberEntry } from './MemberEntry.ts';
+
+/** What is known of the other members; the own host is not in it. */
+export class MemberTable {
+  readonly #entries = new Map<HostId, MemberEntry>();
+
+  /** Members in every state. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /**
+   * @param hostId - a member
+   * @returns what is known of it
+   */
+  get(hostId: HostId): MemberEntry | undefined {
+    return this.#entries.get(hostId);
+  }
+
+  /**
+   * @returns all members, in the order in which they became known
+   */
+  getAll(): MemberEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  /**
+   * @param failureDomainId - a failure domain; undefined for all
+   * @returns members that can be reached as far as is known
+   */
+  getPresent(failureDomainId?: FailureDomainId): MemberRecord[] {
+    return this.getAll()
+      .map(({ record }) => record)
+      .filter((record) => record.state !== 'dead'
+        && (failureDomainId === undefined || record.failureDomainId === failureDomainId));
+  }
+
+  /**
+   * Takes a statement about a member.
+   *
+   * @param heard - the statement
+   * @param nowMs - the time of the step
+   * @returns whether the member's state, address or process start is now another one
+   */
+  merge(heard: MemberRecord, nowMs: number): boolean {
+    const entry = this.#entries.get(heard.hostId);
+    if (entry === undefined) {
+      this.#entries.set(heard.hostId, {
+        record: heard, stateSinceMs: nowMs, heardAtMs: null, hasLeft: heard.state === 'leaving',
+      });
+      return true;
+    }
+    const record = getMergedRecord(entry.record, heard);
+    if (record === entry.record) {
+      return false;
+    }
+    const isSameState = record.state === entry.record.state
+      && record.generation === entry.record.generation;
+    const stateSinceMs = isSameState ? entry.stateSinceMs : nowMs;
+    const isSameStart = record.incarnationId === entry.record.incarnationId;
+    this.#entries.set(heard.hostId, {
+      ...entry,
+      record,
+      stateSinceMs,
+      hasLeft: record.state === 'leaving' || (isSameStart && entry.hasLeft),
+    });
+    return !isSameState;
+  }
+
+  /**
+   * @param hostId - a member
+   * @param version - configuration version that is in force there
+   * @returns whether it is higher than what was known
+   */
+  raiseVersion(hostId: HostId, version: number): boolean {
+    const entry = this.#entries.get(hostId);
+    if (entry === undefined || version <= entry.record.configurationVersion) {
+      return false;
+    }
+    const record = { ...entry.record, configurationVersion: version };
+    this.#entries.set(hostId, { ...entry, record });
+    return true;
+  }
+
+  /**
+   * @param hostId - a member that answered or sent a heartbeat itself
+   * @param nowMs - the time of the step
+   */
+  noteHeard(hostId: HostId, nowMs: number): void {
+    const entry = this.#entries.get(hostId);
+    if (entry !== undefined) {
+      this.#entries.set(hostId, { ...entry, heardAtMs: nowMs });
+    }
+  }
+
+  /**
+   * Forgets members that have been dead for long.
+   *
+   * @param sinceMs - those that died at this time or before
+   * @returns who was forgotten
+   */
+  removeDead(sinceMs: number): HostId[] {
+    const hostIds = this.getAll()
+      .filter(({ record, stateSinceMs }) => record.state === 'dead' && stateSinceMs <= sinceMs)
+      .map(({ record }) => record.hostId);
+    hostIds.forEach((hostId) => this.#entries.delete(hostId));
+    return hostIds;
+  }
+}
