--- a/bench/BENCHES.ts
+++ b/bench/BENCHES.ts
@@ -12,4 +12,9 @@
     summary: 'platform writes and latency of claims; service while the platform is down',
     load: async () => ({ run: (await import('./claims.ts')).runClaims }),
   },
+  {
+    name: 'detect',
+    summary: 'delay of rate detectors at equal false-alarm rates',
+    load: () => import('./detect.ts'),
+  },
 ];
