--- a/bench/BENCHES.ts
+++ b/bench/BENCHES.ts
@@ -17,4 +17,9 @@
     summary: 'delay of rate detectors at equal false-alarm rates',
     load: () => import('./detect.ts'),
   },
+  {
+    name: 'attainment',
+    summary: 'deadline attainment at 0.8 with a failing engine, goodput at 1.5 of capacity',
+    load: () => import('./attainment.ts'),
+  },
 ];
--- /dev/null
+++ b/bench/load/Deployment.ts
@@ -0,0 +1,141 @@
+import type { ConfigurationRecord } from '../../src/configuration/records/ConfigurationRecord.ts';
+import type { DrainRecord } from '../../src/configuration/records/DrainRecord.ts';
+import type { PipelineRecord } from '../../src/configuration/records/PipelineRecord.ts';
+import type { PoolRecord } from '../../src/configuration/records/PoolRecord.ts';
+import type { UpstreamRecord } from '../../src/configuration/records/UpstreamRecord.ts';
+
+/** The size of one of the brief's two users. */
+export interface Deployment {
+  readonly name: string;
+  readonly hostCount: number;
+  readonly engineCount: number;
+  /** Members of each stage pool and plain service. */
+  readonly memberCount: number;
+  readonly accountIds: readonly string[];
+}
+
+/** The two users' sizes of today. */
+export const DEPLOYMENTS: readonly Deployment[] = [
+  {
+    name: 'Midlands',
+    hostCount: 6,
+    engineCount: 12,
+    memberCount: 4,
+    accountIds: ['a1', 'a2', 'a3', 'a4', 'a5'],
+  },
+  {
+    name: 'Bengal',
+    hostCount: 8,
+    engineCount: 8,
+    memberCount: 3,
+    accountIds: ['a1', 'a2', 'a3', 'a4', 'a5'],
+  },
+];
+
+/** Mean service times by pool, in milliseconds. */
+export const SERVICE_MS: Readonly<Record<string, number>> = {
+  encoders: 20, retrievers: 40, rerankers: 60, engines: 1_200, ledger: 30,
+};
+
+/** Attempts that an upstream runs at once; what is above them waits. */
+export const SLOTS_PER_UPSTREAM = 8;
+
+const DOMAINS = ['domain-a', 'domain-b', 'domain-c'];
+const DEADLINE_MS = 6_000;
+const WARMUP_MS = 20_000;
+const COLD_CONCURRENCY = 2;
+
+function createPool(id: string, kind: PoolRecord['kind']): PoolRecord {
+  return {
+    id,
+    kind,
+    maxConcurrency: SLOTS_PER_UPSTREAM,
+    coldConcurrency: COLD_CONCURRENCY,
+    warmupMs: WARMUP_MS,
+    checksFencing: false,
+  };
+}
+
+function createMembers(poolId: string, count: number): UpstreamRecord[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `${poolId}-${index}`,
+    poolId,
+    failureDomainId: DOMAINS[index % DOMAINS.length] as string,
+    url: `http://127.0.0.1/${poolId}/${index}`,
+  }));
+}
+
+function createStage(id: string, poolId: string, repeatable = true): PipelineRecord['stages'][0] {
+  return {
+    id, poolId, repeatable, expectedMs: SERVICE_MS[poolId] ?? 0, expectedCostMicros: 10,
+  };
+}
+
+const READ_STAGES = [
+  createStage('encode', 'encoders'),
+  createStage('retrieve', 'retrievers'),
+  createStage('rerank', 'rerankers'),
+  createStage('generate', 'engines'),
+];
+
+/**
+ * @param deployment - the size
+ * @param drains - what is out of service
+ * @param version - the version of the configuration
+ * @returns its configuration: a pipeline of four stages, and one that books at a service as well
+ */
+export function createDeploymentConfiguration(
+  deployment: Deployment,
+  drains: DrainRecord[] = [],
+  version = 1,
+): ConfigurationRecord {
+  const { engineCount, memberCount } = deployment;
+  return {
+    version,
+    planId: 'bench',
+    pools: [
+      createPool('encoders', 'stagePool'),
+      createPool('retrievers', 'stagePool'),
+      createPool('rerankers', 'stagePool'),
+      createPool('engines', 'engine'),
+      createPool('ledger', 'service'),
+    ],
+    upstreams: [
+      ...['encoders', 'retrievers', 'rerankers', 'ledger']
+        .flatMap((poolId) => createMembers(poolId, memberCount)),
+      ...createMembers('engines', engineCount),
+    ],
+    pipelines: [
+      { id: 'brief', deadlineMs: DEADLINE_MS, stages: READ_STAGES },
+      {
+        id: 'booking',
+        deadlineMs: DEADLINE_MS,
+        stages: [...READ_STAGES, createStage('confirm', 'ledger', false)],
+      },
+    ],
+    accounts: deployment.accountIds.map((id) => ({
+      id,
+      weight: 1,
+      requestCostCeilingMicros: 0,
+      keySha256: '0'.repeat(64),
+      pipelineIds: ['brief', 'booking'],
+    })),
+    drains,
+  };
+}
+
+/**
+ * @param index - of a host
+ * @returns its failure domain
+ */
+export function getHostDomain(index: number): string {
+  return DOMAINS[index % DOMAINS.length] as string;
+}
+
+/**
+ * @param deployment - the size
+ * @returns requests per second that the engines, which are the narrowest pool, can serve
+ */
+export function getCapacityPerSecond(deployment: Deployment): number {
+  return (deployment.engineCount * SLOTS_PER_UPSTREAM * 1_000) / (SERVICE_MS.engines ?? 1);
+}
