Quarantine requests that make upstreams die, and run suspects alone

Cause: a request that crashed an upstream was retried at the next one, and innocents that shared the upstream could not be told apart from it. Ruled out: sending suspects through the fair queue (one that waits for an empty upstream would hold up its whole pool); they wait beside it and reserve an upstream. Conclusion: at most two upstreams are risked for one request by one host.

--- a/src/core/Core.test.ts
+++ b/src/core/Core.test.ts
@@ -208,4 +208,34 @@
     rig.advance(2000);
     equal(stoppedAt(), true);
   });
+
+  it('refuses a request at once after the second upstream died of it', () => {
+    const rig = createRig();
+    const requestId = rig.submit('read');
+    rig.fail(getLastSent(rig), ATTEMPT_FAILURE.crashed);
+    rig.fail(getLastSent(rig), ATTEMPT_FAILURE.crashed);
+    equal(rig.sent.length, 2);
+    equal(rig.getRefusal(requestId)?.code, 'quarantined');
+    ok((rig.getRefusal(requestId)?.retryAfterMs ?? 0) > 0);
+  });
+
+  it('runs a suspect alone and clears it when its upstream lives', () => {
+    const rig = createRig();
+    const suspect = rig.submit('read');
+    const other = rig.submit('read');
+    const [first, second] = rig.sent;
+    rig.fail(assertExists(first, 'sent'), ATTEMPT_FAILURE.crashed);
+    const isElsewhere = second?.upstreamId !== first?.upstreamId;
+    if (isElsewhere) {
+      equal(rig.sent.length, 2, 'the other upstream runs a request, so that the suspect waits');
+    }
+    rig.succeed(assertExists(second, 'sent'));
+    rig.sent.slice(2).filter(({ requestId }) => requestId === suspect)
+      .forEach((attempt) => rig.succeed(attempt));
+    rig.sent.slice(2).forEach((attempt) => rig.succeed(attempt));
+    rig.sent.slice(2).forEach((attempt) => rig.succeed(attempt));
+    deepEqual([suspect, other].map((id) => rig.getAnswers(id)[0]?.kind), [
+      'completed', 'completed',
+    ]);
+  });
 });
--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -9,6 +9,7 @@
 import type { CostPort } from '../cost/CostPort.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { RequestId, UpstreamId } from '../lib/ids.ts';
+import type { Quarantine } from '../quarantine/Quarantine.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
 import type { CoreContext } from './CoreContext.ts';
 import { CoreInbox } from './CoreInbox.ts';
@@ -31,6 +32,7 @@
 
 /** The managers that the core composes. */
 export interface CoreManagers {
+  readonly quarantine: Quarantine;
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
@@ -218,6 +220,7 @@
         return;
       case 'loadReported':
         router.noteLoad(input);
+        this.#world.quarantine.noteIncarnation(input.upstreamId, input.upstreamIncarnation);
         return;
       case 'loadUnavailable':
         router.noteLoadUnavailable(input.upstreamId);
@@ -229,6 +232,7 @@
       case 'peerMessageReceived':
         claims.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
         router.handlePeerMessage(input.fromHostId, input.message);
+        this.#world.quarantine.handlePeerMessage(input.message);
         configurationManager.handlePeerMessage(input);
         return;
       case 'hostListRead':
--- a/src/core/CoreWorld.ts
+++ b/src/core/CoreWorld.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationIndex } from '../configuration/ConfigurationIndex.ts';
 import type { CostPort } from '../cost/CostPort.ts';
 import type { AttemptId, RequestId } from '../lib/ids.ts';
+import type { Quarantine } from '../quarantine/Quarantine.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
 import type { CoreContext } from './CoreContext.ts';
 import type { CoreInbox } from './CoreInbox.ts';
@@ -35,6 +36,7 @@
   readonly forgettings: DueQueue<RequestId>;
   readonly admission: Admission;
   readonly latencies: StageLatencies;
+  readonly quarantine: Quarantine;
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
--- a/src/core/requests/finishRequest.ts
+++ b/src/core/requests/finishRequest.ts
@@ -35,7 +35,9 @@
 function leaveQueue(world: CoreWorld, request: RequestRecord): void {
   if (request.state === REQUEST_STATE.queued && request.stages.length > 0) {
     const poolId = toId<PoolId>(getCurrentStage(request).stage.poolId);
-    world.pools.getRow(poolId).queue.remove(request.requestId);
+    const row = world.pools.getRow(poolId);
+    row.queue.remove(request.requestId);
+    row.suspects.delete(request);
   }
 }
 
@@ -52,6 +54,7 @@
   answer: RequestAnswer,
 ): void {
   leaveQueue(world, request);
+  world.router.releaseReservation(request.requestId);
   abandonAttempt(world, request);
   request.answer = answer;
   request.state = REQUEST_STATE.answered;
--- a/src/core/requests/startStage.ts
+++ b/src/core/requests/startStage.ts
@@ -5,6 +5,7 @@
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
 import { refuseRequest } from './finishRequest.ts';
 import { getVerdict } from './getAdmissionRefusal.ts';
+import { getQuarantineRefusal } from './getQuarantineRefusal.ts';
 import { getCurrentStage } from './getCurrentStage.ts';
 
 const MEDIAN = 0.5;
@@ -24,8 +25,18 @@
     refuseRequest(world, request, verdict);
     return;
   }
+  const quarantine = getQuarantineRefusal(world, request);
+  if (quarantine !== null) {
+    refuseRequest(world, request, quarantine);
+    return;
+  }
   request.state = REQUEST_STATE.queued;
-  const isQueued = world.pools.getRow(toId<PoolId>(stage.poolId)).queue.enqueue({
+  const row = world.pools.getRow(toId<PoolId>(stage.poolId));
+  if (world.quarantine.mustRunAlone(request.fingerprint, row.poolId)) {
+    row.suspects.add(request);
+    return;
+  }
+  const isQueued = row.queue.enqueue({
     requestId: request.requestId,
     accountId: request.accountId,
     priority: DEFAULT_PRIORITY,
--- a/src/core/systems/admitRequests.ts
+++ b/src/core/systems/admitRequests.ts
@@ -8,6 +8,7 @@
 import type { Refusal } from '../requests/Refusal.ts';
 import { getFingerprint } from '../requests/getFingerprint.ts';
 import { getAdmissionRefusal } from '../requests/getAdmissionRefusal.ts';
+import { getQuarantineRefusal } from '../requests/getQuarantineRefusal.ts';
 import { startRequest } from '../requests/startStage.ts';
 import { REQUEST_STATE, type RequestRecord } from '../tables/RequestRecord.ts';
 
@@ -97,6 +98,7 @@
 function getRefusal(world: CoreWorld, request: RequestRecord): Refusal | null {
   return getHostRefusal(world)
     ?? getRequestRefusal(world, request)
+    ?? getQuarantineRefusal(world, request)
     ?? getAdmissionRefusal(world, request);
 }
 
--- a/src/core/systems/dispatchStages.ts
+++ b/src/core/systems/dispatchStages.ts
@@ -3,6 +3,7 @@
   toId, type AttemptId, type PipelineId, type PoolId, type StageId, type UpstreamId,
 } from '../../lib/ids.ts';
 import type { CoreWorld } from '../CoreWorld.ts';
+import type { AcquireRequest } from '../../routing/PoolRouter.ts';
 import { explain } from '../requests/explain.ts';
 import { getCurrentStage } from '../requests/getCurrentStage.ts';
 import type { PoolRow } from '../tables/PoolTable.ts';
@@ -10,11 +11,17 @@
 
 const DEFAULT_PRIORITY = 0;
 
+/** Where a stage goes. */
+interface Placement {
+  readonly poolId: PoolId;
+  readonly upstreamId: UpstreamId;
+  readonly isAlone: boolean;
+}
+
 function sendStage(
   world: CoreWorld,
   request: RequestRecord,
-  poolId: PoolId,
-  upstreamId: UpstreamId,
+  { poolId, upstreamId, isAlone }: Placement,
 ): void {
   const { context, configuration } = world;
   const nowMs = context.getNowMs();
@@ -41,6 +48,7 @@
     stageIndex: request.stageIndex,
     upstreamId,
     sentAtMs: nowMs,
+    isAlone,
     isWanted: true,
     holdsSlot: true,
     decidesOutcome: false,
@@ -58,23 +66,46 @@
     poolKind: pool.kind,
     input: request.stageInput,
     idempotencyKey: progress.stage.repeatable ? null : request.idempotencyKey,
-    timeoutMs: request.deadlineAtMs - nowMs,
+    timeoutMs: world.router.getAttemptTimeoutMs(request.deadlineAtMs - nowMs),
     priority: DEFAULT_PRIORITY,
     traceparent: request.traceparent,
   });
 }
 
-function dispatchPool(world: CoreWorld, { poolId, queue, retryBudget }: PoolRow): void {
+function createAcquireRequest(
+  world: CoreWorld,
+  request: RequestRecord,
+  poolId: PoolId,
+): AcquireRequest {
+  const isEngine = world.configuration.pools.get(poolId)?.kind === 'engine';
+  return {
+    poolId,
+    requestId: request.requestId,
+    accountId: request.accountId,
+    // Prompts of one pipeline and account begin alike, so that an engine can reuse its cache.
+    affinityKey: isEngine ? `${request.pipeline.id}/${request.accountId}` : null,
+    excludedUpstreamIds: request.failedUpstreamIds,
+    timeoutMs: request.deadlineAtMs - world.context.getNowMs(),
+    isRepeatable: getCurrentStage(request).stage.repeatable,
+  };
+}
+
+function dispatchSuspects(world: CoreWorld, { poolId, suspects }: PoolRow): void {
+  suspects.forEach((request) => {
+    const wish = createAcquireRequest(world, request, poolId);
+    const upstreamId = world.router.tryAcquireAlone(wish);
+    if (upstreamId !== null) {
+      suspects.delete(request);
+      sendStage(world, request, { poolId, upstreamId, isAlone: true });
+    }
+  });
+}
+
+function dispatchQueue(world: CoreWorld, { poolId, queue, retryBudget }: PoolRow): void {
   let next = queue.peek();
   while (next !== undefined) {
     const request = next.payload;
-    const upstreamId = world.router.tryAcquire({
-      poolId,
-      requestId: request.requestId,
-      accountId: request.accountId,
-      affinityKey: null,
-      excludedUpstreamIds: request.failedUpstreamIds,
-    });
+    const upstreamId = world.router.tryAcquire(createAcquireRequest(world, request, poolId));
     if (upstreamId === null) {
       return;
     }
@@ -82,7 +113,7 @@
     if (request.failedUpstreamIds.length === 0) {
       retryBudget.noteOffered();
     }
-    sendStage(world, request, poolId, upstreamId);
+    sendStage(world, request, { poolId, upstreamId, isAlone: false });
     next = queue.peek();
   }
 }
@@ -93,5 +124,8 @@
  * @param world - the core's state
  */
 export function dispatchStages(world: CoreWorld): void {
-  [...world.pools.getRows()].forEach((row) => dispatchPool(world, row));
+  [...world.pools.getRows()].forEach((row) => {
+    dispatchSuspects(world, row);
+    dispatchQueue(world, row);
+  });
 }
--- a/src/core/systems/finishAttempts.ts
+++ b/src/core/systems/finishAttempts.ts
@@ -1,4 +1,5 @@
 import { REFUSAL_CODE } from '../../answers/REFUSAL_CODE.ts';
+import { exhaustiveSwitchError } from '../../lib/exhaustiveSwitchError.ts';
 import { toId, type PipelineId } from '../../lib/ids.ts';
 import { ATTEMPT_FAILURE } from '../../upstreams/AttemptFailure.ts';
 import { takeAll, type AttemptEndedInput } from '../CoreInbox.ts';
@@ -7,6 +8,7 @@
 import { settleLateOutcome } from '../requests/settleLateOutcome.ts';
 import { explain } from '../requests/explain.ts';
 import { completeRequest, refuseRequest } from '../requests/finishRequest.ts';
+import { getQuarantineRefusal } from '../requests/getQuarantineRefusal.ts';
 import { getCurrentStage } from '../requests/getCurrentStage.ts';
 import { queueStage, startStage } from '../requests/startStage.ts';
 import type { AttemptRecord } from '../tables/AttemptRecord.ts';
@@ -69,6 +71,11 @@
   request: RequestRecord,
   input: AttemptFailedInput,
 ): void {
+  const quarantine = getQuarantineRefusal(world, request);
+  if (quarantine !== null) {
+    refuseRequest(world, request, quarantine);
+    return;
+  }
   refuseRequest(world, request, {
     code: REFUSAL_CODE.upstreamFailed,
     detail: `Stage ${getCurrentStage(request).stage.id}: ${input.failure} (${input.detail})`,
@@ -119,6 +126,40 @@
   }
 }
 
+function noteSuspicion(
+  world: CoreWorld,
+  attempt: AttemptRecord,
+  request: RequestRecord,
+  input: AttemptEndedInput,
+): void {
+  const { quarantine, router } = world;
+  const { poolId, upstreamId, isAlone } = attempt;
+  if (isAlone) {
+    router.releaseReservation(request.requestId);
+  }
+  if (input.kind === 'attemptSucceeded') {
+    quarantine.noteIncarnation(upstreamId, input.upstreamIncarnation);
+    quarantine.noteHarmless(request.fingerprint, poolId, isAlone);
+    return;
+  }
+  switch (input.failure) {
+    case ATTEMPT_FAILURE.crashed:
+      quarantine.noteCrash(request.fingerprint, poolId, upstreamId);
+      return;
+    case ATTEMPT_FAILURE.errored:
+    case ATTEMPT_FAILURE.rejected:
+      quarantine.noteHarmless(request.fingerprint, poolId, isAlone);
+      return;
+    case ATTEMPT_FAILURE.refused:
+    case ATTEMPT_FAILURE.timedOut:
+    case ATTEMPT_FAILURE.truncated:
+    case ATTEMPT_FAILURE.unreachable:
+      return;
+    default:
+      throw exhaustiveSwitchError(input.failure);
+  }
+}
+
 function handleFailure(
   world: CoreWorld,
   request: RequestRecord,
@@ -159,6 +200,7 @@
     return;
   }
   bookCost(world, attempt, request, input);
+  noteSuspicion(world, attempt, request, input);
   noteLatency(world, request, attempt, input);
   if (attempt.decidesOutcome && !isTimedOut) {
     settleLateOutcome(world, attempt, request, input);
--- a/src/core/tables/AttemptRecord.ts
+++ b/src/core/tables/AttemptRecord.ts
@@ -11,6 +11,8 @@
   readonly stageIndex: number;
   readonly upstreamId: UpstreamId;
   readonly sentAtMs: number;
+  /** Whether the attempt has its upstream to itself. */
+  readonly isAlone: boolean;
   /** False once the result is no longer wanted; its cost is still booked. */
   isWanted: boolean;
   /** True while the attempt holds a slot at its upstream. */
--- a/src/core/tables/PoolTable.ts
+++ b/src/core/tables/PoolTable.ts
@@ -12,6 +12,8 @@
   readonly poolId: PoolId;
   readonly queue: FairQueue<RequestRecord>;
   readonly retryBudget: RetryBudget;
+  /** Requests that wait for an upstream to themselves, since one died while it ran them. */
+  readonly suspects: Set<RequestRecord>;
 }
 
 /** The pools that stages wait for; a pool's row is made when a first stage waits for it. */
@@ -53,7 +55,10 @@
       return known;
     }
     const row: PoolRow = {
-      poolId, queue: new FairQueue(), retryBudget: new RetryBudget(this.#context),
+      poolId,
+      queue: new FairQueue(),
+      retryBudget: new RetryBudget(this.#context),
+      suspects: new Set(),
     };
     this.#setWeights(row);
     this.#rows.set(poolId, row);
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -101,6 +101,8 @@
 
   readonly #drained = new Set<UpstreamId>();
 
+  readonly #reservations = new Map<RequestId, UpstreamId>();
+
   readonly #changedPools = new Set<PoolId>();
 
   /** When the attempt that was acquired last has to have ended; null without a slot. */
@@ -200,6 +202,39 @@
     return chosen.upstreamId;
   }
 
+  /**
+   * Takes a slot at an upstream that runs nothing else of this host, and keeps others away until
+   * the attempt ends. An upstream is reserved at the first call and emptied first, so call again.
+   *
+   * @param request - what the attempt needs
+   * @returns the upstream; null while none is empty
+   */
+  tryAcquireAlone(request: AcquireRequest): UpstreamId | null {
+    this.#acquiredUntilMs = null;
+    const reserved = this.#getReserved(request);
+    if (reserved === null || reserved.runningCount > 0) {
+      return null;
+    }
+    reserved.start(false);
+    this.#refresh(reserved);
+    return reserved.upstreamId;
+  }
+
+  /**
+   * Opens an upstream again that was reserved for a request.
+   *
+   * @param requestId - the request; one without a reservation is passed over
+   */
+  releaseReservation(requestId: RequestId): void {
+    const upstreamId = this.#reservations.get(requestId);
+    const upstream = upstreamId === undefined ? undefined : this.#upstreams.get(upstreamId);
+    this.#reservations.delete(requestId);
+    if (upstream !== undefined) {
+      upstream.isReserved = false;
+      this.#refresh(upstream);
+    }
+  }
+
   /**
    * Bounds an attempt by the end of its slot; to be called directly after `tryAcquire`.
    *
@@ -408,6 +443,26 @@
     });
   }
 
+  #getReserved(request: AcquireRequest): RoutedUpstream | null {
+    const reservedId = this.#reservations.get(request.requestId);
+    const reserved = reservedId === undefined ? undefined : this.#upstreams.get(reservedId);
+    if (reserved !== undefined && reserved.health.takesWork()) {
+      return reserved;
+    }
+    this.releaseReservation(request.requestId);
+    const pool = this.#pools.get(request.poolId);
+    const chosen = [...pool?.near.items ?? [], ...pool?.far.items ?? []]
+      .filter(({ upstreamId }) => !request.excludedUpstreamIds.includes(upstreamId))
+      .sort((left, right) => left.runningCount - right.runningCount)[0];
+    if (chosen === undefined) {
+      return null;
+    }
+    chosen.isReserved = true;
+    this.#reservations.set(request.requestId, chosen.upstreamId);
+    this.#refresh(chosen);
+    return chosen;
+  }
+
   #end(upstream: RoutedUpstream, isCertain: boolean): void {
     if (upstream.end()) {
       this.#holder.release(upstream.upstreamId, isCertain);
--- a/src/routing/RoutedUpstream.ts
+++ b/src/routing/RoutedUpstream.ts
@@ -39,6 +39,9 @@
 
   readonly limit: ConcurrencyLimit;
 
+  /** True while one attempt is to have the upstream to itself. */
+  isReserved = false;
+
   readonly #context: CoreContext;
 
   #record: UpstreamRecord;
@@ -139,7 +142,8 @@
    * @returns whether a further attempt without a grant may be sent now
    */
   hasRoom(): boolean {
-    return !this.health.needsGrant()
+    return !this.isReserved
+      && !this.health.needsGrant()
       && this.health.takesWork()
       && this.runningCount < this.limit.value;
   }
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -18,6 +18,7 @@
 import { registerOperatorRoutes } from '../operators/registerOperatorRoutes.ts';
 import type { HostStatus } from '../operators/HostStatus.ts';
 import type { MemberRecord } from '../peers/PeerMessage.ts';
+import { Quarantine } from '../quarantine/Quarantine.ts';
 import { PoolRouter } from '../routing/PoolRouter.ts';
 import { createLogger } from '../telemetry/createLogger.ts';
 import { HostMetrics } from '../telemetry/HostMetrics.ts';
@@ -98,6 +99,7 @@
         configurationManager: new ConfigurationManager(context, {
           getMembers: () => this.#getMembers(),
         }),
+        quarantine: new Quarantine(context),
         router: new PoolRouter(context, new SoleSteward(context)),
         claims: new ClaimManager(context, {
           ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
--- a/test/support/CoreRig.ts
+++ b/test/support/CoreRig.ts
@@ -9,6 +9,7 @@
 import type { AttemptCost } from '../../src/cost/CostPort.ts';
 import { SoleSteward } from '../../src/grants/SoleSteward.ts';
 import { toId, type RequestId } from '../../src/lib/ids.ts';
+import { Quarantine } from '../../src/quarantine/Quarantine.ts';
 import { PoolRouter } from '../../src/routing/PoolRouter.ts';
 import type { AttemptFailure } from '../../src/upstreams/AttemptFailure.ts';
 import { ScriptedClaims } from './ScriptedClaims.ts';
@@ -40,7 +41,11 @@
     const router = new PoolRouter(this.context, new SoleSteward(this.context));
     const configurationManager = new ConfigurationManager(this.context);
     this.core = new Core(this.context, {
-      router, claims: this.claims, costs, configurationManager,
+      quarantine: new Quarantine(this.context),
+      router,
+      claims: this.claims,
+      costs,
+      configurationManager,
     });
     this.core.setConfiguration(configuration);
   }
