--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -7,6 +7,7 @@
 } from '../configuration/records/ConfigurationRecord.ts';
 import type { ClaimPort } from '../claims/ClaimPort.ts';
 import type { CostPort } from '../cost/CostPort.ts';
+import type { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { RequestId, UpstreamId } from '../lib/ids.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
@@ -35,6 +36,8 @@
   readonly claims: ClaimPort;
   readonly costs: CostPort;
   readonly configurationManager: ConfigurationManager;
+  /** Absent for a core that works without peers. */
+  readonly fleet?: FleetCoordinator;
 }
 
 /**
@@ -75,6 +78,7 @@
     const pools = new PoolTable(context, managers.router);
     this.#world = {
       ...managers,
+      fleet: managers.fleet ?? null,
       context,
       latencies,
       pools,
@@ -106,6 +110,7 @@
    */
   step(inputs: readonly CoreInput[]): void {
     inputs.forEach((input) => this.#sortInput(input));
+    this.#world.fleet?.tick();
     this.#world.configurationManager.tick();
     this.#world.claims.tick();
     this.#world.router.tick();
@@ -130,6 +135,7 @@
       getNextQueueExpiryMs(world),
       world.claims.getNextWakeMs(),
       world.configurationManager.getNextWakeMs(),
+      world.fleet?.getNextWakeMs() ?? Infinity,
       world.router.getNextWakeMs(),
       world.isStopping && !world.isStopped ? leaveAtMs : Infinity,
     );
@@ -145,6 +151,7 @@
     const { hostId, failureDomainId } = world.context.self;
     world.configuration = new ConfigurationIndex(configuration);
     world.pools.setAccounts(configuration.accounts);
+    world.fleet?.setConfiguration(configuration);
     world.router.setConfiguration(configuration);
     if (world.configuration.isHostDrained(hostId, failureDomainId)) {
       world.leavingSinceMs ??= world.context.getNowMs();
@@ -199,7 +206,7 @@
 
   #sortInput(input: CoreInput): void {
     const {
-      inbox, router, claims, configurationManager,
+      inbox, router, claims, configurationManager, fleet,
     } = this.#world;
     switch (input.kind) {
       case 'requestSubmitted':
@@ -227,18 +234,23 @@
         configurationManager.handleKeyValueAnswer(input);
         return;
       case 'peerMessageReceived':
+        fleet?.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
         claims.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
         router.handlePeerMessage(input.fromHostId, input.message);
         configurationManager.handlePeerMessage(input);
         return;
       case 'hostListRead':
+        fleet?.handleHostList(input.hosts);
+        return;
       case 'peerUnreachable':
+        fleet?.handleUnreachable(input.hostId);
         return;
       case 'operatorCalled':
         configurationManager.handleOperatorCall(input);
         return;
       case 'stopRequested':
         this.#world.isStopping = true;
+        fleet?.announceLeaving();
         this.#world.leavingSinceMs ??= this.#world.context.getNowMs();
         return;
       default:
--- a/src/core/CoreWorld.ts
+++ b/src/core/CoreWorld.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import type { ConfigurationIndex } from '../configuration/ConfigurationIndex.ts';
 import type { CostPort } from '../cost/CostPort.ts';
+import type { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
 import type { AttemptId, RequestId } from '../lib/ids.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
 import type { CoreContext } from './CoreContext.ts';
@@ -39,6 +40,8 @@
   readonly claims: ClaimPort;
   readonly costs: CostPort;
   readonly configurationManager: ConfigurationManager;
+  /** Null for a core that works without peers. */
+  readonly fleet: FleetCoordinator | null;
   configuration: ConfigurationIndex;
   /** Requests without a final answer. */
   inFlightCount: number;
