--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -110,7 +110,7 @@
    */
   step(inputs: readonly CoreInput[]): void {
     inputs.forEach((input) => this.#sortInput(input));
-    this.#world.fleet?.tick();
+    this.#tickFleet();
     this.#world.configurationManager.tick();
     this.#world.claims.tick();
     this.#world.router.tick();
@@ -204,6 +204,15 @@
     return this.#world.requests.get(requestId);
   }
 
+  #tickFleet(): void {
+    const { fleet, context } = this.#world;
+    fleet?.tick();
+    if (fleet?.isReplaced === true) {
+      this.#world.isStopping = true;
+      this.#world.leavingSinceMs ??= context.getNowMs();
+    }
+  }
+
   #sortInput(input: CoreInput): void {
     const {
       inbox, router, claims, configurationManager, fleet,
--- a/src/duties/DutyAssignment.ts
+++ b/src/duties/DutyAssignment.ts
@@ -139,6 +139,11 @@
     return { epoch: holding.epoch, sinceMs: holding.sinceMs + this.#getLeaseMs(), untilMs };
   }
 
+  /** @inheritdoc */
+  getAddress(hostId: HostId): string {
+    return this.#memberById.get(hostId)?.peerAddress ?? '';
+  }
+
   /** @inheritdoc */
   getHostCountBound(): number {
     return this.#isHostListRead
--- a/src/peers/PeerTransport.ts
+++ b/src/peers/PeerTransport.ts
@@ -196,16 +196,16 @@
     role: 'dialer' | 'listener',
     onClose: (reason: string) => void,
   ): PeerConnection {
-    const {
-      self, key, bufferLimitBytes, idleTimeoutMs,
-    } = this.#options;
+    const { self, key, bufferLimitBytes } = this.#options;
+    // The dialer closes first, so that a quiet connection is not taken for a dead peer.
+    const idleFactor = role === 'dialer' ? 1 : 2;
     return new PeerConnection({
       socket,
       role,
       self,
       key,
       bufferLimitBytes,
-      idleTimeoutMs,
+      idleTimeoutMs: this.#options.idleTimeoutMs * idleFactor,
       nonce: randomBytes(NONCE_BYTES).toString('hex'),
       onClose,
       onMessage: (peer, message) => this.#receive(peer, message),
--- a/src/peers/isPeerMessage.ts
+++ b/src/peers/isPeerMessage.ts
@@ -97,15 +97,6 @@
   claimReply: Type.Object({
     askId: id, operation: claimOperation, result: Type.Object({ kind: id }),
   }),
-  quarantine: Type.Object({
-    suspects: Type.Array(Type.Object({
-      fingerprint: id,
-      deaths: Type.Array(Type.Object({ deathId: id, poolId: id })),
-      expiresInMs: Type.Number(),
-    }), { maxItems: MAX_LIST_LENGTH }),
-    clearedFingerprints: Type.Array(id, { maxItems: MAX_LIST_LENGTH }),
-    retractedDeathIds: Type.Array(id, { maxItems: MAX_LIST_LENGTH }),
-  }),
   grantAsk: Type.Object({ askId: id, upstreamId: id, durationMs: duration }),
   grantReply: Type.Object({
     askId: id, upstreamId: id, epoch: count, durationMs: duration, retryAfterMs: duration,
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -2,23 +2,18 @@
 import type { Logger } from 'pino';
 import { createHttpServer } from '../callers/createHttpServer.ts';
 import { registerCallerRoutes } from '../callers/registerCallerRoutes.ts';
-import { ClaimManager } from '../claims/ClaimManager.ts';
-import { DEFAULT_CLAIM_OPTIONS } from '../claims/ClaimOptions.ts';
 import type { ServedHost, ServeHostOptions } from '../cli/CliContext.ts';
-import { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
+import type { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
-import { Core } from '../core/Core.ts';
+import type { Core } from '../core/Core.ts';
 import type { CoreOutput } from '../core/CoreOutput.ts';
 import type { RequestAnswer } from '../answers/RequestAnswer.ts';
-import { SoleSteward } from '../grants/SoleSteward.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
-import { toId, type RequestId, type UpstreamId } from '../lib/ids.ts';
+import type { RequestId, UpstreamId } from '../lib/ids.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
 import { HttpKeyValueClient } from '../platform/HttpKeyValueClient.ts';
 import { registerOperatorRoutes } from '../operators/registerOperatorRoutes.ts';
 import type { HostStatus } from '../operators/HostStatus.ts';
-import type { MemberRecord } from '../peers/PeerMessage.ts';
-import { PoolRouter } from '../routing/PoolRouter.ts';
 import { createLogger } from '../telemetry/createLogger.ts';
 import { HostMetrics } from '../telemetry/HostMetrics.ts';
 import { Tracing } from '../telemetry/Tracing.ts';
@@ -28,10 +23,13 @@
 import { CallerDesk } from './CallerDesk.ts';
 import { CostTotals } from './CostTotals.ts';
 import { CoreLoop } from './CoreLoop.ts';
+import { createHostCore } from './createHostCore.ts';
+import { createIdentity } from './createIdentity.ts';
 import { createHostStatus, type UpstreamLoad } from './createHostStatus.ts';
 import { HostTracer } from './HostTracer.ts';
 import { LoadPoller } from './LoadPoller.ts';
 import { OperatorDesk } from './OperatorDesk.ts';
+import { PeerLink } from './PeerLink.ts';
 
 /** One entry host: the core and the adapters around it. */
 export class EntryHost implements ServedHost {
@@ -39,6 +37,8 @@
 
   readonly #logger: Logger;
 
+  readonly #link: PeerLink;
+
   readonly #loop: CoreLoop<Core>;
 
   readonly #listeners = new AnswerListeners();
@@ -71,39 +71,29 @@
 
   /**
    * @param options - settings and keys
+   * @param logger - with the identity of the host
+   * @param link - to the peers, listening
    */
-  private constructor({ settings, operatorKey }: ServeHostOptions) {
+  private constructor(
+    { settings, operatorKey }: ServeHostOptions,
+    logger: Logger,
+    link: PeerLink,
+  ) {
     const clock = new SystemClock();
     const random = new SystemRandomSource();
-    const incarnationId = random.getHexId();
     this.stopped = new Promise((resolve) => {
       this.#resolveStopped = resolve;
     });
-    this.#logger = createLogger(settings.logLevel ?? 'info', {
-      hostId: settings.hostId, incarnationId,
-    });
+    this.#logger = logger;
+    this.#link = link;
     this.#tracing = new Tracing(settings.hostId, settings.traceCollectorUrl ?? null);
     this.#tracer = new HostTracer(this.#tracing);
     this.#keyValue = new HttpKeyValueClient({ url: settings.platformUrl });
     this.#loop = new CoreLoop({
       clock,
       random,
-      self: {
-        hostId: toId(settings.hostId),
-        incarnationId: toId(incarnationId),
-        failureDomainId: toId(settings.failureDomainId),
-        peerAddress: `${settings.peers.host}:${settings.peers.port}`,
-      },
-      createCore: (context) => new Core(context, {
-        configurationManager: new ConfigurationManager(context, {
-          getMembers: () => this.#getMembers(),
-        }),
-        router: new PoolRouter(context, new SoleSteward(context)),
-        claims: new ClaimManager(context, {
-          ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
-        }),
-        costs: this.#costs,
-      }),
+      self: link.self,
+      createCore: (context) => createHostCore(context, clock, this.#costs),
       perform: (output) => this.#perform(output),
     });
     this.#sender = new UpstreamSender({
@@ -127,7 +117,6 @@
     this.#configurationManager = this.#loop.core.configurationManager;
     this.#configurationManager.follower
       .onChange((configuration) => this.#adoptConfiguration(configuration));
-    this.#configurationManager.follower.setIsWatcher(true);
     this.#operatorDesk = new OperatorDesk({
       random,
       post: (input) => this.#loop.post(input),
@@ -148,9 +137,17 @@
    * @returns the host, listening
    */
   static async create(options: ServeHostOptions): Promise<EntryHost> {
-    const host = new EntryHost(options);
-    const { http } = options.settings;
+    const { settings, peerKey } = options;
+    const self = createIdentity(settings);
+    const { hostId, incarnationId } = self;
+    const logger = createLogger(settings.logLevel ?? 'info', { hostId, incarnationId });
+    const link = await PeerLink.create({
+      listen: settings.peers, self, peerKey, platformUrl: settings.platformUrl, logger,
+    });
+    const host = new EntryHost(options, logger, link);
+    const { http } = settings;
     host.#httpUrl = await host.#server.listen({ host: http.host, port: http.port });
+    link.start((input) => host.#loop.post(input));
     host.#loop.wake();
     host.#logger.info({ httpUrl: host.#httpUrl }, 'entry host serves');
     return host;
@@ -169,6 +166,7 @@
   /** @inheritdoc */
   stop(): void {
     this.#logger.info('stop requested');
+    this.#link.announceLeaving();
     this.#loop.post({ kind: 'stopRequested' });
   }
 
@@ -178,21 +176,6 @@
     this.#logger.info({ version: configuration.version }, 'configuration adopted');
   }
 
-  #getMembers(): MemberRecord[] {
-    const {
-      hostId, incarnationId, failureDomainId, peerAddress,
-    } = this.#loop.self;
-    return [{
-      hostId,
-      incarnationId,
-      failureDomainId,
-      peerAddress,
-      state: 'alive',
-      generation: 0,
-      configurationVersion: this.#loop.core.getConfiguration().version,
-    }];
-  }
-
   #getUpstreamLoad(upstreamId: UpstreamId): UpstreamLoad {
     const { upstreams, pools } = this.#loop.core.getConfiguration();
     const poolId = upstreams.find(({ id }) => id === upstreamId)?.poolId;
@@ -207,7 +190,7 @@
     return createHostStatus({
       self: this.#loop.self,
       follower: this.#configurationManager.follower,
-      members: this.#getMembers(),
+      members: this.#configurationManager.getMembers(),
       metrics: this.#metrics,
       costs: this.#costs,
       isStopping: this.#loop.core.isLeaving(),
@@ -240,6 +223,7 @@
         this.#operatorDesk.passAnswer(output.callId, output.answer);
         return;
       case 'sendPeerMessage':
+        this.#link.send(output);
         return;
       case 'stopped':
         this.#close();
@@ -259,6 +243,7 @@
 
   async #close(): Promise<void> {
     await this.#server.close();
+    await this.#link.close();
     this.#loop.close();
     await this.#loads.close();
     await this.#sender.close();
--- /dev/null
+++ b/src/serve/createHostCore.ts
@@ -0,0 +1,35 @@
+import { ClaimManager } from '../claims/ClaimManager.ts';
+import { DEFAULT_CLAIM_OPTIONS } from '../claims/ClaimOptions.ts';
+import { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
+import { Core } from '../core/Core.ts';
+import type { CoreContext } from '../core/CoreContext.ts';
+import type { CostPort } from '../cost/CostPort.ts';
+import { createFleetListener } from '../fleet/createFleetListener.ts';
+import { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
+import { PoolRouter } from '../routing/PoolRouter.ts';
+import type { Clock } from '../time/Clock.ts';
+
+/**
+ * Composes the managers of an entry host and connects them to the fleet.
+ *
+ * @param context - identity, time, randomness and the way out
+ * @param clock - for times that leave the process
+ * @param costs - where costs are booked
+ * @returns the core
+ */
+export function createHostCore(context: CoreContext, clock: Clock, costs: CostPort): Core {
+  const fleet = new FleetCoordinator(context, { start: { startedAtMs: clock.getWallMs() } });
+  const claims = new ClaimManager(context, {
+    ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
+  });
+  const getMembers = () => fleet.getMembers();
+  const configurationManager = new ConfigurationManager(context, { getMembers });
+  fleet.setListener(createFleetListener(claims, configurationManager.follower, getMembers));
+  return new Core(context, {
+    fleet,
+    configurationManager,
+    claims,
+    costs,
+    router: new PoolRouter(context, fleet.duties),
+  });
+}
