--- a/scripts/fleet/Fleet.ts
+++ b/scripts/fleet/Fleet.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { stringify } from 'yaml';
 import type { ConfigurationRecord } from '../../src/configuration/records/ConfigurationRecord.ts';
+import { assertExists } from '../../src/lib/assertExists.ts';
 import type { HostSettings } from '../../src/settings/HostSettings.ts';
 import type {
   DeployedUpstream, DeploymentDescription,
@@ -105,9 +106,14 @@
     return this.#upstreams;
   }
 
+  /** The platform. */
+  get platform(): FleetStandin {
+    return assertExists(this.#platform, 'The fleet is not started.');
+  }
+
   /** The platform's address. */
   get platformUrl(): string {
-    return this.#platform?.url ?? '';
+    return this.platform.url;
   }
 
   /** Processes that run now. */
