--- a/src/serve/createHostCore.ts
+++ b/src/serve/createHostCore.ts
@@ -6,6 +6,7 @@
 import type { CostPort } from '../cost/CostPort.ts';
 import { createFleetListener } from '../fleet/createFleetListener.ts';
 import { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
+import { Quarantine } from '../quarantine/Quarantine.ts';
 import { PoolRouter } from '../routing/PoolRouter.ts';
 import type { Clock } from '../time/Clock.ts';
 
@@ -22,6 +23,7 @@
   const claims = new ClaimManager(context, {
     ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
   });
+  const quarantine = new Quarantine(context);
   const getMembers = () => fleet.getMembers();
   const configurationManager = new ConfigurationManager(context, { getMembers });
   fleet.setListener(createFleetListener(claims, configurationManager.follower, getMembers));
@@ -30,6 +32,7 @@
     configurationManager,
     claims,
     costs,
+    quarantine,
     router: new PoolRouter(context, fleet.duties),
   });
 }
