Find upstreams that hang, and plan waits by mean service times

Admission plans waits by the mean latency, not the median, and does not start a stage that ends late at the 80% quantile.

--- a/src/admission/Admission.ts
+++ b/src/admission/Admission.ts
@@ -33,6 +33,10 @@
   readonly admitQuantile: number;
   /** Quantile of the latencies that must fit for a request that has already run billed stages. */
   readonly continueQuantile: number;
+  /** Quantile of the next stage's latency that must fit for it to be started. */
+  readonly startQuantile: number;
+  /** Quantile of a repeatable stage's latency after which its attempt is given up. */
+  readonly attemptQuantile: number;
   /** Part of the time for waiting that may be planned for; the rest absorbs bad estimates. */
   readonly waitFraction: number;
   /** Time to come back when a pool has no usable upstream. */
@@ -43,6 +47,8 @@
 export const DEFAULT_ADMISSION_OPTIONS: AdmissionOptions = {
   admitQuantile: 0.95,
   continueQuantile: 0.1,
+  startQuantile: 0.8,
+  attemptQuantile: 0.98,
   waitFraction: 0.8,
   noCapacityRetryAfterMs: 5_000,
 };
@@ -115,14 +121,14 @@
   };
 }
 
-function getWaitMs(load: PoolLoad, medianMs: number): number {
+function getWaitMs(load: PoolLoad, meanMs: number): number {
   if (load.limit === 0) {
     return Infinity;
   }
   if (load.queuedCount === 0 && load.running < load.limit) {
     return 0;
   }
-  const slotMs = medianMs / load.limit;
+  const slotMs = meanMs / load.limit;
   const wholeQueueMs = (load.queuedCount + 1) * slotMs;
   const ownQueueMs = ((load.accountQueuedCount + 1) * slotMs) / load.accountShare;
   return Math.min(wholeQueueMs, ownQueueMs);
@@ -134,7 +140,7 @@
  *
  * The service time at quantile q of independent stages is taken as the sum of their medians plus
  * the root of the sum of their squared spreads (quantile less median). The wait at a pool is the
- * work ahead of the account over the pool's rate, limit / median service time (Little's law).
+ * work ahead of the account over the pool's rate, limit / mean service time (Little's law).
  *
  * ```ts
  * const verdict = admission.decide({ ...request, nextStageIndex: 0, spentMicros: 0 });
@@ -191,6 +197,31 @@
       .map((stage) => this.#latencies.getExpectedCostMicros(pipelineId, stage)));
   }
 
+  /**
+   * Bounds an attempt of the next stage. A repeatable one is given up when it takes much longer
+   * than usual and a second one can still end in time.
+   *
+   * @param request - the request
+   * @returns how long the attempt may take
+   */
+  getAttemptTimeoutMs(
+    request: Pick<AdmissionRequest, 'pipeline' | 'nextStageIndex' | 'deadlineAtMs'>,
+  ): number {
+    const pipelineId = request.pipeline.id as PipelineId;
+    const remainingMs = request.deadlineAtMs - this.#context.getNowMs();
+    const [next, ...later] = request.pipeline.stages.slice(request.nextStageIndex);
+    if (next === undefined || !next.repeatable) {
+      return remainingMs;
+    }
+    const { attemptQuantile, startQuantile } = this.#options;
+    const usualMs = this.#latencies.getQuantileMs(pipelineId, next, attemptQuantile);
+    const secondMs = this.#latencies.getQuantileMs(pipelineId, next, startQuantile);
+    const laterMs = sum(later
+      .map((stage) => this.#latencies.getQuantileMs(pipelineId, stage, MEDIAN)));
+    const isMeasured = this.#latencies.isMeasured(pipelineId, next);
+    return isMeasured && usualMs + secondMs + laterMs <= remainingMs ? usualMs : remainingMs;
+  }
+
   #checkCost(request: AdmissionRequest): RefusedVerdict | null {
     const expectedMicros = request.spentMicros + this.getExpectedCostMicros(request);
     if (request.costCeilingMicros === 0 || expectedMicros <= request.costCeilingMicros) {
@@ -231,12 +262,11 @@
 
   #admit(request: AdmissionRequest, need: PipelineNeed, remainingMs: number): AdmittedVerdict {
     const nowMs = this.#context.getNowMs();
-    const next = need.stages[0];
     const needs = need.stages.map((stage) => stage.medianMs + stage.spreadMs);
     const total = sum(needs);
     const share = total === 0 ? 1 / needs.length : (needs[0] ?? 0) / total;
     const laterMedianMs = sum(need.stages.slice(1).map((stage) => stage.medianMs));
-    const startAtMs = request.deadlineAtMs - laterMedianMs - (next?.medianMs ?? 0);
+    const startAtMs = request.deadlineAtMs - laterMedianMs - this.#getStartNeedMs(request);
     return {
       kind: 'admitted',
       stageDeadlineAtMs: nowMs + remainingMs * share,
@@ -244,6 +274,14 @@
     };
   }
 
+  #getStartNeedMs({ pipeline, nextStageIndex }: AdmissionRequest): number {
+    const next = pipeline.stages[nextStageIndex];
+    const { startQuantile } = this.#options;
+    return next === undefined
+      ? 0
+      : this.#latencies.getQuantileMs(pipeline.id as PipelineId, next, startQuantile);
+  }
+
   #getNeed(request: AdmissionRequest, quantile: number): PipelineNeed {
     const stages = request.pipeline.stages
       .slice(request.nextStageIndex)
@@ -266,7 +304,7 @@
     return {
       medianMs,
       spreadMs: Math.abs(quantileMs - medianMs),
-      waitMs: getWaitMs(load, medianMs),
+      waitMs: getWaitMs(load, this.#latencies.getMeanMs(pipelineId, stage)),
     };
   }
 }
--- a/src/admission/StageLatencies.ts
+++ b/src/admission/StageLatencies.ts
@@ -62,7 +62,7 @@
     if (known === undefined) {
       this.#stages.set(key, statistics);
     }
-    statistics.latencies.add(sample.latencyMs, this.#context.getNowMs());
+    statistics.noteLatency(sample.latencyMs, this.#context.getNowMs());
     statistics.noteCost(sample.costMicros);
   }
 
@@ -77,6 +77,24 @@
     return statistics?.latencies.getQuantile(quantile) ?? stage.expectedMs;
   }
 
+  /**
+   * @param pipelineId - the pipeline
+   * @param stage - the stage
+   * @returns whether enough runs were measured, so that the configuration no longer stands in
+   */
+  isMeasured(pipelineId: PipelineId, stage: StageRecord): boolean {
+    return this.#getMeasured(pipelineId, stage) !== null;
+  }
+
+  /**
+   * @param pipelineId - the pipeline
+   * @param stage - the stage
+   * @returns the stage's mean latency, in milliseconds
+   */
+  getMeanMs(pipelineId: PipelineId, stage: StageRecord): number {
+    return this.#getMeasured(pipelineId, stage)?.meanLatencyMs ?? stage.expectedMs;
+  }
+
   /**
    * @param pipelineId - the pipeline
    * @param stage - the stage
--- a/src/admission/StageStatistics.ts
+++ b/src/admission/StageStatistics.ts
@@ -1,5 +1,6 @@
 import { DecayedHistogram } from '../lib/DecayedHistogram.ts';
 
+const LATENCY_SMOOTHING = 0.02;
 const COST_SMOOTHING = 0.05;
 
 /** What one stage took and cost of late. */
@@ -16,11 +17,28 @@
     this.latencies = new DecayedHistogram({ halfLifeMs });
   }
 
+  #meanLatencyMs: number | null = null;
+
+  /** Smoothed mean latency in milliseconds; null before the first run. */
+  get meanLatencyMs(): number | null {
+    return this.#meanLatencyMs;
+  }
+
   /** Smoothed mean cost in millionths of the billing currency; null before the first run. */
   get meanCostMicros(): number | null {
     return this.#meanCostMicros;
   }
 
+  /**
+   * @param latencyMs - how long a run took
+   * @param nowMs - when it ended
+   */
+  noteLatency(latencyMs: number, nowMs: number): void {
+    const mean = this.#meanLatencyMs ?? latencyMs;
+    this.#meanLatencyMs = mean + LATENCY_SMOOTHING * (latencyMs - mean);
+    this.latencies.add(latencyMs, nowMs);
+  }
+
   /**
    * @param costMicros - what a run cost, in millionths of the billing currency
    */
--- a/src/health/PoolEjection.ts
+++ b/src/health/PoolEjection.ts
@@ -1,5 +1,5 @@
 import type { CoreContext } from '../core/CoreContext.ts';
-import { ErrorRateWindow } from '../detection/ErrorRateWindow.ts';
+import { GlrDetector } from '../detection/GlrDetector.ts';
 import type { RateDetector } from '../detection/RateDetector.ts';
 import type { UpstreamId } from '../lib/ids.ts';
 
@@ -15,13 +15,16 @@
   readonly forgiveMs: number;
   /** Part of the pool above which nothing is ejected: the fault is not in single upstreams. */
   readonly panicFraction: number;
+  /** An upstream is ejected only when it fails this many times as often as its pool. */
+  readonly poolRateFactor: number;
   /**
    * @returns a detector of failures for one upstream
    */
   readonly createDetector: () => RateDetector;
 }
 
-const WINDOW_RATE = 0.3;
+const TUNED_CHANGE = { baseRate: 0.02, raisedRate: 0.2 };
+const ALARM_THRESHOLD = 12;
 
 /** Defaults of ejection. */
 export const DEFAULT_POOL_EJECTION_OPTIONS: PoolEjectionOptions = {
@@ -30,20 +33,26 @@
   maxEjectMs: 60_000,
   forgiveMs: 60_000,
   panicFraction: 0.5,
-  createDetector: () => new ErrorRateWindow(WINDOW_RATE),
+  poolRateFactor: 2.5,
+  createDetector: () => new GlrDetector(TUNED_CHANGE, ALARM_THRESHOLD),
 };
 
+const SUSPECT_SMOOTHING = 0.1;
+const POOL_SMOOTHING = 0.01;
+
 interface Suspect {
   readonly detector: RateDetector;
   offered: number;
   errors: number;
-  isAlarmed: boolean;
+  /** Smoothed part of its attempts that fail. */
+  rate: number;
   ejectedUntilMs: number;
   ejectionCount: number;
 }
 
 /**
- * Takes upstreams with many failures out of their pool for a while, never a whole pool.
+ * Takes upstreams with many failures out of their pool for a while, never a whole pool. The alarm
+ * is the GLR scheme of Han, Mei and Tsui, formula (3): docs/decisions tells how it was chosen.
  *
  * ```ts
  * ejection.note(upstreamId, failure !== null);
@@ -65,6 +74,9 @@
 
   #memberCount = 0;
 
+  /** Smoothed part of all attempts of the pool that fail. */
+  #poolRate = 0;
+
   #tickEndsAtMs = Infinity;
 
   /**
@@ -101,6 +113,9 @@
     const suspect = this.#getSuspect(upstreamId);
     suspect.offered += 1;
     suspect.errors += isError ? 1 : 0;
+    const value = isError ? 1 : 0;
+    suspect.rate += SUSPECT_SMOOTHING * (value - suspect.rate);
+    this.#poolRate += POOL_SMOOTHING * (value - this.#poolRate);
     this.#touched.add(upstreamId);
     if (this.#tickEndsAtMs === Infinity) {
       this.#tickEndsAtMs = this.#context.getNowMs() + this.#options.tickMs;
@@ -152,7 +167,7 @@
       detector: this.#options.createDetector(),
       offered: 0,
       errors: 0,
-      isAlarmed: false,
+      rate: 0,
       ejectedUntilMs: -Infinity,
       ejectionCount: 0,
     };
@@ -162,10 +177,11 @@
 
   #endTick(upstreamId: UpstreamId): boolean {
     const suspect = this.#getSuspect(upstreamId);
-    suspect.isAlarmed = suspect.detector.addTick(suspect.offered, suspect.errors);
+    const isAlarmed = suspect.detector.addTick(suspect.offered, suspect.errors);
     suspect.offered = 0;
     suspect.errors = 0;
-    return suspect.isAlarmed && !this.#ejected.has(upstreamId);
+    const isWorse = suspect.rate >= this.#poolRate * this.#options.poolRateFactor;
+    return isAlarmed && isWorse && !this.#ejected.has(upstreamId);
   }
 
   #ejectAll(alarmed: readonly UpstreamId[], nowMs: number): UpstreamId[] {
--- a/src/limits/ConcurrencyLimit.ts
+++ b/src/limits/ConcurrencyLimit.ts
@@ -4,7 +4,7 @@
 export interface ConcurrencyLimitOptions {
   /** Lowest limit. */
   readonly minLimit: number;
-  /** Samples after which the limit is adjusted. */
+  /** Samples after which the limit is adjusted at the latest. */
   readonly windowSamples: number;
   /** How much longer than the base latency answers may take before the limit falls. */
   readonly latencyTolerance: number;
@@ -35,7 +35,7 @@
   baseFall: 0.3,
   overloadFactor: 0.7,
   reportLagMs: 1_000,
-  queueTolerance: 0.25,
+  queueTolerance: 0.5,
 };
 
 const MIN_GRADIENT = 0.5;
@@ -54,8 +54,8 @@
 /**
  * How many attempts this host may run at one upstream at once. The limit follows the gradient of
  * the latency (base latency × tolerance over the window's mean), falls on refusals, timeouts and
- * reported queues, and grows by the square root of itself while it is in use. Until the first fall
- * it doubles with each window, and a window is as short as the limit.
+ * reported queues, and grows by one, or a part of its root, while it is in use. Until the first
+ * fall it doubles with each window.
  *
  * ```ts
  * if (running < limit.value) send(...);
@@ -144,10 +144,9 @@
     this.#sumMs += latencyMs;
     this.#sampleCount += 1;
     this.#peakRunning = Math.max(this.#peakRunning, runningCount);
+    // A window is about one round of the running attempts, so that a low limit adapts as fast.
     const { windowSamples } = this.#options;
-    const neededCount = this.#isStarting
-      ? Math.min(windowSamples, Math.max(MIN_WINDOW_SAMPLES, this.value))
-      : windowSamples;
+    const neededCount = Math.min(windowSamples, Math.max(MIN_WINDOW_SAMPLES, this.value));
     if (this.#sampleCount >= neededCount) {
       this.#endWindow();
     }
@@ -192,8 +191,11 @@
       this.#set(this.#limit * SLOW_START_FACTOR);
       return;
     }
-    const wanted = gradient < 1 ? this.#limit * gradient : this.#limit + Math.sqrt(this.#limit);
-    this.#set(this.#limit + this.#options.smoothing * (wanted - this.#limit));
+    const { smoothing } = this.#options;
+    const change = gradient < 1
+      ? smoothing * this.#limit * (gradient - 1)
+      : Math.max(1, smoothing * Math.sqrt(this.#limit));
+    this.#set(this.#limit + change);
   }
 
   #updateBase(meanMs: number): number {
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -5,7 +5,9 @@
 import type { LoadReportedInput } from '../core/CoreInput.ts';
 import { GrantDesk } from '../grants/GrantDesk.ts';
 import type { StewardDirectory } from '../grants/StewardDirectory.ts';
-import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
+import type {
+  HostId, PoolId, RequestId, UpstreamId,
+} from '../lib/ids.ts';
 import type { PeerMessage } from '../peers/PeerMessage.ts';
 import type { AcquireRequest } from './AcquireRequest.ts';
 import type { AttemptOutcome } from './AttemptOutcome.ts';
@@ -226,7 +228,7 @@
     this.#end(upstream, isCertainEnd(outcome.failure));
     upstream.learn(outcome);
     const isError = outcome.failure !== null && isUpstreamError(outcome.failure);
-    this.#pools.get(upstream.poolId)?.ejection.note(upstream.upstreamId, isError);
+    this.#pools.get(upstream.poolId)?.noteEnd(upstream, outcome.latencyMs, isError);
     this.#refresh(upstream);
   }
 
--- a/src/routing/RoutedPool.ts
+++ b/src/routing/RoutedPool.ts
@@ -1,5 +1,6 @@
 import type { CoreContext } from '../core/CoreContext.ts';
 import { PoolEjection, type PoolEjectionOptions } from '../health/PoolEjection.ts';
+import { DecayedHistogram } from '../lib/DecayedHistogram.ts';
 import { IndexedList } from '../lib/IndexedList.ts';
 import type { FailureDomainId } from '../lib/ids.ts';
 import type { RoutedUpstream } from './RoutedUpstream.ts';
@@ -15,6 +16,11 @@
   readonly usableUpstreams: number;
 }
 
+const SLOW_QUANTILE = 0.9;
+/** Slow is an answer that takes longer than the pool's `SLOW_QUANTILE` by this factor. */
+const SLOW_FACTOR = 1.5;
+const MIN_LATENCIES = 50;
+
 interface Contribution {
   readonly limit: number;
   readonly running: number;
@@ -38,6 +44,10 @@
 
   readonly #contributions = new Map<RoutedUpstream, Contribution>();
 
+  readonly #context: CoreContext;
+
+  readonly #latencies = new DecayedHistogram();
+
   #limit = 0;
 
   #running = 0;
@@ -49,6 +59,7 @@
    * @param options - how failing upstreams are ejected
    */
   constructor(context: CoreContext, options: Partial<PoolEjectionOptions>) {
+    this.#context = context;
     this.#nearDomainId = context.self.failureDomainId;
     this.ejection = new PoolEjection(context, options);
   }
@@ -60,6 +71,24 @@
     };
   }
 
+  /**
+   * Counts an attempt that ended. One that was much slower than the pool's others counts as failed,
+   * so that an upstream which hangs is found like one which errs.
+   *
+   * @param upstream - where it ran
+   * @param latencyMs - how long it took
+   * @param isError - whether the upstream failed it
+   */
+  noteEnd(upstream: RoutedUpstream, latencyMs: number, isError: boolean): void {
+    const nowMs = this.#context.getNowMs();
+    const usualMs = this.#latencies.getCount(nowMs) >= MIN_LATENCIES
+      ? this.#latencies.getQuantile(SLOW_QUANTILE) ?? Infinity
+      : Infinity;
+    const isSlow = latencyMs > usualMs * SLOW_FACTOR;
+    this.#latencies.add(latencyMs, nowMs);
+    this.ejection.note(upstream.upstreamId, isError || isSlow);
+  }
+
   /**
    * Takes over what changed at an upstream.
    *
