--- a/src/serve/CoreLoop.ts
+++ b/src/serve/CoreLoop.ts
@@ -49,6 +49,8 @@
 
   #timerAtMs = Infinity;
 
+  #isClosed = false;
+
   #nowMs: number;
 
   /**
@@ -85,11 +87,16 @@
 
   /** Runs a step in this turn of the event loop. */
   wake(): void {
+    // An adapter that is closed after the loop still reports its broken calls.
+    if (this.#isClosed) {
+      return;
+    }
     this.#immediate ??= setImmediate(() => this.#runStep());
   }
 
   /** Stops stepping; what was posted and not yet stepped is dropped. */
   close(): void {
+    this.#isClosed = true;
     if (this.#immediate !== null) {
       clearImmediate(this.#immediate);
     }
