--- a/scripts/fleet/ChildProgram.ts
+++ b/scripts/fleet/ChildProgram.ts
@@ -4,6 +4,9 @@
 import { createInterface } from 'node:readline';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+/** Each child listens to the end of this process. */
+const MAX_CHILDREN = 500;
+
 /** How a child is started. */
 export interface ChildProgramOptions {
   /** Name in error messages. */
@@ -56,6 +59,7 @@
    * @throws Error when the child ends or is silent until its time is over; it is reaped then
    */
   static async start(options: ChildProgramOptions): Promise<ChildProgram> {
+    process.setMaxListeners(MAX_CHILDREN);
     const child = spawn(process.execPath, ['--import', 'tsx', ...options.args], {
       // A process group of its own, so that Ctrl-C reaches only the parent, which ends all in turn.
       detached: true,
@@ -63,7 +67,11 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     const log = createWriteStream(options.logFile);
+    // A parent that fails leaves no child behind.
+    const killAtExit = () => child.kill('SIGKILL');
+    process.once('exit', killAtExit);
     const exited = once(child, 'exit').then(([code, signal]) => {
+      process.off('exit', killAtExit);
       log.end();
       return { code, signal };
     });
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -2,6 +2,8 @@
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { GossipRecord } from '../gossip/GossipRecord.ts';
 import type { GrantMessage } from '../grants/GrantMessage.ts';
+import type { CostMessage } from '../cost/CostMessage.ts';
+import type { QuarantineMessage } from '../quarantine/QuarantineMessage.ts';
 import type { FailureDomainId, HostId, IncarnationId } from '../lib/ids.ts';
 
 /** One member as its sender knows it. */
@@ -26,6 +28,8 @@
   /** A bounded selection of other members, changed ones first. */
   readonly members: readonly MemberRecord[];
   readonly configurationVersion: number;
+  /** Configuration versions in force by host, a bounded selection. */
+  readonly versions: Readonly<Record<string, number>>;
 }
 
 /** A configuration that was accepted by the platform. */
@@ -48,6 +52,8 @@
   readonly self: MemberRecord;
   /** A bounded selection of other members, changed ones first. */
   readonly members: readonly MemberRecord[];
+  /** Configuration versions in force by host, a bounded selection. */
+  readonly versions: Readonly<Record<string, number>>;
 }
 
 /** Records that changed, or that a digest showed to be missing at the receiver. */
@@ -70,4 +76,4 @@
   | HeartbeatMessage | HeartbeatAnswerMessage
   | ConfigurationMessage | ConfigurationAskMessage
   | GossipPushMessage | GossipDigestMessage
-  | ClaimMessage | GrantMessage;
+  | ClaimMessage | GrantMessage | QuarantineMessage | CostMessage;
--- a/src/peers/isPeerMessage.ts
+++ b/src/peers/isPeerMessage.ts
@@ -41,6 +41,16 @@
 
 const duration = Type.Number({ minimum: 0 });
 
+const suspectRecord = Type.Object({
+  fingerprint: id,
+  deaths: Type.Array(Type.Object({ deathId: Type.String(), poolId: id })),
+  expiresInMs: duration,
+});
+
+const costRecords = Type.Array(Type.Object({
+  accountId: id, pipelineId: id, stageId: id, attemptCount: count, costMicros: count,
+}), { maxItems: MAX_LIST_LENGTH });
+
 /**
  * A newer program may send more fields than this one knows; they are kept and passed on.
  *
@@ -58,9 +68,18 @@
 /** The schema of each message; a new kind of `PeerMessage` needs its entry here. */
 const schemas: Readonly<Record<PeerMessage['kind'], TSchema>> = {
   heartbeat: Type.Object({
-    sequence: count, self: memberRecord, members: memberRecords, configurationVersion: count,
+    sequence: count,
+    self: memberRecord,
+    members: memberRecords,
+    configurationVersion: count,
+    versions: Type.Record(Type.String(), count),
+  }),
+  heartbeatAnswer: Type.Object({
+    sequence: count,
+    self: memberRecord,
+    members: memberRecords,
+    versions: Type.Record(Type.String(), count),
   }),
-  heartbeatAnswer: Type.Object({ sequence: count, self: memberRecord, members: memberRecords }),
   configuration: Type.Object({ configuration: createOpenSchema(configurationRecordSchema) }),
   configurationAsk: Type.Object({ knownVersion: count }),
   gossipPush: Type.Object({ records: Type.Array(gossipRecord, { maxItems: MAX_LIST_LENGTH }) }),
@@ -83,6 +102,20 @@
     askId: id, upstreamId: id, epoch: count, durationMs: duration, retryAfterMs: duration,
   }),
   grantReturn: Type.Object({ askId: id, upstreamId: id }),
+  quarantine: Type.Object({
+    suspects: Type.Array(suspectRecord, { maxItems: MAX_LIST_LENGTH }),
+    clearedFingerprints: Type.Array(id, { maxItems: MAX_LIST_LENGTH }),
+    retractedDeathIds: Type.Array(Type.String(), { maxItems: MAX_LIST_LENGTH }),
+  }),
+  costReport: Type.Object({
+    shardIndex: count,
+    replyAddress: id,
+    incarnationId: id,
+    records: costRecords,
+    sequence: count,
+  }),
+  costStored: Type.Object({ shardIndex: count, sequence: count }),
+  costHold: Type.Object({ incarnationId: id, sequence: count, records: costRecords }),
 };
 
 const ajv = new Ajv();
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -1,16 +1,19 @@
-/* eslint-disable @typescript-eslint/class-methods-use-this
-   -- the first version learns nothing from reports and grants yet */
 import type { DrainRecord } from '../configuration/records/DrainRecord.ts';
 import type { PoolRecord } from '../configuration/records/PoolRecord.ts';
 import type { UpstreamRecord } from '../configuration/records/UpstreamRecord.ts';
 import type { CoreContext } from '../core/CoreContext.ts';
 import type { LoadReportedInput } from '../core/CoreInput.ts';
-import type {
-  AccountId, HostId, PoolId, RequestId, UpstreamId,
-} from '../lib/ids.ts';
-import type { PeerMessage } from '../peers/PeerMessage.ts';
-import type { AttemptFailure } from '../upstreams/AttemptFailure.ts';
+import { GrantDesk } from '../grants/GrantDesk.ts';
 import type { StewardDirectory } from '../grants/StewardDirectory.ts';
+import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
+import type { PeerMessage } from '../peers/PeerMessage.ts';
+import type { AcquireRequest } from './AcquireRequest.ts';
+import type { AttemptOutcome } from './AttemptOutcome.ts';
+import { isCertainEnd, isUpstreamError } from './isUpstreamError.ts';
+import { RoutedPool, type PoolCapacity } from './RoutedPool.ts';
+import { DEFAULT_POOL_ROUTER_OPTIONS, type PoolRouterOptions } from './PoolRouterOptions.ts';
+import { RoutedUpstream } from './RoutedUpstream.ts';
+import { UpstreamSelector } from './UpstreamSelector.ts';
 
 /** The part of the configuration that the router follows. */
 export interface RouterConfiguration {
@@ -19,35 +22,13 @@
   readonly drains: readonly DrainRecord[];
 }
 
-/** What an attempt needs. */
-export interface AcquireRequest {
-  readonly poolId: PoolId;
-  readonly requestId: RequestId;
-  readonly accountId: AccountId;
-  /** Requests with the same key go to the same upstream while it has room; null for none. */
-  readonly affinityKey: string | null;
-  /** Upstreams that just failed this request; taken only when no other has room. */
-  readonly excludedUpstreamIds: readonly UpstreamId[];
-}
-
-/** How an attempt ended. */
-export interface AttemptOutcome {
-  readonly upstreamId: UpstreamId;
-  /** Incarnation that answered; null when none did. */
-  readonly upstreamIncarnation: string | null;
-  /** Null for a success. */
-  readonly failure: AttemptFailure | null;
-  readonly latencyMs: number;
-}
+const DEFAULT_TIMEOUT_MS = 6_000;
+/** Cold upstreams that one attempt tries when no warm one has room. */
+const COLD_TRIES = 4;
 
-/** What a pool can take now. */
-export interface PoolCapacity {
-  /** Attempts that the pool's usable upstreams bear together, by this host's limits. */
-  readonly limit: number;
-  /** Attempts of this host that run there. */
-  readonly running: number;
-  /** Upstreams that get new work. */
-  readonly usableUpstreams: number;
+function isDrained(upstream: UpstreamRecord, drains: readonly DrainRecord[]): boolean {
+  return drains.some((drain) => (drain.kind === 'upstream' && drain.id === upstream.id)
+    || (drain.kind === 'failureDomain' && drain.id === upstream.failureDomainId));
 }
 
 /**
@@ -57,7 +38,10 @@
  * const router = new PoolRouter(context, stewards);
  * router.setConfiguration(configuration);           // at each adopted version
  * const upstreamId = router.tryAcquire(request);    // null: queue the request
- * if (upstreamId !== null) context.emit({ kind: 'sendAttempt', upstreamId, ... });
+ * if (upstreamId !== null) {
+ *   const timeoutMs = router.getAttemptTimeoutMs(upstreamId, wantedMs); // a slot may end earlier
+ *   context.emit({ kind: 'sendAttempt', upstreamId, timeoutMs, ... });
+ * }
  * router.noteOutcome(outcome);                      // attemptSucceeded, attemptFailed
  * router.noteCancelled(upstreamId);                 // cancelAttempt: frees it without evidence
  * router.noteLoad(input);                           // loadReported
@@ -68,24 +52,50 @@
  * ```
  */
 export class PoolRouter {
-  readonly #pools = new Map<PoolId, PoolRecord>();
+  readonly #context: CoreContext;
+
+  readonly #stewards: StewardDirectory;
+
+  readonly #options: PoolRouterOptions;
+
+  readonly #selector: UpstreamSelector;
+
+  readonly #grants: GrantDesk;
 
-  readonly #upstreams = new Map<UpstreamId, UpstreamRecord>();
+  readonly #pools = new Map<PoolId, RoutedPool>();
 
-  readonly #running = new Map<UpstreamId, number>();
+  readonly #upstreams = new Map<UpstreamId, RoutedUpstream>();
+
+  readonly #drained = new Set<UpstreamId>();
+
+  readonly #reservations = new Map<RequestId, UpstreamId>();
 
   readonly #changedPools = new Set<PoolId>();
 
-  #drains: readonly DrainRecord[] = [];
+  /** When the attempt that was acquired last has to have ended; null without a slot. */
+  #acquiredUntilMs: number | null = null;
 
   /**
    * @param context - the time of the step and the way out
    * @param stewards - who grants the slots of cold upstreams
+   * @param options - how its parts decide; what is left out takes its default
    */
   constructor(
-    readonly context: CoreContext,
-    readonly stewards: StewardDirectory,
-  ) {}
+    context: CoreContext,
+    stewards: StewardDirectory,
+    options: Partial<PoolRouterOptions> = {},
+  ) {
+    this.#context = context;
+    this.#stewards = stewards;
+    this.#options = { ...DEFAULT_POOL_ROUTER_OPTIONS, ...options };
+    this.#selector = new UpstreamSelector(context.random, this.#options.selector);
+    this.#grants = new GrantDesk(
+      context,
+      stewards,
+      (id) => this.#upstreams.get(id)?.pool.coldConcurrency ?? 0,
+      this.#options.grants,
+    );
+  }
 
   /**
    * Adopts pools, upstreams and drains; slots that run go on.
@@ -93,11 +103,20 @@
    * @param configuration - the records in force
    */
   setConfiguration(configuration: RouterConfiguration): void {
-    this.#pools.clear();
-    this.#upstreams.clear();
-    configuration.pools.forEach((pool) => this.#pools.set(pool.id as PoolId, pool));
-    configuration.upstreams
-      .forEach((upstream) => this.#upstreams.set(upstream.id as UpstreamId, upstream));
+    const pools = new Map(configuration.pools.map((pool) => [pool.id, pool]));
+    const ids = new Set(configuration.upstreams.map((upstream) => upstream.id as UpstreamId));
+    this.#upstreams.forEach((upstream, id) => {
+      if (!ids.has(id)) {
+        this.#remove(upstream);
+      }
+    });
+    configuration.upstreams.forEach((record) => {
+      const pool = pools.get(record.poolId);
+      if (pool !== undefined) {
+        this.#adopt(record, pool);
+      }
+    });
+    this.#countMembers();
     this.setDrains(configuration.drains);
   }
 
@@ -107,8 +126,19 @@
    * @param drains - all that is out of service
    */
   setDrains(drains: readonly DrainRecord[]): void {
-    this.#drains = drains;
-    this.#pools.forEach((_, poolId) => this.#changedPools.add(poolId));
+    this.#upstreams.forEach((upstream, id) => {
+      const isOut = isDrained(upstream.record, drains);
+      if (isOut !== this.#drained.has(id)) {
+        upstream.setDrained(isOut);
+        if (isOut) {
+          this.#drained.add(id);
+        } else {
+          this.#drained.delete(id);
+        }
+      }
+      this.#refresh(upstream);
+    });
+    this.#countMembers();
   }
 
   /**
@@ -118,15 +148,69 @@
    * @returns the upstream; null when none has room now
    */
   tryAcquire(request: AcquireRequest): UpstreamId | null {
-    const candidates = this.#getUsable(request.poolId).filter((id) => this.#hasRoom(id));
-    const others = candidates.filter((id) => !request.excludedUpstreamIds.includes(id));
-    const choice = (others.length > 0 ? others : candidates)
-      .sort((left, right) => this.#getRunning(left) - this.#getRunning(right))[0];
-    if (choice === undefined) {
+    this.#acquiredUntilMs = null;
+    const pool = this.#pools.get(request.poolId);
+    if (pool === undefined) {
+      return null;
+    }
+    const mayBeCold = request.excludedUpstreamIds.length === 0;
+    const cold = mayBeCold && (request.isRepeatable ?? true)
+      ? this.#acquireCold(pool, request, 1)
+      : null;
+    const chosen = cold
+      ?? (this.#selector.select(pool, request) as RoutedUpstream | null)
+      ?? (mayBeCold ? this.#acquireCold(pool, request, COLD_TRIES) : null);
+    if (chosen === null) {
       return null;
     }
-    this.#running.set(choice, this.#getRunning(choice) + 1);
-    return choice;
+    chosen.start(this.#acquiredUntilMs !== null);
+    this.#refresh(chosen);
+    return chosen.upstreamId;
+  }
+
+  /**
+   * Takes a slot at an upstream that runs nothing else of this host, and keeps others away until
+   * the attempt ends. An upstream is reserved at the first call and emptied first, so call again.
+   *
+   * @param request - what the attempt needs
+   * @returns the upstream; null while none is empty
+   */
+  tryAcquireAlone(request: AcquireRequest): UpstreamId | null {
+    this.#acquiredUntilMs = null;
+    const reserved = this.#getReserved(request);
+    if (reserved === null || reserved.runningCount > 0) {
+      return null;
+    }
+    reserved.start(false);
+    this.#refresh(reserved);
+    return reserved.upstreamId;
+  }
+
+  /**
+   * Opens an upstream again that was reserved for a request.
+   *
+   * @param requestId - the request; one without a reservation is passed over
+   */
+  releaseReservation(requestId: RequestId): void {
+    const upstreamId = this.#reservations.get(requestId);
+    const upstream = upstreamId === undefined ? undefined : this.#upstreams.get(upstreamId);
+    this.#reservations.delete(requestId);
+    if (upstream !== undefined) {
+      upstream.isReserved = false;
+      this.#refresh(upstream);
+    }
+  }
+
+  /**
+   * Bounds an attempt by the end of its slot; to be called directly after `tryAcquire`.
+   *
+   * @param wantedMs - how long the attempt may take by its deadline
+   * @returns how long it may take
+   */
+  getAttemptTimeoutMs(wantedMs: number): number {
+    return this.#acquiredUntilMs === null
+      ? wantedMs
+      : Math.min(wantedMs, this.#acquiredUntilMs - this.#context.getNowMs());
   }
 
   /**
@@ -135,7 +219,15 @@
    * @param outcome - how it ended
    */
   noteOutcome(outcome: AttemptOutcome): void {
-    this.noteCancelled(outcome.upstreamId);
+    const upstream = this.#upstreams.get(outcome.upstreamId);
+    if (upstream === undefined) {
+      return;
+    }
+    this.#end(upstream, isCertainEnd(outcome.failure));
+    upstream.learn(outcome);
+    const isError = outcome.failure !== null && isUpstreamError(outcome.failure);
+    this.#pools.get(upstream.poolId)?.ejection.note(upstream.upstreamId, isError);
+    this.#refresh(upstream);
   }
 
   /**
@@ -144,43 +236,80 @@
    * @param upstreamId - where it ran
    */
   noteCancelled(upstreamId: UpstreamId): void {
-    this.#running.set(upstreamId, Math.max(0, this.#getRunning(upstreamId) - 1));
-    const poolId = this.#upstreams.get(upstreamId)?.poolId;
-    if (poolId !== undefined) {
-      this.#changedPools.add(poolId as PoolId);
+    const upstream = this.#upstreams.get(upstreamId);
+    if (upstream !== undefined) {
+      this.#end(upstream, false);
+      this.#refresh(upstream);
     }
   }
 
   /**
    * Learns from a load report.
    *
-   * @param _report - what the upstream said, with its lag
+   * @param report - what the upstream said, with its lag
    */
-  noteLoad(_report: LoadReportedInput): void {}
+  noteLoad(report: LoadReportedInput): void {
+    const upstream = this.#upstreams.get(report.upstreamId);
+    if (upstream !== undefined) {
+      upstream.noteReport(report);
+      this.#refresh(upstream);
+    }
+  }
 
   /**
-   * Learns that an upstream's load report could not be fetched.
+   * Learns that an upstream's load report could not be fetched. Attempts tell more about it: one
+   * that can't be reached is noticed by the next of them.
    *
-   * @param _upstreamId - the upstream
+   * @param upstreamId - the upstream
    */
-  noteLoadUnavailable(_upstreamId: UpstreamId): void {}
+  noteLoadUnavailable(upstreamId: UpstreamId): void {
+    const upstream = this.#upstreams.get(upstreamId);
+    if (upstream !== undefined) {
+      this.#refresh(upstream);
+    }
+  }
 
   /**
    * Takes a peer's message about grants; others are passed over.
    *
-   * @param _fromHostId - the sender
-   * @param _message - the message
+   * @param fromHostId - the sender
+   * @param message - the message
    */
-  handlePeerMessage(_fromHostId: HostId, _message: PeerMessage): void {}
+  handlePeerMessage(fromHostId: HostId, message: PeerMessage): void {
+    const upstreamId = this.#grants.handlePeerMessage(fromHostId, message);
+    const upstream = upstreamId === null ? undefined : this.#upstreams.get(upstreamId);
+    if (upstream !== undefined) {
+      this.#refresh(upstream);
+    }
+  }
 
   /** Does the periodic work that is due. */
-  tick(): void {}
+  tick(): void {
+    if (this.#context.getNowMs() < this.getNextWakeMs()) {
+      return;
+    }
+    this.#grants.holder.tick();
+    this.#pools.forEach((pool) => {
+      pool.ejection.tick().forEach((id) => this.#endEjection(id));
+      [...pool.cold.items].forEach((upstream) => {
+        upstream.tick();
+        this.#refresh(upstream);
+      });
+    });
+  }
 
   /**
    * @returns when the next tick is due; Infinity for never
    */
   getNextWakeMs(): number {
-    return Infinity;
+    let nextMs = this.#grants.holder.getNextWakeMs();
+    this.#pools.forEach((pool) => {
+      nextMs = Math.min(nextMs, pool.ejection.getNextWakeMs());
+      pool.cold.items.forEach((upstream) => {
+        nextMs = Math.min(nextMs, upstream.health.getNextWakeMs());
+      });
+    });
+    return nextMs;
   }
 
   /**
@@ -197,29 +326,126 @@
    * @returns what it can take now
    */
   getCapacity(poolId: PoolId): PoolCapacity {
-    const usable = this.#getUsable(poolId);
-    const limit = usable.length * (this.#pools.get(poolId)?.maxConcurrency ?? 0);
-    const running = usable.reduce((sum, id) => sum + this.#getRunning(id), 0);
-    return { limit, running, usableUpstreams: usable.length };
+    return this.#pools.get(poolId)?.capacity ?? { limit: 0, running: 0, usableUpstreams: 0 };
+  }
+
+  /**
+   * @param upstreamId - the upstream
+   * @returns what this host knows of it, for operators; null when it is not configured
+   */
+  getUpstream(upstreamId: UpstreamId): RoutedUpstream | null {
+    return this.#upstreams.get(upstreamId) ?? null;
   }
 
-  #getUsable(poolId: PoolId): UpstreamId[] {
-    return [...this.#upstreams.values()]
-      .filter((upstream) => upstream.poolId === poolId && !this.#isDrained(upstream))
-      .map((upstream) => upstream.id as UpstreamId);
+  #acquireCold(pool: RoutedPool, request: AcquireRequest, tries: number): RoutedUpstream | null {
+    const timeoutMs = request.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    const granted = pool.granted.items[0];
+    if (granted !== undefined && this.#takeSlot(granted, timeoutMs)) {
+      return granted;
+    }
+    for (let index = 0; index < Math.min(tries, pool.cold.size); index += 1) {
+      const upstream = pool.getNextCold();
+      if (upstream?.health.takesWork() === true && this.#takeOrAsk(upstream, timeoutMs)) {
+        return upstream;
+      }
+    }
+    return null;
   }
 
-  #isDrained(upstream: UpstreamRecord): boolean {
-    return this.#drains.some((drain) => (drain.kind === 'upstream' && drain.id === upstream.id)
-      || (drain.kind === 'failureDomain' && drain.id === upstream.failureDomainId));
+  #takeOrAsk(upstream: RoutedUpstream, timeoutMs: number): boolean {
+    if (this.#takeSlot(upstream, timeoutMs)) {
+      return true;
+    }
+    this.#grants.holder.ask(upstream.upstreamId, timeoutMs);
+    // A steward that is this host itself has answered already.
+    const hasFree = this.#grants.holder.hasFree(upstream.upstreamId);
+    return hasFree && this.#takeSlot(upstream, timeoutMs);
   }
 
-  #hasRoom(upstreamId: UpstreamId): boolean {
-    const poolId = this.#upstreams.get(upstreamId)?.poolId as PoolId;
-    return this.#getRunning(upstreamId) < (this.#pools.get(poolId)?.maxConcurrency ?? 0);
+  #takeSlot({ upstreamId, pool }: RoutedUpstream, timeoutMs: number): boolean {
+    const { holder } = this.#grants;
+    this.#acquiredUntilMs = holder.take(upstreamId, pool.coldConcurrency, timeoutMs);
+    return this.#acquiredUntilMs !== null;
   }
 
-  #getRunning(upstreamId: UpstreamId): number {
-    return this.#running.get(upstreamId) ?? 0;
+  #getReserved(request: AcquireRequest): RoutedUpstream | null {
+    const reservedId = this.#reservations.get(request.requestId);
+    const reserved = reservedId === undefined ? undefined : this.#upstreams.get(reservedId);
+    if (reserved !== undefined && reserved.health.takesWork()) {
+      return reserved;
+    }
+    this.releaseReservation(request.requestId);
+    const pool = this.#pools.get(request.poolId);
+    const chosen = [...pool?.near.items ?? [], ...pool?.far.items ?? []]
+      .filter(({ upstreamId }) => !request.excludedUpstreamIds.includes(upstreamId))
+      .sort((left, right) => left.runningCount - right.runningCount)[0];
+    if (chosen === undefined) {
+      return null;
+    }
+    chosen.isReserved = true;
+    this.#reservations.set(request.requestId, chosen.upstreamId);
+    this.#refresh(chosen);
+    return chosen;
+  }
+
+  #end(upstream: RoutedUpstream, isCertain: boolean): void {
+    if (upstream.end()) {
+      this.#grants.holder.release(upstream.upstreamId, isCertain);
+    }
+  }
+
+  #endEjection(upstreamId: UpstreamId): void {
+    const upstream = this.#upstreams.get(upstreamId);
+    if (upstream !== undefined) {
+      upstream.restartLimit();
+      this.#refresh(upstream);
+    }
+  }
+
+  #adopt(record: UpstreamRecord, pool: PoolRecord): void {
+    const id = record.id as UpstreamId;
+    const bound = this.#stewards.getHostCountBound();
+    const known = this.#upstreams.get(id);
+    if (known?.pool.id === pool.id) {
+      known.setRecords(record, pool, bound);
+      return;
+    }
+    if (known !== undefined) {
+      this.#remove(known);
+    }
+    const created = new RoutedUpstream(this.#context, record, pool, bound, this.#options);
+    this.#upstreams.set(id, created);
+    const poolId = pool.id as PoolId;
+    if (!this.#pools.has(poolId)) {
+      this.#pools.set(poolId, new RoutedPool(this.#context, this.#options.ejection));
+    }
+  }
+
+  #remove(upstream: RoutedUpstream): void {
+    this.#upstreams.delete(upstream.upstreamId);
+    this.#drained.delete(upstream.upstreamId);
+    this.#pools.get(upstream.poolId)?.remove(upstream);
+    this.#grants.holder.drop(upstream.upstreamId);
+  }
+
+  #countMembers(): void {
+    const counts = new Map<PoolId, number>();
+    this.#upstreams.forEach(({ poolId, upstreamId }) => {
+      if (!this.#drained.has(upstreamId)) {
+        counts.set(poolId, (counts.get(poolId) ?? 0) + 1);
+      }
+    });
+    this.#pools.forEach((pool, id) => pool.ejection.setMemberCount(counts.get(id) ?? 0));
+  }
+
+  #refresh(upstream: RoutedUpstream): void {
+    const { upstreamId, poolId } = upstream;
+    const isCold = upstream.health.needsGrant();
+    if (!isCold) {
+      this.#grants.holder.drop(upstreamId);
+    }
+    const hasFreeSlot = isCold && this.#grants.holder.hasFree(upstreamId);
+    this.#pools.get(poolId)?.refresh(upstream, hasFreeSlot);
+    this.#changedPools.add(poolId);
   }
 }
