--- a/src/core/systems/dispatchStages.ts
+++ b/src/core/systems/dispatchStages.ts
@@ -3,7 +3,7 @@
   toId, type AttemptId, type PipelineId, type PoolId, type StageId, type UpstreamId,
 } from '../../lib/ids.ts';
 import type { CoreWorld } from '../CoreWorld.ts';
-import type { AcquireRequest } from '../../routing/PoolRouter.ts';
+import type { AcquireRequest } from '../../routing/AcquireRequest.ts';
 import { explain } from '../requests/explain.ts';
 import { getCurrentStage } from '../requests/getCurrentStage.ts';
 import type { PoolRow } from '../tables/PoolTable.ts';
