--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -12,6 +12,7 @@
 import type { RequestId, UpstreamId } from '../lib/ids.ts';
 import type { Quarantine } from '../quarantine/Quarantine.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
+import type { RoutedUpstream } from '../routing/RoutedUpstream.ts';
 import type { CoreContext } from './CoreContext.ts';
 import { CoreInbox } from './CoreInbox.ts';
 import type { CoreInput } from './CoreInput.ts';
@@ -172,11 +173,10 @@
 
   /**
    * @param upstreamId - an upstream
-   * @returns attempts that this host has there
+   * @returns how this host judges it; null when it is not configured
    */
-  countAttempts(upstreamId: UpstreamId): number {
-    return [...this.#world.attempts.values()]
-      .filter((attempt) => attempt.upstreamId === upstreamId).length;
+  getUpstream(upstreamId: UpstreamId): RoutedUpstream | null {
+    return this.#world.router.getUpstream(upstreamId);
   }
 
   /**
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -177,12 +177,11 @@
   }
 
   #getUpstreamLoad(upstreamId: UpstreamId): UpstreamLoad {
-    const { upstreams, pools } = this.#loop.core.getConfiguration();
-    const poolId = upstreams.find(({ id }) => id === upstreamId)?.poolId;
-    return {
-      state: 'known',
-      limit: pools.find(({ id }) => id === poolId)?.maxConcurrency ?? 0,
-      inFlightCount: this.#loop.core.countAttempts(upstreamId),
+    const upstream = this.#loop.core.getUpstream(upstreamId);
+    return upstream === null ? { state: 'unknown', limit: 0, inFlightCount: 0 } : {
+      state: upstream.health.state.kind,
+      limit: Math.floor(upstream.limit.value),
+      inFlightCount: upstream.runningCount,
     };
   }
 
--- a/test/e2e/operators.test.ts
+++ b/test/e2e/operators.test.ts
@@ -231,6 +231,29 @@
     equal((await runAt(first, ['restore', 'failure-domain', drained, '--yes'])).exitCode, 0);
   });
 
+  it('drains a host, which then is not ready, and brings it back', async () => {
+    const [first, second] = hosts;
+    ok(first && second);
+    const isSecondReady = async (): Promise<boolean> => (
+      (await fetch(`${second.httpUrl}/readyz`)).status === 200);
+    await waitFor(async () => (await getStatus(first)).members.length === 2);
+    const drained = await runAt(first, ['drain', 'host', 'entry-a2', '--yes']);
+    equal(drained.exitCode, EXIT_CODE.ok, drained.errors);
+    await waitFor(async () => !await isSecondReady());
+    const restored = await runAt(first, ['restore', 'host', 'entry-a2', '--yes']);
+    equal(restored.exitCode, EXIT_CODE.ok, restored.errors);
+    await waitFor(isSecondReady);
+  });
+
+  it('shows what the host knows of its upstreams', async () => {
+    const [first] = hosts;
+    ok(first);
+    const { pools } = await getStatus(first);
+    equal(pools.length, MIDLANDS_DEPLOYMENT.pools.length);
+    const states = pools.flatMap(({ upstreams }) => upstreams.map(({ state }) => state));
+    ok(states.every((state) => /^(cold|warming|warm|draining|gone)$/.test(state)), states.join());
+  });
+
   it('shows the same total cost by stage and by account', async () => {
     const [first] = hosts;
     ok(first);
