--- a/bench/BENCHES.ts
+++ b/bench/BENCHES.ts
@@ -12,4 +12,9 @@
     summary: 'platform writes and latency of claims; service while the platform is down',
     load: async () => ({ run: (await import('./claims.ts')).runClaims }),
   },
+  {
+    name: 'fleet',
+    summary: 'control cost of real entry hosts by fleet size; time until a change is in force',
+    load: async () => ({ run: (await import('./fleet.ts')).runFleet }),
+  },
 ];
--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -184,6 +184,11 @@
     return this.#world.leavingSinceMs !== null;
   }
 
+  /** This host's part in the fleet; null without peers. */
+  get fleet(): FleetCoordinator | null {
+    return this.#world.fleet;
+  }
+
   /** Follows the configuration and carries out operators' calls. */
   get configurationManager(): ConfigurationManager {
     return this.#world.configurationManager;
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -15,6 +15,7 @@
 import { registerOperatorRoutes } from '../operators/registerOperatorRoutes.ts';
 import type { HostStatus } from '../operators/HostStatus.ts';
 import { createLogger } from '../telemetry/createLogger.ts';
+import { addFleetMetrics } from '../telemetry/addFleetMetrics.ts';
 import { HostMetrics } from '../telemetry/HostMetrics.ts';
 import { Tracing } from '../telemetry/Tracing.ts';
 import { SystemClock } from '../time/SystemClock.ts';
@@ -123,6 +124,7 @@
       getRequest: (requestId) => this.#loop.core.getRequest(requestId),
       getStatus: () => this.#getStatus(),
     });
+    this.#showFleet();
     registerOperatorRoutes(this.#server, {
       port: this.#operatorDesk,
       operatorKey,
@@ -170,6 +172,16 @@
     this.#loop.post({ kind: 'stopRequested' });
   }
 
+  #showFleet(): void {
+    const { core } = this.#loop;
+    addFleetMetrics(this.#metrics.registry, () => ({
+      configurationVersion: core.getConfiguration().version,
+      aliveHostCount: core.fleet?.membership.getAliveHostIds().length ?? 1,
+      movedDutyCount: core.fleet?.duties.movedCount ?? 0,
+      transport: this.#link.counters,
+    }));
+  }
+
   #adoptConfiguration(configuration: ConfigurationRecord): void {
     this.#desk.setConfiguration(configuration);
     this.#loads.setUpstreams(configuration.upstreams);
