--- a/bench/BENCHES.ts
+++ b/bench/BENCHES.ts
@@ -17,4 +17,14 @@
     summary: 'control cost of real entry hosts by fleet size; time until a change is in force',
     load: async () => ({ run: (await import('./fleet.ts')).runFleet }),
   },
+  {
+    name: 'membership',
+    summary: 'detection time and false suspicions under loss, many memberships in memory',
+    load: async () => ({ run: (await import('./membership.ts')).runMembership }),
+  },
+  {
+    name: 'memory',
+    summary: 'heap of one core at the target table sizes',
+    load: async () => ({ run: (await import('./memory.ts')).runMemory }),
+  },
 ];
--- a/test/support/MembershipTestBed.ts
+++ b/test/support/MembershipTestBed.ts
@@ -3,6 +3,8 @@
 import { Membership } from '../../src/membership/Membership.ts';
 import type { MembershipEvent } from '../../src/membership/MembershipEvent.ts';
 import type { MembershipOptions } from '../../src/membership/MembershipOptions.ts';
+import { encodeFrame } from '../../src/peers/encodeFrame.ts';
+import { PEER_PROTOCOL } from '../../src/peers/PEER_PROTOCOL.ts';
 import type { PeerMessage } from '../../src/peers/PeerMessage.ts';
 import type { HostListEntry } from '../../src/platform/HostListEntry.ts';
 import { ManualClock } from '../../src/time/ManualClock.ts';
@@ -28,6 +30,8 @@
   /** Part of the messages that are lost. */
   readonly lossFraction?: number;
   readonly membership?: Partial<MembershipOptions>;
+  /** Whether messages are encoded, to know their bytes. */
+  readonly isEncoding?: boolean;
 }
 
 /** Several memberships that exchange messages in memory, each message within one step. */
@@ -41,6 +45,9 @@
 
   messageCount = 0;
 
+  /** Bytes of all messages with their authentication codes; 0 unless they are encoded. */
+  sentBytes = 0;
+
   readonly #random: SeededRandomSource;
 
   readonly #lossFraction: number;
@@ -58,6 +65,12 @@
     this.members.forEach(({ membership }) => membership.handleHostList(this.hostList));
   }
 
+  /** Starts the counts of messages and bytes again. */
+  resetCounts(): void {
+    this.messageCount = 0;
+    this.sentBytes = 0;
+  }
+
   /** What the platform's host list shows. */
   get hostList(): HostListEntry[] {
     return this.members.map(({ context }) => ({ ...context.self, isLeaving: false }));
@@ -100,14 +113,22 @@
     }
   }
 
+  #find(hostId: HostId): TestMember | undefined {
+    // Host ids end in the place of their host.
+    return this.members[Number(hostId.slice(hostId.lastIndexOf('-') + 1))];
+  }
+
   #deliver(sender: TestMember): number {
     const outputs = sender.context.takeOutputs();
     outputs.forEach((output) => {
       const receiver = output.kind === 'sendPeerMessage'
-        ? this.members.find(({ hostId }) => hostId === output.toHostId)
+        ? this.#find(output.toHostId)
         : undefined;
       if (output.kind === 'sendPeerMessage' && receiver !== undefined) {
         this.messageCount += 1;
+        this.sentBytes += this.#options.isEncoding === true
+          ? encodeFrame(output.message).length + PEER_PROTOCOL.macBytes
+          : 0;
         this.#pass(sender, receiver, output.message);
       }
     });
