Mend the view by a digest, and ask twice before a suspicion

Cause: at 330 hosts the join's news filled the heartbeats for minutes, so that a death was lost to some hosts for ever at 1% loss. Now a confirmed hint of the host list is no news, heartbeats carry hashes of the view and answers the members that differ, and two answers must be missed. Ruled out: more copies of each change (they cost bytes and never close the gap).

--- a/src/membership/MemberNews.ts
+++ b/src/membership/MemberNews.ts
@@ -12,10 +12,6 @@
   /** How often each change has still to be carried. */
   readonly #remaining = new Map<HostId, number>();
 
-  #messageCount = 0;
-
-  #fillerTurn = 0;
-
   /**
    * @param table - the members
    * @param options - see `DEFAULT_MEMBERSHIP_OPTIONS`
@@ -29,7 +25,7 @@
    * @param hostId - a member that changed
    */
   add(hostId: HostId): void {
-    const rounds = Math.log2(this.#table.size + 2);
+    const rounds = Math.log(this.#table.size + 2);
     this.#remaining.set(hostId, Math.ceil(this.#options.retransmitFactor * rounds));
   }
 
@@ -42,21 +38,20 @@
 
   /**
    * Selects what the receiver must object to, then changes that were carried the fewest times,
-   * then now and then a member by turns.
+   * then, as far as there is room, members about which the receiver is known to differ.
    *
    * @param receiver - whom the message goes to
+   * @param different - members that the receiver may see otherwise, in random order
    * @returns the records to carry
    */
-  select(receiver: MemberRecord): MemberRecord[] {
+  select(receiver: MemberRecord, different: readonly MemberRecord[] = []): MemberRecord[] {
     const hostIds = new Set(this.#takeChanges());
     const state = this.#table.get(receiver.hostId)?.record.state;
     if (state === 'suspect' || state === 'dead') {
       hostIds.add(receiver.hostId);
     }
-    this.#messageCount += 1;
-    if (this.#messageCount % this.#options.fillerEveryMessages === 0) {
-      this.#takeFiller().forEach((hostId) => hostIds.add(hostId));
-    }
+    different.slice(0, Math.max(0, this.#options.maxPiggyback - hostIds.size))
+      .forEach(({ hostId }) => hostIds.add(hostId));
     return [...hostIds].flatMap((hostId) => this.#table.get(hostId)?.record ?? []);
   }
 
@@ -73,10 +68,4 @@
     });
     return taken.map(([hostId]) => hostId);
   }
-
-  #takeFiller(): HostId[] {
-    const all = this.#table.getAll();
-    this.#fillerTurn = all.length === 0 ? 0 : (this.#fillerTurn + 1) % all.length;
-    return all.slice(this.#fillerTurn, this.#fillerTurn + 1).map(({ record }) => record.hostId);
-  }
 }
--- a/src/membership/MemberTable.ts
+++ b/src/membership/MemberTable.ts
@@ -7,6 +7,13 @@
 export class MemberTable {
   readonly #entries = new Map<HostId, MemberEntry>();
 
+  #version = 0;
+
+  /** Grows with each change of a record. */
+  get version(): number {
+    return this.#version;
+  }
+
   /** Members in every state. */
   get size(): number {
     return this.#entries.size;
@@ -43,11 +50,16 @@
    *
    * @param heard - the statement
    * @param nowMs - the time of the step
-   * @returns whether the member's state, address or process start is now another one
+   * @returns whether that is news: the member's state or process start is another one
    */
   merge(heard: MemberRecord, nowMs: number): boolean {
     const entry = this.#entries.get(heard.hostId);
     if (entry === undefined) {
+      if (heard.state === 'dead') {
+        // It was forgotten here; taking it again would keep it alive as news for ever.
+        return false;
+      }
+      this.#version += 1;
       this.#entries.set(heard.hostId, {
         record: heard, stateSinceMs: nowMs, heardAtMs: null, hasLeft: heard.state === 'leaving',
       });
@@ -60,6 +72,7 @@
     const isSameState = record.state === entry.record.state
       && record.generation === entry.record.generation;
     const stateSinceMs = isSameState ? entry.stateSinceMs : nowMs;
+    this.#version += 1;
     const isSameStart = record.incarnationId === entry.record.incarnationId;
     this.#entries.set(heard.hostId, {
       ...entry,
@@ -67,7 +80,10 @@
       stateSinceMs,
       hasLeft: record.state === 'leaving' || (isSameStart && entry.hasLeft),
     });
-    return !isSameState;
+    // That a host of the host list was reached is no news to those who have the list.
+    const isHintConfirmed = entry.record.generation === 0 && isSameStart
+      && entry.record.state === record.state;
+    return !isSameState && !isHintConfirmed;
   }
 
   /**
@@ -107,6 +123,7 @@
       .filter(({ record, stateSinceMs }) => record.state === 'dead' && stateSinceMs <= sinceMs)
       .map(({ record }) => record.hostId);
     hostIds.forEach((hostId) => this.#entries.delete(hostId));
+    this.#version += hostIds.length;
     return hostIds;
   }
 }
--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -74,6 +74,7 @@
       members: [],
       configurationVersion: 0,
       versions: {},
+      viewDigest: [],
     });
     const known = at(bed, 0).membership.getMembers().find(({ hostId }) => hostId === old.hostId);
     equal(known?.incarnationId, 'host-3-start-2');
@@ -84,7 +85,13 @@
     bed.run(3000);
     const self = { ...at(bed, 1).membership.getSelf(), state: 'dead' as const, generation: 1e15 };
     at(bed, 0).membership.handleHeartbeat(at(bed, 2).context.self.incarnationId, {
-      kind: 'heartbeat', sequence: 1, self, members: [], configurationVersion: 0, versions: {},
+      kind: 'heartbeat',
+      sequence: 1,
+      self,
+      members: [],
+      configurationVersion: 0,
+      versions: {},
+      viewDigest: [],
     });
     equal(getState(at(bed, 0), at(bed, 1)), 'alive');
   });
@@ -159,6 +166,7 @@
       members: [successor],
       configurationVersion: 0,
       versions: {},
+      viewDigest: [],
     });
     bed.run(50);
     ok(at(bed, 3).events.some(({ kind }) => kind === 'selfReplaced'));
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -4,6 +4,7 @@
   HeartbeatAnswerMessage, HeartbeatMessage, MemberRecord, PeerMessage,
 } from '../peers/PeerMessage.ts';
 import type { HostListEntry } from '../platform/HostListEntry.ts';
+import { AnswerWatch } from './AnswerWatch.ts';
 import { createHintRecord } from './createHintRecord.ts';
 import { HeartbeatTargets } from './HeartbeatTargets.ts';
 import type { MemberEntry } from './MemberEntry.ts';
@@ -13,7 +14,10 @@
 import type { MembershipStart } from './MembershipStart.ts';
 import { MemberTable } from './MemberTable.ts';
 import { PauseGuard } from './PauseGuard.ts';
+import { shuffle } from './shuffle.ts';
+import { Suspicions } from './Suspicions.ts';
 import { VersionNews } from './VersionNews.ts';
+import { ViewDigest } from './ViewDigest.ts';
 
 /** Statements a process can make about itself within one millisecond of start time. */
 const GENERATIONS_PER_START_MS = 1024;
@@ -34,15 +38,15 @@
 
   readonly #versions: VersionNews;
 
+  readonly #digest: ViewDigest;
+
   readonly #pauses: PauseGuard;
 
   readonly #targets: HeartbeatTargets;
 
-  /** When the heartbeat was sent that a member has not answered yet. */
-  readonly #unanswered = new Map<HostId, number>();
+  readonly #unanswered: AnswerWatch;
 
-  /** When a suspected member counts as dead. */
-  readonly #suspicions = new Map<HostId, number>();
+  readonly #suspicions: Suspicions;
 
   #self: MemberRecord;
 
@@ -72,6 +76,9 @@
     this.#options = { ...DEFAULT_MEMBERSHIP_OPTIONS, ...options };
     this.#news = new MemberNews(this.#table, this.#options);
     this.#versions = new VersionNews(this.#table, this.#options);
+    this.#digest = new ViewDigest(this.#table, this.#options.digestBuckets);
+    this.#unanswered = new AnswerWatch(this.#options);
+    this.#suspicions = new Suspicions(this.#options.suspicionMs);
     this.#pauses = new PauseGuard(this.#options);
     this.#bornAtMs = context.getNowMs();
     this.#targets = new HeartbeatTargets(context.self, context.random, this.#table);
@@ -189,8 +196,9 @@
         kind: 'heartbeatAnswer',
         sequence: message.sequence,
         self: this.#self,
-        members: this.#news.select(known),
+        members: this.#news.select(known, this.#getDifferent(message)),
         versions: this.#versions.select(),
+        viewDigest: this.#digest.get(this.#self),
       });
     }
     if (self.configurationVersion > this.#self.configurationVersion) {
@@ -202,7 +210,7 @@
    * @param hostId - a member to whom no connection could be made or kept
    */
   handleUnreachable(hostId: HostId): void {
-    this.#suspect(this.#table.get(hostId));
+    this.#suspect(this.#table.get(hostId)?.record);
   }
 
   /**
@@ -249,9 +257,11 @@
    * @returns when the next tick is due
    */
   getNextWakeMs(): number {
-    const { answerTimeoutMs } = this.#options;
-    const answersMs = [...this.#unanswered.values()].map((sentAtMs) => sentAtMs + answerTimeoutMs);
-    return Math.min(this.#nextRoundAtMs, ...answersMs, ...this.#suspicions.values());
+    return Math.min(
+      this.#nextRoundAtMs,
+      this.#unanswered.getNextWakeMs(),
+      this.#suspicions.getNextWakeMs(),
+    );
   }
 
   /**
@@ -275,21 +285,20 @@
   }
 
   #judgeUnanswered(nowMs: number): void {
-    this.#unanswered.forEach((sentAtMs, hostId) => {
-      if (nowMs - sentAtMs >= this.#options.answerTimeoutMs) {
-        this.#unanswered.delete(hostId);
-        this.#suspect(this.#table.get(hostId));
+    this.#unanswered.takeOverdue(nowMs).forEach(({ hostId, missedCount }) => {
+      const member = this.#table.get(hostId)?.record;
+      if (missedCount >= this.#options.missedAnswers) {
+        this.#suspect(member);
+      } else if (member !== undefined) {
+        this.#sendHeartbeat(member, missedCount);
       }
     });
   }
 
   #judgeSuspicions(nowMs: number): void {
-    this.#suspicions.forEach((deadAtMs, hostId) => {
-      const record = this.#table.get(hostId)?.record;
-      if (nowMs >= deadAtMs && record !== undefined) {
-        this.#merge({ ...record, state: 'dead' });
-      }
-    });
+    this.#suspicions.getDue(nowMs)
+      .flatMap((hostId) => this.#table.get(hostId)?.record ?? [])
+      .forEach((member) => this.#merge({ ...member, state: 'dead' }));
   }
 
   #forgetDead(nowMs: number): void {
@@ -297,25 +306,25 @@
       .forEach((hostId) => this.#news.remove(hostId));
   }
 
-  #suspect(entry: MemberEntry | undefined): void {
-    if (entry?.record.state === 'alive') {
-      this.#merge({ ...entry.record, state: 'suspect' });
+  #suspect(member: MemberRecord | undefined): void {
+    if (member?.state === 'alive') {
+      this.#merge({ ...member, state: 'suspect' });
       // It learns of the suspicion at once, so that it can object.
-      this.#sendHeartbeat(entry.record);
-    } else if (entry?.record.state === 'leaving') {
-      this.#merge({ ...entry.record, state: 'dead' });
+      this.#sendHeartbeat(member);
+    } else if (member?.state === 'leaving') {
+      this.#merge({ ...member, state: 'dead' });
     }
   }
 
   #startRound(): void {
     const {
-      fanout, linksPerDomain, linkEveryRounds, deadEveryRounds,
+      fanout, suspectFanout, linksPerDomain, linkEveryRounds, deadEveryRounds,
     } = this.#options;
     this.#round += 1;
     const suspects = this.#table.getPresent(this.#self.failureDomainId)
       .filter(({ state }) => state === 'suspect');
     const targets = [
-      ...suspects.slice(0, 1),
+      ...shuffle(suspects, this.#context.random).slice(0, suspectFanout),
       ...this.#targets.takeOwnDomain(fanout),
       ...this.#round % linkEveryRounds === 0 ? this.#targets.takeLink(linksPerDomain) : [],
       ...this.#round % deadEveryRounds === 0 ? this.#targets.takeDead() : [],
@@ -324,10 +333,10 @@
       .forEach((member) => this.#sendHeartbeat(member));
   }
 
-  #sendHeartbeat(member: MemberRecord): void {
+  #sendHeartbeat(member: MemberRecord, missedCount = 0): void {
     this.#sequence += 1;
-    if (member.state !== 'dead' && !this.#unanswered.has(member.hostId)) {
-      this.#unanswered.set(member.hostId, this.#context.getNowMs());
+    if (member.state !== 'dead') {
+      this.#unanswered.add(member.hostId, this.#context.getNowMs(), missedCount);
     }
     this.#send(member, {
       kind: 'heartbeat',
@@ -336,6 +345,7 @@
       members: this.#news.select(member),
       configurationVersion: this.#self.configurationVersion,
       versions: this.#versions.select(),
+      viewDigest: this.#digest.get(this.#self),
     });
   }
 
@@ -345,9 +355,13 @@
     });
   }
 
+  #getDifferent({ viewDigest }: HeartbeatMessage): MemberRecord[] {
+    return shuffle(this.#digest.getDifferent(this.#self, viewDigest), this.#context.random);
+  }
+
   #noteHeard(hostId: HostId): void {
     this.#table.noteHeard(hostId, this.#context.getNowMs());
-    this.#unanswered.delete(hostId);
+    this.#unanswered.remove(hostId);
     if (this.#pauses.noteHeard()) {
       this.#events.push({ kind: 'viewRefreshed' });
     }
@@ -361,19 +375,11 @@
     if (this.#table.merge(heard, this.#context.getNowMs())) {
       const { record } = this.#table.get(heard.hostId) as MemberEntry;
       this.#news.add(record.hostId);
-      this.#noteSuspicion(record);
+      this.#suspicions.note(record, this.#context.getNowMs());
       this.#events.push({ kind: 'memberChanged', member: record });
     }
   }
 
-  #noteSuspicion({ hostId, state }: MemberRecord): void {
-    if (state === 'suspect') {
-      this.#suspicions.set(hostId, this.#context.getNowMs() + this.#options.suspicionMs);
-    } else {
-      this.#suspicions.delete(hostId);
-    }
-  }
-
   /** Outbids what is said about this host when it is not what this host says. */
   #object(heard: MemberRecord): void {
     const isWrong = heard.state !== this.#self.state
--- a/src/membership/MembershipOptions.ts
+++ b/src/membership/MembershipOptions.ts
@@ -10,14 +10,18 @@
   readonly linkEveryRounds: number;
   /** Time to wait for the answer to a heartbeat. */
   readonly answerTimeoutMs: number;
+  /** Heartbeats without an answer, one after the other, until a member is suspected. */
+  readonly missedAnswers: number;
+  /** Suspected members that get a heartbeat in each round beside the others. */
+  readonly suspectFanout: number;
   /** Time in which a suspected member can object before it counts as dead. */
   readonly suspicionMs: number;
   /** Member records carried by one heartbeat or answer. */
   readonly maxPiggyback: number;
   /** Configuration versions of other hosts carried by one heartbeat or answer. */
   readonly maxVersions: number;
-  /** Every so many messages carry one more member by turns, which mends what was missed. */
-  readonly fillerEveryMessages: number;
+  /** Buckets of the digest by which two hosts find where their views differ. */
+  readonly digestBuckets: number;
   /** Members that hear at once of a newer configuration, beside the links. */
   readonly noticeFanout: number;
   /** Rounds between two heartbeats to a dead member, which heal a mended partition. */
@@ -39,10 +43,12 @@
   linksPerDomain: 2,
   linkEveryRounds: 2,
   answerTimeoutMs: 400,
-  suspicionMs: 2000,
+  missedAnswers: 2,
+  suspectFanout: 2,
+  suspicionMs: 3000,
   maxPiggyback: 6,
   maxVersions: 8,
-  fillerEveryMessages: 4,
+  digestBuckets: 16,
   noticeFanout: 3,
   deadEveryRounds: 4,
   retransmitFactor: 3,
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -30,6 +30,8 @@
   readonly configurationVersion: number;
   /** Configuration versions in force by host, a bounded selection. */
   readonly versions: Readonly<Record<string, number>>;
+  /** Hashes over the members that the sender takes for present, by bucket. */
+  readonly viewDigest: readonly number[];
 }
 
 /** A configuration that was accepted by the platform. */
@@ -54,6 +56,8 @@
   readonly members: readonly MemberRecord[];
   /** Configuration versions in force by host, a bounded selection. */
   readonly versions: Readonly<Record<string, number>>;
+  /** Hashes over the members that the sender takes for present, by bucket. */
+  readonly viewDigest: readonly number[];
 }
 
 /** Records that changed, or that a digest showed to be missing at the receiver. */
