--- /dev/null
+++ b/test/faults/runFaultCase.ts
@@ -0,0 +1,73 @@
+import type { Fault } from './FAULTS.ts';
+import type { FaultTrace } from './FaultTrace.ts';
+import { FaultWorld } from './FaultWorld.ts';
+import type { Mutation } from './MUTATION.ts';
+import type { FaultStep } from './STEPS.ts';
+
+/** A fault and the step at which it is put in. */
+export interface FaultInjection {
+  readonly fault: Fault;
+  readonly step: FaultStep;
+}
+
+const FIRST_REQUEST_MS = 300;
+const REQUEST_PERIOD_MS = 120;
+const LAST_REQUEST_MS = 7500;
+const RESEND_MS = 450;
+const RESEND_EVERY = 3;
+const DRAIN_UPSTREAM_MS = 900;
+const DRAIN_DOMAIN_MS = 1300;
+const STOP_MS = 2260;
+const END_MS = 13_000;
+/** Faults begin once the system serves. */
+const ARMED_MS = 600;
+
+function scheduleRequests(world: FaultWorld): void {
+  let count = 0;
+  for (let atMs = FIRST_REQUEST_MS; atMs < LAST_REQUEST_MS; atMs += REQUEST_PERIOD_MS) {
+    const number = count;
+    const isBook = number % 2 === 0;
+    const key = isBook ? `key-${number}` : null;
+    const pipelineId = isBook ? 'book' : 'read';
+    world.queue.later(atMs, () => world.submit(number % 3, pipelineId, key, `input-${number}`));
+    if (isBook && number % RESEND_EVERY === 0) {
+      world.queue.later(atMs + RESEND_MS, () => (
+        world.submit((number + 1) % 3, pipelineId, key, `input-${number}`)
+      ));
+    }
+    count += 1;
+  }
+}
+
+/**
+ * Runs the small system through requests, two drains and a planned stop, with faults.
+ *
+ * @param injections - faults, each put in once, when its step is about to happen
+ * @param seed - seed of all randomness
+ * @param mutation - a fault put into the system on purpose; null for none
+ * @returns what was seen, and how many of the faults were put in
+ */
+export function runFaultCase(
+  injections: readonly FaultInjection[],
+  seed: number,
+  mutation: Mutation | null = null,
+): { readonly trace: FaultTrace; readonly injectedCount: number } {
+  const world = new FaultWorld(seed, mutation);
+  let waiting = [...injections];
+  world.onStep = (step, host) => {
+    const due = world.queue.nowMs < ARMED_MS
+      ? [] : waiting.filter((injection) => injection.step === step);
+    waiting = waiting.filter((injection) => !due.includes(injection));
+    due.forEach(({ fault }) => fault.start(world, host));
+  };
+  scheduleRequests(world);
+  world.queue.later(DRAIN_UPSTREAM_MS, () => world.operate(0, 'drainUpstream', {
+    drain: [{ kind: 'upstream', id: 'ledger-b' }],
+  }));
+  world.queue.later(DRAIN_DOMAIN_MS, () => world.operate(1, 'drainDomain', {
+    drain: [{ kind: 'failureDomain', id: 'domain-c' }],
+  }));
+  world.queue.later(STOP_MS, () => world.stop(1));
+  world.run(END_MS);
+  return { trace: world.trace, injectedCount: injections.length - waiting.length };
+}
