--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -7,8 +7,10 @@
 } from '../configuration/records/ConfigurationRecord.ts';
 import type { ClaimPort } from '../claims/ClaimPort.ts';
 import type { CostPort } from '../cost/CostPort.ts';
+import type { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { RequestId, UpstreamId } from '../lib/ids.ts';
+import type { Quarantine } from '../quarantine/Quarantine.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
 import type { CoreContext } from './CoreContext.ts';
 import { CoreInbox } from './CoreInbox.ts';
@@ -31,10 +33,13 @@
 
 /** The managers that the core composes. */
 export interface CoreManagers {
+  readonly quarantine: Quarantine;
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
   readonly configurationManager: ConfigurationManager;
+  /** Absent for a core that works without peers. */
+  readonly fleet?: FleetCoordinator;
 }
 
 /**
@@ -75,6 +80,7 @@
     const pools = new PoolTable(context, managers.router);
     this.#world = {
       ...managers,
+      fleet: managers.fleet ?? null,
       context,
       latencies,
       pools,
@@ -106,6 +112,7 @@
    */
   step(inputs: readonly CoreInput[]): void {
     inputs.forEach((input) => this.#sortInput(input));
+    this.#tickFleet();
     this.#world.configurationManager.tick();
     this.#world.claims.tick();
     this.#world.router.tick();
@@ -130,6 +137,7 @@
       getNextQueueExpiryMs(world),
       world.claims.getNextWakeMs(),
       world.configurationManager.getNextWakeMs(),
+      world.fleet?.getNextWakeMs() ?? Infinity,
       world.router.getNextWakeMs(),
       world.isStopping && !world.isStopped ? leaveAtMs : Infinity,
     );
@@ -145,6 +153,7 @@
     const { hostId, failureDomainId } = world.context.self;
     world.configuration = new ConfigurationIndex(configuration);
     world.pools.setAccounts(configuration.accounts);
+    world.fleet?.setConfiguration(configuration);
     world.router.setConfiguration(configuration);
     if (world.configuration.isHostDrained(hostId, failureDomainId)) {
       world.leavingSinceMs ??= world.context.getNowMs();
@@ -197,9 +206,18 @@
     return this.#world.requests.get(requestId);
   }
 
+  #tickFleet(): void {
+    const { fleet, context } = this.#world;
+    fleet?.tick();
+    if (fleet?.isReplaced === true) {
+      this.#world.isStopping = true;
+      this.#world.leavingSinceMs ??= context.getNowMs();
+    }
+  }
+
   #sortInput(input: CoreInput): void {
     const {
-      inbox, router, claims, configurationManager,
+      inbox, router, claims, configurationManager, fleet,
     } = this.#world;
     switch (input.kind) {
       case 'requestSubmitted':
@@ -218,6 +236,7 @@
         return;
       case 'loadReported':
         router.noteLoad(input);
+        this.#world.quarantine.noteIncarnation(input.upstreamId, input.upstreamIncarnation);
         return;
       case 'loadUnavailable':
         router.noteLoadUnavailable(input.upstreamId);
@@ -227,18 +246,24 @@
         configurationManager.handleKeyValueAnswer(input);
         return;
       case 'peerMessageReceived':
+        fleet?.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
         claims.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
         router.handlePeerMessage(input.fromHostId, input.message);
+        this.#world.quarantine.handlePeerMessage(input.message);
         configurationManager.handlePeerMessage(input);
         return;
       case 'hostListRead':
+        fleet?.handleHostList(input.hosts);
+        return;
       case 'peerUnreachable':
+        fleet?.handleUnreachable(input.hostId);
         return;
       case 'operatorCalled':
         configurationManager.handleOperatorCall(input);
         return;
       case 'stopRequested':
         this.#world.isStopping = true;
+        fleet?.announceLeaving();
         this.#world.leavingSinceMs ??= this.#world.context.getNowMs();
         return;
       default:
