Grant slots of cold upstreams through lost replies and past stray attempts

Two causes: - a grant whose reply was lost blocked the slot for its whole life (8 s; with one slot the pool served nobody). The holder now repeats its ask under the same name, and the steward answers with what is left of the slot. The holder's slot counts from its first send, so it ends no later than before. - attempts sent before a restart was noticed ran beside granted ones. The steward now takes what load reports show above its grants off what it grants (believed for 2 s). Ruled out: shorter grants alone (a lost reply still blocks the only slot), waiving the check.

--- a/src/grants/GrantDesk.ts
+++ b/src/grants/GrantDesk.ts
@@ -7,6 +7,15 @@
 import { GrantSteward } from './GrantSteward.ts';
 import type { Steward, StewardDirectory } from './StewardDirectory.ts';
 
+/** Attempts without a slot at an upstream, as its last load report showed them. */
+interface Strays {
+  readonly count: number;
+  readonly atMs: number;
+}
+
+/** How long a report of strays is believed when no further one comes. */
+const STRAYS_VALID_MS = 2000;
+
 /** This host as a holder and as a steward of slots, with the messages between the two roles. */
 export class GrantDesk {
   readonly holder: GrantHolder;
@@ -19,6 +28,8 @@
 
   readonly #getBearable: (upstreamId: UpstreamId) => number;
 
+  readonly #strays = new Map<UpstreamId, Strays>();
+
   /**
    * @param context - the time of the step and the way out
    * @param directory - who is steward
@@ -64,9 +75,32 @@
     }
   }
 
+  /**
+   * Learns how many attempts an upstream runs. More than were granted are strays: hosts sent them
+   * before they noticed that it had started anew, and they take of what it bears.
+   *
+   * @param upstreamId - the upstream
+   * @param runningCount - as its load report says
+   */
+  noteRunning(upstreamId: UpstreamId, runningCount: number): void {
+    const count = Math.max(0, runningCount - this.#steward.countGrants(upstreamId));
+    if (count === 0) {
+      this.#strays.delete(upstreamId);
+    } else {
+      this.#strays.set(upstreamId, { count, atMs: this.#context.getNowMs() });
+    }
+  }
+
+  #countStrays(upstreamId: UpstreamId): number {
+    const strays = this.#strays.get(upstreamId);
+    const oldestMs = this.#context.getNowMs() - STRAYS_VALID_MS;
+    return strays === undefined || strays.atMs < oldestMs ? 0 : strays.count;
+  }
+
   #answer(fromHostId: HostId, ask: GrantAskMessage): void {
     const bearable = this.#getBearable(ask.upstreamId);
-    const reply = this.#steward.handleAsk(fromHostId, ask, bearable);
+    const strayCount = this.#countStrays(ask.upstreamId);
+    const reply = this.#steward.handleAsk(fromHostId, ask, bearable, strayCount);
     this.#send(fromHostId, this.#directory.getAddress(fromHostId), reply);
   }
 
--- a/src/grants/GrantHolder.ts
+++ b/src/grants/GrantHolder.ts
@@ -96,7 +96,8 @@
       grantMs, maxGrantMs, askTimeoutMs, askSlackMs,
     } = this.#options;
     const durationMs = Math.min(maxGrantMs, Math.max(grantMs, timeoutMs + askSlackMs));
-    const askId = this.#context.random.getHexId();
+    slots.forgetEnded(nowMs);
+    const askId = slots.getLostAskId(nowMs - grantMs) ?? this.#context.random.getHexId();
     slots.noteAsk(askId, nowMs, nowMs + askTimeoutMs);
     this.#send(steward, {
       kind: 'grantAsk', askId, upstreamId, durationMs,
--- /dev/null
+++ b/src/grants/GrantSteward.test.ts
@@ -0,0 +1,47 @@
+import { equal } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { toId, type HostId, type UpstreamId } from '../lib/ids.ts';
+import { FakeCoreContext } from '../../test/support/FakeCoreContext.ts';
+import type { GrantAskMessage } from './GrantMessage.ts';
+import { GrantSteward } from './GrantSteward.ts';
+import { SoleSteward } from './SoleSteward.ts';
+
+const FIRST_HOST = toId<HostId>('entry-a2');
+const SECOND_HOST = toId<HostId>('entry-a3');
+const BEARABLE = 1;
+
+function createAsk(askId: string): GrantAskMessage {
+  return {
+    kind: 'grantAsk', askId, upstreamId: toId<UpstreamId>('engine-1'), durationMs: 2000,
+  };
+}
+
+function createSteward(): { readonly context: FakeCoreContext; readonly steward: GrantSteward } {
+  const context = new FakeCoreContext();
+  return { context, steward: new GrantSteward(context, new SoleSteward(context)) };
+}
+
+describe('GrantSteward', () => {
+  it('answers a repeated ask with what is left of the same slot', () => {
+    const { context, steward } = createSteward();
+    const first = steward.handleAsk(FIRST_HOST, createAsk('ask-1'), BEARABLE);
+    context.clock.advance(500);
+    const repeated = steward.handleAsk(FIRST_HOST, createAsk('ask-1'), BEARABLE);
+    equal(first.durationMs, 2000);
+    equal(repeated.durationMs > 0 && repeated.durationMs <= 1500, true);
+    equal(steward.countGrants(toId('engine-1')), 1);
+  });
+
+  it('gives the slot of an ask to no other host', () => {
+    const { steward } = createSteward();
+    steward.handleAsk(FIRST_HOST, createAsk('ask-1'), BEARABLE);
+    equal(steward.handleAsk(SECOND_HOST, createAsk('ask-1'), BEARABLE).durationMs, 0);
+    equal(steward.handleAsk(SECOND_HOST, createAsk('ask-2'), BEARABLE).durationMs, 0);
+  });
+
+  it('counts attempts that were sent before the start was noticed', () => {
+    const { steward } = createSteward();
+    equal(steward.handleAsk(FIRST_HOST, createAsk('ask-1'), BEARABLE, 1).durationMs, 0);
+    equal(steward.handleAsk(FIRST_HOST, createAsk('ask-1'), BEARABLE, 0).durationMs, 2000);
+  });
+});
--- a/src/grants/GrantSteward.ts
+++ b/src/grants/GrantSteward.ts
@@ -15,6 +15,16 @@
   readonly grants: Map<string, Grant>;
 }
 
+function createGrant(
+  { askId, upstreamId }: GrantAskMessage,
+  { epoch }: StewardDuty,
+  durationMs: number,
+): GrantReplyMessage {
+  return {
+    kind: 'grantReply', askId, upstreamId, epoch, durationMs, retryAfterMs: 0,
+  };
+}
+
 /**
  * Hands out the slots of the cold upstreams that this host is steward of. A slot counts as used
  * until it is returned or its time, lengthened by the drift of clocks, is over. A new duty starts
@@ -55,9 +65,15 @@
    * @param fromHostId - who asks
    * @param ask - what for
    * @param bearable - attempts that the upstream bears while cold, over all hosts
+   * @param strayCount - attempts that run there without a slot, sent before its start was noticed
    * @returns the grant, or a denial with a time to ask again
    */
-  handleAsk(fromHostId: HostId, ask: GrantAskMessage, bearable: number): GrantReplyMessage {
+  handleAsk(
+    fromHostId: HostId,
+    ask: GrantAskMessage,
+    bearable: number,
+    strayCount = 0,
+  ): GrantReplyMessage {
     const duty = this.#directory.getOwnDuty(ask.upstreamId);
     const readyInMs = duty === null ? Infinity : this.#getReadyInMs(duty);
     if (duty === null || readyInMs > 0) {
@@ -66,20 +82,25 @@
     const ledger = this.#getLedger(ask.upstreamId, duty.epoch);
     const { hostCountBound, shareFraction } = this.#getBounds();
     const { granted } = getGrantSplit(bearable, hostCountBound, shareFraction);
-    if (ledger.grants.has(ask.askId) || ledger.grants.size >= granted) {
+    const known = ledger.grants.get(ask.askId);
+    if (known !== undefined) {
+      return this.#repeat(fromHostId, ask, duty, known);
+    }
+    if (ledger.grants.size + strayCount >= granted) {
       return this.#deny(ask, duty, this.#options.retryAfterMs);
     }
     const durationMs = Math.min(ask.durationMs, this.#options.maxGrantMs);
     const freeAtMs = this.#context.getNowMs() + this.#getWaitMs(durationMs);
     ledger.grants.set(ask.askId, { hostId: fromHostId, freeAtMs });
-    return {
-      kind: 'grantReply',
-      askId: ask.askId,
-      upstreamId: ask.upstreamId,
-      epoch: duty.epoch,
-      durationMs,
-      retryAfterMs: 0,
-    };
+    return createGrant(ask, duty, durationMs);
+  }
+
+  /**
+   * @param upstreamId - an upstream
+   * @returns slots that are granted there now
+   */
+  countGrants(upstreamId: UpstreamId): number {
+    return this.#ledgers.get(upstreamId)?.grants.size ?? 0;
   }
 
   /**
@@ -95,6 +116,19 @@
     }
   }
 
+  /** The answer to an ask was lost: what is left of the slot is granted under the same name. */
+  #repeat(
+    fromHostId: HostId,
+    ask: GrantAskMessage,
+    duty: StewardDuty,
+    known: Grant,
+  ): GrantReplyMessage {
+    const { driftFraction, marginMs, retryAfterMs } = this.#options;
+    const leftMs = (known.freeAtMs - this.#context.getNowMs() - marginMs) / (1 + driftFraction);
+    return known.hostId === fromHostId && leftMs > 0
+      ? createGrant(ask, duty, leftMs) : this.#deny(ask, duty, retryAfterMs);
+  }
+
   #getBounds(): { hostCountBound: number; shareFraction: number } {
     const hostCountBound = this.#directory.getHostCountBound();
     return { hostCountBound, shareFraction: this.#options.shareFraction };
--- a/src/grants/HeldSlots.ts
+++ b/src/grants/HeldSlots.ts
@@ -29,6 +29,9 @@
 
   #pending: PendingAsk | null = null;
 
+  /** The last ask, when its answer did not come; it may have been granted. */
+  #lost: PendingAsk | null = null;
+
   #askAgainAtMs = 0;
 
   /** Attempts whose slot's time was over before their end was reported. */
@@ -38,7 +41,8 @@
    * @returns whether nothing is held, awaited or remembered
    */
   isEmpty(): boolean {
-    return this.#slots.length === 0 && this.#pending === null && this.#overdueCount === 0;
+    return this.#slots.length === 0 && this.#pending === null && this.#lost === null
+      && this.#overdueCount === 0;
   }
 
   /**
@@ -104,7 +108,18 @@
    * @param timeoutAtMs - when it is taken for lost
    */
   noteAsk(askId: string, sentAtMs: number, timeoutAtMs: number): void {
-    this.#pending = { askId, sentAtMs, timeoutAtMs };
+    // A repeated ask may be answered by the reply to the first: the slot counts from that one.
+    const firstSentAtMs = this.#lost?.askId === askId ? this.#lost.sentAtMs : sentAtMs;
+    this.#pending = { askId, sentAtMs: firstSentAtMs, timeoutAtMs };
+    this.#lost = null;
+  }
+
+  /**
+   * @param sentSinceMs - an older ask is not repeated, as little would be left of its slot
+   * @returns the ask to repeat, whose answer was lost; null for none
+   */
+  getLostAskId(sentSinceMs: number): string | null {
+    return this.#lost !== null && this.#lost.sentAtMs >= sentSinceMs ? this.#lost.askId : null;
   }
 
   /**
@@ -181,6 +196,7 @@
       this.#slots = this.#slots.filter((slot) => slot.endsAtMs > nowMs);
     }
     if (this.#pending !== null && this.#pending.timeoutAtMs <= nowMs) {
+      this.#lost = this.#pending;
       this.#pending = null;
     }
   }
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -252,6 +252,7 @@
     const upstream = this.#upstreams.get(report.upstreamId);
     if (upstream !== undefined) {
       upstream.noteReport(report);
+      this.#grants.noteRunning(report.upstreamId, report.runningCount);
       this.#refresh(upstream);
     }
   }
