--- a/scripts/fleet/Fleet.ts
+++ b/scripts/fleet/Fleet.ts
@@ -1,6 +1,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { stringify } from 'yaml';
 import type { ConfigurationRecord } from '../../src/configuration/records/ConfigurationRecord.ts';
 import { assertExists } from '../../src/lib/assertExists.ts';
@@ -19,6 +20,8 @@
 const START_BATCH = 8;
 const START_TIMEOUT_MS = 60_000;
 const STANDIN_STOP_MS = 5000;
+const READY_TIMEOUT_MS = 20_000;
+const READY_POLL_MS = 20;
 const STANDIN_FILE = 'standins/runStandin.ts';
 const HOST_FILE = 'src/main.ts';
 const STANDIN_READY = /^\{"url":"([^"]+)"\}$/;
@@ -54,6 +57,18 @@
   readonly url: string;
 }
 
+async function waitUntilReady(host: FleetHost, deadlineMs: number): Promise<void> {
+  const response = await fetch(`${host.httpUrl}/readyz`);
+  if (response.ok) {
+    return;
+  }
+  if (performance.now() > deadlineMs || !host.program.isRunning) {
+    throw new Error(`${host.settings.hostId} serves and is not ready: ${await response.text()}`);
+  }
+  await sleep(READY_POLL_MS);
+  await waitUntilReady(host, deadlineMs);
+}
+
 /** A platform, upstreams and entry hosts, each a process of its own. */
 export class Fleet {
   readonly #options: FleetOptions;
@@ -135,6 +150,7 @@
     const program = await this.#startProgram(settings.hostId, args, HOST_READY);
     const host = { settings, program, httpUrl: program.readyMatch[1] ?? '' };
     this.#hosts[index] = host;
+    await waitUntilReady(host, performance.now() + READY_TIMEOUT_MS);
     return host;
   }
 
--- a/test/support/FAULT_DEPLOYMENT.ts
+++ b/test/support/FAULT_DEPLOYMENT.ts
@@ -4,7 +4,7 @@
 } from '../../standins/deployments/DeploymentDescription.ts';
 
 const CAPACITY = 64;
-const DEADLINE_MS = 5000;
+const DEADLINE_MS = 2500;
 const SERVICE_MS = 150;
 
 function createPool(id: string, kind: PoolRecord['kind'], serviceMs: number): DeployedPool {
