Name tests that hang: a timeout per test

Ruled out: killing the run by hand each time. Conclusion: the runner ends a hanging test after 180 s and reports it.

--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -6,6 +6,8 @@
  * Runs every test file. Node 20 finds no `.ts` file in a folder and then passes with 0 tests, so
  * the files are listed here and an empty list is a failure. Arguments narrow the list by substring.
  */
+/** A test that hangs is a failure with a name, not a run without an end. */
+const TEST_TIMEOUT_MS = 180_000;
 const filters = process.argv.slice(2);
 const files = globFiles(['src', 'standins', 'test', 'scripts', 'bench', 'examples'], '.test.ts')
   .filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)));
@@ -15,7 +17,10 @@
 }
 const run = spawnSync(
   process.execPath,
-  ['--import', 'tsx', '--test', '--test-reporter=tap', '--test-concurrency=4', ...files],
+  [
+    '--import', 'tsx', '--test', '--test-reporter=tap', '--test-concurrency=4',
+    `--test-timeout=${TEST_TIMEOUT_MS}`, ...files,
+  ],
   { encoding: 'utf8', maxBuffer: 512 * 1024 * 1024 },
 );
 process.stdout.write(run.stdout);
