--- a/src/core/systems/dispatchStages.ts
+++ b/src/core/systems/dispatchStages.ts
@@ -66,7 +66,11 @@
     poolKind: pool.kind,
     input: request.stageInput,
     idempotencyKey: progress.stage.repeatable ? null : request.idempotencyKey,
-    timeoutMs: world.router.getAttemptTimeoutMs(request.deadlineAtMs - nowMs),
+    timeoutMs: world.router.getAttemptTimeoutMs(world.admission.getAttemptTimeoutMs({
+      pipeline: request.pipeline,
+      nextStageIndex: request.stageIndex,
+      deadlineAtMs: request.deadlineAtMs,
+    })),
     priority: DEFAULT_PRIORITY,
     traceparent: request.traceparent,
   });
