Share limits unevenly, alarm sooner on suspects, and add the fairness and domain benches

Causes: each return of an ejected engine cost about five failures at every host (now about two), and an even share of the limits left hosts with uneven callers without room.

--- a/bench/BENCHES.ts
+++ b/bench/BENCHES.ts
@@ -37,4 +37,14 @@
     summary: 'heap of one core at the target table sizes',
     load: async () => ({ run: (await import('./memory.ts')).runMemory }),
   },
+  {
+    name: 'fairness',
+    summary: 'attainment of the other accounts while one sends five times its share',
+    load: () => import('./fairness.ts'),
+  },
+  {
+    name: 'domain',
+    summary: 'a failure domain leaves under load and returns with cold upstreams',
+    load: () => import('./domain.ts'),
+  },
 ];
--- a/src/admission/Admission.ts
+++ b/src/admission/Admission.ts
@@ -35,8 +35,10 @@
   readonly continueQuantile: number;
   /** Quantile of the next stage's latency that must fit for it to be started. */
   readonly startQuantile: number;
-  /** Quantile of a repeatable stage's latency after which its attempt is given up. */
+  /** Quantile of a repeatable stage's latency that bounds its attempts, times the factor below. */
   readonly attemptQuantile: number;
+  /** Above 1, since attempts that are given up are missing in the quantile. */
+  readonly attemptFactor: number;
   /** Part of the time for waiting that may be planned for; the rest absorbs bad estimates. */
   readonly waitFraction: number;
   /** Time to come back when a pool has no usable upstream. */
@@ -48,7 +50,8 @@
   admitQuantile: 0.95,
   continueQuantile: 0.1,
   startQuantile: 0.8,
-  attemptQuantile: 0.98,
+  attemptQuantile: 0.95,
+  attemptFactor: 1.2,
   waitFraction: 0.8,
   noCapacityRetryAfterMs: 5_000,
 };
@@ -213,8 +216,9 @@
     if (next === undefined || !next.repeatable) {
       return remainingMs;
     }
-    const { attemptQuantile, startQuantile } = this.#options;
-    const usualMs = this.#latencies.getQuantileMs(pipelineId, next, attemptQuantile);
+    const { attemptQuantile, attemptFactor, startQuantile } = this.#options;
+    const usualMs = this.#latencies.getQuantileMs(pipelineId, next, attemptQuantile)
+      * attemptFactor;
     const secondMs = this.#latencies.getQuantileMs(pipelineId, next, startQuantile);
     const laterMs = sum(later
       .map((stage) => this.#latencies.getQuantileMs(pipelineId, stage, MEDIAN)));
--- a/src/health/PoolEjection.ts
+++ b/src/health/PoolEjection.ts
@@ -18,13 +18,16 @@
   /** An upstream is ejected only when it fails this many times as often as its pool. */
   readonly poolRateFactor: number;
   /**
+   * @param isSuspected - whether the upstream was ejected of late, so that less evidence suffices
    * @returns a detector of failures for one upstream
    */
-  readonly createDetector: () => RateDetector;
+  readonly createDetector: (isSuspected: boolean) => RateDetector;
 }
 
 const TUNED_CHANGE = { baseRate: 0.02, raisedRate: 0.2 };
 const ALARM_THRESHOLD = 12;
+/** About two failures: the head start of a suspect (Lucas and Crosier 1982). */
+const SUSPECT_THRESHOLD = 4;
 
 /** Defaults of ejection. */
 export const DEFAULT_POOL_EJECTION_OPTIONS: PoolEjectionOptions = {
@@ -34,14 +37,17 @@
   forgiveMs: 60_000,
   panicFraction: 0.5,
   poolRateFactor: 2.5,
-  createDetector: () => new GlrDetector(TUNED_CHANGE, ALARM_THRESHOLD),
+  createDetector: (isSuspected) => new GlrDetector(
+    TUNED_CHANGE,
+    isSuspected ? SUSPECT_THRESHOLD : ALARM_THRESHOLD,
+  ),
 };
 
 const SUSPECT_SMOOTHING = 0.1;
 const POOL_SMOOTHING = 0.01;
 
 interface Suspect {
-  readonly detector: RateDetector;
+  detector: RateDetector;
   offered: number;
   errors: number;
   /** Smoothed part of its attempts that fail. */
@@ -164,7 +170,7 @@
       return known;
     }
     const created: Suspect = {
-      detector: this.#options.createDetector(),
+      detector: this.#options.createDetector(false),
       offered: 0,
       errors: 0,
       rate: 0,
@@ -177,6 +183,10 @@
 
   #endTick(upstreamId: UpstreamId): boolean {
     const suspect = this.#getSuspect(upstreamId);
+    if (suspect.ejectionCount > 0 && this.#isForgiven(suspect)) {
+      suspect.ejectionCount = 0;
+      suspect.detector = this.#options.createDetector(false);
+    }
     const isAlarmed = suspect.detector.addTick(suspect.offered, suspect.errors);
     suspect.offered = 0;
     suspect.errors = 0;
@@ -184,6 +194,10 @@
     return isAlarmed && isWorse && !this.#ejected.has(upstreamId);
   }
 
+  #isForgiven(suspect: Suspect): boolean {
+    return this.#context.getNowMs() >= suspect.ejectedUntilMs + this.#options.forgiveMs;
+  }
+
   #ejectAll(alarmed: readonly UpstreamId[], nowMs: number): UpstreamId[] {
     const bearable = Math.floor(this.#memberCount * this.#options.panicFraction);
     if (alarmed.length + this.#ejected.size > bearable) {
@@ -195,14 +209,11 @@
 
   #eject(upstreamId: UpstreamId, nowMs: number): void {
     const suspect = this.#getSuspect(upstreamId);
-    if (nowMs >= suspect.ejectedUntilMs + this.#options.forgiveMs) {
-      suspect.ejectionCount = 0;
-    }
     const { ejectMs, maxEjectMs } = this.#options;
     const durationMs = Math.min(maxEjectMs, ejectMs * 2 ** suspect.ejectionCount);
     suspect.ejectionCount += 1;
     suspect.ejectedUntilMs = nowMs + durationMs;
-    suspect.detector.reset();
+    suspect.detector = this.#options.createDetector(true);
     this.#ejected.add(upstreamId);
   }
 
--- a/src/routing/RoutedUpstream.ts
+++ b/src/routing/RoutedUpstream.ts
@@ -25,6 +25,9 @@
 /** Time after which half of the other hosts' reported load is forgotten. */
 const OTHERS_HALF_LIFE_MS = 2_000;
 
+/** Hosts get more than an even share, since their callers are not spread evenly. */
+const SHARE_FACTOR = 1.5;
+
 function getFading(ageMs: number, halfLifeMs: number): number {
   return 0.5 ** (Math.max(0, ageMs) / halfLifeMs);
 }
@@ -256,7 +259,9 @@
   }
 
   #getShare(): number {
-    return Math.max(1, Math.ceil(this.#pool.maxConcurrency / this.#hostCountBound));
+    const { maxConcurrency } = this.#pool;
+    const share = Math.ceil((maxConcurrency / this.#hostCountBound) * SHARE_FACTOR);
+    return Math.max(1, Math.min(maxConcurrency, share));
   }
 
   /** This host leaves the others what they use, but never goes below its own share. */
