--- a/bench/domain.ts
+++ b/bench/domain.ts
@@ -66,8 +66,9 @@
   });
   loadRun.events.after(BACK_MS - START_MS, () => {
     loadRun.setDrains([], SPREAD_MS);
-    loadRun.avoidedDomains.clear();
   });
+  // The platform's balancer follows the hosts' readiness.
+  loadRun.events.after(BACK_MS - START_MS + 2 * SPREAD_MS, () => loadRun.avoidedDomains.clear());
   loadRun.events.after(END_MS - START_MS - 1, () => {
     const returned = engines.filter(({ id }) => isOfDomain(id));
     returnedUse = returned.reduce((sum, each) => sum + each.runningCount, 0) / returned.length;
--- a/src/routing/AcquireRequest.ts
+++ b/src/routing/AcquireRequest.ts
@@ -9,7 +9,7 @@
   readonly accountId: AccountId;
   /** Requests with the same key go to the same upstream while it has room; null for none. */
   readonly affinityKey: string | null;
-  /** Upstreams that just failed this request; never chosen for it. */
+  /** Upstreams that just failed this request; chosen only when the pool has no other. */
   readonly excludedUpstreamIds: readonly UpstreamId[];
   /** How long the attempt may take; bounds the slot at a cold upstream. */
   readonly timeoutMs?: number;
--- a/src/routing/PoolRouter.test.ts
+++ b/src/routing/PoolRouter.test.ts
@@ -177,6 +177,11 @@
     deepEqual([...new Set(rig.acquireAll({ excludedUpstreamIds }))], ['u2']);
   });
 
+  it('lets a request that failed at every upstream try again', () => {
+    const rig = new Rig([createUpstream('u1'), createUpstream('u2')]).warm();
+    notEqual(rig.acquire({ excludedUpstreamIds: [toId('u1'), toId('u2')] }), null);
+  });
+
   it('prefers its own failure domain until it is loaded', () => {
     const rig = new Rig([createUpstream('near'), createUpstream('far', 'domain-b')]).warm();
     deepEqual([rig.acquire(), rig.acquire(), rig.acquire()], ['near', 'near', 'near']);
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -160,7 +160,7 @@
       ? this.#acquireCold(pool, request, 1)
       : null;
     const chosen = cold
-      ?? (this.#selector.select(pool, request) as RoutedUpstream | null)
+      ?? this.#select(pool, request)
       ?? (mayBeCold ? this.#acquireCold(pool, request, COLD_TRIES) : null);
     if (chosen === null) {
       return null;
@@ -340,6 +340,16 @@
     return this.#upstreams.get(upstreamId) ?? null;
   }
 
+  /** A request that has failed everywhere may go again to where it failed. */
+  #select(pool: RoutedPool, request: AcquireRequest): RoutedUpstream | null {
+    const { affinityKey, excludedUpstreamIds } = request;
+    const isExcludedEverywhere = excludedUpstreamIds.length > 0
+      && pool.hasOnly(excludedUpstreamIds);
+    const excluded = isExcludedEverywhere ? [] : excludedUpstreamIds;
+    const wish = { affinityKey, excludedUpstreamIds: excluded };
+    return this.#selector.select(pool, wish) as RoutedUpstream | null;
+  }
+
   #acquireCold(pool: RoutedPool, request: AcquireRequest, tries: number): RoutedUpstream | null {
     const timeoutMs = request.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     const granted = pool.granted.items[0];
--- a/src/routing/RoutedPool.ts
+++ b/src/routing/RoutedPool.ts
@@ -2,7 +2,7 @@
 import { PoolEjection, type PoolEjectionOptions } from '../health/PoolEjection.ts';
 import { DecayedHistogram } from '../lib/DecayedHistogram.ts';
 import { IndexedList } from '../lib/IndexedList.ts';
-import type { FailureDomainId } from '../lib/ids.ts';
+import type { FailureDomainId, UpstreamId } from '../lib/ids.ts';
 import type { RoutedUpstream } from './RoutedUpstream.ts';
 import type { SelectableUpstreams } from './UpstreamSelector.ts';
 
@@ -118,6 +118,18 @@
     this.#count(upstream, !isEjected && health.takesWork(), isCold);
   }
 
+  /**
+   * @param upstreamIds - some upstreams
+   * @returns whether no other upstream takes work without a grant
+   */
+  hasOnly(upstreamIds: readonly UpstreamId[]): boolean {
+    if (upstreamIds.length < this.capacity.usableUpstreams) {
+      return false;
+    }
+    return [...this.#contributions]
+      .every(([{ upstreamId }, { isCold }]) => isCold || upstreamIds.includes(upstreamId));
+  }
+
   /**
    * Forgets an upstream.
    *
