--- a/bench/BENCHES.ts
+++ b/bench/BENCHES.ts
@@ -47,4 +47,9 @@
     summary: 'a failure domain leaves under load and returns with cold upstreams',
     load: () => import('./domain.ts'),
   },
+  {
+    name: 'step',
+    summary: 'time and allocation of a core step against what exists',
+    load: () => import('./step.ts'),
+  },
 ];
--- a/src/fairness/AccountQueue.ts
+++ b/src/fairness/AccountQueue.ts
@@ -60,11 +60,11 @@
   /**
    * Makes the account take part again after it had nothing waiting.
    *
-   * @param virtualTime - the virtual time of the queue now
+   * @param earliestStart - where an account without recent service starts
    * @param weight - the account's share
    */
-  resume(virtualTime: number, weight: number): void {
-    this.#virtualStart = Math.max(this.#virtualStart, virtualTime);
+  resume(earliestStart: number, weight: number): void {
+    this.#virtualStart = Math.max(this.#virtualStart, earliestStart);
     this.#weight = weight;
   }
 
@@ -72,10 +72,10 @@
    * Charges the account for service, or gives some back.
    *
    * @param cost - what it was served; negative to give back
-   * @param virtualTime - the virtual time of the queue now, which the account does not fall behind
+   * @param earliestStart - the account does not fall behind it
    */
-  charge(cost: number, virtualTime: number): void {
-    this.#virtualStart = Math.max(virtualTime, this.#virtualStart + cost / this.#weight);
+  charge(cost: number, earliestStart: number): void {
+    this.#virtualStart = Math.max(earliestStart, this.#virtualStart + cost / this.#weight);
   }
 
   /**
--- a/src/fairness/FairQueue.test.ts
+++ b/src/fairness/FairQueue.test.ts
@@ -59,6 +59,17 @@
     equal(takeIds(queue, 3).filter((id) => id.startsWith('c')).length, 3);
   });
 
+  it('lets a small burst of a quiet account pass the backlog of a large one', () => {
+    const queue = new FairQueue<null>({ burstItems: 2 });
+    for (let index = 0; index < 200; index += 1) {
+      put(queue, { account: 'large', id: `l${index}` });
+    }
+    takeIds(queue, 100);
+    ['s1', 's2', 's3', 's4', 's5', 's6'].forEach((id) => put(queue, { account: 'small', id }));
+    deepEqual(takeIds(queue, 2).sort(), ['s1', 's2']);
+    equal(takeIds(queue, 6).filter((id) => id.startsWith('s')).length <= 4, true);
+  });
+
   it('goes by priority, deadline and arrival inside an account', () => {
     const queue = new FairQueue<null>();
     put(queue, { account: 'a', id: 'late', deadlineAtMs: 50 });
--- a/src/fairness/FairQueue.ts
+++ b/src/fairness/FairQueue.ts
@@ -7,21 +7,27 @@
 export interface FairQueueOptions {
   /** Items that one account may have waiting; a further one is refused. */
   readonly maxItemsPerAccount: number;
+  /** Items of the mean cost that an account without recent service may have ahead of the others. */
+  readonly burstItems: number;
 }
 
 /** Defaults of a fair queue. */
 export const DEFAULT_FAIR_QUEUE_OPTIONS: FairQueueOptions = {
   maxItemsPerAccount: 10_000,
+  burstItems: 4,
 };
 
 const DEFAULT_WEIGHT = 1;
+const COST_SMOOTHING = 0.05;
 
 /**
  * A weighted fair queue over client accounts, one for each pool: start-time fair queueing (Goyal,
  * Vin, Cheng 1996). Each account carries a virtual start time which grows by cost / weight with
  * each item it gets served; the account with the smallest one is next. Inside an account the lower
- * priority value goes first, then the earlier deadline, then the earlier arrival. Every call is
- * O(log n); an account without items is forgotten once the virtual time has passed it.
+ * priority value goes first, then the earlier deadline, then the earlier arrival. An account that
+ * had little service of late starts a few items behind the virtual time, so that its small bursts
+ * pass the backlog of a large one. Every call is O(log n); an account without items is forgotten
+ * once its past service no longer counts.
  *
  * ```ts
  * if (!queue.enqueue(item)) answer(REFUSAL_CODE.overloaded);
@@ -58,6 +64,9 @@
   /** The latest virtual start that any account has had. */
   #latestStart = 0;
 
+  /** Smoothed cost of an item. */
+  #meanCost = 0;
+
   #sequence = 0;
 
   #activeWeight = 0;
@@ -121,6 +130,7 @@
       this.#settle(account);
       return false;
     }
+    this.#meanCost += COST_SMOOTHING * (item.expectedCost - this.#meanCost);
     this.#sequence += 1;
     const queued = { ...item, sequence: this.#sequence };
     this.#items.set(item.requestId, queued);
@@ -150,7 +160,7 @@
     }
     this.#virtualTime = Math.max(this.#virtualTime, account.virtualStart);
     this.#takeOut(item, account);
-    account.charge(item.expectedCost, this.#virtualTime);
+    account.charge(item.expectedCost, this.#earliestStart);
     this.#settle(account);
     this.#forgetPassed();
     return item;
@@ -205,10 +215,15 @@
    */
   correctCharge(accountId: AccountId, difference: number): void {
     const account = this.#getAccount(accountId);
-    account.charge(difference, this.#virtualTime);
+    account.charge(difference, this.#earliestStart);
     this.#settle(account);
   }
 
+  /** The virtual start of an account without recent service. */
+  get #earliestStart(): number {
+    return this.#virtualTime - this.#options.burstItems * this.#meanCost;
+  }
+
   #getAccount(accountId: AccountId): AccountQueue<Payload> {
     const known = this.#accounts.get(accountId);
     if (known !== undefined) {
@@ -216,7 +231,7 @@
     }
     const created = new AccountQueue<Payload>(
       accountId,
-      this.#virtualTime,
+      this.#earliestStart,
       this.getWeight(accountId),
     );
     this.#accounts.set(accountId, created);
@@ -226,7 +241,7 @@
   #activate(account: AccountQueue<Payload>): void {
     if (!this.#active.has(account)) {
       this.#idle.remove(account);
-      account.resume(this.#virtualTime, this.getWeight(account.accountId));
+      account.resume(this.#earliestStart, this.getWeight(account.accountId));
       this.#activeWeight += account.weight;
     }
     this.#active.push(account);
@@ -252,7 +267,7 @@
       this.#endContention();
       return;
     }
-    if (account.virtualStart <= this.#virtualTime) {
+    if (account.virtualStart <= this.#earliestStart) {
       this.#idle.remove(account);
       this.#accounts.delete(account.accountId);
     } else {
@@ -269,7 +284,7 @@
 
   #forgetPassed(): void {
     let account = this.#idle.peek();
-    while (account !== undefined && account.virtualStart <= this.#virtualTime) {
+    while (account !== undefined && account.virtualStart <= this.#earliestStart) {
       this.#idle.pop();
       this.#accounts.delete(account.accountId);
       account = this.#idle.peek();
