Keep costs durably through the ledger, and say not ready while no keys are known

Ruled out: a wait in the host before it listens (a host in an outage must answer at once). Conclusion: cost --by reads the books of all incarnations, and says when it can't.

--- a/bench/memory.ts
+++ b/bench/memory.ts
@@ -18,7 +18,6 @@
 const REQUEST_SAMPLE = 2000;
 const INPUT_LENGTH = 2000;
 const CONTROL_TARGET_MB = 64;
-const COST_SINK = { book: () => undefined };
 const LIFETIME_MS = 600_000;
 
 function readHeapBytes(): number {
@@ -120,7 +119,7 @@
 export async function runMemory(options: BenchOptions): Promise<BenchReport> {
   const context = new FakeCoreContext('entry-0', undefined, options.seed);
   Object.assign(context.self, { failureDomainId: getDomainId(0) });
-  const core = createHostCore(context, context.clock, COST_SINK);
+  const core = createHostCore(context, context.clock);
   core.setConfiguration(createConfiguration(2, 1));
   const ledger = new Ledger();
   addMembers(core);
--- a/scripts/runDemo.ts
+++ b/scripts/runDemo.ts
@@ -4,6 +4,7 @@
 import { MIDLANDS_DEPLOYMENT } from '../standins/deployments/MIDLANDS_DEPLOYMENT.ts';
 import { getCallerKey } from '../standins/deployments/getCallerKey.ts';
 import { getDemoSettings } from './getDemoSettings.ts';
+import { waitUntilReady } from './waitUntilReady.ts';
 import { runExamples } from './runExamples.ts';
 
 /*
@@ -23,6 +24,7 @@
 });
 const accountId = MIDLANDS_DEPLOYMENT.accounts[0]?.id ?? '';
 const callerKey = getCallerKey(accountId);
+await waitUntilReady(host.httpUrl);
 const failedCount = await runExamples(host.httpUrl, callerKey);
 
 console.log(`\nServing ${host.httpUrl} for client account ${accountId}. Try:`);
--- a/src/callers/registerCallerRoutes.ts
+++ b/src/callers/registerCallerRoutes.ts
@@ -15,6 +15,7 @@
   + 'account';
 const EVENT_STREAM = 'text/event-stream';
 const MAX_INPUT_LENGTH = 256 * 1024;
+const NOT_READY_RETRY_AFTER_SECONDS = 1;
 const MAX_KEY_LENGTH = 256;
 
 interface SubmitBody {
@@ -54,6 +55,15 @@
   return reply.code(problem.status).type(PROBLEM_TYPE).send(JSON.stringify(problem));
 }
 
+function sendUnauthenticated(port: CallerPort, reply: FastifyReply): FastifyReply {
+  if (port.isReady()) {
+    return sendProblem(reply, REFUSAL_CODE.unauthenticated, UNAUTHENTICATED_DETAIL);
+  }
+  // A host without a configuration knows no keys, which says nothing about this one.
+  reply.header('retry-after', NOT_READY_RETRY_AFTER_SECONDS);
+  return sendProblem(reply, REFUSAL_CODE.notReady, 'This host is not ready; ask again');
+}
+
 function getAccountId(port: CallerPort, request: FastifyRequest): AccountId | null {
   const header = request.headers.authorization ?? '';
   return header.startsWith(BEARER_PREFIX)
@@ -92,7 +102,7 @@
 ): FastifyReply {
   const accountId = getAccountId(port, request);
   if (accountId === null) {
-    return sendProblem(reply, REFUSAL_CODE.unauthenticated, UNAUTHENTICATED_DETAIL);
+    return sendUnauthenticated(port, reply);
   }
   const key = getHeader(request, 'idempotency-key');
   if (key !== null && key.length > MAX_KEY_LENGTH) {
@@ -130,7 +140,7 @@
 ): Promise<FastifyReply> {
   const accountId = getAccountId(port, request);
   if (accountId === null) {
-    return sendProblem(reply, REFUSAL_CODE.unauthenticated, UNAUTHENTICATED_DETAIL);
+    return sendUnauthenticated(port, reply);
   }
   const requestId = toId<RequestId>(request.params.requestId);
   const writer = createWriter(request, reply, getFromOffset(request));
--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -6,6 +6,7 @@
   createEmptyConfiguration, type ConfigurationRecord,
 } from '../configuration/records/ConfigurationRecord.ts';
 import type { ClaimPort } from '../claims/ClaimPort.ts';
+import type { CostLedger } from '../cost/CostLedger.ts';
 import type { CostPort } from '../cost/CostPort.ts';
 import type { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
@@ -38,6 +39,8 @@
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
+  /** Makes the costs durable; absent where they are only counted. */
+  readonly ledger?: CostLedger;
   readonly configurationManager: ConfigurationManager;
   /** Absent for a core that works without peers. */
   readonly fleet?: FleetCoordinator;
@@ -116,6 +119,7 @@
     this.#tickFleet();
     this.#world.configurationManager.tick();
     this.#world.claims.tick();
+    this.#world.ledger?.tick();
     this.#world.router.tick();
     SYSTEMS.forEach((system) => system(this.#world));
   }
@@ -137,6 +141,7 @@
       world.abandonments.getNextWakeMs(),
       getNextQueueExpiryMs(world),
       world.claims.getNextWakeMs(),
+      world.ledger?.getNextWakeMs() ?? Infinity,
       world.configurationManager.getNextWakeMs(),
       world.fleet?.getNextWakeMs() ?? Infinity,
       world.router.getNextWakeMs(),
@@ -191,6 +196,11 @@
     return this.#world.fleet;
   }
 
+  /** The durable books; absent where costs are only counted. */
+  get ledger(): CostLedger | undefined {
+    return this.#world.ledger;
+  }
+
   /** Follows the configuration and carries out operators' calls. */
   get configurationManager(): ConfigurationManager {
     return this.#world.configurationManager;
@@ -222,7 +232,7 @@
 
   #sortInput(input: CoreInput): void {
     const {
-      inbox, router, claims, configurationManager, fleet,
+      inbox, router, claims, configurationManager, fleet, ledger,
     } = this.#world;
     switch (input.kind) {
       case 'requestSubmitted':
@@ -248,6 +258,7 @@
         return;
       case 'keyValueAnswered':
         claims.handleKeyValueAnswer(input);
+        ledger?.handleKeyValueAnswer(input);
         configurationManager.handleKeyValueAnswer(input);
         return;
       case 'peerMessageReceived':
@@ -255,6 +266,7 @@
         claims.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
         router.handlePeerMessage(input.fromHostId, input.message);
         this.#world.quarantine.handlePeerMessage(input.message);
+        ledger?.handlePeerMessage(input.fromHostId, input.message);
         configurationManager.handlePeerMessage(input);
         return;
       case 'hostListRead':
--- a/src/core/CoreWorld.ts
+++ b/src/core/CoreWorld.ts
@@ -3,6 +3,7 @@
 import type { ClaimPort } from '../claims/ClaimPort.ts';
 import type { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import type { ConfigurationIndex } from '../configuration/ConfigurationIndex.ts';
+import type { CostLedger } from '../cost/CostLedger.ts';
 import type { CostPort } from '../cost/CostPort.ts';
 import type { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
 import type { AttemptId, RequestId } from '../lib/ids.ts';
@@ -41,6 +42,7 @@
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
+  readonly ledger?: CostLedger;
   readonly configurationManager: ConfigurationManager;
   /** Null for a core that works without peers. */
   readonly fleet: FleetCoordinator | null;
--- a/src/cost/createCostReport.ts
+++ b/src/cost/createCostReport.ts
@@ -19,9 +19,14 @@
  *
  * @param records - sums over all incarnations
  * @param by - what to group by
+ * @param isWholeFleet - whether the records are those of all hosts
  * @returns the report, rows by name
  */
-export function createCostReport(records: readonly CostRecord[], by: CostGrouping): CostReport {
+export function createCostReport(
+  records: readonly CostRecord[],
+  by: CostGrouping,
+  isWholeFleet = true,
+): CostReport {
   const rows = new Map<string, CostRow>();
   records.forEach((record) => {
     const name = getName(record, by);
@@ -34,6 +39,9 @@
   });
   const sorted = [...rows.values()].sort((left, right) => left.name.localeCompare(right.name));
   return {
-    by, rows: sorted, totalMicros: sorted.reduce((sum, { costMicros }) => sum + costMicros, 0),
+    by,
+    rows: sorted,
+    totalMicros: sorted.reduce((sum, { costMicros }) => sum + costMicros, 0),
+    isWholeFleet,
   };
 }
--- a/src/operators/CostReport.ts
+++ b/src/operators/CostReport.ts
@@ -14,4 +14,6 @@
   readonly by: CostGrouping;
   readonly rows: readonly CostRow[];
   readonly totalMicros: number;
+  /** False when the platform did not answer, so that only this host's own books are shown. */
+  readonly isWholeFleet: boolean;
 }
--- a/src/operators/OperatorPort.ts
+++ b/src/operators/OperatorPort.ts
@@ -19,7 +19,7 @@
    * @param by - what to group by
    * @returns the booked cost
    */
-  getCost(by: CostGrouping): CostReport;
+  getCost(by: CostGrouping): Promise<CostReport>;
   /**
    * @param requestId - a request of any account
    * @returns its decisions; null when this host does not know the request
--- a/src/operators/registerOperatorRoutes.test.ts
+++ b/src/operators/registerOperatorRoutes.test.ts
@@ -40,7 +40,9 @@
         return Promise.resolve(answer);
       },
       getStatus: createSampleStatus,
-      getCost: (by) => ({ by, rows: [], totalMicros: 0 }),
+      getCost: (by) => Promise.resolve({
+        by, rows: [], totalMicros: 0, isWholeFleet: true,
+      }),
       explain: (requestId) => (requestId === 'known'
         ? {
           requestId, accountId: 'shul-1', pipelineId: 'seating', outcome: 'completed', lines: [],
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -6,8 +6,10 @@
 import type { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { Core } from '../core/Core.ts';
+import type { CostLedger } from '../cost/CostLedger.ts';
 import type { CoreOutput } from '../core/CoreOutput.ts';
 import type { RequestAnswer } from '../answers/RequestAnswer.ts';
+import { assertExists } from '../lib/assertExists.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { RequestId, UpstreamId } from '../lib/ids.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
@@ -22,7 +24,6 @@
 import { UpstreamSender } from '../upstreams/UpstreamSender.ts';
 import { AnswerListeners } from './AnswerListeners.ts';
 import { CallerDesk } from './CallerDesk.ts';
-import { CostTotals } from './CostTotals.ts';
 import { CoreLoop } from './CoreLoop.ts';
 import { createHostCore } from './createHostCore.ts';
 import { createIdentity } from './createIdentity.ts';
@@ -58,7 +59,7 @@
 
   readonly #desk: CallerDesk;
 
-  readonly #costs = new CostTotals();
+  readonly #costs: CostLedger;
 
   readonly #configurationManager: ConfigurationManager;
 
@@ -94,9 +95,10 @@
       clock,
       random,
       self: link.self,
-      createCore: (context) => createHostCore(context, clock, this.#costs),
+      createCore: (context) => createHostCore(context, clock),
       perform: (output) => this.#perform(output),
     });
+    this.#costs = assertExists(this.#loop.core.ledger, 'createHostCore makes a ledger');
     this.#sender = new UpstreamSender({
       onInput: (input) => {
         this.#tracer.endAttempt(input);
@@ -120,6 +122,8 @@
       .onChange((configuration) => this.#adoptConfiguration(configuration));
     this.#operatorDesk = new OperatorDesk({
       random,
+      costs: this.#costs,
+      wake: () => this.#loop.wake(),
       post: (input) => this.#loop.post(input),
       getRequest: (requestId) => this.#loop.core.getRequest(requestId),
       getStatus: () => this.#getStatus(),
--- a/src/serve/OperatorDesk.ts
+++ b/src/serve/OperatorDesk.ts
@@ -1,4 +1,6 @@
 import type { CoreInput } from '../core/CoreInput.ts';
+import type { CostLedger } from '../cost/CostLedger.ts';
+import { createCostReport } from '../cost/createCostReport.ts';
 import type { RequestRecord } from '../core/tables/RequestRecord.ts';
 import { toId, type RequestId } from '../lib/ids.ts';
 import type { RandomSource } from '../lib/RandomSource.ts';
@@ -15,6 +17,9 @@
   readonly post: (input: CoreInput) => void;
   readonly getRequest: (requestId: RequestId) => Readonly<RequestRecord> | undefined;
   readonly getStatus: () => HostStatus;
+  readonly costs: CostLedger;
+  /** Runs a step of the core. */
+  readonly wake: () => void;
 }
 
 function getOutcome({ answer }: Readonly<RequestRecord>): string {
@@ -64,11 +69,15 @@
   }
 
   /** @inheritdoc */
-  getCost(by: CostGrouping): CostReport {
-    const { costByStage, costByAccount } = this.#options.getStatus();
-    const rows = by === 'stage' ? costByStage : costByAccount;
-    const totalMicros = rows.reduce((sum, { costMicros }) => sum + costMicros, 0);
-    return { by, rows, totalMicros };
+  getCost(by: CostGrouping): Promise<CostReport> {
+    const { costs, wake } = this.#options;
+    return new Promise((resolve) => {
+      costs.readAll((records) => resolve(
+        createCostReport(records ?? costs.getOwnRecords(), by, records !== null),
+      ));
+      // The reads go out with the next step.
+      wake();
+    });
   }
 
   /** @inheritdoc */
--- a/src/serve/createHostCore.ts
+++ b/src/serve/createHostCore.ts
@@ -3,7 +3,8 @@
 import { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import { Core } from '../core/Core.ts';
 import type { CoreContext } from '../core/CoreContext.ts';
-import type { CostPort } from '../cost/CostPort.ts';
+import { CostLedger } from '../cost/CostLedger.ts';
+import { DEFAULT_COST_OPTIONS } from '../cost/CostOptions.ts';
 import { createFleetListener } from '../fleet/createFleetListener.ts';
 import { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
 import { Quarantine } from '../quarantine/Quarantine.ts';
@@ -15,23 +16,33 @@
  *
  * @param context - identity, time, randomness and the way out
  * @param clock - for times that leave the process
- * @param costs - where costs are booked
  * @returns the core
  */
-export function createHostCore(context: CoreContext, clock: Clock, costs: CostPort): Core {
+export function createHostCore(context: CoreContext, clock: Clock): Core {
   const fleet = new FleetCoordinator(context, { start: { startedAtMs: clock.getWallMs() } });
   const claims = new ClaimManager(context, {
     ...DEFAULT_CLAIM_OPTIONS, getWallMs: () => clock.getWallMs(),
   });
+  const costs = new CostLedger(context, {
+    ...DEFAULT_COST_OPTIONS, getWallMs: () => clock.getWallMs(),
+  });
   const quarantine = new Quarantine(context);
   const getMembers = () => fleet.getMembers();
   const configurationManager = new ConfigurationManager(context, { getMembers });
-  fleet.setListener(createFleetListener(claims, configurationManager.follower, getMembers));
+  fleet.setListener(createFleetListener({
+    self: context.self,
+    claims,
+    costs,
+    quarantine,
+    configuration: configurationManager.follower,
+    getMembers,
+  }));
   return new Core(context, {
     fleet,
     configurationManager,
     claims,
     costs,
+    ledger: costs,
     quarantine,
     router: new PoolRouter(context, fleet.duties),
   });
--- a/src/serve/createHostStatus.ts
+++ b/src/serve/createHostStatus.ts
@@ -9,7 +9,9 @@
 } from '../operators/HostStatus.ts';
 import type { MemberRecord } from '../peers/PeerMessage.ts';
 import type { HostMetrics } from '../telemetry/HostMetrics.ts';
-import type { CostTotals } from './CostTotals.ts';
+import { COST_GROUPING } from '../operators/CostReport.ts';
+import type { CostLedger } from '../cost/CostLedger.ts';
+import { createCostReport } from '../cost/createCostReport.ts';
 
 /** How one upstream stands at this host. */
 export type UpstreamLoad = Pick<UpstreamStatus, 'state' | 'limit' | 'inFlightCount'>;
@@ -20,7 +22,7 @@
   readonly follower: ConfigurationFollower;
   readonly members: readonly MemberRecord[];
   readonly metrics: HostMetrics;
-  readonly costs: CostTotals;
+  readonly costs: CostLedger;
   readonly isStopping: boolean;
   readonly getUpstreamLoad: (upstreamId: UpstreamId) => UpstreamLoad;
 }
@@ -106,8 +108,8 @@
     stageLatencies: [...metrics.getStageLatencies()].map(([stageId, summary]) => ({
       pipelineId: '', stageId, ...summary,
     })),
-    costByStage: costs.getByStage(),
-    costByAccount: costs.getByAccount(),
+    costByStage: createCostReport(costs.getOwnRecords(), COST_GROUPING.stage).rows,
+    costByAccount: createCostReport(costs.getOwnRecords(), COST_GROUPING.account).rows,
     refusals: metrics.getRefusals(),
   };
 }
