--- a/src/cli/commands/createConfirmCommand.ts
+++ b/src/cli/commands/createConfirmCommand.ts
@@ -1,9 +1,11 @@
 import type { CommandModule } from 'yargs';
 import type { CliContext } from '../CliContext.ts';
 import { confirmPlan } from '../confirmPlan.ts';
-import { addRemoteOptions, createOperatorClient, type RemoteArguments } from '../remoteOptions.ts';
+import {
+  addRemoteOptions, addWaitOption, createOperatorClient, type RemoteArguments, type WaitArguments,
+} from '../remoteOptions.ts';
 
-interface ConfirmArguments extends RemoteArguments {
+interface ConfirmArguments extends RemoteArguments, WaitArguments {
   readonly planId: string;
 }
 
@@ -15,11 +17,13 @@
   return {
     command: 'confirm <planId>',
     describe: 'put a plan in force; repeating it gives the same answer',
-    builder: (parser) => addRemoteOptions(parser.positional('planId', {
+    builder: (parser) => addRemoteOptions(addWaitOption(parser).positional('planId', {
       type: 'string', demandOption: true, describe: 'as printed by plan',
     })).example('$0 confirm 4f1c...', 'prints the version and where it is in force'),
     handler: async (args) => {
-      await confirmPlan(createOperatorClient(args, io), args.planId, io, args.json);
+      await confirmPlan(args.planId, {
+        client: createOperatorClient(args, io), io, isJson: args.json, isAwaited: args.wait,
+      });
     },
   };
 }
--- a/src/cli/commands/createDrainCommand.ts
+++ b/src/cli/commands/createDrainCommand.ts
@@ -2,7 +2,9 @@
 import { DRAIN_TARGET_KIND } from '../../configuration/records/DrainRecord.ts';
 import type { CliContext } from '../CliContext.ts';
 import { proposeAndConfirm } from '../confirmPlan.ts';
-import { addRemoteOptions, createOperatorClient, type RemoteArguments } from '../remoteOptions.ts';
+import {
+  addRemoteOptions, addWaitOption, createOperatorClient, type RemoteArguments, type WaitArguments,
+} from '../remoteOptions.ts';
 
 /** The words of the command line for what can be taken out of service. */
 const TARGET_KINDS = {
@@ -13,7 +15,7 @@
 
 const TARGET_NAMES = Object.keys(TARGET_KINDS) as (keyof typeof TARGET_KINDS)[];
 
-interface DrainArguments extends RemoteArguments {
+interface DrainArguments extends RemoteArguments, WaitArguments {
   readonly kind: keyof typeof TARGET_KINDS;
   readonly id: string;
   readonly yes: boolean;
@@ -50,7 +52,7 @@
   return {
     command: `${verb} <kind> <id>`,
     describe: WORDINGS[verb].describe,
-    builder: (parser) => addRemoteOptions(parser
+    builder: (parser) => addRemoteOptions(addWaitOption(parser)
       .positional('kind', {
         choices: TARGET_NAMES, demandOption: true, describe: 'what it is',
       })
@@ -69,6 +71,7 @@
         io,
         isJson: args.json,
         isConfirmed: args.yes,
+        isAwaited: args.wait,
       });
     },
   };
--- a/src/cli/commands/createExplainCommand.ts
+++ b/src/cli/commands/createExplainCommand.ts
@@ -12,7 +12,7 @@
   const {
     requestId, accountId, pipelineId, outcome, lines,
   } = explanation;
-  const rows = lines.map((line) => [line.afterMs, line.decision, line.detail]);
+  const rows = lines.map((line) => [Math.round(line.afterMs), line.decision, line.detail]);
   return `request ${requestId} of ${accountId}, pipeline ${pipelineId}: ${outcome}\n${
     formatTable(['ms', 'decision', 'detail'], rows)}`;
 }
--- a/src/cli/confirmPlan.ts
+++ b/src/cli/confirmPlan.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { PlanAcceptedAnswer } from '../operators/OperatorAnswer.ts';
 import type { PlanSummary } from '../operators/PlanSummary.ts';
 import { CliError } from './CliError.ts';
@@ -6,6 +7,9 @@
 import { formatPlan } from './formatPlan.ts';
 import type { OperatorClient } from './OperatorClient.ts';
 
+const WAIT_ROUND_MS = 250;
+const MAX_WAIT_ROUNDS = 80;
+
 /** The part of an accepted answer that is shown. */
 export type AcceptedBody = Omit<PlanAcceptedAnswer, 'kind'>;
 
@@ -23,32 +27,60 @@
     + `in force on ${inForceHostIds.length} of ${hostCount} hosts${pending}\n`;
 }
 
+/** How a plan is confirmed. */
+export interface ConfirmOptions {
+  readonly client: OperatorClient;
+  readonly io: CliIo;
+  readonly isJson: boolean;
+  /** Whether to wait until the plan is in force on every live host. */
+  readonly isAwaited: boolean;
+}
+
+/*
+ * Confirming again changes nothing and tells where the plan is in force by now.
+ */
+async function confirmUntilInForce(
+  client: OperatorClient,
+  path: string,
+  first: AcceptedBody,
+): Promise<AcceptedBody> {
+  let accepted = first;
+  for (let round = 0; round < MAX_WAIT_ROUNDS && accepted.pendingHostIds.length > 0; round += 1) {
+    // eslint-disable-next-line no-await-in-loop -- each round asks after the one before
+    await sleep(WAIT_ROUND_MS);
+    // eslint-disable-next-line no-await-in-loop -- as above
+    accepted = await client.callOk<AcceptedBody>('POST', path);
+  }
+  return accepted;
+}
+
 /**
  * Confirms a plan and prints the answer.
  *
- * @param client - of the host
  * @param planId - of the plan
- * @param io - where the answer is printed
- * @param isJson - whether to print JSON
- * @throws CliError on a conflict, an unknown plan or an unreachable platform
+ * @param options - how to confirm
+ * @throws CliError on a conflict, an unknown plan, an unreachable platform, or hosts that are still
+ *   pending after the wait
  */
-export async function confirmPlan(
-  client: OperatorClient,
-  planId: string,
-  io: CliIo,
-  isJson: boolean,
-): Promise<void> {
+export async function confirmPlan(planId: string, options: ConfirmOptions): Promise<void> {
+  const {
+    client, io, isJson, isAwaited,
+  } = options;
   const path = `/operator/v1/plans/${encodeURIComponent(planId)}/confirm`;
-  const accepted = await client.callOk<AcceptedBody>('POST', path);
+  const first = await client.callOk<AcceptedBody>('POST', path);
+  const accepted = isAwaited ? await confirmUntilInForce(client, path, first) : first;
   io.writeOut(isJson ? `${JSON.stringify(accepted)}\n` : formatAccepted(accepted));
+  if (isAwaited && accepted.pendingHostIds.length > 0) {
+    throw new CliError(
+      EXIT_CODE.unavailable,
+      `accepted, but not yet in force on ${accepted.pendingHostIds.join(', ')}`,
+    );
+  }
 }
 
 /** How a drawn-up plan is confirmed. */
-export interface ProposeAndConfirmOptions {
-  readonly client: OperatorClient;
+export interface ProposeAndConfirmOptions extends ConfirmOptions {
   readonly intent: unknown;
-  readonly io: CliIo;
-  readonly isJson: boolean;
   /** Confirms without asking. */
   readonly isConfirmed: boolean;
 }
@@ -81,5 +113,5 @@
   if (!isConfirmed && !await isPlanWanted(io)) {
     throw new CliError(EXIT_CODE.failed, `not confirmed; parsleylift confirm ${plan.planId}`);
   }
-  await confirmPlan(client, plan.planId, io, isJson);
+  await confirmPlan(plan.planId, options);
 }
--- a/src/cli/formatStatus.ts
+++ b/src/cli/formatStatus.ts
@@ -46,6 +46,7 @@
  */
 export function formatStatus(status: HostStatus): string {
   const drains = status.drains.map((drain) => `${drain.kind} ${drain.id}`).join(', ');
+  const refusals = status.refusals.map((row) => [row.code, row.count]);
   const costs = status.costByStage
     .map((row) => [row.name, row.attemptCount, formatMoney(row.costMicros)]);
   const latencies = status.stageLatencies.map((row) => [
@@ -56,12 +57,12 @@
     `configuration version ${status.configurationVersion}, platform `,
     `${status.isPlatformReachable ? 'reachable' : 'NOT reachable'}\n`,
     `drained: ${drains === '' ? '(none)' : drains}\n`,
-    `\n${formatMembers(status)}`,
-    `\n${formatDomains(status)}`,
-    `\n${formatPools(status)}`,
-    `\n${formatAttainment(status)}`,
-    `\n${formatTable(['stage', 'attempts', 'p50 ms', 'p95 ms', 'p99 ms'], latencies)}`,
-    `\n${formatTable(['stage', 'attempts', 'cost'], costs)}`,
-    `\n${formatTable(['refusal', 'count'], status.refusals.map((row) => [row.code, row.count]))}`,
+    `\nentry hosts\n${formatMembers(status)}`,
+    `\nfailure domains\n${formatDomains(status)}`,
+    `\nupstreams\n${formatPools(status)}`,
+    `\nrequests since the start\n${formatAttainment(status)}`,
+    `\nlatency\n${formatTable(['stage', 'attempts', 'p50 ms', 'p95 ms', 'p99 ms'], latencies)}`,
+    `\ncost\n${formatTable(['stage', 'attempts', 'cost'], costs)}`,
+    `\nrefusals\n${formatTable(['code', 'count'], refusals)}`,
   ].join('');
 }
--- a/src/cli/remoteOptions.ts
+++ b/src/cli/remoteOptions.ts
@@ -39,6 +39,23 @@
     }) as unknown as Argv<T & RemoteArguments>;
 }
 
+/** Option of every command that confirms. */
+export interface WaitArguments {
+  readonly wait: boolean;
+}
+
+/**
+ * Declares the option of a command that confirms a plan.
+ *
+ * @param parser - the command's parser
+ * @returns the parser with the option
+ */
+export function addWaitOption<T>(parser: Argv<T>): Argv<T & WaitArguments> {
+  return parser.option('wait', {
+    type: 'boolean', default: false, describe: 'wait up to 20 s until every live host has it',
+  });
+}
+
 /**
  * Makes the client for a command.
  *
--- a/src/intents/PlanFacts.ts
+++ b/src/intents/PlanFacts.ts
@@ -5,10 +5,16 @@
   readonly requestsPerSecond: number;
 }
 
+/** An entry host that a plan may touch. */
+export interface PlanHost {
+  readonly hostId: string;
+  readonly failureDomainId: string;
+}
+
 /** What a plan takes from the running system, beside the configuration. */
 export interface PlanFacts {
   /** Entry hosts that are known now. */
-  readonly hosts: readonly { readonly hostId: string; readonly failureDomainId: string }[];
+  readonly hosts: readonly PlanHost[];
   /** Load to plan for; a pipeline that is missing counts as unloaded. */
   readonly loads: readonly PipelineLoad[];
   /** Largest value that the platform stores, in bytes. */
--- a/src/intents/createPlan.ts
+++ b/src/intents/createPlan.ts
@@ -44,7 +44,7 @@
     baseVersion: configuration.version,
     configuration: next,
     changes,
-    affected: describeAffected(configuration, next),
+    affected: describeAffected(configuration, next, facts.hosts),
     conflicts: findConflicts({
       intent, before: configuration, after: next, facts,
     }),
--- a/src/intents/describeAffected.ts
+++ b/src/intents/describeAffected.ts
@@ -1,6 +1,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
-import { getInServiceUpstreams } from './isInService.ts';
+import { getInServiceUpstreams, isHostInService } from './isInService.ts';
+import type { PlanHost } from './PlanFacts.ts';
 
 interface PoolCapacity {
   readonly upstreamCount: number;
@@ -44,17 +45,31 @@
     + `${old.concurrency} -> ${next.concurrency} concurrent attempts`;
 }
 
+function describeHosts(
+  before: ConfigurationRecord,
+  after: ConfigurationRecord,
+  hosts: readonly PlanHost[],
+): string[] {
+  return hosts
+    .filter((host) => isHostInService(host, before.drains) !== isHostInService(host, after.drains))
+    .map((host) => (isHostInService(host, after.drains)
+      ? `host ${host.hostId}: takes requests again`
+      : `host ${host.hostId}: takes no new requests`));
+}
+
 /**
- * Lists what a change touches: pools whose capacity changes, pipelines that use them or change
- * themselves, and the accounts that call those pipelines.
+ * Lists what a change touches: entry hosts that go or come back, pools whose capacity changes,
+ * pipelines that use them or change themselves, and the accounts that call those pipelines.
  *
  * @param before - the present configuration
  * @param after - the wanted configuration
+ * @param hosts - the entry hosts that are known
  * @returns one line for each
  */
 export function describeAffected(
   before: ConfigurationRecord,
   after: ConfigurationRecord,
+  hosts: readonly PlanHost[],
 ): string[] {
   const poolIds = getAffectedPoolIds(before, after);
   const changedPipelineIds = getChangedIds(before.pipelines, after.pipelines);
@@ -71,6 +86,7 @@
       .map(({ id }) => id),
   ])];
   return [
+    ...describeHosts(before, after, hosts),
     ...poolIds.map((poolId) => describePool(before, after, poolId)),
     ...pipelineIds.map((id) => `pipeline ${id}`),
     ...accountIds.map((id) => `account ${id}`),
--- a/src/intents/findConflicts.ts
+++ b/src/intents/findConflicts.ts
@@ -4,7 +4,7 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import { findNearestName } from '../lib/findNearestName.ts';
 import type { Intent } from './Intent.ts';
-import { getInServiceUpstreams, isSameDrain } from './isInService.ts';
+import { getInServiceUpstreams, isHostInService, isSameDrain } from './isInService.ts';
 import type { PlanFacts } from './PlanFacts.ts';
 
 /** What the conflicts of an intent are looked for in. */
@@ -136,6 +136,14 @@
   ];
 }
 
+function findLastHostConflicts({ before, after, facts }: FindConflictsOptions): string[] {
+  const isLastDrained = facts.hosts.some((host) => isHostInService(host, before.drains))
+    && !facts.hosts.some((host) => isHostInService(host, after.drains));
+  return isLastDrained
+    ? ['no entry host would be in service; leave or restore one']
+    : [];
+}
+
 interface RemovedEntities {
   readonly noun: string;
   readonly ids: readonly string[] | undefined;
@@ -207,6 +215,7 @@
     ...findAccountConflicts(options),
     ...findCeilingConflicts(options),
     ...findDrainConflicts(options),
+    ...findLastHostConflicts(options),
     ...findSizeConflicts(options),
   ];
 }
--- a/src/intents/isInService.ts
+++ b/src/intents/isInService.ts
@@ -1,6 +1,7 @@
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import { DRAIN_TARGET_KIND, type DrainRecord } from '../configuration/records/DrainRecord.ts';
 import type { UpstreamRecord } from '../configuration/records/UpstreamRecord.ts';
+import type { PlanHost } from './PlanFacts.ts';
 
 /**
  * @param left - one target
@@ -24,6 +25,19 @@
     || (kind === DRAIN_TARGET_KIND.failureDomain && id === upstream.failureDomainId)));
 }
 
+/**
+ * Tells whether operators let an entry host take new requests.
+ *
+ * @param host - the host
+ * @param drains - what is out of service
+ * @returns false when it or its failure domain is drained
+ */
+export function isHostInService(host: PlanHost, drains: readonly DrainRecord[]): boolean {
+  return !drains.some(({ kind, id }) => (
+    (kind === DRAIN_TARGET_KIND.host && id === host.hostId)
+    || (kind === DRAIN_TARGET_KIND.failureDomain && id === host.failureDomainId)));
+}
+
 /**
  * @param configuration - the configuration
  * @param poolId - a pool
