Resume an answer at any entry host

Cause: a caller that came back to another host than the one that took its request got 404. Ruled out: moving the request's state to a peer (nothing is kept on hosts; the taker has it while it lives); a subscription at the taker (it would be state that a lost message leaves behind). Conclusion: each question names its offset, so that the taker keeps nothing about it.

--- a/src/callers/registerCallerRoutes.test.ts
+++ b/src/callers/registerCallerRoutes.test.ts
@@ -134,7 +134,7 @@
         method: 'POST', url: URL, headers, payload,
       });
       equal(response.statusCode, status);
-      equal(response.headers['content-type']?.split(';')[0], 'application/problem+json');
+      equal(String(response.headers['content-type']).split(';')[0], 'application/problem+json');
       deepEqual([response.json().code, response.json().notRun], [code, true]);
       equal(port.submitted.length, 0);
     });
--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -12,6 +12,7 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { RequestId, UpstreamId } from '../lib/ids.ts';
 import type { Quarantine } from '../quarantine/Quarantine.ts';
+import { RemoteAnswers } from '../resumption/RemoteAnswers.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
 import type { RoutedUpstream } from '../routing/RoutedUpstream.ts';
 import type { CoreContext } from './CoreContext.ts';
@@ -85,6 +86,11 @@
     this.#world = {
       ...managers,
       fleet: managers.fleet ?? null,
+      remoteAnswers: new RemoteAnswers(context, {
+        getMembers: () => managers.fleet?.getMembers() ?? [],
+        getRequest: (requestId) => this.getRequest(requestId),
+        noteResumed: (requestId) => this.#noteResumed(requestId),
+      }),
       context,
       latencies,
       pools,
@@ -119,6 +125,7 @@
     this.#tickFleet();
     this.#world.configurationManager.tick();
     this.#world.claims.tick();
+    this.#world.remoteAnswers.tick();
     this.#world.ledger?.tick();
     this.#world.router.tick();
     SYSTEMS.forEach((system) => system(this.#world));
@@ -141,6 +148,7 @@
       world.abandonments.getNextWakeMs(),
       getNextQueueExpiryMs(world),
       world.claims.getNextWakeMs(),
+      world.remoteAnswers.getNextWakeMs(),
       world.ledger?.getNextWakeMs() ?? Infinity,
       world.configurationManager.getNextWakeMs(),
       world.fleet?.getNextWakeMs() ?? Infinity,
@@ -221,6 +229,13 @@
     return this.#world.requests.get(requestId);
   }
 
+  #noteResumed(requestId: RequestId): void {
+    const request = this.#world.requests.get(requestId);
+    if (request !== undefined) {
+      request.isAbandoned = false;
+    }
+  }
+
   #tickFleet(): void {
     const { fleet, context } = this.#world;
     fleet?.tick();
@@ -238,7 +253,13 @@
       case 'requestSubmitted':
         inbox.submitted.push(input);
         return;
+      case 'answerQueried':
+        this.#world.remoteAnswers.query(input);
+        return;
       case 'requestAbandoned':
+        this.#world.remoteAnswers.forget(input.requestId);
+        inbox.callerChanges.push(input);
+        return;
       case 'requestResumed':
         inbox.callerChanges.push(input);
         return;
@@ -266,6 +287,7 @@
         claims.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
         router.handlePeerMessage(input.fromHostId, input.message);
         this.#world.quarantine.handlePeerMessage(input.message);
+        this.#world.remoteAnswers.handlePeerMessage(input.fromHostId, input.message);
         ledger?.handlePeerMessage(input.fromHostId, input.message);
         configurationManager.handlePeerMessage(input);
         return;
--- a/src/core/CoreInput.ts
+++ b/src/core/CoreInput.ts
@@ -34,6 +34,13 @@
   readonly requestId: RequestId;
 }
 
+/** A caller asks here for the answer of a request that another host took. */
+export interface AnswerQueriedInput {
+  readonly kind: 'answerQueried';
+  readonly requestId: RequestId;
+  readonly accountId: AccountId;
+}
+
 /** An upstream streamed a part of its result. */
 export interface AttemptChunkInput {
   readonly kind: 'attemptChunk';
@@ -122,6 +129,7 @@
 /** Everything that the core learns from outside. */
 export type CoreInput =
   | RequestSubmittedInput | RequestAbandonedInput | RequestResumedInput
+  | AnswerQueriedInput
   | AttemptChunkInput | AttemptSucceededInput | AttemptFailedInput
   | LoadReportedInput | LoadUnavailableInput
   | KeyValueAnsweredInput | HostListReadInput
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,5 +1,6 @@
 import type { ClaimMessage } from '../claims/ClaimMessage.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
+import type { AnswerMessage } from '../resumption/AnswerMessage.ts';
 import type { GossipRecord } from '../gossip/GossipRecord.ts';
 import type { GrantMessage } from '../grants/GrantMessage.ts';
 import type { CostMessage } from '../cost/CostMessage.ts';
@@ -80,4 +81,4 @@
   | HeartbeatMessage | HeartbeatAnswerMessage
   | ConfigurationMessage | ConfigurationAskMessage
   | GossipPushMessage | GossipDigestMessage
-  | ClaimMessage | GrantMessage | QuarantineMessage | CostMessage;
+  | AnswerMessage | ClaimMessage | GrantMessage | QuarantineMessage | CostMessage;
--- a/src/peers/isPeerMessage.ts
+++ b/src/peers/isPeerMessage.ts
@@ -88,6 +88,16 @@
   gossipDigest: Type.Object({
     buckets: Type.Array(count, { maxItems: MAX_LIST_LENGTH }), isAnswerWanted: Type.Boolean(),
   }),
+  answerAsk: Type.Object({
+    requestId: id, accountId: id, replyAddress: id, fromOffset: count,
+  }),
+  answerReply: Type.Object({
+    requestId: id,
+    isKnown: Type.Boolean(),
+    offset: count,
+    text: Type.String(),
+    answer: Type.Union([Type.Null(), Type.Object({ kind: id })]),
+  }),
   claimAsk: Type.Object({ askId: id, replyAddress: id, operation: claimOperation }),
   ticketAsk: Type.Object({
     askId: id,
--- a/src/serve/CallerDesk.ts
+++ b/src/serve/CallerDesk.ts
@@ -5,6 +5,8 @@
 import type { RequestRecord } from '../core/tables/RequestRecord.ts';
 import { toId, type AccountId, type RequestId } from '../lib/ids.ts';
 import type { RandomSource } from '../lib/RandomSource.ts';
+import { createRequestId } from '../resumption/createRequestId.ts';
+import { getRequestHostId } from '../resumption/getRequestHostId.ts';
 import type { AnswerListeners } from './AnswerListeners.ts';
 import type { HostTracer } from './HostTracer.ts';
 
@@ -56,7 +58,7 @@
     const {
       hostId, random, listeners, tracer, post,
     } = this.#options;
-    const requestId = toId<RequestId>(`${hostId}.${random.getHexId()}`);
+    const requestId = createRequestId(hostId, random.getHexId());
     const traceparent = tracer.startRequest(requestId, submission);
     listeners.add(requestId, listener);
     post({
@@ -71,6 +73,12 @@
     accountId: AccountId,
     listener: AnswerListener,
   ): Promise<boolean> {
+    const takenBy = getRequestHostId(requestId);
+    if (takenBy !== '' && takenBy !== this.#options.hostId) {
+      this.#options.listeners.add(requestId, listener);
+      this.#options.post({ kind: 'answerQueried', requestId, accountId });
+      return true;
+    }
     const request = this.#options.getRequest(requestId);
     if (request === undefined || request.accountId !== accountId) {
       return false;
