--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -228,7 +228,7 @@
     this.#end(upstream, isCertainEnd(outcome.failure));
     upstream.learn(outcome);
     const isError = outcome.failure !== null && isUpstreamError(outcome.failure);
-    this.#pools.get(upstream.poolId)?.ejection.note(upstream.upstreamId, isError);
+    this.#pools.get(upstream.poolId)?.noteEnd(upstream, outcome.latencyMs, isError);
     this.#refresh(upstream);
   }
 
