Add the gauges that alarms are built on

Cause: readiness, reach of the platform, members and upstreams by state were on the status page only. Seen on the way: a gauge of the same name as one of addFleetMetrics made the host fail at its start; it is left to that module.

--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -13,6 +13,7 @@
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
 import { HttpKeyValueClient } from '../platform/HttpKeyValueClient.ts';
 import { registerOperatorRoutes } from '../operators/registerOperatorRoutes.ts';
+import { registerStatusGauges } from '../operators/registerStatusGauges.ts';
 import type { HostStatus } from '../operators/HostStatus.ts';
 import { createLogger } from '../telemetry/createLogger.ts';
 import { addFleetMetrics } from '../telemetry/addFleetMetrics.ts';
@@ -125,6 +126,7 @@
       getStatus: () => this.#getStatus(),
     });
     this.#showFleet();
+    registerStatusGauges(this.#metrics.registry, () => this.#getStatus());
     registerOperatorRoutes(this.#server, {
       port: this.#operatorDesk,
       operatorKey,
--- a/test/e2e/operators.test.ts
+++ b/test/e2e/operators.test.ts
@@ -256,6 +256,18 @@
     ok(states.every((state) => /^(cold|warming|warm|draining|gone)$/.test(state)), states.join());
   });
 
+  it('shows the metrics that alarms are built on', async () => {
+    const [first] = hosts;
+    ok(first);
+    const headers = { authorization: `Bearer ${OPERATOR_KEY}` };
+    const metrics = await (await fetch(`${first.httpUrl}/metrics`, { headers })).text();
+    match(metrics, /^parsleylift_ready 1$/m);
+    match(metrics, /^parsleylift_platform_reachable 1$/m);
+    match(metrics, /^parsleylift_configuration_version [1-9]/m);
+    match(metrics, /^parsleylift_members\{state="alive"\} 2$/m);
+    match(metrics, /^parsleylift_upstreams\{pool="encoder",state="warm"\} [123]$/m);
+  });
+
   it('shows the same total cost by stage and by account', async () => {
     const [first] = hosts;
     ok(first);
