--- /dev/null
+++ b/src/routing/ColdSlots.ts
@@ -0,0 +1,65 @@
+import type { GrantHolder } from '../grants/GrantHolder.ts';
+import type { AcquireRequest } from './AcquireRequest.ts';
+import type { RoutedPool } from './RoutedPool.ts';
+import type { RoutedUpstream } from './RoutedUpstream.ts';
+
+const DEFAULT_TIMEOUT_MS = 6_000;
+
+/** Takes slots at the cold upstreams of a pool, and asks for those that are missing. */
+export class ColdSlots {
+  readonly #holder: GrantHolder;
+
+  #endsAtMs: number | null = null;
+
+  /**
+   * @param holder - the slots of this host
+   */
+  constructor(holder: GrantHolder) {
+    this.#holder = holder;
+  }
+
+  /** When the attempt in the slot that was taken last has to have ended; null without a slot. */
+  get endsAtMs(): number | null {
+    return this.#endsAtMs;
+  }
+
+  /** Forgets the slot that was taken last: the next attempt may need none. */
+  forget(): void {
+    this.#endsAtMs = null;
+  }
+
+  /**
+   * @param pool - the pool
+   * @param request - what the attempt needs
+   * @param tries - cold upstreams without a free slot that are tried at most
+   * @returns the upstream whose slot was taken; null for none
+   */
+  acquire(pool: RoutedPool, request: AcquireRequest, tries: number): RoutedUpstream | null {
+    const timeoutMs = request.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    const granted = pool.granted.items[0];
+    if (granted !== undefined && this.#take(granted, timeoutMs)) {
+      return granted;
+    }
+    for (let index = 0; index < Math.min(tries, pool.cold.size); index += 1) {
+      const upstream = pool.getNextCold();
+      if (upstream?.health.takesWork() === true && this.#takeOrAsk(upstream, timeoutMs)) {
+        return upstream;
+      }
+    }
+    return null;
+  }
+
+  #takeOrAsk(upstream: RoutedUpstream, timeoutMs: number): boolean {
+    if (this.#take(upstream, timeoutMs)) {
+      return true;
+    }
+    this.#holder.ask(upstream.upstreamId, timeoutMs);
+    // A steward that is this host itself has answered already.
+    return this.#holder.hasFree(upstream.upstreamId) && this.#take(upstream, timeoutMs);
+  }
+
+  #take({ upstreamId, pool }: RoutedUpstream, timeoutMs: number): boolean {
+    this.#endsAtMs = this.#holder.take(upstreamId, pool.coldConcurrency, timeoutMs);
+    return this.#endsAtMs !== null;
+  }
+}
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -11,28 +11,19 @@
 import type { PeerMessage } from '../peers/PeerMessage.ts';
 import type { AcquireRequest } from './AcquireRequest.ts';
 import type { AttemptOutcome } from './AttemptOutcome.ts';
+import { ColdSlots } from './ColdSlots.ts';
+import { isDrained } from './isDrained.ts';
 import { isCertainEnd, isUpstreamError } from './isUpstreamError.ts';
+import { Reservations } from './Reservations.ts';
 import { RoutedPool, type PoolCapacity } from './RoutedPool.ts';
 import { DEFAULT_POOL_ROUTER_OPTIONS, type PoolRouterOptions } from './PoolRouterOptions.ts';
+import type { RouterConfiguration } from './RouterConfiguration.ts';
 import { RoutedUpstream } from './RoutedUpstream.ts';
 import { UpstreamSelector } from './UpstreamSelector.ts';
 
-/** The part of the configuration that the router follows. */
-export interface RouterConfiguration {
-  readonly pools: readonly PoolRecord[];
-  readonly upstreams: readonly UpstreamRecord[];
-  readonly drains: readonly DrainRecord[];
-}
-
-const DEFAULT_TIMEOUT_MS = 6_000;
 /** Cold upstreams that one attempt tries when no warm one has room. */
 const COLD_TRIES = 4;
 
-function isDrained(upstream: UpstreamRecord, drains: readonly DrainRecord[]): boolean {
-  return drains.some((drain) => (drain.kind === 'upstream' && drain.id === upstream.id)
-    || (drain.kind === 'failureDomain' && drain.id === upstream.failureDomainId));
-}
-
 /**
  * Chooses an upstream for each attempt and keeps the slots. Core's use:
  *
@@ -70,12 +61,11 @@
 
   readonly #drained = new Set<UpstreamId>();
 
-  readonly #reservations = new Map<RequestId, UpstreamId>();
+  readonly #reservations: Reservations;
 
   readonly #changedPools = new Set<PoolId>();
 
-  /** When the attempt that was acquired last has to have ended; null without a slot. */
-  #acquiredUntilMs: number | null = null;
+  readonly #coldSlots: ColdSlots;
 
   /**
    * @param context - the time of the step and the way out
@@ -97,6 +87,11 @@
       (id) => this.#upstreams.get(id)?.pool.coldConcurrency ?? 0,
       this.#options.grants,
     );
+    this.#coldSlots = new ColdSlots(this.#grants.holder);
+    this.#reservations = new Reservations(
+      (id) => this.#upstreams.get(id),
+      (upstream) => this.#refresh(upstream),
+    );
   }
 
   /**
@@ -150,22 +145,22 @@
    * @returns the upstream; null when none has room now
    */
   tryAcquire(request: AcquireRequest): UpstreamId | null {
-    this.#acquiredUntilMs = null;
+    this.#coldSlots.forget();
     const pool = this.#pools.get(request.poolId);
     if (pool === undefined) {
       return null;
     }
     const mayBeCold = request.excludedUpstreamIds.length === 0;
     const cold = mayBeCold && (request.isRepeatable ?? true)
-      ? this.#acquireCold(pool, request, 1)
+      ? this.#coldSlots.acquire(pool, request, 1)
       : null;
     const chosen = cold
       ?? this.#select(pool, request)
-      ?? (mayBeCold ? this.#acquireCold(pool, request, COLD_TRIES) : null);
+      ?? (mayBeCold ? this.#coldSlots.acquire(pool, request, COLD_TRIES) : null);
     if (chosen === null) {
       return null;
     }
-    chosen.start(this.#acquiredUntilMs !== null);
+    chosen.start(this.#coldSlots.endsAtMs !== null);
     this.#refresh(chosen);
     return chosen.upstreamId;
   }
@@ -178,8 +173,8 @@
    * @returns the upstream; null while none is empty
    */
   tryAcquireAlone(request: AcquireRequest): UpstreamId | null {
-    this.#acquiredUntilMs = null;
-    const reserved = this.#getReserved(request);
+    this.#coldSlots.forget();
+    const reserved = this.#reservations.reserve(request, this.#pools.get(request.poolId));
     if (reserved === null || reserved.runningCount > 0) {
       return null;
     }
@@ -194,13 +189,7 @@
    * @param requestId - the request; one without a reservation is passed over
    */
   releaseReservation(requestId: RequestId): void {
-    const upstreamId = this.#reservations.get(requestId);
-    const upstream = upstreamId === undefined ? undefined : this.#upstreams.get(upstreamId);
-    this.#reservations.delete(requestId);
-    if (upstream !== undefined) {
-      upstream.isReserved = false;
-      this.#refresh(upstream);
-    }
+    this.#reservations.release(requestId);
   }
 
   /**
@@ -210,9 +199,10 @@
    * @returns how long it may take
    */
   getAttemptTimeoutMs(wantedMs: number): number {
-    return this.#acquiredUntilMs === null
+    const { endsAtMs } = this.#coldSlots;
+    return endsAtMs === null
       ? wantedMs
-      : Math.min(wantedMs, this.#acquiredUntilMs - this.#context.getNowMs());
+      : Math.min(wantedMs, endsAtMs - this.#context.getNowMs());
   }
 
   /**
@@ -350,57 +340,6 @@
     return this.#selector.select(pool, wish) as RoutedUpstream | null;
   }
 
-  #acquireCold(pool: RoutedPool, request: AcquireRequest, tries: number): RoutedUpstream | null {
-    const timeoutMs = request.timeoutMs ?? DEFAULT_TIMEOUT_MS;
-    const granted = pool.granted.items[0];
-    if (granted !== undefined && this.#takeSlot(granted, timeoutMs)) {
-      return granted;
-    }
-    for (let index = 0; index < Math.min(tries, pool.cold.size); index += 1) {
-      const upstream = pool.getNextCold();
-      if (upstream?.health.takesWork() === true && this.#takeOrAsk(upstream, timeoutMs)) {
-        return upstream;
-      }
-    }
-    return null;
-  }
-
-  #takeOrAsk(upstream: RoutedUpstream, timeoutMs: number): boolean {
-    if (this.#takeSlot(upstream, timeoutMs)) {
-      return true;
-    }
-    this.#grants.holder.ask(upstream.upstreamId, timeoutMs);
-    // A steward that is this host itself has answered already.
-    const hasFree = this.#grants.holder.hasFree(upstream.upstreamId);
-    return hasFree && this.#takeSlot(upstream, timeoutMs);
-  }
-
-  #takeSlot({ upstreamId, pool }: RoutedUpstream, timeoutMs: number): boolean {
-    const { holder } = this.#grants;
-    this.#acquiredUntilMs = holder.take(upstreamId, pool.coldConcurrency, timeoutMs);
-    return this.#acquiredUntilMs !== null;
-  }
-
-  #getReserved(request: AcquireRequest): RoutedUpstream | null {
-    const reservedId = this.#reservations.get(request.requestId);
-    const reserved = reservedId === undefined ? undefined : this.#upstreams.get(reservedId);
-    if (reserved !== undefined && reserved.health.takesWork()) {
-      return reserved;
-    }
-    this.releaseReservation(request.requestId);
-    const pool = this.#pools.get(request.poolId);
-    const chosen = [...pool?.near.items ?? [], ...pool?.far.items ?? []]
-      .filter(({ upstreamId }) => !request.excludedUpstreamIds.includes(upstreamId))
-      .sort((left, right) => left.runningCount - right.runningCount)[0];
-    if (chosen === undefined) {
-      return null;
-    }
-    chosen.isReserved = true;
-    this.#reservations.set(request.requestId, chosen.upstreamId);
-    this.#refresh(chosen);
-    return chosen;
-  }
-
   #end(upstream: RoutedUpstream, isCertain: boolean): void {
     if (upstream.end()) {
       this.#grants.holder.release(upstream.upstreamId, isCertain);
