--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -5,7 +5,9 @@
 import type { LoadReportedInput } from '../core/CoreInput.ts';
 import { GrantDesk } from '../grants/GrantDesk.ts';
 import type { StewardDirectory } from '../grants/StewardDirectory.ts';
-import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
+import type {
+  HostId, PoolId, RequestId, UpstreamId,
+} from '../lib/ids.ts';
 import type { PeerMessage } from '../peers/PeerMessage.ts';
 import type { AcquireRequest } from './AcquireRequest.ts';
 import type { AttemptOutcome } from './AttemptOutcome.ts';
