--- a/src/core/CoreWorld.ts
+++ b/src/core/CoreWorld.ts
@@ -3,10 +3,12 @@
 import type { ClaimPort } from '../claims/ClaimPort.ts';
 import type { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import type { ConfigurationIndex } from '../configuration/ConfigurationIndex.ts';
+import type { CostLedger } from '../cost/CostLedger.ts';
 import type { CostPort } from '../cost/CostPort.ts';
 import type { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
 import type { AttemptId, RequestId } from '../lib/ids.ts';
 import type { Quarantine } from '../quarantine/Quarantine.ts';
+import type { RemoteAnswers } from '../resumption/RemoteAnswers.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
 import type { CoreContext } from './CoreContext.ts';
 import type { CoreInbox } from './CoreInbox.ts';
@@ -38,9 +40,11 @@
   readonly admission: Admission;
   readonly latencies: StageLatencies;
   readonly quarantine: Quarantine;
+  readonly remoteAnswers: RemoteAnswers;
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
+  readonly ledger?: CostLedger;
   readonly configurationManager: ConfigurationManager;
   /** Null for a core that works without peers. */
   readonly fleet: FleetCoordinator | null;
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,5 +1,6 @@
 import type { ClaimMessage } from '../claims/ClaimMessage.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
+import type { AnswerMessage } from '../resumption/AnswerMessage.ts';
 import type { GossipRecord } from '../gossip/GossipRecord.ts';
 import type { GrantMessage } from '../grants/GrantMessage.ts';
 import type { CostMessage } from '../cost/CostMessage.ts';
@@ -30,6 +31,8 @@
   readonly configurationVersion: number;
   /** Configuration versions in force by host, a bounded selection. */
   readonly versions: Readonly<Record<string, number>>;
+  /** Hashes over the members that the sender takes for present, by bucket. */
+  readonly viewDigest: readonly number[];
 }
 
 /** A configuration that was accepted by the platform. */
@@ -54,6 +57,8 @@
   readonly members: readonly MemberRecord[];
   /** Configuration versions in force by host, a bounded selection. */
   readonly versions: Readonly<Record<string, number>>;
+  /** Hashes over the members that the sender takes for present, by bucket. */
+  readonly viewDigest: readonly number[];
 }
 
 /** Records that changed, or that a digest showed to be missing at the receiver. */
@@ -76,4 +81,4 @@
   | HeartbeatMessage | HeartbeatAnswerMessage
   | ConfigurationMessage | ConfigurationAskMessage
   | GossipPushMessage | GossipDigestMessage
-  | ClaimMessage | GrantMessage | QuarantineMessage | CostMessage;
+  | AnswerMessage | ClaimMessage | GrantMessage | QuarantineMessage | CostMessage;
--- a/src/peers/isPeerMessage.ts
+++ b/src/peers/isPeerMessage.ts
@@ -73,12 +73,14 @@
     members: memberRecords,
     configurationVersion: count,
     versions: Type.Record(Type.String(), count),
+    viewDigest: Type.Array(count, { maxItems: MAX_LIST_LENGTH }),
   }),
   heartbeatAnswer: Type.Object({
     sequence: count,
     self: memberRecord,
     members: memberRecords,
     versions: Type.Record(Type.String(), count),
+    viewDigest: Type.Array(count, { maxItems: MAX_LIST_LENGTH }),
   }),
   configuration: Type.Object({ configuration: createOpenSchema(configurationRecordSchema) }),
   configurationAsk: Type.Object({ knownVersion: count }),
@@ -86,6 +88,16 @@
   gossipDigest: Type.Object({
     buckets: Type.Array(count, { maxItems: MAX_LIST_LENGTH }), isAnswerWanted: Type.Boolean(),
   }),
+  answerAsk: Type.Object({
+    requestId: id, accountId: id, replyAddress: id, fromOffset: count,
+  }),
+  answerReply: Type.Object({
+    requestId: id,
+    isKnown: Type.Boolean(),
+    offset: count,
+    text: Type.String(),
+    answer: Type.Union([Type.Null(), Type.Object({ kind: id })]),
+  }),
   claimAsk: Type.Object({ askId: id, replyAddress: id, operation: claimOperation }),
   ticketAsk: Type.Object({
     askId: id,
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -6,22 +6,25 @@
 import type { ConfigurationManager } from '../configuration/ConfigurationManager.ts';
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { Core } from '../core/Core.ts';
+import type { CostLedger } from '../cost/CostLedger.ts';
 import type { CoreOutput } from '../core/CoreOutput.ts';
 import type { RequestAnswer } from '../answers/RequestAnswer.ts';
+import { assertExists } from '../lib/assertExists.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { RequestId, UpstreamId } from '../lib/ids.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
 import { HttpKeyValueClient } from '../platform/HttpKeyValueClient.ts';
 import { registerOperatorRoutes } from '../operators/registerOperatorRoutes.ts';
+import { registerStatusGauges } from '../operators/registerStatusGauges.ts';
 import type { HostStatus } from '../operators/HostStatus.ts';
 import { createLogger } from '../telemetry/createLogger.ts';
+import { addFleetMetrics } from '../telemetry/addFleetMetrics.ts';
 import { HostMetrics } from '../telemetry/HostMetrics.ts';
 import { Tracing } from '../telemetry/Tracing.ts';
 import { SystemClock } from '../time/SystemClock.ts';
 import { UpstreamSender } from '../upstreams/UpstreamSender.ts';
 import { AnswerListeners } from './AnswerListeners.ts';
 import { CallerDesk } from './CallerDesk.ts';
-import { CostTotals } from './CostTotals.ts';
 import { CoreLoop } from './CoreLoop.ts';
 import { createHostCore } from './createHostCore.ts';
 import { createIdentity } from './createIdentity.ts';
@@ -57,7 +60,7 @@
 
   readonly #desk: CallerDesk;
 
-  readonly #costs = new CostTotals();
+  readonly #costs: CostLedger;
 
   readonly #configurationManager: ConfigurationManager;
 
@@ -93,9 +96,10 @@
       clock,
       random,
       self: link.self,
-      createCore: (context) => createHostCore(context, clock, this.#costs),
+      createCore: (context) => createHostCore(context, clock),
       perform: (output) => this.#perform(output),
     });
+    this.#costs = assertExists(this.#loop.core.ledger, 'createHostCore makes a ledger');
     this.#sender = new UpstreamSender({
       onInput: (input) => {
         this.#tracer.endAttempt(input);
@@ -119,10 +123,14 @@
       .onChange((configuration) => this.#adoptConfiguration(configuration));
     this.#operatorDesk = new OperatorDesk({
       random,
+      costs: this.#costs,
+      wake: () => this.#loop.wake(),
       post: (input) => this.#loop.post(input),
       getRequest: (requestId) => this.#loop.core.getRequest(requestId),
       getStatus: () => this.#getStatus(),
     });
+    this.#showFleet();
+    registerStatusGauges(this.#metrics.registry, () => this.#getStatus());
     registerOperatorRoutes(this.#server, {
       port: this.#operatorDesk,
       operatorKey,
@@ -170,6 +178,16 @@
     this.#loop.post({ kind: 'stopRequested' });
   }
 
+  #showFleet(): void {
+    const { core } = this.#loop;
+    addFleetMetrics(this.#metrics.registry, () => ({
+      configurationVersion: core.getConfiguration().version,
+      aliveHostCount: core.fleet?.membership.getAliveHostIds().length ?? 1,
+      movedDutyCount: core.fleet?.duties.movedCount ?? 0,
+      transport: this.#link.counters,
+    }));
+  }
+
   #adoptConfiguration(configuration: ConfigurationRecord): void {
     this.#desk.setConfiguration(configuration);
     this.#loads.setUpstreams(configuration.upstreams);
@@ -177,12 +195,11 @@
   }
 
   #getUpstreamLoad(upstreamId: UpstreamId): UpstreamLoad {
-    const { upstreams, pools } = this.#loop.core.getConfiguration();
-    const poolId = upstreams.find(({ id }) => id === upstreamId)?.poolId;
-    return {
-      state: 'known',
-      limit: pools.find(({ id }) => id === poolId)?.maxConcurrency ?? 0,
-      inFlightCount: this.#loop.core.countAttempts(upstreamId),
+    const upstream = this.#loop.core.getUpstream(upstreamId);
+    return upstream === null ? { state: 'unknown', limit: 0, inFlightCount: 0 } : {
+      state: upstream.health.state.kind,
+      limit: Math.floor(upstream.limit.value),
+      inFlightCount: upstream.runningCount,
     };
   }
 
