--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -6,7 +6,7 @@
 const DEFAULT_HOST_COUNTS = '24,96,330';
 const DEFAULT_LOSSES = '0,0.01,0.05';
 const DOMAIN_COUNT = 6;
-const JOIN_MS = 30_000;
+const DEFAULT_JOIN_S = 30;
 const QUIET_MS = 60_000;
 const STEP_MS = 100;
 const KILL_COUNT = 6;
@@ -47,11 +47,16 @@
   return { first: [...first.values()], everywhere: [...everywhere.values()] };
 }
 
-function runCase(hostCount: number, lossFraction: number, seed: number): BenchCell[] {
+function runCase(
+  hostCount: number,
+  lossFraction: number,
+  seed: number,
+  joinMs: number,
+): BenchCell[] {
   const bed = new MembershipTestBed({
     hostCount, domainCount: DOMAIN_COUNT, seed, lossFraction, isEncoding: true,
   });
-  bed.run(JOIN_MS);
+  bed.run(joinMs);
   bed.members.forEach(({ events }) => events.splice(0));
   bed.resetCounts();
   const cpuBefore = process.cpuUsage();
@@ -77,14 +82,16 @@
 /**
  * Runs many memberships in one process under a manual clock, messages passed in memory.
  *
- * @param options - `--hosts 24,96,330`, `--losses 0,0.01,0.05`
+ * @param options - `--hosts 24,96,330`, `--losses 0,0.01,0.05`, `--join 30` seconds until the
+ *   views are expected to agree
  * @returns one row per fleet size and loss
  */
 export async function runMembership(options: BenchOptions): Promise<BenchReport> {
   const hostCounts = (options.flags.get('hosts') ?? DEFAULT_HOST_COUNTS).split(',').map(Number);
   const losses = (options.flags.get('losses') ?? DEFAULT_LOSSES).split(',').map(Number);
+  const joinMs = Number(options.flags.get('join') ?? DEFAULT_JOIN_S) * MS_PER_S;
   const rows = hostCounts.flatMap((hostCount) => (
-    losses.map((loss) => runCase(hostCount, loss, options.seed))));
+    losses.map((loss) => runCase(hostCount, loss, options.seed, joinMs))));
   return {
     name: 'membership',
     seed: options.seed,
--- a/bench/memory.ts
+++ b/bench/memory.ts
@@ -4,7 +4,12 @@
 import type { Core } from '../src/core/Core.ts';
 import { toId } from '../src/lib/ids.ts';
 import { createHostCore } from '../src/serve/createHostCore.ts';
-import type { BenchCell, BenchOptions, BenchReport } from './Bench.ts';
+import { encodeFrame } from '../src/peers/encodeFrame.ts';
+import { frameCodec } from '../src/peers/frameCodec.ts';
+import { PEER_PROTOCOL } from '../src/peers/PEER_PROTOCOL.ts';
+import type {
+  BenchCell, BenchOptions, BenchReport, BenchTable,
+} from './Bench.ts';
 
 const BYTES_PER_KB = 1024;
 const BYTES_PER_MB = 1024 * BYTES_PER_KB;
@@ -111,6 +116,26 @@
   });
 }
 
+/** The size of the whole configuration, which travels once to each host at each change today. */
+function measureConfiguration(): BenchTable {
+  const configuration = createConfiguration(UPSTREAM_COUNT, ACCOUNT_COUNT);
+  const startedAtMs = performance.now();
+  const frame = encodeFrame(configuration);
+  const encodedAtMs = performance.now();
+  frameCodec.decode(frame.subarray(PEER_PROTOCOL.lengthPrefixBytes));
+  const decodedAtMs = performance.now();
+  return {
+    title: `Configuration with ${UPSTREAM_COUNT} upstreams and ${ACCOUNT_COUNT} accounts`,
+    columns: ['JSON KB', 'CBOR KB', 'encode ms', 'decode ms'],
+    rows: [[
+      Math.round(JSON.stringify(configuration).length / BYTES_PER_KB),
+      Math.round(frame.length / BYTES_PER_KB),
+      Number((encodedAtMs - startedAtMs).toFixed(1)),
+      Number((decodedAtMs - encodedAtMs).toFixed(1)),
+    ]],
+  };
+}
+
 /**
  * Measures the heap that one host's control state takes at the target's table sizes.
  *
@@ -146,7 +171,7 @@
       title: 'Heap of one core at the target size',
       columns: ['what', 'sample', 'KB each', 'number at the target', 'MB at the target'],
       rows: ledger.rows,
-    }],
+    }, measureConfiguration()],
     targets: [{
       name: 'control state of one host',
       target: `<= ${CONTROL_TARGET_MB} MB`,
