--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -6,11 +6,13 @@
   createEmptyConfiguration, type ConfigurationRecord,
 } from '../configuration/records/ConfigurationRecord.ts';
 import type { ClaimPort } from '../claims/ClaimPort.ts';
+import type { CostLedger } from '../cost/CostLedger.ts';
 import type { CostPort } from '../cost/CostPort.ts';
 import type { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { RequestId, UpstreamId } from '../lib/ids.ts';
 import type { Quarantine } from '../quarantine/Quarantine.ts';
+import { RemoteAnswers } from '../resumption/RemoteAnswers.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
 import type { RoutedUpstream } from '../routing/RoutedUpstream.ts';
 import type { CoreContext } from './CoreContext.ts';
@@ -38,6 +40,8 @@
   readonly router: PoolRouter;
   readonly claims: ClaimPort;
   readonly costs: CostPort;
+  /** Makes the costs durable; absent where they are only counted. */
+  readonly ledger?: CostLedger;
   readonly configurationManager: ConfigurationManager;
   /** Absent for a core that works without peers. */
   readonly fleet?: FleetCoordinator;
@@ -82,6 +86,11 @@
     this.#world = {
       ...managers,
       fleet: managers.fleet ?? null,
+      remoteAnswers: new RemoteAnswers(context, {
+        getMembers: () => managers.fleet?.getMembers() ?? [],
+        getRequest: (requestId) => this.getRequest(requestId),
+        noteResumed: (requestId) => this.#noteResumed(requestId),
+      }),
       context,
       latencies,
       pools,
@@ -116,6 +125,8 @@
     this.#tickFleet();
     this.#world.configurationManager.tick();
     this.#world.claims.tick();
+    this.#world.remoteAnswers.tick();
+    this.#world.ledger?.tick();
     this.#world.router.tick();
     SYSTEMS.forEach((system) => system(this.#world));
   }
@@ -137,6 +148,8 @@
       world.abandonments.getNextWakeMs(),
       getNextQueueExpiryMs(world),
       world.claims.getNextWakeMs(),
+      world.remoteAnswers.getNextWakeMs(),
+      world.ledger?.getNextWakeMs() ?? Infinity,
       world.configurationManager.getNextWakeMs(),
       world.fleet?.getNextWakeMs() ?? Infinity,
       world.router.getNextWakeMs(),
@@ -191,6 +204,11 @@
     return this.#world.fleet;
   }
 
+  /** The durable books; absent where costs are only counted. */
+  get ledger(): CostLedger | undefined {
+    return this.#world.ledger;
+  }
+
   /** Follows the configuration and carries out operators' calls. */
   get configurationManager(): ConfigurationManager {
     return this.#world.configurationManager;
@@ -211,6 +229,13 @@
     return this.#world.requests.get(requestId);
   }
 
+  #noteResumed(requestId: RequestId): void {
+    const request = this.#world.requests.get(requestId);
+    if (request !== undefined) {
+      request.isAbandoned = false;
+    }
+  }
+
   #tickFleet(): void {
     const { fleet, context } = this.#world;
     fleet?.tick();
@@ -222,13 +247,19 @@
 
   #sortInput(input: CoreInput): void {
     const {
-      inbox, router, claims, configurationManager, fleet,
+      inbox, router, claims, configurationManager, fleet, ledger,
     } = this.#world;
     switch (input.kind) {
       case 'requestSubmitted':
         inbox.submitted.push(input);
         return;
+      case 'answerQueried':
+        this.#world.remoteAnswers.query(input);
+        return;
       case 'requestAbandoned':
+        this.#world.remoteAnswers.forget(input.requestId);
+        inbox.callerChanges.push(input);
+        return;
       case 'requestResumed':
         inbox.callerChanges.push(input);
         return;
@@ -248,6 +279,7 @@
         return;
       case 'keyValueAnswered':
         claims.handleKeyValueAnswer(input);
+        ledger?.handleKeyValueAnswer(input);
         configurationManager.handleKeyValueAnswer(input);
         return;
       case 'peerMessageReceived':
@@ -255,6 +287,8 @@
         claims.handlePeerMessage(input.fromHostId, input.fromIncarnationId, input.message);
         router.handlePeerMessage(input.fromHostId, input.message);
         this.#world.quarantine.handlePeerMessage(input.message);
+        this.#world.remoteAnswers.handlePeerMessage(input.fromHostId, input.message);
+        ledger?.handlePeerMessage(input.fromHostId, input.message);
         configurationManager.handlePeerMessage(input);
         return;
       case 'hostListRead':
--- a/src/health/PoolEjection.ts
+++ b/src/health/PoolEjection.ts
@@ -1,5 +1,5 @@
 import type { CoreContext } from '../core/CoreContext.ts';
-import { ErrorRateWindow } from '../detection/ErrorRateWindow.ts';
+import { GlrDetector } from '../detection/GlrDetector.ts';
 import type { RateDetector } from '../detection/RateDetector.ts';
 import type { UpstreamId } from '../lib/ids.ts';
 
@@ -15,13 +15,19 @@
   readonly forgiveMs: number;
   /** Part of the pool above which nothing is ejected: the fault is not in single upstreams. */
   readonly panicFraction: number;
+  /** An upstream is ejected only when it fails this many times as often as its pool. */
+  readonly poolRateFactor: number;
   /**
+   * @param isSuspected - whether the upstream was ejected of late, so that less evidence suffices
    * @returns a detector of failures for one upstream
    */
-  readonly createDetector: () => RateDetector;
+  readonly createDetector: (isSuspected: boolean) => RateDetector;
 }
 
-const WINDOW_RATE = 0.3;
+const TUNED_CHANGE = { baseRate: 0.02, raisedRate: 0.2 };
+const ALARM_THRESHOLD = 12;
+/** About two failures: the head start of a suspect (Lucas and Crosier 1982). */
+const SUSPECT_THRESHOLD = 4;
 
 /** Defaults of ejection. */
 export const DEFAULT_POOL_EJECTION_OPTIONS: PoolEjectionOptions = {
@@ -30,20 +36,29 @@
   maxEjectMs: 60_000,
   forgiveMs: 60_000,
   panicFraction: 0.5,
-  createDetector: () => new ErrorRateWindow(WINDOW_RATE),
+  poolRateFactor: 2.5,
+  createDetector: (isSuspected) => new GlrDetector(
+    TUNED_CHANGE,
+    isSuspected ? SUSPECT_THRESHOLD : ALARM_THRESHOLD,
+  ),
 };
 
+const SUSPECT_SMOOTHING = 0.1;
+const POOL_SMOOTHING = 0.01;
+
 interface Suspect {
-  readonly detector: RateDetector;
+  detector: RateDetector;
   offered: number;
   errors: number;
-  isAlarmed: boolean;
+  /** Smoothed part of its attempts that fail. */
+  rate: number;
   ejectedUntilMs: number;
   ejectionCount: number;
 }
 
 /**
- * Takes upstreams with many failures out of their pool for a while, never a whole pool.
+ * Takes upstreams with many failures out of their pool for a while, never a whole pool. The alarm
+ * is the GLR scheme of Han, Mei and Tsui, formula (3): docs/decisions tells how it was chosen.
  *
  * ```ts
  * ejection.note(upstreamId, failure !== null);
@@ -65,6 +80,9 @@
 
   #memberCount = 0;
 
+  /** Smoothed part of all attempts of the pool that fail. */
+  #poolRate = 0;
+
   #tickEndsAtMs = Infinity;
 
   /**
@@ -101,6 +119,9 @@
     const suspect = this.#getSuspect(upstreamId);
     suspect.offered += 1;
     suspect.errors += isError ? 1 : 0;
+    const value = isError ? 1 : 0;
+    suspect.rate += SUSPECT_SMOOTHING * (value - suspect.rate);
+    this.#poolRate += POOL_SMOOTHING * (value - this.#poolRate);
     this.#touched.add(upstreamId);
     if (this.#tickEndsAtMs === Infinity) {
       this.#tickEndsAtMs = this.#context.getNowMs() + this.#options.tickMs;
@@ -149,10 +170,10 @@
       return known;
     }
     const created: Suspect = {
-      detector: this.#options.createDetector(),
+      detector: this.#options.createDetector(false),
       offered: 0,
       errors: 0,
-      isAlarmed: false,
+      rate: 0,
       ejectedUntilMs: -Infinity,
       ejectionCount: 0,
     };
@@ -162,10 +183,19 @@
 
   #endTick(upstreamId: UpstreamId): boolean {
     const suspect = this.#getSuspect(upstreamId);
-    suspect.isAlarmed = suspect.detector.addTick(suspect.offered, suspect.errors);
+    if (suspect.ejectionCount > 0 && this.#isForgiven(suspect)) {
+      suspect.ejectionCount = 0;
+      suspect.detector = this.#options.createDetector(false);
+    }
+    const isAlarmed = suspect.detector.addTick(suspect.offered, suspect.errors);
     suspect.offered = 0;
     suspect.errors = 0;
-    return suspect.isAlarmed && !this.#ejected.has(upstreamId);
+    const isWorse = suspect.rate >= this.#poolRate * this.#options.poolRateFactor;
+    return isAlarmed && isWorse && !this.#ejected.has(upstreamId);
+  }
+
+  #isForgiven(suspect: Suspect): boolean {
+    return this.#context.getNowMs() >= suspect.ejectedUntilMs + this.#options.forgiveMs;
   }
 
   #ejectAll(alarmed: readonly UpstreamId[], nowMs: number): UpstreamId[] {
@@ -179,14 +209,11 @@
 
   #eject(upstreamId: UpstreamId, nowMs: number): void {
     const suspect = this.#getSuspect(upstreamId);
-    if (nowMs >= suspect.ejectedUntilMs + this.#options.forgiveMs) {
-      suspect.ejectionCount = 0;
-    }
     const { ejectMs, maxEjectMs } = this.#options;
     const durationMs = Math.min(maxEjectMs, ejectMs * 2 ** suspect.ejectionCount);
     suspect.ejectionCount += 1;
     suspect.ejectedUntilMs = nowMs + durationMs;
-    suspect.detector.reset();
+    suspect.detector = this.#options.createDetector(true);
     this.#ejected.add(upstreamId);
   }
 
