--- a/src/routing/ColdSlots.ts
+++ b/src/routing/ColdSlots.ts
@@ -4,6 +4,8 @@
 import type { RoutedUpstream } from './RoutedUpstream.ts';
 
 const DEFAULT_TIMEOUT_MS = 6_000;
+/** Cold upstreams that one attempt tries when no warm one has room. */
+const COLD_TRIES = 4;
 
 /** Takes slots at the cold upstreams of a pool, and asks for those that are missing. */
 export class ColdSlots {
@@ -34,7 +36,11 @@
    * @param tries - cold upstreams without a free slot that are tried at most
    * @returns the upstream whose slot was taken; null for none
    */
-  acquire(pool: RoutedPool, request: AcquireRequest, tries: number): RoutedUpstream | null {
+  acquire(
+    pool: RoutedPool,
+    request: AcquireRequest,
+    tries = COLD_TRIES,
+  ): RoutedUpstream | null {
     const timeoutMs = request.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     const granted = pool.granted.items[0];
     if (granted !== undefined && this.#take(granted, timeoutMs)) {
--- a/src/routing/PoolRouter.ts
+++ b/src/routing/PoolRouter.ts
@@ -21,9 +21,6 @@
 import { RoutedUpstream } from './RoutedUpstream.ts';
 import { UpstreamSelector } from './UpstreamSelector.ts';
 
-/** Cold upstreams that one attempt tries when no warm one has room. */
-const COLD_TRIES = 4;
-
 /**
  * Chooses an upstream for each attempt and keeps the slots. Core's use:
  *
@@ -156,7 +153,7 @@
       : null;
     const chosen = cold
       ?? this.#select(pool, request)
-      ?? (mayBeCold ? this.#coldSlots.acquire(pool, request, COLD_TRIES) : null);
+      ?? (mayBeCold ? this.#coldSlots.acquire(pool, request) : null);
     if (chosen === null) {
       return null;
     }
