--- a/src/lib/DecayedHistogram.ts
+++ b/src/lib/DecayedHistogram.ts
@@ -3,6 +3,15 @@
 /** Counts are scaled back when the weight of a new value has grown to this. */
 const RESCALE_WEIGHT = 1e9;
 
+/** A quantile is computed anew once the total weight has grown by this part. */
+const REFRESH_GROWTH = 1 / 64;
+
+/** A quantile with the total weight it was computed from. */
+interface CachedQuantile {
+  readonly value: number;
+  readonly total: number;
+}
+
 /** How fast old values fade. */
 export interface DecayedHistogramOptions {
   /** Time after which a value counts half. */
@@ -32,6 +41,8 @@
 
   #landmarkMs = 0;
 
+  readonly #quantiles = new Map<number, CachedQuantile>();
+
   /**
    * @param options - how fast values fade; what is left out takes its default
    */
@@ -74,6 +85,16 @@
     if (this.#total === 0) {
       return null;
     }
+    const cached = this.#quantiles.get(quantile);
+    if (cached !== undefined && this.#total <= cached.total * (1 + REFRESH_GROWTH)) {
+      return cached.value;
+    }
+    const value = this.#computeQuantile(quantile);
+    this.#quantiles.set(quantile, { value, total: this.#total });
+    return value;
+  }
+
+  #computeQuantile(quantile: number): number {
     const wanted = this.#total * quantile;
     let sum = 0;
     const bucket = this.#weights.findIndex((weight) => {
@@ -89,6 +110,7 @@
 
   #rescale(nowMs: number): void {
     const scale = 1 / this.#getWeight(nowMs);
+    this.#quantiles.clear();
     this.#weights.forEach((weight, bucket) => {
       this.#weights[bucket] = weight * scale;
     });
