--- a/src/operators/renderStatusPage.ts
+++ b/src/operators/renderStatusPage.ts
@@ -129,8 +129,8 @@
 ${renderSection('Entry hosts', renderMembers(status))}
 ${renderSection('Deadline attainment since the start', renderAttainment(status))}
 ${renderSection('Latency by stage', renderLatencies(status))}
-${renderSection('Cost by stage', renderCosts('stage', status.costByStage))}
-${renderSection('Cost by account', renderCosts('account', status.costByAccount))}
+${renderSection('Cost by stage, this host', renderCosts('stage', status.costByStage))}
+${renderSection('Cost by account, this host', renderCosts('account', status.costByAccount))}
 ${renderSection('Refusals', renderRefusals(status))}
 </main></body></html>
 `;
