--- a/bench/load/CoreHost.ts
+++ b/bench/load/CoreHost.ts
@@ -8,7 +8,6 @@
 import { toId } from '../../src/lib/ids.ts';
 import { Quarantine } from '../../src/quarantine/Quarantine.ts';
 import { SeededRandomSource } from '../../src/lib/SeededRandomSource.ts';
-import { Quarantine } from '../../src/quarantine/Quarantine.ts';
 import { PoolRouter } from '../../src/routing/PoolRouter.ts';
 import type { ManualClock } from '../../src/time/ManualClock.ts';
 import { ScriptedClaims } from '../../test/support/ScriptedClaims.ts';
@@ -55,7 +54,6 @@
       claims: new ScriptedClaims(),
       costs: { book: () => undefined },
       configurationManager: new ConfigurationManager(this),
-      quarantine: new Quarantine(this),
     });
   }
 
