--- a/test/contract/load.test.ts
+++ b/test/contract/load.test.ts
@@ -15,7 +15,7 @@
   const read = () => reader.read(toId('encoder-1'), standin.url);
 
   beforeEach(async () => {
-    standin = await StagePoolStandin.create({ capacity: 1, serviceMs: 200 });
+    standin = await StagePoolStandin.create({ capacity: 1, serviceMs: 1000 });
     reader = new LoadReader({ timeoutMs: 1000 });
   });
 
