--- a/scripts/fleet/ChildProgram.ts
+++ b/scripts/fleet/ChildProgram.ts
@@ -28,6 +28,25 @@
   readonly signal: NodeJS.Signals | null;
 }
 
+const END_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+let isExitOnSignal = false;
+
+/**
+ * Lets a signal that nobody else handles end this process by its exit event, which a signal alone
+ * does not raise, so that the children are ended too.
+ */
+function exitOnSignal(): void {
+  if (isExitOnSignal) {
+    return;
+  }
+  isExitOnSignal = true;
+  END_SIGNALS.forEach((signal) => process.on(signal, () => {
+    if (process.listenerCount(signal) === 1) {
+      process.exit(1);
+    }
+  }));
+}
+
 /** A Node program as a child process, started and ended by its own id only. */
 export class ChildProgram {
   readonly name: string;
@@ -60,6 +79,7 @@
    */
   static async start(options: ChildProgramOptions): Promise<ChildProgram> {
     process.setMaxListeners(MAX_CHILDREN);
+    exitOnSignal();
     const child = spawn(process.execPath, ['--import', 'tsx', ...options.args], {
       // A process group of its own, so that Ctrl-C reaches only the parent, which ends all in turn.
       detached: true,
