--- a/src/admission/Admission.ts
+++ b/src/admission/Admission.ts
@@ -39,6 +39,8 @@
   readonly attemptQuantile: number;
   /** Above 1, since attempts that are given up are missing in the quantile. */
   readonly attemptFactor: number;
+  /** Time that an attempt gets in any case: a pause of either process is no sign of a hang. */
+  readonly minAttemptMs: number;
   /** Part of the time for waiting that may be planned for; the rest absorbs bad estimates. */
   readonly waitFraction: number;
   /** Time to come back when a pool has no usable upstream. */
@@ -52,6 +54,7 @@
   startQuantile: 0.8,
   attemptQuantile: 0.95,
   attemptFactor: 1.2,
+  minAttemptMs: 250,
   waitFraction: 0.8,
   noCapacityRetryAfterMs: 5_000,
 };
@@ -216,13 +219,15 @@
     if (next === undefined || !next.repeatable) {
       return remainingMs;
     }
-    const { attemptQuantile, attemptFactor, startQuantile } = this.#options;
-    const usualMs = this.#latencies.getQuantileMs(pipelineId, next, attemptQuantile)
-      * attemptFactor;
+    const {
+      attemptQuantile, attemptFactor, minAttemptMs, startQuantile,
+    } = this.#options;
+    const measuredMs = this.#latencies.getQuantileMs(pipelineId, next, attemptQuantile);
     const secondMs = this.#latencies.getQuantileMs(pipelineId, next, startQuantile);
     const laterMs = sum(later
       .map((stage) => this.#latencies.getQuantileMs(pipelineId, stage, MEDIAN)));
     const isMeasured = this.#latencies.isMeasured(pipelineId, next);
+    const usualMs = Math.max(measuredMs * attemptFactor, minAttemptMs);
     return isMeasured && usualMs + secondMs + laterMs <= remainingMs ? usualMs : remainingMs;
   }
 
