Let admission measure anew after a bad moment

Ruled out: forgetting the slow samples (they are true while the slowness lasts); a probe at a fixed pace (it also let calls through while others were being measured). Conclusion: one request per 500 ms goes through when no run of the stages was measured meanwhile.

--- a/src/admission/Admission.test.ts
+++ b/src/admission/Admission.test.ts
@@ -99,4 +99,28 @@
     const verdict = createAdmission(crowded).decide({ ...REQUEST, nextStageIndex: 1 });
     equal(verdict.kind, 'admitted');
   });
+
+  it('measures anew after a bad moment: one request at a time, and then all', () => {
+    const context = new FakeCoreContext();
+    const latencies = new StageLatencies(context);
+    const admission = new Admission(context, latencies, { getPoolLoad: () => IDLE });
+    const note = (latencyMs: number, count: number): void => {
+      Array.from({ length: count }).forEach(() => latencies.note({
+        pipelineId: toId('brief'), stageId: toId('generate'), latencyMs, costMicros: 1,
+      }));
+    };
+    const decide = () => admission.decide({
+      ...REQUEST, deadlineAtMs: context.getNowMs() + 2_000,
+    }).kind;
+    note(4_000, 40);
+    equal(decide(), 'refused');
+    context.clock.advance(500);
+    equal(decide(), 'admitted');
+    equal(decide(), 'refused');
+    context.clock.advance(500);
+    equal(decide(), 'admitted');
+    note(900, 1_000);
+    equal(decide(), 'admitted');
+    equal(decide(), 'admitted');
+  });
 });
--- a/src/admission/Admission.ts
+++ b/src/admission/Admission.ts
@@ -41,6 +41,8 @@
   readonly attemptFactor: number;
   /** Time that an attempt gets in any case: a pause of either process is no sign of a hang. */
   readonly minAttemptMs: number;
+  /** Time without a measured run after which a request is admitted to measure the stages anew. */
+  readonly probePeriodMs: number;
   /** Part of the time for waiting that may be planned for; the rest absorbs bad estimates. */
   readonly waitFraction: number;
   /** Time to come back when a pool has no usable upstream. */
@@ -55,6 +57,7 @@
   attemptQuantile: 0.95,
   attemptFactor: 1.2,
   minAttemptMs: 250,
+  probePeriodMs: 500,
   waitFraction: 0.8,
   noCapacityRetryAfterMs: 5_000,
 };
@@ -164,6 +167,8 @@
 
   readonly #options: AdmissionOptions;
 
+  readonly #probedAtMs = new Map<string, number>();
+
   /**
    * @param context - the time of the step
    * @param latencies - live quantiles and costs of the stages
@@ -251,7 +256,9 @@
     const need = this.#getNeed(request, isNew ? admitQuantile : continueQuantile);
     const remainingMs = request.deadlineAtMs - this.#context.getNowMs();
     if (need.serviceMs > remainingMs) {
-      return refuseDeadline(need, remainingMs, null);
+      return this.#tryProbe(request, remainingMs)
+        ? this.#admit(request, need, remainingMs)
+        : refuseDeadline(need, remainingMs, null);
     }
     if (isNew && need.waitMs === Infinity) {
       const retryAfterMs = this.#options.noCapacityRetryAfterMs;
@@ -269,6 +276,31 @@
     return this.#admit(request, need, remainingMs);
   }
 
+  /**
+   * Lets one request through now and then although the measured times do not fit, when the declared
+   * ones do: with nobody admitted, what was measured in a bad moment would never be measured anew.
+   */
+  #tryProbe({ pipeline, nextStageIndex }: AdmissionRequest, remainingMs: number): boolean {
+    const nowMs = this.#context.getNowMs();
+    const expectedMs = sum(pipeline.stages.slice(nextStageIndex).map((stage) => stage.expectedMs));
+    const key = `${pipeline.id}/${nextStageIndex}`;
+    const { probePeriodMs } = this.#options;
+    const measuredAtMs = this.#getMeasuredAtMs(pipeline, nextStageIndex);
+    const lastMs = Math.max(measuredAtMs, this.#probedAtMs.get(key) ?? -Infinity);
+    if (expectedMs > remainingMs || nowMs < lastMs + probePeriodMs) {
+      return false;
+    }
+    this.#probedAtMs.set(key, nowMs);
+    return true;
+  }
+
+  /** When one of the remaining stages was measured last. */
+  #getMeasuredAtMs(pipeline: PipelineRecord, nextStageIndex: number): number {
+    const measuredAtMs = pipeline.stages.slice(nextStageIndex)
+      .map((stage) => this.#latencies.getMeasuredAtMs(pipeline.id as PipelineId, stage));
+    return Math.max(...measuredAtMs);
+  }
+
   #admit(request: AdmissionRequest, need: PipelineNeed, remainingMs: number): AdmittedVerdict {
     const nowMs = this.#context.getNowMs();
     const needs = need.stages.map((stage) => stage.medianMs + stage.spreadMs);
--- a/src/admission/StageLatencies.ts
+++ b/src/admission/StageLatencies.ts
@@ -41,6 +41,9 @@
 
   readonly #stages = new Map<string, StageStatistics>();
 
+  /** Spares the composed key on the way of each request. */
+  readonly #byRecord = new WeakMap<StageRecord, StageStatistics>();
+
   /**
    * @param context - the time of the step
    * @param options - how values are kept; what is left out takes its default
@@ -86,6 +89,15 @@
     return this.#getMeasured(pipelineId, stage) !== null;
   }
 
+  /**
+   * @param pipelineId - the pipeline
+   * @param stage - the stage
+   * @returns when the stage's last run was measured; -Infinity for never
+   */
+  getMeasuredAtMs(pipelineId: PipelineId, stage: StageRecord): number {
+    return this.#getStatistics(pipelineId, stage)?.measuredAtMs ?? -Infinity;
+  }
+
   /**
    * @param pipelineId - the pipeline
    * @param stage - the stage
@@ -105,8 +117,20 @@
   }
 
   #getMeasured(pipelineId: PipelineId, stage: StageRecord): StageStatistics | null {
+    const statistics = this.#getStatistics(pipelineId, stage);
+    const nowMs = this.#context.getNowMs();
+    return statistics?.isMeasured(nowMs, this.#options.minCount) === true ? statistics : null;
+  }
+
+  #getStatistics(pipelineId: PipelineId, stage: StageRecord): StageStatistics | undefined {
+    const known = this.#byRecord.get(stage);
+    if (known !== undefined) {
+      return known;
+    }
     const statistics = this.#stages.get(`${pipelineId}/${stage.id}`);
-    const count = statistics?.latencies.getCount(this.#context.getNowMs()) ?? 0;
-    return statistics !== undefined && count >= this.#options.minCount ? statistics : null;
+    if (statistics !== undefined) {
+      this.#byRecord.set(stage, statistics);
+    }
+    return statistics;
   }
 }
