--- a/src/callers/CallerPort.ts
+++ b/src/callers/CallerPort.ts
@@ -1,6 +1,6 @@
 import type { RequestAnswer } from '../answers/RequestAnswer.ts';
 import type { RequestSubmittedInput } from '../core/CoreInput.ts';
-import type { AccountId, RequestId } from '../lib/ids.ts';
+import type { AccountId, IdempotencyKey, RequestId } from '../lib/ids.ts';
 
 /** Who wants to hear of a request. */
 export interface AnswerListener {
@@ -44,6 +44,11 @@
   resume(
     requestId: RequestId, accountId: AccountId, listener: AnswerListener,
   ): Promise<boolean>;
+  /**
+   * @param accountId - the only account that may use the ticket
+   * @returns an idempotency key that this host can serve without the platform while it lives
+   */
+  createTicket(accountId: AccountId): IdempotencyKey;
   /**
    * The caller went away.
    *
--- a/src/callers/registerCallerRoutes.test.ts
+++ b/src/callers/registerCallerRoutes.test.ts
@@ -38,6 +38,10 @@
     return true;
   }
 
+  createTicket(accountId: string) {
+    return toId<ReturnType<CallerPort['createTicket']>>(`ticket-of-${accountId}`);
+  }
+
   leave(): void {
     this.ready = false;
   }
@@ -167,6 +171,17 @@
     deepEqual([response.statusCode, response.headers['retry-after']], [503, '2']);
   });
 
+  it('mints tickets for the account of the key', async () => {
+    const server = createServer(new FakePort(() => undefined));
+    const { authorization } = HEADERS;
+    const response = await server.inject({
+      method: 'POST', url: '/v1/tickets', headers: { authorization },
+    });
+    deepEqual([response.statusCode, response.json()], [201, { ticket: 'ticket-of-account-1' }]);
+    const refused = await server.inject({ method: 'POST', url: '/v1/tickets' });
+    equal(refused.statusCode, 401);
+  });
+
   it('knows no request of others', async () => {
     const port = new FakePort(() => undefined);
     const response = await createServer(port).inject({
--- a/src/callers/registerCallerRoutes.ts
+++ b/src/callers/registerCallerRoutes.ts
@@ -161,7 +161,7 @@
 }
 
 /**
- * Adds the routes for callers: submit, resume, liveness and readiness.
+ * Adds the routes for callers: submit, resume, tickets, liveness and readiness.
  *
  * @param server - the HTTP server
  * @param port - the host behind it
@@ -177,6 +177,12 @@
     { schema: RESUME_SCHEMA },
     (request, reply) => resumeRequest(port, request, reply),
   );
+  server.post('/v1/tickets', (request, reply) => {
+    const accountId = getAccountId(port, request);
+    return accountId === null
+      ? sendUnauthenticated(port, reply)
+      : reply.code(201).send({ ticket: port.createTicket(accountId) });
+  });
   server.get('/healthz', () => ({ isAlive: true }));
   server.get('/readyz', (_request, reply) => (
     reply.code(port.isReady() ? 200 : 503).send({ isReady: port.isReady() })
--- a/src/claims/ClaimPort.ts
+++ b/src/claims/ClaimPort.ts
@@ -20,6 +20,10 @@
   requestClaim(request: ClaimRequest): void;
   recordOutcome(requestId: RequestId, answer: RequestAnswer): void;
   releaseNotRun(requestId: RequestId): void;
+  /** Mints a key that works without the platform while this process lives. */
+  createTicket(accountId: AccountId): IdempotencyKey;
+  /** No connection to a peer could be made or kept: what it was asked is done here. */
+  notePeerUnreachable(hostId: HostId): void;
   takeEvents(): ClaimEvent[];
   handlePeerMessage(
     fromHostId: HostId, fromIncarnationId: IncarnationId, message: PeerMessage,
--- a/src/claims/RefusingClaims.ts
+++ b/src/claims/RefusingClaims.ts
@@ -1,6 +1,10 @@
+import { toId, type IdempotencyKey } from '../lib/ids.ts';
 import type { ClaimEvent } from './ClaimEvent.ts';
 import type { ClaimPort, ClaimRequest } from './ClaimPort.ts';
 
+/** A ticket that is refused like every other key. */
+const REFUSED_TICKET = 'refused-ticket';
+
 /** The baseline that serves no non-repeatable request: every claim is unavailable. */
 export class RefusingClaims implements ClaimPort {
   #events: ClaimEvent[] = [];
@@ -20,6 +24,16 @@
     // Nothing was ever claimed.
   }
 
+  /** @inheritdoc */
+  createTicket(): IdempotencyKey {
+    return toId<IdempotencyKey>(REFUSED_TICKET);
+  }
+
+  /** @inheritdoc */
+  notePeerUnreachable(): void {
+    // Nobody is asked.
+  }
+
   /** @inheritdoc */
   takeEvents(): ClaimEvent[] {
     const events = this.#events;
--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -10,7 +10,9 @@
 import type { CostPort } from '../cost/CostPort.ts';
 import type { FleetCoordinator } from '../fleet/FleetCoordinator.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
-import type { RequestId, UpstreamId } from '../lib/ids.ts';
+import type {
+  AccountId, IdempotencyKey, RequestId, UpstreamId,
+} from '../lib/ids.ts';
 import type { Quarantine } from '../quarantine/Quarantine.ts';
 import { RemoteAnswers } from '../resumption/RemoteAnswers.ts';
 import type { PoolRouter } from '../routing/PoolRouter.ts';
@@ -221,6 +223,14 @@
     return this.#world.configuration.record;
   }
 
+  /**
+   * @param accountId - the only account that may use the ticket
+   * @returns an idempotency key that works without the platform while this process lives
+   */
+  createTicket(accountId: AccountId): IdempotencyKey {
+    return this.#world.claims.createTicket(accountId);
+  }
+
   /**
    * @param requestId - a request
    * @returns its record; undefined when it is not known here
@@ -296,6 +306,7 @@
         return;
       case 'peerUnreachable':
         fleet?.handleUnreachable(input.hostId);
+        claims.notePeerUnreachable(input.hostId);
         return;
       case 'operatorCalled':
         configurationManager.handleOperatorCall(input);
--- a/src/serve/CallerDesk.ts
+++ b/src/serve/CallerDesk.ts
@@ -3,7 +3,9 @@
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { CoreInput } from '../core/CoreInput.ts';
 import type { RequestRecord } from '../core/tables/RequestRecord.ts';
-import { toId, type AccountId, type RequestId } from '../lib/ids.ts';
+import {
+  toId, type AccountId, type IdempotencyKey, type RequestId,
+} from '../lib/ids.ts';
 import type { RandomSource } from '../lib/RandomSource.ts';
 import { createRequestId } from '../resumption/createRequestId.ts';
 import { getRequestHostId } from '../resumption/getRequestHostId.ts';
@@ -18,6 +20,7 @@
   readonly tracer: HostTracer;
   readonly post: (input: CoreInput) => void;
   readonly getRequest: (requestId: RequestId) => Readonly<RequestRecord> | undefined;
+  readonly createTicket: (accountId: AccountId) => IdempotencyKey;
   readonly isReady: () => boolean;
 }
 
@@ -95,6 +98,11 @@
     return true;
   }
 
+  /** @inheritdoc */
+  createTicket(accountId: AccountId): IdempotencyKey {
+    return this.#options.createTicket(accountId);
+  }
+
   /** @inheritdoc */
   leave(requestId: RequestId, listener: AnswerListener): void {
     if (this.#options.listeners.remove(requestId, listener)) {
--- a/test/faults/ImmediateClaims.ts
+++ b/test/faults/ImmediateClaims.ts
@@ -1,5 +1,6 @@
 import type { ClaimEvent } from '../../src/claims/ClaimEvent.ts';
 import type { ClaimPort, ClaimRequest } from '../../src/claims/ClaimPort.ts';
+import { toId, type IdempotencyKey } from '../../src/lib/ids.ts';
 
 /** The mutation that grants every claim at once, before anything is durable. */
 export class ImmediateClaims implements ClaimPort {
@@ -16,6 +17,14 @@
   /** @inheritdoc */
   releaseNotRun(): void {}
 
+  /** @inheritdoc */
+  createTicket(): IdempotencyKey {
+    return toId<IdempotencyKey>('ticket');
+  }
+
+  /** @inheritdoc */
+  notePeerUnreachable(): void {}
+
   /** @inheritdoc */
   takeEvents(): ClaimEvent[] {
     const events = this.#events;
