Export the coordination parts, say outcome unknown, and take the call budget back out

Cause: parts could not be embedded; a non-repeatable attempt whose upstream went silent ended as upstream-failed although nobody knows its outcome. The budget needs shares by duty and a breaker that lets an operator's call probe; it stays a tested part without a caller. Conclusion: subpath exports with an example each for cost, detection, fairness, leases and retries.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -32,6 +32,8 @@
   { files: ['eslint.config.js'], rules: { 'import-x/no-default-export': 'off' } },
   // A test's fakes stand beside it.
   { files: ['**/*.test.ts'], rules: { 'max-classes-per-file': 'off' } },
+  // The examples import the package as an embedder does, by subpath.
+  { files: ['examples/library/**'], rules: { 'import-x/extensions': 'off' } },
   {
     files: ['scripts/**', 'bench/**', 'standins/**', 'examples/**'],
     rules: { 'no-console': 'off' },
--- /dev/null
+++ b/examples/library/boundRetries.ts
@@ -0,0 +1,19 @@
+import { RetryBudget } from 'parsleylift/retries';
+import { ManualClock } from '../../src/time/ManualClock.ts';
+import { createExampleContext } from './createExampleContext.ts';
+
+const OFFERED_COUNT = 100;
+
+/**
+ * A pool whose every attempt fails gets a tenth of its traffic as retries, not a multiple of it.
+ *
+ * @returns retries that were allowed
+ */
+export function boundRetries(): number {
+  const budget = new RetryBudget(createExampleContext(new ManualClock()), { floorPerSecond: 0 });
+  const allowed = Array.from({ length: OFFERED_COUNT }, () => {
+    budget.noteOffered();
+    return budget.tryRetry({ isRepeatable: true, remainingMs: 1_000, medianMs: 100 });
+  });
+  return allowed.filter(Boolean).length;
+}
--- a/src/core/Core.test.ts
+++ b/src/core/Core.test.ts
@@ -44,14 +44,28 @@
   });
 
   const notRepeated = [
-    { failure: ATTEMPT_FAILURE.crashed, sentCount: 2, notRun: false },
-    { failure: ATTEMPT_FAILURE.errored, sentCount: 2, notRun: false },
-    { failure: ATTEMPT_FAILURE.truncated, sentCount: 2, notRun: false },
-    { failure: ATTEMPT_FAILURE.timedOut, sentCount: 2, notRun: false },
-    { failure: ATTEMPT_FAILURE.unreachable, sentCount: 3, notRun: null },
-    { failure: ATTEMPT_FAILURE.refused, sentCount: 3, notRun: null },
+    {
+      failure: ATTEMPT_FAILURE.crashed, sentCount: 2, notRun: false, code: 'outcome-unknown',
+    },
+    {
+      failure: ATTEMPT_FAILURE.errored, sentCount: 2, notRun: false, code: 'upstream-failed',
+    },
+    {
+      failure: ATTEMPT_FAILURE.truncated, sentCount: 2, notRun: false, code: 'outcome-unknown',
+    },
+    {
+      failure: ATTEMPT_FAILURE.timedOut, sentCount: 2, notRun: false, code: 'outcome-unknown',
+    },
+    {
+      failure: ATTEMPT_FAILURE.unreachable, sentCount: 3, notRun: null, code: null,
+    },
+    {
+      failure: ATTEMPT_FAILURE.refused, sentCount: 3, notRun: null, code: null,
+    },
   ];
-  notRepeated.forEach(({ failure, sentCount, notRun }) => {
+  notRepeated.forEach(({
+    failure, sentCount, notRun, code,
+  }) => {
     it(`sends a non-repeatable stage ${sentCount - 1} times when it was ${failure}`, () => {
       const rig = createRig();
       const requestId = rig.submit('book', 'key-1');
@@ -59,6 +73,7 @@
       rig.fail(getLastSent(rig), failure);
       equal(rig.sent.length, sentCount);
       equal(rig.getRefusal(requestId)?.notRun ?? null, notRun);
+      equal(rig.getRefusal(requestId)?.code ?? null, code);
     });
   });
 
--- a/src/core/systems/finishAttempts.ts
+++ b/src/core/systems/finishAttempts.ts
@@ -1,7 +1,8 @@
+import type { StageRecord } from '../../configuration/records/PipelineRecord.ts';
 import { REFUSAL_CODE } from '../../answers/REFUSAL_CODE.ts';
 import { exhaustiveSwitchError } from '../../lib/exhaustiveSwitchError.ts';
 import { toId, type PipelineId } from '../../lib/ids.ts';
-import { ATTEMPT_FAILURE } from '../../upstreams/AttemptFailure.ts';
+import { ATTEMPT_FAILURE, type AttemptFailure } from '../../upstreams/AttemptFailure.ts';
 import { takeAll, type AttemptEndedInput } from '../CoreInbox.ts';
 import type { AttemptFailedInput } from '../CoreInput.ts';
 import type { CoreWorld } from '../CoreWorld.ts';
@@ -66,6 +67,15 @@
   startStage(world, request);
 }
 
+/** An upstream that was asked and did not answer may have run the attempt. */
+function isOutcomeUnknown({ repeatable }: StageRecord, failure: AttemptFailure): boolean {
+  return !repeatable && (
+    failure === ATTEMPT_FAILURE.crashed
+    || failure === ATTEMPT_FAILURE.timedOut
+    || failure === ATTEMPT_FAILURE.truncated
+  );
+}
+
 function refuseAfterFailure(
   world: CoreWorld,
   request: RequestRecord,
@@ -76,9 +86,12 @@
     refuseRequest(world, request, quarantine);
     return;
   }
+  const { stage } = getCurrentStage(request);
   refuseRequest(world, request, {
-    code: REFUSAL_CODE.upstreamFailed,
-    detail: `Stage ${getCurrentStage(request).stage.id}: ${input.failure} (${input.detail})`,
+    code: isOutcomeUnknown(stage, input.failure)
+      ? REFUSAL_CODE.outcomeUnknown
+      : REFUSAL_CODE.upstreamFailed,
+    detail: `Stage ${stage.id}: ${input.failure} (${input.detail})`,
     retryAfterMs: input.failure === ATTEMPT_FAILURE.rejected
       ? null
       : input.retryAfterMs ?? world.options.defaultRetryAfterMs,
--- a/src/fleet/FleetCoordinator.ts
+++ b/src/fleet/FleetCoordinator.ts
@@ -36,8 +36,6 @@
 
   #isReplaced = false;
 
-  #liveHostCount = 1;
-
   /**
    * @param context - identity, time, randomness and the way out
    * @param options - about the process, and what differs from the defaults
@@ -61,11 +59,6 @@
     this.#areDutiesDue = true;
   }
 
-  /** Hosts that use the platform, this one included. */
-  get liveHostCount(): number {
-    return this.#liveHostCount;
-  }
-
   /**
    * @returns all known members with the own host
    */
@@ -128,7 +121,6 @@
     if (this.#areDutiesDue) {
       this.#areDutiesDue = false;
       this.duties.noteMembersChanged();
-      this.#liveHostCount = this.getMembers().filter(({ state }) => state !== 'dead').length;
       this.#listener?.onDutiesChanged(this.duties);
     }
     this.gossip.tick();
--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -13,7 +13,6 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { RequestId, UpstreamId } from '../lib/ids.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
-import { CallBudget } from '../platform/CallBudget.ts';
 import { HttpKeyValueClient } from '../platform/HttpKeyValueClient.ts';
 import { registerOperatorRoutes } from '../operators/registerOperatorRoutes.ts';
 import { registerStatusGauges } from '../operators/registerStatusGauges.ts';
@@ -35,13 +34,6 @@
 import { OperatorDesk } from './OperatorDesk.ts';
 import { PeerLink } from './PeerLink.ts';
 
-/** Claims write most; the lease class is left for embedders' leases. */
-const HOST_CALL_BUDGET = {
-  classFractions: {
-    lease: 0.05, claim: 0.65, configuration: 0.15, cost: 0.15,
-  },
-} as const;
-
 /** One entry host: the core and the adapters around it. */
 export class EntryHost implements ServedHost {
   readonly stopped: Promise<void>;
@@ -62,8 +54,6 @@
 
   readonly #sender: UpstreamSender;
 
-  readonly #budget: CallBudget;
-
   readonly #keyValue: HttpKeyValueClient;
 
   readonly #loads: LoadPoller;
@@ -101,10 +91,7 @@
     this.#link = link;
     this.#tracing = new Tracing(settings.hostId, settings.traceCollectorUrl ?? null);
     this.#tracer = new HostTracer(this.#tracing);
-    this.#budget = new CallBudget(random, clock.getMonotonicMs(), HOST_CALL_BUDGET);
-    this.#keyValue = new HttpKeyValueClient({
-      url: settings.platformUrl, budget: this.#budget, clock,
-    });
+    this.#keyValue = new HttpKeyValueClient({ url: settings.platformUrl });
     this.#loop = new CoreLoop({
       clock,
       random,
@@ -246,7 +233,6 @@
         this.#listeners.passAnswer(output.requestId, output.answer);
         return;
       case 'callKeyValue':
-        this.#budget.setHostCount(this.#loop.core.fleet?.liveHostCount ?? 1);
         this.#keyValue.call(output.callClass, output.call).then((answer) => {
           this.#loop.post({ kind: 'keyValueAnswered', operationId: output.operationId, answer });
         });
