--- a/src/serve/EntryHost.ts
+++ b/src/serve/EntryHost.ts
@@ -167,6 +167,11 @@
     return this.#httpUrl;
   }
 
+  /** Entry hosts that this one knows, itself included. */
+  get memberCount(): number {
+    return this.#loop.core.fleet?.getMembers().length ?? 1;
+  }
+
   /** `IP:port` of the peer listener. */
   get peerAddress(): string {
     return this.#loop.self.peerAddress;
--- a/standins/StandinCounts.ts
+++ b/standins/StandinCounts.ts
@@ -77,7 +77,7 @@
    * @param attemptId - the attempt that just arrived
    */
   addSend(attemptId: string): void {
-    this.lastSendWallMs = Date.now();
+    this.lastSendWallMs = performance.timeOrigin + performance.now();
     if (this.#cancelled.has(attemptId)) {
       this.sendsAfterCancelCount += 1;
     }
