Put two pieces of logic that stood twice into one place each

Cause: duplicates showed the counting of carried news in MemberNews and VersionNews, and the cumulative sum in GlrDetector and WlrDetector. Ruled out: joining the cold and warming switches (each is exhaustive over its own state) and the options of claims and cost (alike in shape only). Conclusion: a tick without attempts now repeats an alarm of WLR that stands, as GLR did already.

--- a/src/detection/WlrDetector.ts
+++ b/src/detection/WlrDetector.ts
@@ -1,46 +1,13 @@
-import type { RateChange, RateDetector } from './RateDetector.ts';
+import { CusumDetector } from './CusumDetector.ts';
 
 /**
  * The weighted likelihood ratio scheme of Han, Mei and Tsui: the statistic of formula (4), over the
- * error rate of each tick instead of its counts, with the constant threshold of formula (5). A tick
- * without attempts has no rate and is passed over.
+ * error rate of each tick instead of its counts, with the constant threshold `b` of formula (5). A
+ * tick without attempts has no rate and adds nothing.
  */
-export class WlrDetector implements RateDetector {
-  readonly #logRatio: number;
-
-  readonly #difference: number;
-
-  readonly #threshold: number;
-
-  #statistic = 0;
-
-  /**
-   * @param change - the rates before and after
-   * @param threshold - `b` of formula (5)
-   */
-  constructor(change: RateChange, threshold: number) {
-    this.#logRatio = Math.log(change.raisedRate / change.baseRate);
-    this.#difference = change.raisedRate - change.baseRate;
-    this.#threshold = threshold;
-  }
-
-  /** @inheritdoc */
-  get statistic(): number {
-    return this.#statistic;
-  }
-
-  /** @inheritdoc */
-  addTick(offered: number, errors: number): boolean {
-    if (offered === 0) {
-      return false;
-    }
-    const ratio = (errors / offered) * this.#logRatio - this.#difference;
-    this.#statistic = Math.max(0, this.#statistic + ratio);
-    return this.#statistic >= this.#threshold;
-  }
-
+export class WlrDetector extends CusumDetector {
   /** @inheritdoc */
-  reset(): void {
-    this.#statistic = 0;
+  protected getRatio(offered: number, errors: number): number {
+    return offered === 0 ? 0 : (errors / offered) * this.logRatio - this.difference;
   }
 }
--- a/src/membership/MemberNews.ts
+++ b/src/membership/MemberNews.ts
@@ -1,5 +1,6 @@
 import type { HostId } from '../lib/ids.ts';
 import type { MemberRecord } from '../peers/PeerMessage.ts';
+import { CarryCounts } from './CarryCounts.ts';
 import type { MembershipOptions } from './MembershipOptions.ts';
 import type { MemberTable } from './MemberTable.ts';
 
@@ -9,8 +10,7 @@
 
   readonly #options: MembershipOptions;
 
-  /** How often each change has still to be carried. */
-  readonly #remaining = new Map<HostId, number>();
+  readonly #changes = new CarryCounts();
 
   /**
    * @param table - the members
@@ -26,14 +26,14 @@
    */
   add(hostId: HostId): void {
     const rounds = Math.log(this.#table.size + 2);
-    this.#remaining.set(hostId, Math.ceil(this.#options.retransmitFactor * rounds));
+    this.#changes.add(hostId, Math.ceil(this.#options.retransmitFactor * rounds));
   }
 
   /**
    * @param hostId - a member that is no longer known
    */
   remove(hostId: HostId): void {
-    this.#remaining.delete(hostId);
+    this.#changes.remove(hostId);
   }
 
   /**
@@ -45,7 +45,7 @@
    * @returns the records to carry
    */
   select(receiver: MemberRecord, different: readonly MemberRecord[] = []): MemberRecord[] {
-    const hostIds = new Set(this.#takeChanges());
+    const hostIds = new Set(this.#changes.take(this.#options.maxPiggyback));
     const state = this.#table.get(receiver.hostId)?.record.state;
     if (state === 'suspect' || state === 'dead') {
       hostIds.add(receiver.hostId);
@@ -54,18 +54,4 @@
       .forEach(({ hostId }) => hostIds.add(hostId));
     return [...hostIds].flatMap((hostId) => this.#table.get(hostId)?.record ?? []);
   }
-
-  #takeChanges(): HostId[] {
-    const taken = [...this.#remaining]
-      .sort(([, a], [, b]) => b - a)
-      .slice(0, this.#options.maxPiggyback);
-    taken.forEach(([hostId, times]) => {
-      if (times > 1) {
-        this.#remaining.set(hostId, times - 1);
-      } else {
-        this.#remaining.delete(hostId);
-      }
-    });
-    return taken.map(([hostId]) => hostId);
-  }
 }
--- a/src/membership/VersionNews.ts
+++ b/src/membership/VersionNews.ts
@@ -1,4 +1,5 @@
 import type { HostId } from '../lib/ids.ts';
+import { CarryCounts } from './CarryCounts.ts';
 import type { MembershipOptions } from './MembershipOptions.ts';
 import type { MemberTable } from './MemberTable.ts';
 
@@ -12,7 +13,7 @@
 
   readonly #options: MembershipOptions;
 
-  readonly #remaining = new Map<HostId, number>();
+  readonly #changes = new CarryCounts();
 
   /**
    * @param table - the members
@@ -27,24 +28,15 @@
    * @param hostId - a member that reported a higher version
    */
   add(hostId: HostId): void {
-    this.#remaining.set(hostId, Math.ceil(Math.log2(this.#table.size + 2)));
+    this.#changes.add(hostId, Math.ceil(Math.log2(this.#table.size + 2)));
   }
 
   /**
    * @returns versions by host that were carried the fewest times so far
    */
   select(): Record<string, number> {
-    const taken = [...this.#remaining]
-      .sort(([, a], [, b]) => b - a)
-      .slice(0, this.#options.maxVersions);
-    taken.forEach(([hostId, times]) => {
-      if (times > 1) {
-        this.#remaining.set(hostId, times - 1);
-      } else {
-        this.#remaining.delete(hostId);
-      }
-    });
-    return Object.fromEntries(taken.map(([hostId]) => (
+    const taken = this.#changes.take(this.#options.maxVersions);
+    return Object.fromEntries(taken.map((hostId) => (
       [hostId, this.#table.get(hostId)?.record.configurationVersion ?? 0])));
   }
 
