--- /dev/null
+++ b/src/directory/Directory.ts
@@ -0,0 +1,178 @@
+import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
+import type { Clock } from '../time/Clock.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { DirectoryChange } from './DirectoryChange.ts';
+import type { DirectorySnapshot } from './DirectoryStore.ts';
+import type { HostEntry } from './HostEntry.ts';
+import type { ServingConfiguration } from './ServingConfiguration.ts';
+import type { UpstreamEntry } from './UpstreamEntry.ts';
+
+/** An upstream as this host knows it. */
+export interface KnownUpstream {
+  readonly entry: UpstreamEntry;
+  /** Monotonic time until which it is cold by its own word. */
+  readonly coldUntilMs: number;
+}
+
+/**
+ * What this host believes of configuration, upstreams, failure domains and hosts. A configuration
+ * is only ever replaced by a higher version.
+ */
+export class Directory {
+  readonly #clock: Clock;
+
+  readonly #upstreams = new Map<UpstreamId, KnownUpstream>();
+
+  readonly #hosts = new Map<HostId, HostEntry>();
+
+  readonly #drainedDomains = new Set<string>();
+
+  readonly #listeners: ((change: DirectoryChange) => void)[] = [];
+
+  #configuration: ServingConfiguration | null = null;
+
+  #largestHostCount = 1;
+
+  /**
+   * @param clock - dates what upstreams say of how long they are cold
+   */
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** The version in force; null before the first one is known. */
+  get configuration(): ServingConfiguration | null {
+    return this.#configuration;
+  }
+
+  /** The hosts that hold a lease, this one included once it is registered. */
+  get hosts(): ReadonlyMap<HostId, HostEntry> {
+    return this.#hosts;
+  }
+
+  /** Most hosts that ever held a lease at a time; a safe divisor for shares of a common bound. */
+  get largestHostCount(): number {
+    return this.#largestHostCount;
+  }
+
+  /** @param listener - called after each change that took effect */
+  onChange(listener: (change: DirectoryChange) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /**
+   * @param upstreamId - the upstream
+   * @returns what is known of it; undefined when it is not in the directory
+   */
+  getUpstream(upstreamId: UpstreamId): KnownUpstream | undefined {
+    return this.#upstreams.get(upstreamId);
+  }
+
+  /**
+   * @param upstreamId - the upstream
+   * @returns whether new work may be sent to it now
+   */
+  isUsable(upstreamId: UpstreamId): boolean {
+    const upstream = this.#upstreams.get(upstreamId);
+    return upstream !== undefined && this.#isOpen(upstream);
+  }
+
+  /**
+   * @param poolId - the pool
+   * @returns its upstreams that may get new work
+   */
+  getUsable(poolId: PoolId): KnownUpstream[] {
+    return [...this.#upstreams.values()]
+      .filter((upstream) => upstream.entry.poolId === poolId && this.#isOpen(upstream));
+  }
+
+  /** @param change - what the store says */
+  apply(change: DirectoryChange): void {
+    if (this.#update(change)) {
+      this.#listeners.forEach((listener) => listener(change));
+    }
+  }
+
+  /**
+   * Takes a whole reading of the store; what is missing there is gone.
+   *
+   * @param snapshot - the reading
+   */
+  applySnapshot(snapshot: DirectorySnapshot): void {
+    const named = new Set(snapshot.changes.map((change) => getChangeKey(change)));
+    const gone: DirectoryChange[] = [
+      ...[...this.#upstreams.keys()]
+        .map((upstreamId) => ({ kind: 'upstreamGone', upstreamId } as const)),
+      ...[...this.#drainedDomains]
+        .map((failureDomain) => ({ kind: 'domainRestored', failureDomain } as const)),
+      ...[...this.#hosts.keys()].map((hostId) => ({ kind: 'hostGone', hostId } as const)),
+    ];
+    // Drains come first, so that no moment shows a drained domain as open.
+    [...snapshot.changes]
+      .sort((left, right) => Number(right.kind === 'domainDrained')
+        - Number(left.kind === 'domainDrained'))
+      .forEach((change) => this.apply(change));
+    gone.filter((change) => !named.has(getChangeKey(change)))
+      .forEach((change) => this.apply(change));
+  }
+
+  #isOpen(upstream: KnownUpstream): boolean {
+    return !upstream.entry.isDraining && !this.#drainedDomains.has(upstream.entry.failureDomain);
+  }
+
+  #update(change: DirectoryChange): boolean {
+    switch (change.kind) {
+      case 'configuration':
+        return this.#updateConfiguration(change.configuration);
+      case 'upstream':
+        this.#upstreams.set(change.entry.id, {
+          entry: change.entry,
+          coldUntilMs: this.#clock.getMonotonicMs() + change.entry.coldRemainingMs,
+        });
+        return true;
+      case 'upstreamGone':
+        return this.#upstreams.delete(change.upstreamId);
+      case 'domainDrained':
+        this.#drainedDomains.add(change.failureDomain);
+        return true;
+      case 'domainRestored':
+        return this.#drainedDomains.delete(change.failureDomain);
+      case 'host':
+        this.#hosts.set(change.entry.id, change.entry);
+        this.#largestHostCount = Math.max(this.#largestHostCount, this.#hosts.size);
+        return true;
+      case 'hostGone':
+        return this.#hosts.delete(change.hostId);
+      default:
+        throw exhaustiveSwitchError(change);
+    }
+  }
+
+  #updateConfiguration(configuration: ServingConfiguration): boolean {
+    if (this.#configuration !== null && configuration.version <= this.#configuration.version) {
+      return false;
+    }
+    this.#configuration = configuration;
+    return true;
+  }
+}
+
+function getChangeKey(change: DirectoryChange): string {
+  switch (change.kind) {
+    case 'configuration':
+      return 'configuration';
+    case 'upstream':
+      return `upstream ${change.entry.id}`;
+    case 'upstreamGone':
+      return `upstream ${change.upstreamId}`;
+    case 'domainDrained':
+    case 'domainRestored':
+      return `domain ${change.failureDomain}`;
+    case 'host':
+      return `host ${change.entry.id}`;
+    case 'hostGone':
+      return `host ${change.hostId}`;
+    default:
+      throw exhaustiveSwitchError(change);
+  }
+}
--- /dev/null
+++ b/src/directory/HostEntry.ts
@@ -0,0 +1,9 @@
+import type { HostId } from '../lib/ids.ts';
+
+/** What an entry host says of itself to the others. */
+export interface HostEntry {
+  readonly id: HostId;
+  readonly failureDomain: string;
+  /** IP address and port at which peers reach it. */
+  readonly peerAddress: string;
+}
--- /dev/null
+++ b/src/directory/findRoute.ts
@@ -0,0 +1,25 @@
+import type { ServingConfiguration, ServingRoute } from './ServingConfiguration.ts';
+
+/**
+ * Finds the route of a request: the one with the longest prefix among those of its host.
+ *
+ * @param configuration - the version in force
+ * @param host - the host the caller asked for
+ * @param path - the path, with or without a query
+ * @returns the route; undefined when none fits
+ */
+export function findRoute(
+  configuration: ServingConfiguration,
+  host: string,
+  path: string,
+): ServingRoute | undefined {
+  const [pathOnly = ''] = path.split('?', 1);
+  let best: ServingRoute | undefined;
+  configuration.routes.forEach((route) => {
+    const fits = route.host === host && pathOnly.startsWith(route.pathPrefix);
+    if (fits && (best === undefined || route.pathPrefix.length > best.pathPrefix.length)) {
+      best = route;
+    }
+  });
+  return best;
+}
--- /dev/null
+++ b/src/ingress/CallerExchange.ts
@@ -0,0 +1,101 @@
+import type { ServerResponse } from 'node:http';
+import type { CallerRequest } from './CallerRequest.ts';
+
+/** A whole answer. */
+export interface WholeAnswer {
+  readonly status: number;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+/** One request of a caller and the way to answer it. */
+export class CallerExchange {
+  readonly #response: ServerResponse;
+
+  readonly #shouldClose: () => boolean;
+
+  #hasAnswered = false;
+
+  /** The request, whole. */
+  readonly request: CallerRequest;
+
+  /**
+   * @param request - the request
+   * @param response - where the answer goes
+   * @param shouldClose - whether the connection is to be closed after the answer
+   */
+  constructor(request: CallerRequest, response: ServerResponse, shouldClose: () => boolean) {
+    this.request = request;
+    this.#response = response;
+    this.#shouldClose = shouldClose;
+  }
+
+  /** Whether an answer has begun. */
+  get hasAnswered(): boolean {
+    return this.#hasAnswered;
+  }
+
+  /** @param listener - called when the caller leaves before its answer is complete */
+  onGone(listener: () => void): void {
+    this.#response.once('close', () => {
+      if (!this.#response.writableEnded) {
+        listener();
+      }
+    });
+  }
+
+  /** @param answer - the answer; sent at once */
+  answer(answer: WholeAnswer): void {
+    if (this.#begin(answer.status, [...answer.headers, 'Content-Length', String(answer.body.length)])) {
+      this.#response.end(answer.body);
+    }
+  }
+
+  /**
+   * Begins an answer whose length is not known.
+   *
+   * @param status - the HTTP status
+   * @param headers - names and values in turn
+   */
+  beginStream(status: number, headers: readonly string[]): void {
+    if (this.#begin(status, headers)) {
+      this.#response.flushHeaders();
+    }
+  }
+
+  /**
+   * @param chunk - the next bytes
+   * @returns whether more may be written now; otherwise wait for `onWritable`
+   */
+  write(chunk: Buffer): boolean {
+    return this.#response.write(chunk);
+  }
+
+  /** @param listener - called once when more may be written */
+  onWritable(listener: () => void): void {
+    this.#response.once('drain', listener);
+  }
+
+  /** Ends a stream as complete. */
+  end(): void {
+    this.#response.end();
+  }
+
+  /** Breaks an answer off so that the caller sees that it is not complete. */
+  breakOff(): void {
+    this.#hasAnswered = true;
+    this.#response.destroy();
+  }
+
+  #begin(status: number, headers: readonly string[]): boolean {
+    if (this.#hasAnswered || this.#response.destroyed) {
+      return false;
+    }
+    this.#hasAnswered = true;
+    this.#response.sendDate = false;
+    const closing = this.#shouldClose() ? ['Connection', 'close'] : [];
+    this.#response.writeHead(status, [...headers, ...closing]);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/ingress/IngressServer.ts
@@ -0,0 +1,170 @@
+import {
+  createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type { Socket } from 'node:net';
+import type { Clock } from '../time/Clock.ts';
+import type { CallerLimits } from '../directory/ServingConfiguration.ts';
+import { CallerExchange } from './CallerExchange.ts';
+import type { RequestProfile } from './CallerRequest.ts';
+import { createErrorAnswer } from './createErrorAnswer.ts';
+import { parseAddress } from './parseAddress.ts';
+
+/** What an ingress server is built from. */
+export interface IngressServerOptions {
+  /** IP address and port to listen on. */
+  readonly address: string;
+  readonly clock: Clock;
+  /** @returns the bounds in force */
+  readonly getLimits: () => CallerLimits;
+  /** @returns what the headers say; null when they name no request */
+  readonly decodeRequest: (rawHeaders: readonly string[]) => RequestProfile | null;
+  /** @param exchange - a whole request; it has to be answered */
+  readonly onRequest: (exchange: CallerExchange) => void;
+}
+
+/** Node reads headers up to this size; the bound in force is checked afterwards. */
+const MAX_HEADER_BYTES = 65_536;
+/** Silence after which a connection is probed. */
+const KEEP_ALIVE_PROBE_MS = 1_000;
+/** How often Node looks for connections that take too long. */
+const CHECK_INTERVAL_MS = 500;
+/** Node's bound on connections that wait to be accepted. */
+const BACKLOG = 1_024;
+/** The separator and line end that each header line has on the wire. */
+const HEADER_LINE_OVERHEAD_BYTES = 4;
+
+const STATUS = { badRequest: 400, bodyTooLarge: 413, headersTooLarge: 431 } as const;
+
+/** Reads callers' requests whole and hands them on. */
+export class IngressServer {
+  readonly #options: IngressServerOptions;
+
+  readonly #server: Server;
+
+  #openRequestCount = 0;
+
+  #isDraining = false;
+
+  /**
+   * @param options - address, bounds and who gets the requests
+   */
+  constructor(options: IngressServerOptions) {
+    this.#options = options;
+    this.#server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      // A slow body is bounded by the caller's own deadline.
+      requestTimeout: 0,
+      noDelay: true,
+    });
+    this.#server.on('request', (request, response) => this.#read(request, response));
+    this.#server.on('clientError', (_error, socket) => answerClientError(socket as Socket));
+    this.#server.on('connection', (socket) => socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS));
+    this.updateLimits();
+  }
+
+  /** Requests that are not answered yet. */
+  get openRequestCount(): number {
+    return this.#openRequestCount;
+  }
+
+  /** Takes over the bounds in force. */
+  updateLimits(): void {
+    const limits = this.#options.getLimits();
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  /** @returns when it listens */
+  async listen(): Promise<void> {
+    const { host, port } = parseAddress(this.#options.address);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen({ host, port, backlog: BACKLOG }, resolve);
+    });
+  }
+
+  /** Closes each connection after its next answer; goes on taking requests. */
+  startDraining(): void {
+    this.#isDraining = true;
+  }
+
+  /** Closes the connections on which nothing is under way. */
+  closeIdle(): void {
+    this.#server.closeIdleConnections();
+  }
+
+  /** Takes no more connections and breaks off what is left. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #read(request: IncomingMessage, response: ServerResponse): void {
+    const arrivedAtMs = this.#options.clock.getMonotonicMs();
+    this.#openRequestCount += 1;
+    response.once('close', () => {
+      this.#openRequestCount -= 1;
+    });
+    const limits = this.#options.getLimits();
+    if (getHeaderBytes(request) > limits.maxHeaderBytes) {
+      refuse(response, STATUS.headersTooLarge, 'headers-too-large');
+      return;
+    }
+    const profile = this.#options.decodeRequest(request.rawHeaders);
+    if (profile === null) {
+      refuse(response, STATUS.badRequest, 'request-id-missing');
+      return;
+    }
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      if (sizeBytes > limits.maxBodyBytes) {
+        chunks.length = 0;
+        refuse(response, STATUS.bodyTooLarge, 'body-too-large');
+      } else {
+        chunks.push(chunk);
+      }
+    });
+    request.on('error', () => response.destroy());
+    request.on('end', () => {
+      if (!response.headersSent && !response.destroyed) {
+        this.#options.onRequest(new CallerExchange({
+          profile,
+          method: request.method ?? 'GET',
+          path: request.url ?? '/',
+          host: (request.headers.host ?? '').toLowerCase().replace(/:\d+$/, ''),
+          rawHeaders: request.rawHeaders,
+          body: Buffer.concat(chunks),
+          arrivedAtMs,
+        }, response, () => this.#isDraining));
+      }
+    });
+  }
+}
+
+function getHeaderBytes(request: IncomingMessage): number {
+  return request.rawHeaders.reduce((sum, text) => sum + text.length, 0)
+    + (request.rawHeaders.length / 2) * HEADER_LINE_OVERHEAD_BYTES;
+}
+
+function refuse(response: ServerResponse, status: number, reason: string): void {
+  if (response.headersSent) {
+    return;
+  }
+  const answer = createErrorAnswer(status, reason, null);
+  // What is left of the request is not read, so that the connection can serve no other.
+  response.writeHead(status, [
+    ...answer.headers, 'Content-Length', String(answer.body.length), 'Connection', 'close',
+  ]);
+  response.end(answer.body);
+}
+
+function answerClientError(socket: Socket): void {
+  if (socket.writable) {
+    socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+  } else {
+    socket.destroy();
+  }
+}
--- /dev/null
+++ b/src/ingress/createErrorAnswer.ts
@@ -0,0 +1,26 @@
+import type { WholeAnswer } from './CallerExchange.ts';
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Makes an answer of the system's own.
+ *
+ * @param status - the HTTP status
+ * @param reason - a short code for the cause
+ * @param retryAfterMs - when to come back; null when coming back is of no use
+ * @returns the answer
+ */
+export function createErrorAnswer(
+  status: number,
+  reason: string,
+  retryAfterMs: number | null,
+): WholeAnswer {
+  const retryHeaders = retryAfterMs === null
+    ? []
+    : ['Retry-After', (retryAfterMs / MS_PER_SECOND).toFixed(3)];
+  return {
+    status,
+    headers: ['Content-Type', 'application/json', ...retryHeaders],
+    body: Buffer.from(JSON.stringify({ reason })),
+  };
+}
--- /dev/null
+++ b/src/placement/PlacementDesk.ts
@@ -0,0 +1,257 @@
+import type { Logger } from 'pino';
+import type { Directory } from '../directory/Directory.ts';
+import type { DirectoryChange } from '../directory/DirectoryChange.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { UpstreamId } from '../lib/ids.ts';
+import type { Clock } from '../time/Clock.ts';
+import { chooseEngine } from './chooseEngine.ts';
+import { EngineTable } from './EngineTable.ts';
+import {
+  createPlacementJob, getLastStages, isStageDone, type JobStage, type PlacementJob,
+} from './PlacementJob.ts';
+import {
+  REFUSAL, type PlacementNote, type PlacementRequest, type PlacementResult, type Refusal,
+} from './PlacementRequest.ts';
+import type { StageCall, StageOutcome } from './StageCall.ts';
+import { StageScheduler, type StageSchedulerOptions } from './StageScheduler.ts';
+
+/** What the desk needs from outside. */
+export interface PlacementDeskOptions {
+  readonly clock: Clock;
+  readonly directory: Directory;
+  readonly logger: Logger;
+  /** @param call - to be sent now; its end comes back through `finishCall` */
+  readonly sendCall: (call: StageCall) => void;
+  /** Frees results at the upstream that keeps them. */
+  readonly sendFree: StageSchedulerOptions['sendFree'];
+}
+
+/** How long a placed request is remembered behind its deadline, when its host says nothing. */
+const FORGET_AFTER_MS = 2_000;
+/** Weight of the newest generation in the time to the first token. */
+const START_TIME_GAIN = 0.1;
+/** Shortest time after which a refused caller is asked back. */
+const MIN_RETRY_AFTER_MS = 100;
+
+/**
+ * Decides for all entry hosts which pieces of stages share a call, where they are made, and which
+ * engine runs a generation. One host does this for all, since calls are only full, and room is only
+ * known, where all the traffic of a pool is seen.
+ */
+export class PlacementDesk {
+  readonly #options: PlacementDeskOptions;
+
+  readonly #scheduler: StageScheduler;
+
+  readonly #engines = new EngineTable();
+
+  readonly #jobs = new Map<string, PlacementJob>();
+
+  /** Time from a placement to the engine's first token, lately. */
+  #startMs = 0;
+
+  /**
+   * @param options - time, what is known of upstreams, and how calls go out
+   */
+  constructor(options: PlacementDeskOptions) {
+    this.#options = options;
+    this.#scheduler = new StageScheduler(options);
+    options.directory.onChange((change) => this.#applyChange(change));
+  }
+
+  /** Requests that wait for stages or an engine. */
+  get waitingCount(): number {
+    return [...this.#jobs.values()].filter((job) => job.state !== 'placed').length;
+  }
+
+  /**
+   * Takes a request in; refuses it at once when it can't be done in time.
+   *
+   * @param request - the request
+   * @param answer - gets the result, once
+   * @returns withdraws the request; without effect once it is placed
+   */
+  place(request: PlacementRequest, answer: (result: PlacementResult) => void): () => void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    this.#drop(request.requestId);
+    const onTimeMs = request.onTimeMs - this.#startMs;
+    const job = createPlacementJob({ ...request, onTimeMs }, nowMs, answer);
+    const expectedMs = this.#scheduler.getExpectedMs(job);
+    if (expectedMs > request.remainingMs) {
+      this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - request.remainingMs);
+      return () => {};
+    }
+    this.#jobs.set(request.requestId, job);
+    this.#scheduler.add(job);
+    this.run();
+    return () => {
+      if (this.#jobs.get(request.requestId) === job && job.state !== 'placed') {
+        this.#drop(request.requestId);
+        this.run();
+      }
+    };
+  }
+
+  /** @param note - what an entry host tells of a request that was placed */
+  note(note: PlacementNote): void {
+    const job = this.#jobs.get(note.requestId);
+    // A request that was placed again is another job; what is told of its first engine still counts.
+    const isCurrent = job !== undefined && job.engineId === note.upstreamId;
+    switch (note.kind) {
+      case 'started':
+        this.#engines.noteStarted(note.upstreamId, note.requestId);
+        if (isCurrent) {
+          this.#scheduler.remove(job);
+          this.#noteStartTime(job);
+        }
+        return;
+      case 'failed':
+      case 'unreachable':
+        this.#engines.noteFailure(note.upstreamId, this.#options.clock.getMonotonicMs());
+        break;
+      case 'ended':
+        break;
+      default:
+        throw exhaustiveSwitchError(note.kind);
+    }
+    if (isCurrent) {
+      this.#drop(note.requestId);
+    }
+  }
+
+  /**
+   * @param call - a call that was sent
+   * @param outcome - what became of it
+   */
+  finishCall(call: StageCall, outcome: StageOutcome): void {
+    this.#scheduler.finishCall(call, outcome);
+    this.run();
+  }
+
+  /** Does what can be done now; to be called after each event and every few milliseconds. */
+  run(): void {
+    this.#expire();
+    this.#jobs.forEach((job) => {
+      if (job.state === 'inStages' && job.stages.every(isStageDone)) {
+        job.state = 'awaitingEngine';
+      }
+    });
+    [...this.#jobs.values()]
+      .filter((job) => job.state === 'awaitingEngine')
+      .sort((left, right) => left.request.priority - right.request.priority
+        || left.onTimeAtMs - right.onTimeAtMs)
+      .forEach((job) => this.#placeOnEngine(job));
+    this.#scheduler.run();
+  }
+
+  #placeOnEngine(job: PlacementJob): void {
+    const { request } = job;
+    const { directory, clock } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const lastStages = getLastStages(job);
+    const inputs = lastStages.flatMap(getHandles);
+    if (!this.#scheduler.areHeld(inputs)) {
+      job.state = 'inStages';
+      this.#scheduler.reopenLapsed(job);
+      return;
+    }
+    const bounds = directory.configuration?.pools.get(request.poolId)?.engine;
+    const candidates = directory.getUsable(request.poolId)
+      .filter(({ entry }) => !request.excludedIds.includes(entry.id))
+      .map(({ entry }) => ({
+        engine: this.#engines.get(entry.id), failureDomain: entry.failureDomain,
+      }))
+      .filter(({ engine }) => engine.avoidUntilMs <= nowMs);
+    const memoryTokens = request.promptTokens + request.maxOutputTokens;
+    const capacityTokens = bounds?.memoryTokens ?? Infinity;
+    const engineId = chooseEngine(candidates, {
+      parts: request.parts,
+      promptTokens: request.promptTokens,
+      memoryTokens,
+      inputBytes: this.#getInputBytes(lastStages),
+    }, { slots: bounds?.slots ?? Infinity, memoryTokens: capacityTokens });
+    if (engineId === null) {
+      return;
+    }
+    job.state = 'placed';
+    job.engineId = engineId;
+    job.placedAtMs = nowMs;
+    this.#engines.place(engineId, request.requestId, request.parts, memoryTokens, capacityTokens);
+    job.answer({ kind: 'placed', upstreamId: engineId, inputs });
+  }
+
+  #noteStartTime(job: PlacementJob): void {
+    const tookMs = this.#options.clock.getMonotonicMs() - job.placedAtMs;
+    this.#startMs += START_TIME_GAIN * (tookMs - this.#startMs);
+  }
+
+  #getInputBytes(stages: readonly JobStage[]): Map<string, number> {
+    const bytes = new Map<string, number>();
+    stages.forEach((stage) => stage.pieces.forEach((piece) => {
+      const maker = piece.makerId === null
+        ? undefined
+        : this.#options.directory.getUpstream(piece.makerId);
+      if (maker !== undefined) {
+        const domain = maker.entry.failureDomain;
+        bytes.set(domain, (bytes.get(domain) ?? 0) + stage.resultBytes);
+      }
+    }));
+    return bytes;
+  }
+
+  #expire(): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    this.#jobs.forEach((job, requestId) => {
+      if (job.state === 'placed') {
+        if (job.deadlineAtMs + FORGET_AFTER_MS <= nowMs) {
+          this.#drop(requestId);
+        }
+      } else if (nowMs + this.#scheduler.getLeastMs(job) > job.deadlineAtMs) {
+        this.#drop(requestId);
+        const reason = job.state === 'awaitingEngine' ? REFUSAL.noEngine : REFUSAL.tooLate;
+        this.#answerRefusal(job, reason, MIN_RETRY_AFTER_MS);
+      }
+    });
+  }
+
+  #answerRefusal(job: PlacementJob, reason: Refusal, retryAfterMs: number): void {
+    this.#options.logger.info({
+      event: 'placementRefused',
+      requestId: job.request.requestId,
+      reason,
+      remainingMs: Math.round(job.deadlineAtMs - this.#options.clock.getMonotonicMs()),
+      leastMs: Math.round(this.#scheduler.getLeastMs(job)),
+      waitingCount: this.waitingCount,
+    }, 'refused a placement');
+    job.answer({
+      kind: 'refused', reason, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, retryAfterMs),
+    });
+  }
+
+  #drop(requestId: string): void {
+    const job = this.#jobs.get(requestId);
+    if (job === undefined) {
+      return;
+    }
+    this.#jobs.delete(requestId);
+    this.#scheduler.remove(job);
+    if (job.engineId !== null) {
+      this.#engines.noteEnded(job.engineId, requestId);
+    }
+  }
+
+  #applyChange(change: DirectoryChange): void {
+    if (change.kind === 'upstreamGone') {
+      this.#forgetUpstream(change.upstreamId);
+    }
+  }
+
+  #forgetUpstream(upstreamId: UpstreamId): void {
+    this.#engines.forget(upstreamId);
+    this.#scheduler.forgetMaker(upstreamId);
+  }
+}
+
+function getHandles(stage: JobStage): string[] {
+  return stage.pieces.flatMap((piece) => (piece.handle === null ? [] : [piece.handle]));
+}
--- /dev/null
+++ b/src/placement/PlacementRequest.ts
@@ -0,0 +1,68 @@
+import type { RouteStage } from '../directory/ServingConfiguration.ts';
+import type { PromptPart } from '../ingress/CallerRequest.ts';
+import type { PoolId, UpstreamId } from '../lib/ids.ts';
+
+/** A generation that needs its stages done and an engine chosen. Durations count from its sending. */
+export interface PlacementRequest {
+  readonly requestId: string;
+  /** Failure domain of the entry host that will send it. */
+  readonly failureDomain: string;
+  /** Whose engines may run it. */
+  readonly poolId: PoolId;
+  readonly stages: readonly RouteStage[];
+  /** Pieces of each stage; 0 leaves the stage out. */
+  readonly pieceCounts: readonly number[];
+  /** What first stages work on. */
+  readonly pieceKey: string;
+  readonly parts: readonly PromptPart[];
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  /** Rank; 0 goes first. */
+  readonly priority: number;
+  /** Time left until its answer loses value; negative when that is past. */
+  readonly onTimeMs: number;
+  /** Time left until nobody waits any more. */
+  readonly remainingMs: number;
+  /** Engines that have failed it before. */
+  readonly excludedIds: readonly UpstreamId[];
+}
+
+/** Why a placement is refused. */
+export const REFUSAL = {
+  /** It can't be done in the time that is left. */
+  tooLate: 'too-late',
+  /** No engine of the pool may be used. */
+  noEngine: 'no-engine',
+  /** The host that places is leaving or out of reach. */
+  unreachable: 'unreachable',
+} as const;
+
+/** A member of {@link REFUSAL}. */
+export type Refusal = typeof REFUSAL[keyof typeof REFUSAL];
+
+/** What became of a placement. */
+export type PlacementResult =
+  | {
+    readonly kind: 'placed';
+    readonly upstreamId: UpstreamId;
+    /** Handles of the results that the engine takes in. */
+    readonly inputs: readonly string[];
+  }
+  | {
+    readonly kind: 'refused';
+    readonly reason: Refusal;
+    /** When it is worth coming back. */
+    readonly retryAfterMs: number;
+  };
+
+/** What an entry host tells of a request that was placed. */
+export interface PlacementNote {
+  readonly requestId: string;
+  /** The engine that was chosen. */
+  readonly upstreamId: UpstreamId;
+  /**
+   * `started`: the engine has read the prompt and fetched its inputs; `ended`: it is done;
+   * `failed`: the engine broke off; `unreachable`: it could not be reached.
+   */
+  readonly kind: 'started' | 'ended' | 'failed' | 'unreachable';
+}
--- /dev/null
+++ b/src/placement/PlacementServer.ts
@@ -0,0 +1,60 @@
+import fastify, { type FastifyInstance } from 'fastify';
+import { parseAddress } from '../ingress/parseAddress.ts';
+import type { PlacementDesk } from './PlacementDesk.ts';
+import type { PlacementNote, PlacementRequest, PlacementResult } from './PlacementRequest.ts';
+import { PLACEMENT_PATHS } from './PLACEMENT_PATHS.ts';
+
+/** Lets the other entry hosts use this host's placement desk. */
+export class PlacementServer {
+  readonly #desk: PlacementDesk;
+
+  readonly #server: FastifyInstance;
+
+  /**
+   * @param desk - what decides
+   */
+  constructor(desk: PlacementDesk) {
+    this.#desk = desk;
+    this.#server = fastify({ logger: false, forceCloseConnections: true });
+    this.#server.post(PLACEMENT_PATHS.place, async (request, reply) => {
+      const result = await this.#place(request.body as PlacementRequest, (withdraw) => {
+        reply.raw.once('close', () => {
+          if (!reply.raw.writableFinished) {
+            withdraw();
+          }
+        });
+      });
+      return result;
+    });
+    this.#server.post(PLACEMENT_PATHS.notes, async (request, reply) => {
+      (request.body as PlacementNote[]).forEach((note) => desk.note(note));
+      desk.run();
+      reply.code(204);
+    });
+    this.#server.get(PLACEMENT_PATHS.alive, async (_request, reply) => {
+      reply.code(204);
+    });
+  }
+
+  /**
+   * @param address - IP address and port for peers
+   * @returns when it listens
+   */
+  async listen(address: string): Promise<void> {
+    await this.#server.listen(parseAddress(address));
+  }
+
+  /** Breaks off what is left. */
+  async close(): Promise<void> {
+    await this.#server.close();
+  }
+
+  #place(
+    request: PlacementRequest,
+    onWithdrawable: (withdraw: () => void) => void,
+  ): Promise<PlacementResult> {
+    return new Promise((resolve) => {
+      onWithdrawable(this.#desk.place(request, resolve));
+    });
+  }
+}
--- /dev/null
+++ b/src/placement/PlacementService.ts
@@ -0,0 +1,72 @@
+import type { Logger } from 'pino';
+import type { Directory } from '../directory/Directory.ts';
+import type { Clock } from '../time/Clock.ts';
+import { PlacementDesk } from './PlacementDesk.ts';
+import type { StageCall } from './StageCall.ts';
+import type { StageCaller } from './StageCaller.ts';
+
+/** How often the desk looks for what fell due. */
+const TICK_MS = 20;
+
+/** Runs a placement desk: sends its calls and wakes it. */
+export class PlacementService {
+  readonly #caller: StageCaller;
+
+  readonly #logger: Logger;
+
+  readonly #timer: NodeJS.Timeout;
+
+  /** What decides. */
+  readonly desk: PlacementDesk;
+
+  /**
+   * @param clock - the time
+   * @param directory - what is known of upstreams
+   * @param caller - sends the calls
+   * @param logger - gets the decisions
+   */
+  constructor(clock: Clock, directory: Directory, caller: StageCaller, logger: Logger) {
+    this.#caller = caller;
+    this.#logger = logger;
+    this.desk = new PlacementDesk({
+      clock,
+      directory,
+      logger,
+      sendCall: (call) => this.#send(call),
+      sendFree: (_makerId, address, handles) => this.#free(address, handles),
+    });
+    this.#timer = setInterval(() => {
+      if (this.desk.waitingCount > 0) {
+        this.desk.run();
+      }
+    }, TICK_MS);
+  }
+
+  /** Ends the ticks. */
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  #send(call: StageCall): void {
+    this.#caller.run(call).then((outcome) => {
+      this.#logger.debug({
+        event: 'stageCallEnded',
+        makerId: call.makerId,
+        pieceCount: call.items.length,
+        expectedMs: Math.round(call.expectedMs),
+        outcome,
+      }, 'a stage call ended');
+      this.desk.finishCall(call, outcome);
+    }).catch((error: unknown) => {
+      this.#logger.error({ event: 'stageCallFailed', error: String(error) },
+        'taking in the end of a stage call failed');
+    });
+  }
+
+  #free(address: string, handles: readonly string[]): void {
+    this.#caller.free(address, handles).catch((error: unknown) => {
+      this.#logger.debug({ event: 'freeFailed', address, handles, error: String(error) },
+        'results could not be freed; they lapse by themselves');
+    });
+  }
+}
--- /dev/null
+++ b/src/placement/PlacerWatch.ts
@@ -0,0 +1,113 @@
+import type { Logger } from 'pino';
+import type { HostEntry } from '../directory/HostEntry.ts';
+import type { Clock } from '../time/Clock.ts';
+import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import { PLACEMENT_PATHS } from './PLACEMENT_PATHS.ts';
+
+/** Pause between two questions whether the placing host lives. */
+const PROBE_EVERY_MS = 250;
+/** Silence after which it is taken for gone. */
+const PROBE_TIMEOUT_MS = 600;
+/** How long a host that failed is passed over. */
+const AVOID_MS = 1_500;
+
+/** What the watch needs. */
+export interface PlacerWatchOptions {
+  readonly clock: Clock;
+  /** Connections to peers. */
+  readonly connections: UpstreamConnections;
+  /** Gets a line when a placing host is lost. */
+  readonly logger: Logger;
+}
+
+interface WatchedPlacer {
+  readonly host: HostEntry;
+  readonly waiting: Set<AbortController>;
+  timer: NodeJS.Timeout | null;
+}
+
+/** Notices within a second that the host which places does not answer, so that another takes over. */
+export class PlacerWatch {
+  readonly #options: PlacerWatchOptions;
+
+  readonly #watched = new Map<string, WatchedPlacer>();
+
+  readonly #avoidUntilMs = new Map<string, number>();
+
+  /**
+   * @param options - see {@link PlacerWatchOptions}
+   */
+  constructor(options: PlacerWatchOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param host - a host that may place
+   * @returns whether it failed a moment ago
+   */
+  isAvoided(host: HostEntry): boolean {
+    return (this.#avoidUntilMs.get(host.peerAddress) ?? 0) > this.#options.clock.getMonotonicMs();
+  }
+
+  /**
+   * Watches a host while a request waits for it.
+   *
+   * @param host - the host
+   * @param controller - aborted when the host is found silent
+   * @returns ends the watch for this request
+   */
+  watch(host: HostEntry, controller: AbortController): () => void {
+    const placer = this.#watched.get(host.peerAddress)
+      ?? { host, waiting: new Set(), timer: null };
+    this.#watched.set(host.peerAddress, placer);
+    placer.waiting.add(controller);
+    this.#schedule(placer);
+    return () => placer.waiting.delete(controller);
+  }
+
+  /**
+   * @param host - a host that did not answer
+   * @param detail - what was seen
+   */
+  noteFailure(host: HostEntry, detail: string): void {
+    if (!this.isAvoided(host)) {
+      this.#options.logger.warn({ event: 'placerLost', hostId: host.id, detail },
+        'the host that places does not answer; another one takes over');
+    }
+    this.#avoidUntilMs.set(host.peerAddress, this.#options.clock.getMonotonicMs() + AVOID_MS);
+  }
+
+  /** Ends all watching. */
+  close(): void {
+    this.#watched.forEach((placer) => clearTimeout(placer.timer ?? undefined));
+    this.#watched.clear();
+  }
+
+  #schedule(placer: WatchedPlacer): void {
+    placer.timer ??= setTimeout(() => {
+      this.#probe(placer).catch((error: unknown) => {
+        this.#options.logger.error({ event: 'probeFailed', error: String(error) }, 'a probe ended');
+      });
+    }, PROBE_EVERY_MS);
+  }
+
+  async #probe(placer: WatchedPlacer): Promise<void> {
+    if (placer.waiting.size > 0) {
+      try {
+        const response = await this.#options.connections.get(`http://${placer.host.peerAddress}`).request({
+          method: 'GET',
+          path: PLACEMENT_PATHS.alive,
+          signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+        });
+        await response.body.dump();
+      } catch (error) {
+        this.noteFailure(placer.host, String(error));
+        placer.waiting.forEach((controller) => controller.abort());
+      }
+    }
+    placer.timer = null;
+    if (placer.waiting.size > 0) {
+      this.#schedule(placer);
+    }
+  }
+}
--- /dev/null
+++ b/src/relay/GenerationRelay.ts
@@ -0,0 +1,388 @@
+import type { CallerExchange } from '../ingress/CallerExchange.ts';
+import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { UpstreamId } from '../lib/ids.ts';
+import type { RunningPlacement } from '../placement/PlacementClient.ts';
+import type { PlacementNote, PlacementResult } from '../placement/PlacementRequest.ts';
+import { EventSplitter, type StreamEvent } from './EventSplitter.ts';
+import type { RelayContext, RelayTerms } from './RelayContext.ts';
+import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
+import type { AnswerHead } from './UpstreamProtocol.ts';
+
+type Placed = Extract<PlacementResult, { kind: 'placed' }>;
+
+/** Silence, in multiples of the longest pause, after which a stream goes on elsewhere. */
+const SILENCE_FACTOR = 4;
+/** Silence before the first event, in multiples of the objective, after which another engine is asked. */
+const FIRST_EVENT_FACTOR = 1.5;
+/** Sends that engines refused or that did not reach them, for one request at most. */
+const MAX_REFUSED_SENDS = 6;
+/** Retry-After where the cause is over in a moment. */
+const SHORT_RETRY_AFTER_MS = 200;
+
+const STATUS = {
+  ok: 200, multipleChoices: 300, badGateway: 502, unavailable: 503, timeout: 504,
+} as const;
+
+/**
+ * Relays one generation: has it placed, sends it to the engine, passes its events on as they come,
+ * and lets a resumable stream go on at another engine when its own breaks off.
+ */
+export class GenerationRelay {
+  readonly #context: RelayContext;
+
+  readonly #terms: RelayTerms;
+
+  readonly #exchange: CallerExchange;
+
+  readonly #excluded = new Set<UpstreamId>();
+
+  readonly #arrivedAtMs: number;
+
+  #placement: RunningPlacement | null = null;
+
+  /** The engine that the placement chose. */
+  #engineId: UpstreamId | null = null;
+
+  #running: RunningAttempt | null = null;
+
+  #splitter = new EventSplitter();
+
+  #head: AnswerHead | null = null;
+
+  #errorChunks: Buffer[] = [];
+
+  #lastEventId: number | null;
+
+  /** Attempts that ran or may have run. */
+  #runCount = 0;
+
+  #refusedCount = 0;
+
+  #isOver = false;
+
+  #deadlineTimer: NodeJS.Timeout | null = null;
+
+  #silenceTimer: NodeJS.Timeout | null = null;
+
+  #pauseTimer: NodeJS.Timeout | null = null;
+
+  /**
+   * @param context - what all relays share
+   * @param terms - what was decided of the request
+   * @param exchange - the request and the way to answer it
+   */
+  constructor(context: RelayContext, terms: RelayTerms, exchange: CallerExchange) {
+    this.#context = context;
+    this.#terms = terms;
+    this.#exchange = exchange;
+    this.#lastEventId = exchange.request.profile.lastEventId;
+    this.#arrivedAtMs = exchange.request.arrivedAtMs;
+  }
+
+  /** Starts relaying. */
+  start(): void {
+    this.#context.shares.getRetryBudget(this.#terms.poolId).noteOffered();
+    this.#exchange.onGone(() => this.#finish('caller-gone'));
+    this.#deadlineTimer = setTimeout(
+      () => this.#giveUp(STATUS.timeout, 'timeout', null),
+      Math.max(0, this.#getRemainingMs()),
+    );
+    this.#place();
+  }
+
+  #getRemainingMs(): number {
+    return this.#terms.deadlineAtMs - this.#context.clock.getMonotonicMs();
+  }
+
+  #place(): void {
+    if (this.#isOver) {
+      return;
+    }
+    const { profile } = this.#exchange.request;
+    const { route } = this.#terms;
+    const waitedMs = this.#context.clock.getMonotonicMs() - this.#arrivedAtMs;
+    const placement = this.#context.placements.place({
+      requestId: profile.id,
+      failureDomain: this.#context.failureDomain,
+      poolId: this.#terms.poolId,
+      stages: route.stages,
+      pieceCounts: profile.pieceCounts,
+      pieceKey: profile.pieceKey ?? '',
+      parts: profile.generation?.parts ?? [],
+      promptTokens: profile.generation?.promptTokens ?? 0,
+      maxOutputTokens: profile.generation?.maxOutputTokens ?? 0,
+      priority: this.#terms.priority,
+      onTimeMs: route.targetLatencyMs - waitedMs,
+      remainingMs: this.#getRemainingMs(),
+      excludedIds: [...this.#excluded],
+    });
+    this.#placement = placement;
+    placement.result.then((result) => this.#takePlacement(placement, result))
+      .catch((error: unknown) => {
+        this.#log('placement-failed', { error: String(error) });
+        this.#giveUp(STATUS.unavailable, 'placement-failed', SHORT_RETRY_AFTER_MS);
+      });
+  }
+
+  #takePlacement(placement: RunningPlacement, result: PlacementResult): void {
+    if (result.kind === 'placed' && this.#isOver) {
+      placement.note('ended', result.upstreamId);
+      return;
+    }
+    if (result.kind === 'refused') {
+      this.#giveUp(STATUS.unavailable, result.reason, result.retryAfterMs);
+      return;
+    }
+    this.#engineId = result.upstreamId;
+    this.#sendWhenPaced(result);
+  }
+
+  #sendWhenPaced(placed: Placed): void {
+    const { pacer, shares } = this.#context;
+    const share = shares.getColdShare(this.#terms.poolId);
+    const waitMs = share === 0 ? 0 : pacer.getWaitMs(placed.upstreamId, share);
+    if (waitMs > 0) {
+      this.#pauseTimer = setTimeout(() => this.#sendWhenPaced(placed), waitMs);
+      return;
+    }
+    const upstream = this.#context.directory.getUpstream(placed.upstreamId);
+    // The engine may have begun to leave, or its failure domain, while the request waited.
+    if (upstream === undefined || !this.#context.directory.isUsable(placed.upstreamId)) {
+      this.#excluded.add(placed.upstreamId);
+      this.#note('ended');
+      this.#placeElsewhere('engine-left');
+      return;
+    }
+    pacer.noteSend(placed.upstreamId);
+    this.#send(placed, upstream.entry.address);
+  }
+
+  #send(placed: Placed, address: string): void {
+    this.#runCount += 1;
+    this.#head = null;
+    this.#errorChunks = [];
+    this.#splitter = new EventSplitter();
+    this.#log('sent', { upstreamId: placed.upstreamId, inputCount: placed.inputs.length });
+    this.#running = sendAttempt(
+      this.#context.connections.get(`http://${address}`),
+      this.#context.protocol,
+      this.#exchange.request,
+      {
+        upstreamId: placed.upstreamId,
+        remainingMs: this.#getRemainingMs(),
+        account: this.#terms.account,
+        priority: this.#terms.priority,
+        inputs: placed.inputs,
+        lastEventId: this.#lastEventId,
+      },
+      {
+        onHead: (head) => {
+          this.#head = head;
+        },
+        onData: (chunk) => this.#takeData(chunk),
+        onEnd: (end) => this.#endAttempt(placed.upstreamId, end),
+      },
+    );
+    this.#watchSilence(this.#terms.route.targetLatencyMs * FIRST_EVENT_FACTOR);
+  }
+
+  #takeData(chunk: Buffer): void {
+    if (this.#isOver || this.#head === null) {
+      return;
+    }
+    if (this.#head.status >= STATUS.multipleChoices) {
+      this.#errorChunks.push(chunk);
+      return;
+    }
+    this.#watchSilence(this.#terms.route.gapTargetMs * SILENCE_FACTOR);
+    this.#splitter.add(chunk).every((event) => this.#passOn(event));
+  }
+
+  /** @returns whether the stream goes on */
+  #passOn(event: StreamEvent): boolean {
+    const { id } = event;
+    if (id !== null && this.#lastEventId !== null) {
+      if (id <= this.#lastEventId) {
+        return true;
+      }
+      if (id !== this.#lastEventId + 1) {
+        this.#running?.abort(`event ${id} follows event ${this.#lastEventId}`);
+        return false;
+      }
+    }
+    if (!this.#exchange.hasAnswered && this.#head !== null) {
+      this.#exchange.beginStream(this.#head.status, this.#head.passedHeaders);
+      this.#note('started');
+    }
+    this.#lastEventId = id ?? this.#lastEventId;
+    if (!this.#exchange.write(event.bytes)) {
+      this.#running?.pause();
+      this.#exchange.onWritable(() => this.#running?.resume());
+    }
+    return true;
+  }
+
+  #endAttempt(upstreamId: UpstreamId, end: AttemptEnd): void {
+    this.#running = null;
+    this.#clearSilence();
+    if (this.#isOver) {
+      return;
+    }
+    switch (end.kind) {
+      case 'complete':
+        this.#takeEnd(upstreamId);
+        return;
+      case 'notSent':
+        this.#runCount -= 1;
+        this.#excluded.add(upstreamId);
+        this.#note('unreachable');
+        this.#placeElsewhere(end.detail);
+        return;
+      case 'broken':
+        this.#excluded.add(upstreamId);
+        this.#note('failed');
+        this.#resume(end.detail);
+        return;
+      default:
+        throw exhaustiveSwitchError(end);
+    }
+  }
+
+  #takeEnd(upstreamId: UpstreamId): void {
+    const head = this.#head;
+    if (head !== null && head.isNotRun) {
+      this.#runCount -= 1;
+      this.#note('ended');
+      if (head.status === STATUS.unavailable || head.isWrongUpstream) {
+        this.#excluded.add(upstreamId);
+      }
+      this.#placeElsewhere(`status ${head.status}`);
+      return;
+    }
+    if (head === null || (head.status < STATUS.multipleChoices && this.#splitter.hasPart)) {
+      this.#note('failed');
+      this.#resume('the stream ended within an event');
+      return;
+    }
+    this.#note('ended');
+    if (head.status >= STATUS.multipleChoices) {
+      this.#takeError(head);
+      return;
+    }
+    if (!this.#exchange.hasAnswered) {
+      this.#exchange.beginStream(head.status, head.passedHeaders);
+    }
+    this.#exchange.end();
+    this.#finish('answered', { lastEventId: this.#lastEventId });
+  }
+
+  /** The engine's own failure is passed on as it is, unless a stream has begun. */
+  #takeError(head: AnswerHead): void {
+    if (this.#exchange.hasAnswered) {
+      this.#giveUp(STATUS.badGateway, 'engine-failed', null);
+      return;
+    }
+    const body = Buffer.concat(this.#errorChunks);
+    this.#exchange.answer({ status: head.status, headers: head.passedHeaders, body });
+    this.#finish('engine-failed', { status: head.status });
+  }
+
+  /** Goes on after an attempt that did not run. */
+  #placeElsewhere(detail: string): void {
+    this.#refusedCount += 1;
+    this.#log('placedAgain', { detail });
+    if (this.#refusedCount > MAX_REFUSED_SENDS || !this.#takeRetry()) {
+      this.#giveUp(STATUS.unavailable, 'engines-full', SHORT_RETRY_AFTER_MS);
+      return;
+    }
+    this.#place();
+  }
+
+  /** Goes on after an attempt that ran or may have run. */
+  #resume(detail: string): void {
+    const { route } = this.#terms;
+    const mayRunAgain = route.isResumable && this.#runCount < route.maxAttempts && this.#takeRetry();
+    this.#log(mayRunAgain ? 'resumed' : 'brokenOff', { detail, lastEventId: this.#lastEventId });
+    if (mayRunAgain) {
+      this.#place();
+    } else {
+      this.#giveUp(STATUS.badGateway, 'engine-broke-off', null);
+    }
+  }
+
+  #takeRetry(): boolean {
+    return this.#context.shares.getRetryBudget(this.#terms.poolId).tryRetry({
+      isRepeatable: true, remainingMs: this.#getRemainingMs(), medianMs: 0,
+    });
+  }
+
+  #giveUp(status: number, reason: string, retryAfterMs: number | null): void {
+    if (this.#isOver) {
+      return;
+    }
+    if (this.#exchange.hasAnswered) {
+      this.#exchange.breakOff();
+      this.#finish(reason, { isBrokenOff: true });
+      return;
+    }
+    const hasRun = this.#runCount > 0;
+    const finalStatus = status === STATUS.unavailable && hasRun ? STATUS.badGateway : status;
+    this.#exchange.answer(createErrorAnswer(finalStatus, reason, hasRun ? null : retryAfterMs));
+    this.#finish(reason, { status: finalStatus, retryAfterMs });
+  }
+
+  #finish(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
+    if (this.#isOver) {
+      return;
+    }
+    this.#isOver = true;
+    this.#clearSilence();
+    clearTimeout(this.#deadlineTimer ?? undefined);
+    clearTimeout(this.#pauseTimer ?? undefined);
+    this.#placement?.cancel();
+    if (this.#running !== null) {
+      this.#running.abort(outcome);
+    }
+    this.#note('ended');
+    this.#log(outcome, details);
+  }
+
+  #note(kind: PlacementNote['kind']): void {
+    if (this.#engineId === null) {
+      return;
+    }
+    this.#placement?.note(kind, this.#engineId);
+    if (kind !== 'started') {
+      this.#engineId = null;
+    }
+  }
+
+  /** A silent engine is left for another one, where the stream may go on there. */
+  #watchSilence(silenceMs: number): void {
+    this.#clearSilence();
+    if (this.#terms.route.isResumable && this.#runCount < this.#terms.route.maxAttempts) {
+      this.#silenceTimer = setTimeout(
+        () => this.#running?.abort(`silent for ${Math.round(silenceMs)} ms`),
+        silenceMs,
+      );
+    }
+  }
+
+  #clearSilence(): void {
+    clearTimeout(this.#silenceTimer ?? undefined);
+    this.#silenceTimer = null;
+  }
+
+  #log(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
+    this.#context.logger.info({
+      event: 'relay',
+      outcome,
+      requestId: this.#exchange.request.profile.id,
+      route: this.#terms.route.name,
+      runCount: this.#runCount,
+      elapsedMs: Math.round(this.#context.clock.getMonotonicMs() - this.#arrivedAtMs),
+      ...details,
+    }, 'relayed a generation');
+  }
+}
--- /dev/null
+++ b/src/relay/RelayContext.ts
@@ -0,0 +1,36 @@
+import type { Logger } from 'pino';
+import type { Directory } from '../directory/Directory.ts';
+import type { ServingRoute } from '../directory/ServingConfiguration.ts';
+import type { PoolId } from '../lib/ids.ts';
+import type { PlacementClient } from '../placement/PlacementClient.ts';
+import type { Clock } from '../time/Clock.ts';
+import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import type { ColdPacer } from './ColdPacer.ts';
+import type { HostShares } from './HostShares.ts';
+import type { UpstreamBook } from './UpstreamBook.ts';
+import type { UpstreamProtocol } from './UpstreamProtocol.ts';
+
+/** What all relays of a host share. */
+export interface RelayContext {
+  readonly clock: Clock;
+  readonly directory: Directory;
+  readonly protocol: UpstreamProtocol;
+  readonly connections: UpstreamConnections;
+  readonly placements: PlacementClient;
+  readonly book: UpstreamBook;
+  readonly shares: HostShares;
+  readonly pacer: ColdPacer;
+  readonly logger: Logger;
+  readonly failureDomain: string;
+}
+
+/** What was decided of a request before it is relayed. */
+export interface RelayTerms {
+  readonly route: ServingRoute;
+  readonly poolId: PoolId;
+  readonly account: string | null;
+  /** Rank; 0 goes first. */
+  readonly priority: number;
+  /** When nobody waits any more. */
+  readonly deadlineAtMs: number;
+}
--- /dev/null
+++ b/src/relay/RelayHost.ts
@@ -0,0 +1,214 @@
+import type { Logger } from 'pino';
+import { Directory } from '../directory/Directory.ts';
+import { DirectoryFollower } from '../directory/DirectoryFollower.ts';
+import { HostRegistration } from '../directory/HostRegistration.ts';
+import type { CallerLimits } from '../directory/ServingConfiguration.ts';
+import { IngressServer } from '../ingress/IngressServer.ts';
+import { ReadinessServer } from '../ingress/ReadinessServer.ts';
+import { PlacementClient } from '../placement/PlacementClient.ts';
+import { PlacementServer } from '../placement/PlacementServer.ts';
+import { PlacementService } from '../placement/PlacementService.ts';
+import type { Clock } from '../time/Clock.ts';
+import { ColdPacer } from './ColdPacer.ts';
+import { HostShares } from './HostShares.ts';
+import type { RelayHostAdapters, RelayHostSettings } from './RelayHostOptions.ts';
+import { RelayManager } from './RelayManager.ts';
+import { UpstreamBook } from './UpstreamBook.ts';
+
+/** Bounds before a configuration is known; requests are refused then. */
+const INITIAL_CALLER_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+/** The loop is looked after this often, and has stood still when a look is this late. */
+const PAUSE_CHECK_MS = 100;
+const PAUSE_MS = 700;
+/** Time after the signal to leave in which requests are still taken, until the balancer knows. */
+const TAKE_UNTIL_MS = 3_000;
+/** Time kept at the end of the grace for breaking off what is left. */
+const BREAK_OFF_MS = 300;
+const STOP_CHECK_MS = 50;
+
+/** One entry host: serves callers, follows the directory and places generations for all hosts. */
+export class RelayHost {
+  readonly #settings: RelayHostSettings;
+
+  readonly #adapters: RelayHostAdapters;
+
+  readonly #clock: Clock;
+
+  readonly #logger: Logger;
+
+  readonly #directory: Directory;
+
+  readonly #follower: DirectoryFollower;
+
+  readonly #registration: HostRegistration;
+
+  readonly #service: PlacementService;
+
+  readonly #client: PlacementClient;
+
+  readonly #peerServer: PlacementServer;
+
+  readonly #relays: RelayManager;
+
+  readonly #ingress: IngressServer;
+
+  readonly #readiness: ReadinessServer;
+
+  #stoppingSinceMs: number | null = null;
+
+  /**
+   * @param settings - who the host is and where it listens
+   * @param adapters - how store and upstreams are spoken to
+   * @param clock - the time
+   * @param logger - gets decisions and changes of belief
+   */
+  constructor(
+    settings: RelayHostSettings,
+    adapters: RelayHostAdapters,
+    clock: Clock,
+    logger: Logger,
+  ) {
+    this.#settings = settings;
+    this.#adapters = adapters;
+    this.#clock = clock;
+    this.#logger = logger;
+    const directory = new Directory(clock);
+    this.#directory = directory;
+    this.#follower = new DirectoryFollower(adapters.store, directory, logger);
+    this.#registration = new HostRegistration(adapters.store, {
+      id: settings.hostId,
+      failureDomain: settings.failureDomain,
+      peerAddress: settings.peerAddress,
+    }, logger);
+    this.#service = new PlacementService(clock, directory, adapters.stageCaller, logger);
+    this.#peerServer = new PlacementServer(this.#service.desk);
+    this.#client = new PlacementClient({
+      clock,
+      hostId: settings.hostId,
+      directory,
+      desk: this.#service.desk,
+      connections: adapters.connections,
+      logger,
+    });
+    this.#relays = new RelayManager({
+      clock,
+      directory,
+      protocol: adapters.protocol,
+      connections: adapters.connections,
+      placements: this.#client,
+      book: new UpstreamBook(clock, settings.failureDomain),
+      shares: new HostShares(clock, directory, settings.sharedBounds),
+      pacer: new ColdPacer(clock),
+      logger,
+      failureDomain: settings.failureDomain,
+    });
+    this.#ingress = new IngressServer({
+      address: settings.callerAddress,
+      clock,
+      getLimits: () => directory.configuration?.callerLimits ?? INITIAL_CALLER_LIMITS,
+      decodeRequest: (rawHeaders) => adapters.protocol.decodeRequest(rawHeaders),
+      onRequest: (exchange) => this.#relays.relay(exchange),
+    });
+    this.#readiness = new ReadinessServer(settings.readinessPath, () => this.#isReady());
+    this.#watchDirectory();
+  }
+
+  /** @returns when the host listens everywhere */
+  async start(): Promise<void> {
+    this.#follower.run().catch((error: unknown) => {
+      this.#logger.fatal({ event: 'followerEnded', error: String(error) }, 'following ended');
+    });
+    this.#watchPauses();
+    await Promise.all([
+      this.#peerServer.listen(this.#settings.peerAddress),
+      this.#ingress.listen(),
+      this.#readiness.listen(this.#settings.readinessAddress),
+    ]);
+    await this.#registration.start();
+    this.#logger.info({ event: 'started', settings: this.#settings }, 'the host has started');
+  }
+
+  /** Leaves as planned: takes no new connections, answers what it has, and then ends. */
+  async stop(): Promise<void> {
+    if (this.#stoppingSinceMs !== null) {
+      return;
+    }
+    this.#stoppingSinceMs = this.#clock.getMonotonicMs();
+    this.#logger.info({ event: 'stopping', openRequestCount: this.#ingress.openRequestCount },
+      'the host is leaving');
+    this.#ingress.startDraining();
+    this.#registration.stop().catch((error: unknown) => {
+      this.#logger.info({ event: 'leaseNotEnded', error: String(error) },
+        'the entry of this host goes when its lease lapses');
+    });
+    await this.#waitUntilDone(this.#stoppingSinceMs);
+    this.#close();
+  }
+
+  #isReady(): boolean {
+    return this.#directory.configuration !== null && this.#stoppingSinceMs === null;
+  }
+
+  async #waitUntilDone(sinceMs: number): Promise<void> {
+    const { graceMs } = this.#settings;
+    for (;;) {
+      const elapsedMs = this.#clock.getMonotonicMs() - sinceMs;
+      if (elapsedMs >= Math.min(TAKE_UNTIL_MS, graceMs / 2)) {
+        this.#relays.startRefusing();
+        this.#ingress.closeIdle();
+        if (this.#ingress.openRequestCount === 0 && this.#service.desk.waitingCount === 0) {
+          return;
+        }
+      }
+      if (elapsedMs >= graceMs - BREAK_OFF_MS) {
+        return;
+      }
+      // eslint-disable-next-line no-await-in-loop -- looks again after a while
+      await new Promise((resolve) => {
+        setTimeout(resolve, STOP_CHECK_MS);
+      });
+    }
+  }
+
+  #close(): void {
+    this.#logger.info({ event: 'stopped', openRequestCount: this.#ingress.openRequestCount },
+      'the host has left');
+    this.#ingress.close();
+    this.#readiness.close();
+    this.#follower.stop();
+    this.#client.close();
+    this.#service.close();
+  }
+
+  #watchDirectory(): void {
+    this.#directory.onChange((change) => {
+      if (change.kind === 'configuration') {
+        this.#ingress.updateLimits();
+        this.#logger.info({
+          event: 'configurationInForce', version: change.configuration.version,
+        }, 'a configuration is in force');
+      } else {
+        this.#logger.info({ event: 'directoryChanged', change }, 'the directory has changed');
+      }
+    });
+  }
+
+  /** A process that stood still may have missed anything; it reads everything anew. */
+  #watchPauses(): void {
+    let lastMs = this.#clock.getWallMs();
+    setInterval(() => {
+      const nowMs = this.#clock.getWallMs();
+      if (nowMs - lastMs > PAUSE_MS) {
+        this.#logger.warn({ event: 'paused', gapMs: Math.round(nowMs - lastMs) },
+          'the process stood still; reading the directory anew');
+        this.#follower.forgetRevision();
+      }
+      lastMs = nowMs;
+    }, PAUSE_CHECK_MS).unref();
+  }
+}
--- /dev/null
+++ b/src/relay/RelayManager.ts
@@ -0,0 +1,116 @@
+import { findRoute } from '../directory/findRoute.ts';
+import type {
+  ServingAccount, ServingConfiguration, ServingRoute,
+} from '../directory/ServingConfiguration.ts';
+import type { CallerExchange } from '../ingress/CallerExchange.ts';
+import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
+import type { PoolId } from '../lib/ids.ts';
+import { getRendezvousScore } from '../membership/getRendezvousScore.ts';
+import { GenerationRelay } from './GenerationRelay.ts';
+import type { RelayContext, RelayTerms } from './RelayContext.ts';
+import { WholeRelay } from './WholeRelay.ts';
+
+/** How long a caller waits that does not say. */
+const DEFAULT_REMAINING_MS = 60_000;
+/** When to come back to a host that knows no configuration yet or is leaving. */
+const OTHER_HOST_RETRY_AFTER_MS = 100;
+
+const STATUS = { unauthorized: 401, notFound: 404, unavailable: 503 } as const;
+
+/** Decides what a caller's request is allowed and promised, and relays it. */
+export class RelayManager {
+  readonly #context: RelayContext;
+
+  #isRefusing = false;
+
+  /**
+   * @param context - what all relays share
+   */
+  constructor(context: RelayContext) {
+    this.#context = context;
+  }
+
+  /** Refuses all further requests; for a host that would not be there for their end. */
+  startRefusing(): void {
+    this.#isRefusing = true;
+  }
+
+  /** @param exchange - a whole request; it gets its answer */
+  relay(exchange: CallerExchange): void {
+    const { configuration } = this.#context.directory;
+    if (configuration === null || this.#isRefusing) {
+      const reason = configuration === null ? 'not-ready' : 'leaving';
+      this.#refuse(exchange, STATUS.unavailable, reason, OTHER_HOST_RETRY_AFTER_MS);
+      return;
+    }
+    const { request } = exchange;
+    const route = findRoute(configuration, request.host, request.path);
+    if (route === undefined) {
+      this.#refuse(exchange, STATUS.notFound, 'no-route', null);
+      return;
+    }
+    const account = getAccount(configuration, request.profile.callerKey);
+    if (account === null && configuration.accountsByKey !== null && !route.isOpen) {
+      this.#refuse(exchange, STATUS.unauthorized, 'unknown-key', null);
+      return;
+    }
+    const terms = this.#getTerms(exchange, route, account);
+    const relay = route.isStream
+      ? new GenerationRelay(this.#context, terms, exchange)
+      : new WholeRelay(this.#context, terms, exchange);
+    relay.start();
+  }
+
+  #getTerms(
+    exchange: CallerExchange,
+    route: ServingRoute,
+    account: ServingAccount | null,
+  ): RelayTerms {
+    const { profile, arrivedAtMs } = exchange.request;
+    const remainingMs = Math.min(profile.remainingMs ?? DEFAULT_REMAINING_MS, route.timeoutMs);
+    return {
+      route,
+      poolId: choosePool(route, profile.id),
+      account: account?.name ?? null,
+      priority: account?.priority ?? route.priority,
+      deadlineAtMs: arrivedAtMs + remainingMs,
+    };
+  }
+
+  #refuse(
+    exchange: CallerExchange,
+    status: number,
+    reason: string,
+    retryAfterMs: number | null,
+  ): void {
+    this.#context.logger.info({
+      event: 'refused',
+      requestId: exchange.request.profile.id,
+      status,
+      reason,
+      version: this.#context.directory.configuration?.version ?? null,
+    }, 'refused a request');
+    exchange.answer(createErrorAnswer(status, reason, retryAfterMs));
+  }
+}
+
+function getAccount(
+  configuration: ServingConfiguration,
+  callerKey: string | null,
+): ServingAccount | null {
+  return callerKey === null ? null : configuration.accountsByKey?.get(callerKey) ?? null;
+}
+
+/** The targets share the requests by weight; a request keeps its target. */
+function choosePool(route: ServingRoute, requestId: string): PoolId {
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+  let point = getRendezvousScore('target', requestId) * total;
+  const chosen = route.targets.find((target) => {
+    point -= target.weight;
+    return point < 0;
+  }) ?? route.targets[0];
+  if (chosen === undefined) {
+    throw new RangeError(`Route ${route.name} has no target.`);
+  }
+  return chosen.poolId;
+}
--- /dev/null
+++ b/src/relay/UpstreamBook.ts
@@ -0,0 +1,134 @@
+import type { KnownUpstream } from '../directory/Directory.ts';
+import type { UpstreamId } from '../lib/ids.ts';
+import type { Clock } from '../time/Clock.ts';
+import type { ReportedLoad } from './UpstreamProtocol.ts';
+
+interface UpstreamNotes {
+  openCount: number;
+  /** Share of its attempts that failed lately. */
+  failureRate: number;
+  failuresInARow: number;
+  avoidUntilMs: number;
+  load: ReportedLoad | null;
+  loadReadAtMs: number;
+}
+
+/** Weight of the newest attempt in the failure rate. */
+const FAILURE_GAIN = 0.15;
+/** Load, in requests, that a failure rate of 1 counts as. */
+const FAILURE_WEIGHT = 20;
+/** Load that being in another failure domain counts as. */
+const FOREIGN_WEIGHT = 0.5;
+/** Reports older than this say nothing. */
+const LOAD_MAX_AGE_MS = 500;
+/** Pause after a break; doubles with each further one. */
+const MIN_AVOID_MS = 200;
+const MAX_AVOID_MS = 3_000;
+
+/** What this host has seen of the upstreams it sends to. */
+export class UpstreamBook {
+  readonly #clock: Clock;
+
+  readonly #failureDomain: string;
+
+  readonly #notes = new Map<UpstreamId, UpstreamNotes>();
+
+  /**
+   * @param clock - dates what was seen
+   * @param failureDomain - this host's own; upstreams there are preferred
+   */
+  constructor(clock: Clock, failureDomain: string) {
+    this.#clock = clock;
+    this.#failureDomain = failureDomain;
+  }
+
+  /**
+   * Chooses the upstream that is likely to answer first.
+   *
+   * @param candidates - upstreams that may be used
+   * @returns the choice; null when there is none
+   */
+  choose(candidates: readonly KnownUpstream[]): KnownUpstream | null {
+    const nowMs = this.#clock.getMonotonicMs();
+    const good = candidates.filter(({ entry }) => this.#get(entry.id).avoidUntilMs <= nowMs);
+    let best: { upstream: KnownUpstream; cost: number } | null = null;
+    // When all have failed a moment ago, trying one is better than trying none.
+    (good.length > 0 ? good : candidates).forEach((upstream) => {
+      const cost = this.#getCost(upstream, nowMs);
+      if (best === null || cost < best.cost) {
+        best = { upstream, cost };
+      }
+    });
+    return (best as { upstream: KnownUpstream } | null)?.upstream ?? null;
+  }
+
+  /** @param id - an upstream that gets a request now */
+  noteSent(id: UpstreamId): void {
+    this.#get(id).openCount += 1;
+  }
+
+  /**
+   * @param id - the upstream
+   * @param load - what it says of its load, if it does
+   */
+  noteLoad(id: UpstreamId, load: ReportedLoad | null): void {
+    const notes = this.#get(id);
+    notes.load = load;
+    notes.loadReadAtMs = this.#clock.getMonotonicMs();
+  }
+
+  /**
+   * @param id - an upstream whose attempt is over
+   * @param end - `good`: a whole answer; `failed`: a whole answer that says failure; `broken`: no
+   * whole answer; `dropped`: this host gave it up
+   */
+  noteEnded(id: UpstreamId, end: 'good' | 'failed' | 'broken' | 'dropped'): void {
+    const notes = this.#get(id);
+    notes.openCount -= 1;
+    if (end === 'dropped') {
+      return;
+    }
+    notes.failureRate += FAILURE_GAIN * (Number(end !== 'good') - notes.failureRate);
+    if (end !== 'broken') {
+      notes.failuresInARow = 0;
+      return;
+    }
+    const pauseMs = Math.min(MAX_AVOID_MS, MIN_AVOID_MS * 2 ** notes.failuresInARow);
+    notes.failuresInARow += 1;
+    notes.avoidUntilMs = this.#clock.getMonotonicMs() + pauseMs;
+  }
+
+  /** @param id - an upstream that is gone */
+  forget(id: UpstreamId): void {
+    this.#notes.delete(id);
+  }
+
+  #getCost({ entry }: KnownUpstream, nowMs: number): number {
+    const notes = this.#get(entry.id);
+    const isRecent = nowMs - notes.loadReadAtMs <= LOAD_MAX_AGE_MS;
+    const reportedCount = notes.load === null || !isRecent
+      ? 0
+      : notes.load.runningCount + notes.load.waitingCount;
+    const busyShare = Math.max(notes.openCount, reportedCount) / Math.max(1, entry.slots);
+    return busyShare * entry.slots
+      + notes.failureRate * FAILURE_WEIGHT
+      + (entry.failureDomain === this.#failureDomain ? 0 : FOREIGN_WEIGHT);
+  }
+
+  #get(id: UpstreamId): UpstreamNotes {
+    const known = this.#notes.get(id);
+    if (known !== undefined) {
+      return known;
+    }
+    const notes: UpstreamNotes = {
+      openCount: 0,
+      failureRate: 0,
+      failuresInARow: 0,
+      avoidUntilMs: 0,
+      load: null,
+      loadReadAtMs: 0,
+    };
+    this.#notes.set(id, notes);
+    return notes;
+  }
+}
--- /dev/null
+++ b/src/relay/WholeRelay.ts
@@ -0,0 +1,271 @@
+import { REPETITION } from '../directory/ServingConfiguration.ts';
+import type { CallerExchange } from '../ingress/CallerExchange.ts';
+import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { UpstreamId } from '../lib/ids.ts';
+import type { RelayContext, RelayTerms } from './RelayContext.ts';
+import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
+import type { AnswerHead } from './UpstreamProtocol.ts';
+
+interface OpenAttempt {
+  readonly upstreamId: UpstreamId;
+  running: RunningAttempt | null;
+  head: AnswerHead | null;
+  readonly chunks: Buffer[];
+}
+
+/** Part of the objective after which a second upstream is asked as well. */
+const HEDGE_PART = 0.6;
+/** Pause before a pool without a usable upstream is looked at again. */
+const NO_UPSTREAM_PAUSE_MS = 50;
+/** When a caller is asked back after a refusal. */
+const RETRY_AFTER_MS = 300;
+/** Sends that upstreams refused or that did not reach them, for one request at most. */
+const MAX_REFUSED_SENDS = 6;
+
+const STATUS = {
+  error: 500, badGateway: 502, unavailable: 503, timeout: 504,
+} as const;
+
+/** Relays one request whose answer is whole: asks upstreams in turn until one answers. */
+export class WholeRelay {
+  readonly #context: RelayContext;
+
+  readonly #terms: RelayTerms;
+
+  readonly #exchange: CallerExchange;
+
+  readonly #open = new Set<OpenAttempt>();
+
+  readonly #tried = new Set<UpstreamId>();
+
+  readonly #timers = new Set<NodeJS.Timeout>();
+
+  /** Attempts that ran or may have run. */
+  #runCount = 0;
+
+  #refusedCount = 0;
+
+  #isOver = false;
+
+  #lastFailure: { head: AnswerHead; body: Buffer } | null = null;
+
+  /**
+   * @param context - what all relays share
+   * @param terms - what was decided of the request
+   * @param exchange - the request and the way to answer it
+   */
+  constructor(context: RelayContext, terms: RelayTerms, exchange: CallerExchange) {
+    this.#context = context;
+    this.#terms = terms;
+    this.#exchange = exchange;
+  }
+
+  /** Starts relaying. */
+  start(): void {
+    this.#context.shares.getRetryBudget(this.#terms.poolId).noteOffered();
+    this.#exchange.onGone(() => this.#finish('caller-gone'));
+    this.#after(this.#getRemainingMs(), () => this.#giveUp(STATUS.timeout, 'timeout'));
+    this.#send();
+  }
+
+  get #isRepeatable(): boolean {
+    return this.#terms.route.repetition === REPETITION.repeatable;
+  }
+
+  #getRemainingMs(): number {
+    return this.#terms.deadlineAtMs - this.#context.clock.getMonotonicMs();
+  }
+
+  #send(): void {
+    if (this.#isOver) {
+      return;
+    }
+    const { directory, book } = this.#context;
+    const usable = directory.getUsable(this.#terms.poolId);
+    const untried = usable.filter(({ entry }) => !this.#tried.has(entry.id));
+    const upstream = book.choose(untried.length > 0 ? untried : usable);
+    if (upstream === null) {
+      this.#after(NO_UPSTREAM_PAUSE_MS, () => this.#send());
+      return;
+    }
+    const { id, address } = upstream.entry;
+    const attempt: OpenAttempt = {
+      upstreamId: id, running: null, head: null, chunks: [],
+    };
+    this.#tried.add(id);
+    this.#open.add(attempt);
+    this.#runCount += 1;
+    book.noteSent(id);
+    attempt.running = sendAttempt(
+      this.#context.connections.get(`http://${address}`),
+      this.#context.protocol,
+      this.#exchange.request,
+      {
+        upstreamId: id,
+        remainingMs: this.#getRemainingMs(),
+        account: this.#terms.account,
+        priority: this.#terms.priority,
+        inputs: [],
+        lastEventId: null,
+      },
+      {
+        onHead: (head) => {
+          attempt.head = head;
+          book.noteLoad(id, head.load);
+        },
+        onData: (chunk) => attempt.chunks.push(chunk),
+        onEnd: (end) => this.#endAttempt(attempt, end),
+      },
+    );
+    if (this.#isRepeatable) {
+      this.#after(this.#terms.route.targetLatencyMs * HEDGE_PART, () => this.#hedge());
+    }
+  }
+
+  /** Asks a second upstream while the first one is silent. */
+  #hedge(): void {
+    if (!this.#isOver && this.#open.size === 1 && this.#mayRunAgain()) {
+      this.#log('hedged');
+      this.#send();
+    }
+  }
+
+  #endAttempt(attempt: OpenAttempt, end: AttemptEnd): void {
+    this.#open.delete(attempt);
+    this.#context.book.noteEnded(attempt.upstreamId, getBookEnd(attempt, end, this.#isOver));
+    if (this.#isOver) {
+      return;
+    }
+    switch (end.kind) {
+      case 'complete':
+        this.#takeAnswer(attempt);
+        return;
+      case 'notSent':
+        this.#runCount -= 1;
+        this.#log('notSent', { upstreamId: attempt.upstreamId, detail: end.detail });
+        this.#sendElsewhere();
+        return;
+      case 'broken':
+        this.#log('broken', { upstreamId: attempt.upstreamId, detail: end.detail });
+        this.#runAgain();
+        return;
+      default:
+        throw exhaustiveSwitchError(end);
+    }
+  }
+
+  #takeAnswer(attempt: OpenAttempt): void {
+    const { head } = attempt;
+    if (head === null) {
+      this.#runAgain();
+      return;
+    }
+    if (head.isNotRun) {
+      this.#runCount -= 1;
+      this.#log('notRun', { upstreamId: attempt.upstreamId, status: head.status });
+      this.#sendElsewhere();
+      return;
+    }
+    const body = Buffer.concat(attempt.chunks);
+    if (head.status >= STATUS.error && this.#isRepeatable) {
+      this.#lastFailure = { head, body };
+      this.#log('failed', { upstreamId: attempt.upstreamId, status: head.status });
+      this.#runAgain();
+      return;
+    }
+    this.#answer(head, body);
+  }
+
+  /** Goes on after an attempt that did not run. */
+  #sendElsewhere(): void {
+    this.#refusedCount += 1;
+    const mayRepeat = this.#refusedCount <= MAX_REFUSED_SENDS
+      && this.#context.shares.getRetryBudget(this.#terms.poolId).tryRetry({
+        isRepeatable: true, remainingMs: this.#getRemainingMs(), medianMs: 0,
+      });
+    if (mayRepeat) {
+      this.#send();
+    } else if (this.#open.size === 0) {
+      this.#giveUp(STATUS.unavailable, 'upstreams-full');
+    }
+  }
+
+  /** Goes on after an attempt that ran or may have run. */
+  #runAgain(): void {
+    if (this.#mayRunAgain()) {
+      this.#send();
+    } else if (this.#open.size === 0) {
+      this.#giveUp(STATUS.badGateway, 'upstream-failed');
+    }
+  }
+
+  #mayRunAgain(): boolean {
+    return this.#runCount < this.#terms.route.maxAttempts
+      && this.#context.shares.getRetryBudget(this.#terms.poolId).tryRetry({
+        isRepeatable: this.#isRepeatable, remainingMs: this.#getRemainingMs(), medianMs: 0,
+      });
+  }
+
+  #answer(head: AnswerHead, body: Buffer): void {
+    this.#exchange.answer({ status: head.status, headers: head.passedHeaders, body });
+    this.#finish('answered', { status: head.status });
+  }
+
+  #giveUp(status: number, reason: string): void {
+    if (this.#lastFailure !== null) {
+      this.#answer(this.#lastFailure.head, this.#lastFailure.body);
+      return;
+    }
+    // Only what certainly has not run is answered so; what may have run is a failed exchange.
+    const hasRun = this.#runCount > 0;
+    const finalStatus = status === STATUS.unavailable && hasRun ? STATUS.badGateway : status;
+    const retryAfterMs = hasRun ? null : RETRY_AFTER_MS;
+    this.#exchange.answer(createErrorAnswer(finalStatus, reason, retryAfterMs));
+    this.#finish(reason, { status: finalStatus });
+  }
+
+  #finish(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
+    if (this.#isOver) {
+      return;
+    }
+    this.#isOver = true;
+    this.#timers.forEach((timer) => clearTimeout(timer));
+    this.#open.forEach((attempt) => attempt.running?.abort(outcome));
+    this.#log(outcome, details);
+  }
+
+  #after(delayMs: number, action: () => void): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      action();
+    }, Math.max(0, delayMs));
+    this.#timers.add(timer);
+  }
+
+  #log(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
+    this.#context.logger.info({
+      event: 'relay',
+      outcome,
+      requestId: this.#exchange.request.profile.id,
+      route: this.#terms.route.name,
+      runCount: this.#runCount,
+      remainingMs: Math.round(this.#getRemainingMs()),
+      ...details,
+    }, 'relayed a request');
+  }
+}
+
+function getBookEnd(
+  attempt: OpenAttempt,
+  end: AttemptEnd,
+  isOver: boolean,
+): 'good' | 'failed' | 'broken' | 'dropped' {
+  if (isOver) {
+    return 'dropped';
+  }
+  if (end.kind !== 'complete' || attempt.head === null) {
+    return 'broken';
+  }
+  return attempt.head.status >= STATUS.error ? 'failed' : 'good';
+}
--- a/src/retries/RetryBudget.ts
+++ b/src/retries/RetryBudget.ts
@@ -1,5 +1,8 @@
 import type { CoreContext } from '../core/CoreContext.ts';
 
+/** Where a budget gets the time. */
+export type RetryBudgetContext = Pick<CoreContext, 'getNowMs'>;
+
 /** How many retries and hedges a pool bears. */
 export interface RetryBudgetOptions {
   /** Retries and hedges as a fraction of the offered first attempts. */
@@ -56,7 +59,7 @@
  * ```
  */
 export class RetryBudget {
-  readonly #context: CoreContext;
+  readonly #context: RetryBudgetContext;
 
   readonly #options: RetryBudgetOptions;
 
@@ -68,7 +71,7 @@
    * @param context - the time of the step
    * @param options - the bounds; what is left out takes its default
    */
-  constructor(context: CoreContext, options: Partial<RetryBudgetOptions> = {}) {
+  constructor(context: RetryBudgetContext, options: Partial<RetryBudgetOptions> = {}) {
     this.#context = context;
     this.#options = { ...DEFAULT_RETRY_BUDGET_OPTIONS, ...options };
     this.#tokens = Math.min(this.#options.burst, this.#options.floorPerSecond);
