--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -49,7 +49,8 @@
 
   #send(call: StageCall): void {
     this.#caller.run(call).then((outcome) => {
-      this.#logger.debug({
+      const level = outcome.kind === 'answered' ? 'debug' : 'info';
+      this.#logger[level]({
         event: 'stageCallEnded',
         makerId: call.makerId,
         pieceCount: call.items.length,
