Do earlier stages again when a maker goes with the results of later ones

Ruled out: lapsed results, which the upstream itself reports as gone. Test first: PlacementDesk.test.ts, 'never sends a piece without all of its inputs'.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'src/generated/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'src/generated/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/scripts/buildPlatform.ts
+++ b/scripts/buildPlatform.ts
@@ -17,9 +17,13 @@
   minify: true,
   // Libraries written as CommonJS modules ask for Node's own modules at run time.
   banner: {
-    js: "import{createRequire as __createRequire}from'node:module';const require=__createRequire(import.meta.url);"
-      + "import{fileURLToPath as __toPath}from'node:url';const __filename=__toPath(import.meta.url);"
-      + "const __dirname=__toPath(new URL('.',import.meta.url));",
+    js: [
+      "import { createRequire as __createRequire } from 'node:module';",
+      "import { fileURLToPath as __toPath } from 'node:url';",
+      'const require = __createRequire(import.meta.url);',
+      'const __filename = __toPath(import.meta.url);',
+      "const __dirname = __toPath(new URL('.', import.meta.url));",
+    ].join(''),
   },
   logLevel: 'warning',
 });
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -9,7 +9,8 @@
 /** A test that hangs is a failure with a name, not a run without an end. */
 const TEST_TIMEOUT_MS = 180_000;
 const filters = process.argv.slice(2);
-const files = globFiles(['src', 'standins', 'test', 'scripts', 'bench', 'examples'], '.test.ts')
+const folders = ['src', 'platform', 'standins', 'test', 'scripts', 'bench', 'examples'];
+const files = globFiles(folders, '.test.ts')
   .filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)));
 if (files.length === 0) {
   console.error('No test file found: check the folder names in scripts/runTests.ts');
--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -14,6 +14,26 @@
   readonly coldUntilMs: number;
 }
 
+function getChangeKey(change: DirectoryChange): string {
+  switch (change.kind) {
+    case 'configuration':
+      return 'configuration';
+    case 'upstream':
+      return `upstream ${change.entry.id}`;
+    case 'upstreamGone':
+      return `upstream ${change.upstreamId}`;
+    case 'domainDrained':
+    case 'domainRestored':
+      return `domain ${change.failureDomain}`;
+    case 'host':
+      return `host ${change.entry.id}`;
+    case 'hostGone':
+      return `host ${change.hostId}`;
+    default:
+      throw exhaustiveSwitchError(change);
+  }
+}
+
 /**
  * What this host believes of configuration, upstreams, failure domains and hosts. A configuration
  * is only ever replaced by a higher version.
@@ -156,23 +176,3 @@
     return true;
   }
 }
-
-function getChangeKey(change: DirectoryChange): string {
-  switch (change.kind) {
-    case 'configuration':
-      return 'configuration';
-    case 'upstream':
-      return `upstream ${change.entry.id}`;
-    case 'upstreamGone':
-      return `upstream ${change.upstreamId}`;
-    case 'domainDrained':
-    case 'domainRestored':
-      return `domain ${change.failureDomain}`;
-    case 'host':
-      return `host ${change.entry.id}`;
-    case 'hostGone':
-      return `host ${change.hostId}`;
-    default:
-      throw exhaustiveSwitchError(change);
-  }
-}
--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -4,7 +4,7 @@
 
 /** How the directory is kept up to date. */
 export interface DirectoryFollowerOptions {
-  /** How long one wait for changes lasts; a lost connection goes unnoticed for this long at most. */
+  /** How long one wait for changes lasts; a silent connection goes unnoticed for so long. */
   readonly waitMs: number;
   /** First pause after a failed call. */
   readonly minPauseMs: number;
@@ -19,6 +19,12 @@
   maxPauseMs: 400,
 };
 
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
 /** Reads the store once and then follows its changes, for as long as the process runs. */
 export class DirectoryFollower {
   readonly #store: DirectoryStore;
@@ -113,8 +119,10 @@
       return;
     }
     if (result.kind === 'historyLost') {
-      this.#logger.warn({ event: 'directoryHistoryLost', revision: startRevision },
-        'the store has dropped the history that follows this revision; reading everything');
+      this.#logger.warn(
+        { event: 'directoryHistoryLost', revision: startRevision },
+        'the store has dropped the history that follows this revision; reading everything',
+      );
       this.#revision = null;
       return;
     }
@@ -132,14 +140,10 @@
   #noteLoss(error: unknown): void {
     if (this.#hasContact) {
       this.#hasContact = false;
-      this.#logger.warn({ event: 'storeLost', revision: this.#revision, error: String(error) },
-        'the store gives no answer; serving with what is known');
+      this.#logger.warn(
+        { event: 'storeLost', revision: this.#revision, error: String(error) },
+        'the store gives no answer; serving with what is known',
+      );
     }
   }
 }
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
--- a/src/directory/HostRegistration.ts
+++ b/src/directory/HostRegistration.ts
@@ -55,14 +55,18 @@
     try {
       await this.#renew();
     } catch (error) {
-      this.#logger.debug({ event: 'registrationFailed', error: String(error) },
-        'the host is not registered; trying again');
+      this.#logger.debug(
+        { event: 'registrationFailed', error: String(error) },
+        'the host is not registered; trying again',
+      );
     }
     if (!this.#isStopped) {
       this.#timer = setTimeout(() => {
         this.start().catch((error: unknown) => {
-          this.#logger.error({ event: 'registrationFailed', error: String(error) },
-            'the renewal loop ended');
+          this.#logger.error(
+            { event: 'registrationFailed', error: String(error) },
+            'the renewal loop ended',
+          );
         });
       }, this.#options.renewEveryMs);
     }
--- a/src/directory/ServingConfiguration.ts
+++ b/src/directory/ServingConfiguration.ts
@@ -85,7 +85,7 @@
   readonly healthPath: string;
   /** Connections one upstream accepts from all hosts together. */
   readonly maxConnections: number;
-  /** Requests a second that one cold upstream bears from all hosts together; 0 when it does not matter. */
+  /** Requests a second that a cold upstream bears from all hosts together; 0 for no bound. */
   readonly coldRequestsPerSecond: number;
   readonly batch: BatchLimits | null;
   readonly engine: EngineLimits | null;
--- a/src/ingress/CallerExchange.ts
+++ b/src/ingress/CallerExchange.ts
@@ -47,7 +47,8 @@
 
   /** @param answer - the answer; sent at once */
   answer(answer: WholeAnswer): void {
-    if (this.#begin(answer.status, [...answer.headers, 'Content-Length', String(answer.body.length)])) {
+    const lengthHeader = ['Content-Length', String(answer.body.length)];
+    if (this.#begin(answer.status, [...answer.headers, ...lengthHeader])) {
       this.#response.end(answer.body);
     }
   }
--- a/src/ingress/IngressServer.ts
+++ b/src/ingress/IngressServer.ts
@@ -35,6 +35,31 @@
 
 const STATUS = { badRequest: 400, bodyTooLarge: 413, headersTooLarge: 431 } as const;
 
+function getHeaderBytes(request: IncomingMessage): number {
+  return request.rawHeaders.reduce((sum, text) => sum + text.length, 0)
+    + (request.rawHeaders.length / 2) * HEADER_LINE_OVERHEAD_BYTES;
+}
+
+function refuse(response: ServerResponse, status: number, reason: string): void {
+  if (response.headersSent) {
+    return;
+  }
+  const answer = createErrorAnswer(status, reason, null);
+  // What is left of the request is not read, so that the connection can serve no other.
+  response.writeHead(status, [
+    ...answer.headers, 'Content-Length', String(answer.body.length), 'Connection', 'close',
+  ]);
+  response.end(answer.body);
+}
+
+function answerClientError(socket: Socket): void {
+  if (socket.writable) {
+    socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+  } else {
+    socket.destroy();
+  }
+}
+
 /** Reads callers' requests whole and hands them on. */
 export class IngressServer {
   readonly #options: IngressServerOptions;
@@ -143,28 +168,3 @@
     });
   }
 }
-
-function getHeaderBytes(request: IncomingMessage): number {
-  return request.rawHeaders.reduce((sum, text) => sum + text.length, 0)
-    + (request.rawHeaders.length / 2) * HEADER_LINE_OVERHEAD_BYTES;
-}
-
-function refuse(response: ServerResponse, status: number, reason: string): void {
-  if (response.headersSent) {
-    return;
-  }
-  const answer = createErrorAnswer(status, reason, null);
-  // What is left of the request is not read, so that the connection can serve no other.
-  response.writeHead(status, [
-    ...answer.headers, 'Content-Length', String(answer.body.length), 'Connection', 'close',
-  ]);
-  response.end(answer.body);
-}
-
-function answerClientError(socket: Socket): void {
-  if (socket.writable) {
-    socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
-  } else {
-    socket.destroy();
-  }
-}
--- a/src/placement/EngineTable.ts
+++ b/src/placement/EngineTable.ts
@@ -25,6 +25,20 @@
 const MIN_AVOID_MS = 300;
 const MAX_AVOID_MS = 3_000;
 
+/**
+ * A part is of use only where all parts before it are kept as well.
+ *
+ * @param engine - the engine
+ * @param parts - a prompt
+ * @returns its tokens that the engine need not read again
+ */
+export function getCachedTokens(engine: EngineRecord, parts: readonly PromptPart[]): number {
+  const firstMissing = parts.findIndex((part) => !engine.cachedParts.has(part.id));
+  return parts
+    .slice(0, firstMissing < 0 ? parts.length : firstMissing)
+    .reduce((sum, part) => sum + part.tokens, 0);
+}
+
 /** What model engines run and keep. */
 export class EngineTable {
   readonly #engines = new Map<UpstreamId, EngineRecord>();
@@ -120,17 +134,3 @@
     engine.avoidUntilMs = nowMs + pauseMs;
   }
 }
-
-/**
- * A part is of use only where all parts before it are kept as well.
- *
- * @param engine - the engine
- * @param parts - a prompt
- * @returns its tokens that the engine need not read again
- */
-export function getCachedTokens(engine: EngineRecord, parts: readonly PromptPart[]): number {
-  const firstMissing = parts.findIndex((part) => !engine.cachedParts.has(part.id));
-  return parts
-    .slice(0, firstMissing < 0 ? parts.length : firstMissing)
-    .reduce((sum, part) => sum + part.tokens, 0);
-}
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -43,7 +43,15 @@
 const NOTE_DELAY_MS = 10;
 const NOTE_TIMEOUT_MS = 1_000;
 
-/** Has requests placed by the host that places for all, or by this one when that is out of reach. */
+function deductTime(request: PlacementRequest, elapsedMs: number): PlacementRequest {
+  return {
+    ...request,
+    onTimeMs: request.onTimeMs - elapsedMs,
+    remainingMs: request.remainingMs - elapsedMs,
+  };
+}
+
+/** Has requests placed by the host that places for all, or by this one when that is away. */
 export class PlacementClient {
   readonly #options: PlacementClientOptions;
 
@@ -70,7 +78,8 @@
     let placer: HostEntry | null = null;
     const attempt = async (): Promise<PlacementResult> => {
       placer = this.#choosePlacer();
-      const remaining: PlacementRequest = deductTime(request, this.#options.clock.getMonotonicMs() - startedAtMs);
+      const elapsedMs = this.#options.clock.getMonotonicMs() - startedAtMs;
+      const remaining = deductTime(request, elapsedMs);
       if (placer === null) {
         return new Promise((resolve) => {
           cancelCurrent = this.#options.desk.place(remaining, resolve);
@@ -164,16 +173,10 @@
       body: JSON.stringify(notes),
       signal: AbortSignal.timeout(NOTE_TIMEOUT_MS),
     }).then((response) => response.body.dump()).catch((error: unknown) => {
-      this.#options.logger.debug({ event: 'notesLost', peerAddress, error: String(error) },
-        'the placing host did not take notes; it forgets the requests at their deadline');
+      this.#options.logger.debug(
+        { event: 'notesLost', peerAddress, error: String(error) },
+        'the placing host did not take notes; it forgets the requests at their deadline',
+      );
     });
   }
 }
-
-function deductTime(request: PlacementRequest, elapsedMs: number): PlacementRequest {
-  return {
-    ...request,
-    onTimeMs: request.onTimeMs - elapsedMs,
-    remainingMs: request.remainingMs - elapsedMs,
-  };
-}
--- /dev/null
+++ b/src/placement/PlacementDesk.test.ts
@@ -0,0 +1,85 @@
+import { deepEqual, equal, ok } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { PlacementTestBed } from '../../test/support/PlacementTestBed.ts';
+import type { RouteStage } from '../directory/ServingConfiguration.ts';
+import { toId, type PoolId, type UpstreamId } from '../lib/ids.ts';
+
+const FIRST: RouteStage = { poolId: toId<PoolId>('first'), after: [], resultBytes: 1_000 };
+const SECOND: RouteStage = { poolId: toId<PoolId>('second'), after: [0], resultBytes: 1_000 };
+
+describe('PlacementDesk', () => {
+  it('does stages in order, and hands the last results to the engine', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 1 } });
+    bed.place({ requestId: 'r', stages: [FIRST, SECOND], pieceCounts: [2, 3] });
+    const [firstCall] = bed.takeCalls();
+    ok(firstCall);
+    deepEqual(firstCall.items.map((item) => item.key), ['key', 'key']);
+    bed.complete(firstCall);
+    const [secondCall] = bed.takeCalls();
+    ok(secondCall);
+    deepEqual(secondCall.items.map((item) => item.inputs.length), [2, 2, 2]);
+    bed.complete(secondCall);
+    const result = bed.results.get('r');
+    equal(result?.kind === 'placed' && result.inputs.length, 3);
+  });
+
+  it('frees results as soon as nobody needs them', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 1 } });
+    bed.place({ requestId: 'r', stages: [FIRST, SECOND] });
+    bed.takeCalls().forEach((call) => bed.complete(call));
+    deepEqual(bed.freed, []);
+    bed.takeCalls().forEach((call) => bed.complete(call));
+    deepEqual(bed.freed, ['first-0/1']);
+    bed.desk.note({ requestId: 'r', upstreamId: toId<UpstreamId>('engines-0'), kind: 'started' });
+    bed.desk.run();
+    deepEqual(bed.freed, ['first-0/1', 'second-0/2']);
+  });
+
+  it('does the earlier stage again when a maker goes with results of the later one', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 2 } });
+    bed.place({ requestId: 'r', stages: [FIRST, SECOND], pieceCounts: [1, 11] });
+    bed.takeCalls().forEach((call) => bed.complete(call));
+    const [tenPieces, onePiece] = bed.takeCalls();
+    ok(tenPieces !== undefined && onePiece !== undefined);
+    bed.complete(tenPieces);
+    bed.complete(onePiece);
+    bed.place({ requestId: 'other', stages: [FIRST], pieceCounts: [1] });
+    bed.takeCalls();
+    const upstreamId = toId<UpstreamId>('engines-0');
+    bed.desk.note({ requestId: 'r', upstreamId, kind: 'unreachable' });
+    bed.directory.apply({ kind: 'upstreamGone', upstreamId: tenPieces.makerId });
+    bed.desk.run();
+    bed.takeCalls().forEach((call) => call.items.forEach((item) => {
+      ok(item.key !== null || item.inputs.length > 0, 'a piece is sent without what it works on');
+    }));
+  });
+
+  it('never sends a piece without all of its inputs, whichever maker goes, and when', () => {
+    const bed = new PlacementTestBed({ first: { makers: 2 }, second: { makers: 2 } }, 0);
+    bed.place({ requestId: 'r', stages: [FIRST, SECOND], pieceCounts: [2, 4] });
+    bed.takeCalls().forEach((call) => bed.complete(call));
+    bed.takeCalls().forEach((call) => bed.complete(call));
+    ['second-0', 'second-1'].forEach((makerId) => {
+      bed.directory.apply({ kind: 'upstreamGone', upstreamId: toId<UpstreamId>(makerId) });
+    });
+    bed.directory.apply({
+      kind: 'upstream',
+      entry: {
+        id: toId<UpstreamId>('second-2'),
+        poolId: toId<PoolId>('second'),
+        address: 'second:2',
+        failureDomain: 'a',
+        isDraining: false,
+        slots: 1,
+        coldRemainingMs: 0,
+        startedAtMs: null,
+      },
+    });
+    bed.desk.run();
+    const calls = bed.takeCalls();
+    ok(calls.length > 0);
+    calls.forEach((call) => call.items.forEach((item) => {
+      equal(item.key === null ? item.inputs.length : 2, 2);
+    }));
+  });
+});
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -33,6 +33,10 @@
 /** Shortest time after which a refused caller is asked back. */
 const MIN_RETRY_AFTER_MS = 100;
 
+function getHandles(stage: JobStage): string[] {
+  return stage.pieces.flatMap((piece) => (piece.handle === null ? [] : [piece.handle]));
+}
+
 /**
  * Decides for all entry hosts which pieces of stages share a call, where they are made, and which
  * engine runs a generation. One host does this for all, since calls are only full, and room is only
@@ -95,7 +99,7 @@
   /** @param note - what an entry host tells of a request that was placed */
   note(note: PlacementNote): void {
     const job = this.#jobs.get(note.requestId);
-    // A request that was placed again is another job; what is told of its first engine still counts.
+    // A request placed again is another job; what is told of its first engine still counts.
     const isCurrent = job !== undefined && job.engineId === note.upstreamId;
     switch (note.kind) {
       case 'started':
@@ -251,7 +255,3 @@
     this.#scheduler.forgetMaker(upstreamId);
   }
 }
-
-function getHandles(stage: JobStage): string[] {
-  return stage.pieces.flatMap((piece) => (piece.handle === null ? [] : [piece.handle]));
-}
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -35,6 +35,23 @@
   readonly answer: (result: PlacementResult) => void;
 }
 
+/** Results of a done stage may have been freed already; they count only while they stand. */
+function hasResults(stage: JobStage | undefined): boolean {
+  return stage === undefined
+    || stage.pieces.every((piece) => piece.state === 'done' && piece.handle !== null);
+}
+
+function getHeights(request: PlacementRequest): number[] {
+  const heights: number[] = request.stages.map(() => 1);
+  // A stage comes after those it needs, so that one pass from the end suffices.
+  for (let index = request.stages.length - 1; index >= 0; index -= 1) {
+    request.stages[index]?.after.forEach((needed) => {
+      heights[needed] = Math.max(heights[needed] ?? 1, (heights[index] ?? 1) + 1);
+    });
+  }
+  return heights;
+}
+
 /**
  * @param request - what is asked for
  * @param nowMs - the time of the step
@@ -85,7 +102,7 @@
  * @returns whether to send
  */
 export function isStageOpen(job: PlacementJob, stage: JobStage): boolean {
-  return stage.after.every((index) => isDoneAt(job, index))
+  return stage.after.every((index) => hasResults(job.stages[index]))
     && job.stages.every((other) => other.height <= stage.height || isStageDone(other));
 }
 
@@ -97,19 +114,3 @@
   const needed = new Set(job.stages.flatMap((stage) => [...stage.after]));
   return job.stages.filter((stage) => !needed.has(stage.index));
 }
-
-function isDoneAt(job: PlacementJob, index: number): boolean {
-  const stage = job.stages[index];
-  return stage === undefined || isStageDone(stage);
-}
-
-function getHeights(request: PlacementRequest): number[] {
-  const heights: number[] = request.stages.map(() => 1);
-  // A stage comes after those it needs, so that one pass from the end suffices.
-  for (let index = request.stages.length - 1; index >= 0; index -= 1) {
-    request.stages[index]?.after.forEach((needed) => {
-      heights[needed] = Math.max(heights[needed] ?? 1, (heights[index] ?? 1) + 1);
-    });
-  }
-  return heights;
-}
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -2,7 +2,7 @@
 import type { PromptPart } from '../ingress/CallerRequest.ts';
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
 
-/** A generation that needs its stages done and an engine chosen. Durations count from its sending. */
+/** A generation that needs its stages done and an engine. Durations count from its sending. */
 export interface PlacementRequest {
   readonly requestId: string;
   /** Failure domain of the entry host that will send it. */
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -59,15 +59,21 @@
       }, 'a stage call ended');
       this.desk.finishCall(call, outcome);
     }).catch((error: unknown) => {
-      this.#logger.error({ event: 'stageCallFailed', error: String(error) },
-        'taking in the end of a stage call failed');
+      this.#logger.error(
+        { event: 'stageCallFailed', error: String(error) },
+        'taking in the end of a stage call failed',
+      );
     });
   }
 
   #free(address: string, handles: readonly string[]): void {
     this.#caller.free(address, handles).catch((error: unknown) => {
-      this.#logger.debug({ event: 'freeFailed', address, handles, error: String(error) },
-        'results could not be freed; they lapse by themselves');
+      this.#logger.debug(
+        {
+          event: 'freeFailed', address, handles, error: String(error),
+        },
+        'results could not be freed; they lapse by themselves',
+      );
     });
   }
 }
--- a/src/placement/PlacerWatch.ts
+++ b/src/placement/PlacerWatch.ts
@@ -26,7 +26,7 @@
   timer: NodeJS.Timeout | null;
 }
 
-/** Notices within a second that the host which places does not answer, so that another takes over. */
+/** Notices within a second that the host which places is silent, so that another takes over. */
 export class PlacerWatch {
   readonly #options: PlacerWatchOptions;
 
@@ -71,8 +71,10 @@
    */
   noteFailure(host: HostEntry, detail: string): void {
     if (!this.isAvoided(host)) {
-      this.#options.logger.warn({ event: 'placerLost', hostId: host.id, detail },
-        'the host that places does not answer; another one takes over');
+      this.#options.logger.warn(
+        { event: 'placerLost', hostId: host.id, detail },
+        'the host that places does not answer; another one takes over',
+      );
     }
     this.#avoidUntilMs.set(host.peerAddress, this.#options.clock.getMonotonicMs() + AVOID_MS);
   }
@@ -94,7 +96,8 @@
   async #probe(placer: WatchedPlacer): Promise<void> {
     if (placer.waiting.size > 0) {
       try {
-        const response = await this.#options.connections.get(`http://${placer.host.peerAddress}`).request({
+        const connections = this.#options.connections.get(`http://${placer.host.peerAddress}`);
+        const response = await connections.request({
           method: 'GET',
           path: PLACEMENT_PATHS.alive,
           signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -33,6 +33,33 @@
 /** Upstreams slower than this multiple of the fastest one are used when nothing better is idle. */
 const SLOW_FACTOR = 2;
 
+function createItem({ job, stage, piece }: PlannedPiece, nowMs: number): StageItem {
+  const inputs = stage.after.flatMap((index) => job.stages[index]?.pieces ?? [])
+    .flatMap((needed) => (needed.handle === null ? [] : [needed.handle]));
+  return {
+    requestId: job.request.requestId,
+    stageIndex: stage.index,
+    pieceIndex: piece.index,
+    remainingMs: Math.max(1, Math.floor(job.deadlineAtMs - nowMs)),
+    key: stage.after.length === 0 ? job.request.pieceKey : null,
+    inputs,
+  };
+}
+
+function getTimeoutMs(expectedMs: number, maker: MakerRecord): number {
+  return Math.max(MIN_TIMEOUT_MS, expectedMs * TIMEOUT_FACTOR * Math.max(1, maker.slowness));
+}
+
+function getResultBytes(pieces: readonly PlannedPiece[]): number {
+  return pieces.reduce((sum, { stage }) => sum + stage.resultBytes, 0);
+}
+
+function resetPiece(piece: JobPiece): void {
+  piece.state = 'waiting';
+  piece.handle = null;
+  piece.makerId = null;
+}
+
 /** Forms the calls of batched stages and places them on upstreams. */
 export class StageScheduler {
   readonly #options: StageSchedulerOptions;
@@ -87,9 +114,7 @@
   forgetMaker(upstreamId: UpstreamId): void {
     this.#makers.forget(upstreamId);
     this.#toFree.delete(upstreamId);
-    this.#jobs.forEach((job) => job.stages.forEach((stage) => stage.pieces
-      .filter((piece) => piece.makerId === upstreamId && piece.state === 'done')
-      .forEach((piece) => resetPiece(piece))));
+    this.#jobs.forEach((job) => this.reopenLapsed(job));
   }
 
   /**
@@ -154,7 +179,8 @@
     this.#makers.expire(this.#options.clock.getMonotonicMs());
     this.#flushFrees();
     const pools = this.#options.directory.configuration?.pools;
-    const poolIds = new Set([...this.#jobs].flatMap((job) => job.stages.map((stage) => stage.poolId)));
+    const poolIds = new Set([...this.#jobs]
+      .flatMap((job) => job.stages.map((stage) => stage.poolId)));
     poolIds.forEach((poolId) => {
       const pool = pools?.get(poolId);
       if (pool !== undefined && pool.batch !== null) {
@@ -240,7 +266,7 @@
       pieces,
       startedAtMs: nowMs,
       expectedMs,
-      timeoutMs: Math.max(MIN_TIMEOUT_MS, expectedMs * TIMEOUT_FACTOR * Math.max(1, maker.slowness)),
+      timeoutMs: getTimeoutMs(expectedMs, maker),
     });
   }
 
@@ -309,7 +335,7 @@
     this.#toFree.clear();
   }
 
-  /** Sums a figure over the levels that are still open; the stages of one level run side by side. */
+  /** Sums a figure over the levels that are open; the stages of one level run side by side. */
   #sumLevels(
     job: PlacementJob,
     getMs: (limits: BatchLimits, pieceCount: number, poolId: PoolId) => number,
@@ -343,26 +369,3 @@
     return (waitingCount / (limits.maxPieces * makerCount * limits.callSlots)) * fullCallMs;
   }
 }
-
-function createItem({ job, stage, piece }: PlannedPiece, nowMs: number): StageItem {
-  const inputs = stage.after.flatMap((index) => job.stages[index]?.pieces ?? [])
-    .flatMap((needed) => (needed.handle === null ? [] : [needed.handle]));
-  return {
-    requestId: job.request.requestId,
-    stageIndex: stage.index,
-    pieceIndex: piece.index,
-    remainingMs: Math.max(1, Math.floor(job.deadlineAtMs - nowMs)),
-    key: stage.after.length === 0 ? job.request.pieceKey : null,
-    inputs,
-  };
-}
-
-function getResultBytes(pieces: readonly PlannedPiece[]): number {
-  return pieces.reduce((sum, { stage }) => sum + stage.resultBytes, 0);
-}
-
-function resetPiece(piece: JobPiece): void {
-  piece.state = 'waiting';
-  piece.handle = null;
-  piece.makerId = null;
-}
--- a/src/placement/chooseEngine.ts
+++ b/src/placement/chooseEngine.ts
@@ -33,6 +33,25 @@
 const TOKENS_PER_FOREIGN_MEGABYTE = 300;
 const BYTES_PER_MEGABYTE = 1_000_000;
 
+function hasRoom(engine: EngineRecord, demand: EngineDemand, bounds: EngineBounds): boolean {
+  const running = [...engine.generations.values()];
+  const usedTokens = running.reduce((sum, generation) => sum + generation.memoryTokens, 0);
+  return running.length < bounds.slots
+    && (running.length === 0 || usedTokens + demand.memoryTokens <= bounds.memoryTokens);
+}
+
+function getCost({ engine, failureDomain }: EngineCandidate, demand: EngineDemand): number {
+  const ownTokens = demand.promptTokens - getCachedTokens(engine, demand.parts);
+  const waitingTokens = [...engine.generations.values()]
+    .reduce((sum, generation) => sum + (generation.hasStarted ? 0 : generation.readTokens), 0);
+  const foreignBytes = [...demand.inputBytes]
+    .reduce((sum, [domain, bytes]) => sum + (domain === failureDomain ? 0 : bytes), 0);
+  return ownTokens
+    + waitingTokens
+    + engine.generations.size * TOKENS_PER_RUNNING
+    + (foreignBytes / BYTES_PER_MEGABYTE) * TOKENS_PER_FOREIGN_MEGABYTE;
+}
+
 /**
  * Chooses the engine that has least to read before the first token: what it must read of this
  * prompt, what waits to be read before it, and what its running generations take of its time.
@@ -62,22 +81,3 @@
   });
   return (best as { id: UpstreamId } | null)?.id ?? null;
 }
-
-function hasRoom(engine: EngineRecord, demand: EngineDemand, bounds: EngineBounds): boolean {
-  const running = [...engine.generations.values()];
-  const usedTokens = running.reduce((sum, generation) => sum + generation.memoryTokens, 0);
-  return running.length < bounds.slots
-    && (running.length === 0 || usedTokens + demand.memoryTokens <= bounds.memoryTokens);
-}
-
-function getCost({ engine, failureDomain }: EngineCandidate, demand: EngineDemand): number {
-  const ownTokens = demand.promptTokens - getCachedTokens(engine, demand.parts);
-  const waitingTokens = [...engine.generations.values()]
-    .reduce((sum, generation) => sum + (generation.hasStarted ? 0 : generation.readTokens), 0);
-  const foreignBytes = [...demand.inputBytes]
-    .reduce((sum, [domain, bytes]) => sum + (domain === failureDomain ? 0 : bytes), 0);
-  return ownTokens
-    + waitingTokens
-    + engine.generations.size * TOKENS_PER_RUNNING
-    + (foreignBytes / BYTES_PER_MEGABYTE) * TOKENS_PER_FOREIGN_MEGABYTE;
-}
--- a/src/relay/EventSplitter.ts
+++ b/src/relay/EventSplitter.ts
@@ -10,6 +10,19 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
 
+/** Offset behind the first empty line; 0 when there is none. */
+function findEventEnd(bytes: Buffer): number {
+  let feed = bytes.indexOf(LINE_FEED);
+  while (feed >= 0) {
+    const next = bytes[feed + 1] === CARRIAGE_RETURN ? feed + 2 : feed + 1;
+    if (bytes[next] === LINE_FEED) {
+      return next + 1;
+    }
+    feed = bytes.indexOf(LINE_FEED, feed + 1);
+  }
+  return 0;
+}
+
 /** Cuts a stream of server-sent events into whole events; the rest waits for its end. */
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0);
@@ -37,16 +50,3 @@
     return events;
   }
 }
-
-/** Offset behind the first empty line; 0 when there is none. */
-function findEventEnd(bytes: Buffer): number {
-  let feed = bytes.indexOf(LINE_FEED);
-  while (feed >= 0) {
-    const next = bytes[feed + 1] === CARRIAGE_RETURN ? feed + 2 : feed + 1;
-    if (bytes[next] === LINE_FEED) {
-      return next + 1;
-    }
-    feed = bytes.indexOf(LINE_FEED, feed + 1);
-  }
-  return 0;
-}
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -13,7 +13,7 @@
 
 /** Silence, in multiples of the longest pause, after which a stream goes on elsewhere. */
 const SILENCE_FACTOR = 4;
-/** Silence before the first event, in multiples of the objective, after which another engine is asked. */
+/** Silence before the first event, in multiples of the objective, after which it goes elsewhere. */
 const FIRST_EVENT_FACTOR = 1.5;
 /** Sends that engines refused or that did not reach them, for one request at most. */
 const MAX_REFUSED_SENDS = 6;
@@ -302,7 +302,9 @@
   /** Goes on after an attempt that ran or may have run. */
   #resume(detail: string): void {
     const { route } = this.#terms;
-    const mayRunAgain = route.isResumable && this.#runCount < route.maxAttempts && this.#takeRetry();
+    const mayRunAgain = route.isResumable
+      && this.#runCount < route.maxAttempts
+      && this.#takeRetry();
     this.#log(mayRunAgain ? 'resumed' : 'brokenOff', { detail, lastEventId: this.#lastEventId });
     if (mayRunAgain) {
       this.#place();
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -139,12 +139,16 @@
       return;
     }
     this.#stoppingSinceMs = this.#clock.getMonotonicMs();
-    this.#logger.info({ event: 'stopping', openRequestCount: this.#ingress.openRequestCount },
-      'the host is leaving');
+    this.#logger.info(
+      { event: 'stopping', openRequestCount: this.#ingress.openRequestCount },
+      'the host is leaving',
+    );
     this.#ingress.startDraining();
     this.#registration.stop().catch((error: unknown) => {
-      this.#logger.info({ event: 'leaseNotEnded', error: String(error) },
-        'the entry of this host goes when its lease lapses');
+      this.#logger.info(
+        { event: 'leaseNotEnded', error: String(error) },
+        'the entry of this host goes when its lease lapses',
+      );
     });
     await this.#waitUntilDone(this.#stoppingSinceMs);
     this.#close();
@@ -176,8 +180,10 @@
   }
 
   #close(): void {
-    this.#logger.info({ event: 'stopped', openRequestCount: this.#ingress.openRequestCount },
-      'the host has left');
+    this.#logger.info(
+      { event: 'stopped', openRequestCount: this.#ingress.openRequestCount },
+      'the host has left',
+    );
     this.#ingress.close();
     this.#readiness.close();
     this.#follower.stop();
@@ -204,8 +210,10 @@
     setInterval(() => {
       const nowMs = this.#clock.getWallMs();
       if (nowMs - lastMs > PAUSE_MS) {
-        this.#logger.warn({ event: 'paused', gapMs: Math.round(nowMs - lastMs) },
-          'the process stood still; reading the directory anew');
+        this.#logger.warn(
+          { event: 'paused', gapMs: Math.round(nowMs - lastMs) },
+          'the process stood still; reading the directory anew',
+        );
         this.#follower.forgetRevision();
       }
       lastMs = nowMs;
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -17,6 +17,43 @@
 
 const STATUS = { unauthorized: 401, notFound: 404, unavailable: 503 } as const;
 
+function getAccount(
+  configuration: ServingConfiguration,
+  callerKey: string | null,
+): ServingAccount | null {
+  return callerKey === null ? null : configuration.accountsByKey?.get(callerKey) ?? null;
+}
+
+/** The targets share the requests by weight; a request keeps its target. */
+function choosePool(route: ServingRoute, requestId: string): PoolId {
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+  let point = getRendezvousScore('target', requestId) * total;
+  const chosen = route.targets.find((target) => {
+    point -= target.weight;
+    return point < 0;
+  }) ?? route.targets[0];
+  if (chosen === undefined) {
+    throw new RangeError(`Route ${route.name} has no target.`);
+  }
+  return chosen.poolId;
+}
+
+function getTerms(
+  exchange: CallerExchange,
+  route: ServingRoute,
+  account: ServingAccount | null,
+): RelayTerms {
+  const { profile, arrivedAtMs } = exchange.request;
+  const remainingMs = Math.min(profile.remainingMs ?? DEFAULT_REMAINING_MS, route.timeoutMs);
+  return {
+    route,
+    poolId: choosePool(route, profile.id),
+    account: account?.name ?? null,
+    priority: account?.priority ?? route.priority,
+    deadlineAtMs: arrivedAtMs + remainingMs,
+  };
+}
+
 /** Decides what a caller's request is allowed and promised, and relays it. */
 export class RelayManager {
   readonly #context: RelayContext;
@@ -54,29 +91,13 @@
       this.#refuse(exchange, STATUS.unauthorized, 'unknown-key', null);
       return;
     }
-    const terms = this.#getTerms(exchange, route, account);
+    const terms = getTerms(exchange, route, account);
     const relay = route.isStream
       ? new GenerationRelay(this.#context, terms, exchange)
       : new WholeRelay(this.#context, terms, exchange);
     relay.start();
   }
 
-  #getTerms(
-    exchange: CallerExchange,
-    route: ServingRoute,
-    account: ServingAccount | null,
-  ): RelayTerms {
-    const { profile, arrivedAtMs } = exchange.request;
-    const remainingMs = Math.min(profile.remainingMs ?? DEFAULT_REMAINING_MS, route.timeoutMs);
-    return {
-      route,
-      poolId: choosePool(route, profile.id),
-      account: account?.name ?? null,
-      priority: account?.priority ?? route.priority,
-      deadlineAtMs: arrivedAtMs + remainingMs,
-    };
-  }
-
   #refuse(
     exchange: CallerExchange,
     status: number,
@@ -93,24 +114,3 @@
     exchange.answer(createErrorAnswer(status, reason, retryAfterMs));
   }
 }
-
-function getAccount(
-  configuration: ServingConfiguration,
-  callerKey: string | null,
-): ServingAccount | null {
-  return callerKey === null ? null : configuration.accountsByKey?.get(callerKey) ?? null;
-}
-
-/** The targets share the requests by weight; a request keeps its target. */
-function choosePool(route: ServingRoute, requestId: string): PoolId {
-  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
-  let point = getRendezvousScore('target', requestId) * total;
-  const chosen = route.targets.find((target) => {
-    point -= target.weight;
-    return point < 0;
-  }) ?? route.targets[0];
-  if (chosen === undefined) {
-    throw new RangeError(`Route ${route.name} has no target.`);
-  }
-  return chosen.poolId;
-}
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -27,6 +27,20 @@
   error: 500, badGateway: 502, unavailable: 503, timeout: 504,
 } as const;
 
+function getBookEnd(
+  attempt: OpenAttempt,
+  end: AttemptEnd,
+  isOver: boolean,
+): 'good' | 'failed' | 'broken' | 'dropped' {
+  if (isOver) {
+    return 'dropped';
+  }
+  if (end.kind !== 'complete' || attempt.head === null) {
+    return 'broken';
+  }
+  return attempt.head.status >= STATUS.error ? 'failed' : 'good';
+}
+
 /** Relays one request whose answer is whole: asks upstreams in turn until one answers. */
 export class WholeRelay {
   readonly #context: RelayContext;
@@ -255,17 +269,3 @@
     }, 'relayed a request');
   }
 }
-
-function getBookEnd(
-  attempt: OpenAttempt,
-  end: AttemptEnd,
-  isOver: boolean,
-): 'good' | 'failed' | 'broken' | 'dropped' {
-  if (isOver) {
-    return 'dropped';
-  }
-  if (end.kind !== 'complete' || attempt.head === null) {
-    return 'broken';
-  }
-  return attempt.head.status >= STATUS.error ? 'failed' : 'good';
-}
--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -34,6 +34,12 @@
 const LOWEST_FINAL_STATUS = 200;
 const LOWEST_ERROR_STATUS = 400;
 
+/** A success has to name its request; a refusal need not, when the upstream could not read one. */
+function isAnswerTo(requestId: string, head: AnswerHead): boolean {
+  return head.requestId === requestId
+    || (head.requestId === null && head.status >= LOWEST_ERROR_STATUS);
+}
+
 /** One exchange with an upstream; the request's bytes are handed to a connection once at most. */
 class Attempt implements RunningAttempt, Dispatcher.DispatchHandler {
   readonly #requestId: string;
@@ -61,7 +67,7 @@
     if (this.#controller !== null) {
       this.#controller.abort(new Error(reason));
     }
-    this.#end(this.#isSent ? { kind: 'broken', detail: reason } : { kind: 'notSent', detail: reason });
+    this.#end({ kind: this.#isSent ? 'broken' : 'notSent', detail: reason });
   }
 
   pause(): void {
@@ -86,9 +92,8 @@
       return;
     }
     const rawHeaders = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
-    const head = this.#protocol.decodeAnswerHead(
-      status, rawHeaders.map((text) => text.toString('latin1')),
-    );
+    const texts = rawHeaders.map((text) => text.toString('latin1'));
+    const head = this.#protocol.decodeAnswerHead(status, texts);
     if (!isAnswerTo(this.#requestId, head)) {
       this.abort(`the answer belongs to request ${head.requestId ?? '(none)'}`);
       return;
@@ -108,7 +113,7 @@
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     const detail = this.#abortReason ?? error.message;
-    this.#end(this.#isSent ? { kind: 'broken', detail } : { kind: 'notSent', detail });
+    this.#end({ kind: this.#isSent ? 'broken' : 'notSent', detail });
   }
 
   #end(end: AttemptEnd): void {
@@ -119,12 +124,6 @@
   }
 }
 
-/** A success has to name its request; a refusal need not, when the upstream could not read one. */
-function isAnswerTo(requestId: string, head: AnswerHead): boolean {
-  return head.requestId === requestId
-    || (head.requestId === null && head.status >= LOWEST_ERROR_STATUS);
-}
-
 /**
  * Sends a caller's request to an upstream.
  *
@@ -145,7 +144,7 @@
   const attempt = new Attempt(request.profile.id, protocol, receiver);
   connections.dispatch({
     path: request.path,
-    method: request.method as Dispatcher.HttpMethod,
+    method: request.method,
     headers: protocol.encodeAttempt(request, details),
     body: request.body.length > 0 ? request.body : null,
     // undici sends idempotent methods again under conditions of its own when this is left out.
--- /dev/null
+++ b/test/support/PlacementTestBed.ts
@@ -0,0 +1,147 @@
+import { pino } from 'pino';
+import { Directory } from '../../src/directory/Directory.ts';
+import type { BatchLimits, ServingPool } from '../../src/directory/ServingConfiguration.ts';
+import { toId, type PoolId, type UpstreamId } from '../../src/lib/ids.ts';
+import { PlacementDesk } from '../../src/placement/PlacementDesk.ts';
+import type { PlacementRequest, PlacementResult } from '../../src/placement/PlacementRequest.ts';
+import type { PieceOutcome, StageCall } from '../../src/placement/StageCall.ts';
+import { ManualClock } from '../../src/time/ManualClock.ts';
+
+/** The pool of model engines in every test bed. */
+export const ENGINE_POOL_ID = toId<PoolId>('engines');
+
+const DEFAULT_BATCH: BatchLimits = {
+  callSlots: 1,
+  maxPieces: 10,
+  callMs: 200,
+  pieceMs: 10,
+  roomBytes: 1_000_000,
+  resultTtlMs: 4_000,
+};
+
+function createPool(id: PoolId, batch: BatchLimits | null): ServingPool {
+  return {
+    id,
+    healthPath: '/health',
+    maxConnections: 100,
+    coldRequestsPerSecond: 0,
+    batch,
+    engine: batch === null ? { slots: 8, memoryTokens: 100_000 } : null,
+  };
+}
+
+/** A placement desk with its upstreams, under a manual clock; the test answers the calls. */
+export class PlacementTestBed {
+  readonly clock = new ManualClock();
+
+  readonly directory = new Directory(this.clock);
+
+  readonly calls: StageCall[] = [];
+
+  readonly freed: string[] = [];
+
+  readonly results = new Map<string, PlacementResult>();
+
+  readonly desk: PlacementDesk;
+
+  #handleCount = 0;
+
+  /**
+   * @param stagePools - upstreams and figures of each pool of stages, by its name
+   * @param engineCount - how many model engines there are
+   */
+  constructor(
+    stagePools: Readonly<Record<string, { makers: number; batch?: Partial<BatchLimits> }>>,
+    engineCount = 1,
+  ) {
+    this.desk = new PlacementDesk({
+      clock: this.clock,
+      directory: this.directory,
+      logger: pino({ level: 'silent' }),
+      sendCall: (call) => this.calls.push(call),
+      sendFree: (_makerId, _address, handles) => this.freed.push(...handles),
+    });
+    const pools = Object.entries(stagePools)
+      .map(([name, { batch }]) => createPool(toId<PoolId>(name), { ...DEFAULT_BATCH, ...batch }));
+    this.directory.apply({
+      kind: 'configuration',
+      configuration: {
+        version: 1,
+        routes: [],
+        pools: new Map([...pools, createPool(ENGINE_POOL_ID, null)]
+          .map((pool) => [pool.id, pool])),
+        accountsByKey: null,
+        callerLimits: {
+          maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+        },
+      },
+    });
+    Object.entries(stagePools).forEach(([name, { makers }]) => {
+      this.#addUpstreams(toId<PoolId>(name), makers);
+    });
+    this.#addUpstreams(ENGINE_POOL_ID, engineCount);
+  }
+
+  /** @param request - what differs from a request without stages */
+  place(request: Partial<PlacementRequest> & { readonly requestId: string }): () => void {
+    return this.desk.place({
+      failureDomain: 'a',
+      poolId: ENGINE_POOL_ID,
+      stages: [],
+      pieceCounts: (request.stages ?? []).map(() => 1),
+      pieceKey: 'key',
+      parts: [],
+      promptTokens: 100,
+      maxOutputTokens: 10,
+      priority: 0,
+      onTimeMs: 2_000,
+      remainingMs: 6_000,
+      excludedIds: [],
+      ...request,
+    }, (result) => this.results.set(request.requestId, result));
+  }
+
+  /** @returns the calls that were sent since the last time */
+  takeCalls(): StageCall[] {
+    return this.calls.splice(0);
+  }
+
+  /**
+   * Answers a call with a result for each piece, after the time that the pool's figures say.
+   *
+   * @param call - the call
+   */
+  complete(call: StageCall): void {
+    this.clock.advance(call.expectedMs);
+    this.answer(call, call.items.map(() => {
+      this.#handleCount += 1;
+      return { kind: 'result', handle: `${call.makerId}/${this.#handleCount}` };
+    }));
+  }
+
+  /**
+   * @param call - the call
+   * @param pieces - what became of its pieces
+   */
+  answer(call: StageCall, pieces: readonly PieceOutcome[]): void {
+    this.desk.finishCall(call, { kind: 'answered', pieces });
+  }
+
+  #addUpstreams(poolId: PoolId, count: number): void {
+    Array.from({ length: count }, (_, index) => index).forEach((index) => {
+      this.directory.apply({
+        kind: 'upstream',
+        entry: {
+          id: toId<UpstreamId>(`${poolId}-${index}`),
+          poolId,
+          address: `${poolId}:${index}`,
+          failureDomain: 'abc'[index % 3] ?? 'a',
+          isDraining: false,
+          slots: 1,
+          coldRemainingMs: 0,
+          startedAtMs: null,
+        },
+      });
+    });
+  }
+}
