--- a/src/ingress/CallerExchange.ts
+++ b/src/ingress/CallerExchange.ts
@@ -3,6 +3,11 @@
 
 /** A whole answer. */
 export interface WholeAnswer {
+  /**
+   * Whether the body's length is known for certain. Where it is not, the answer ends with the
+   * connection as the upstream's did, so that one cut short does not look whole.
+   */
+  readonly isFramed: boolean;
   readonly status: number;
   /** Names and values in turn. */
   readonly headers: readonly string[];
@@ -17,6 +22,8 @@
 
   #hasAnswered = false;
 
+  #isFramed = true;
+
   /** The request, whole. */
   readonly request: CallerRequest;
 
@@ -47,8 +54,8 @@
 
   /** @param answer - the answer; sent at once */
   answer(answer: WholeAnswer): void {
-    const lengthHeader = ['Content-Length', String(answer.body.length)];
-    if (this.#begin(answer.status, [...answer.headers, ...lengthHeader])) {
+    const lengthHeader = answer.isFramed ? ['Content-Length', String(answer.body.length)] : [];
+    if (this.#begin(answer.status, [...answer.headers, ...lengthHeader], answer.isFramed)) {
       this.#response.end(answer.body);
     }
   }
@@ -58,9 +65,11 @@
    *
    * @param status - the HTTP status
    * @param headers - names and values in turn
+   * @param isFramed - whether the end will be marked; otherwise it ends with the connection
    */
-  beginStream(status: number, headers: readonly string[]): void {
-    if (this.#begin(status, headers)) {
+  beginStream(status: number, headers: readonly string[], isFramed: boolean): void {
+    this.#isFramed = isFramed;
+    if (this.#begin(status, headers, isFramed)) {
       this.#response.flushHeaders();
     }
   }
@@ -78,8 +87,16 @@
     this.#response.once('drain', listener);
   }
 
-  /** Ends a stream as complete. */
-  end(): void {
+  /**
+   * Ends a stream as complete.
+   *
+   * @param isCertain - whether the upstream has marked the end
+   */
+  end(isCertain: boolean): void {
+    if (this.#isFramed && !isCertain) {
+      this.breakOff();
+      return;
+    }
     this.#response.end();
   }
 
@@ -89,13 +106,14 @@
     this.#response.destroy();
   }
 
-  #begin(status: number, headers: readonly string[]): boolean {
+  #begin(status: number, headers: readonly string[], isFramed: boolean): boolean {
     if (this.#hasAnswered || this.#response.destroyed) {
       return false;
     }
     this.#hasAnswered = true;
     this.#response.sendDate = false;
-    const closing = this.#shouldClose() ? ['Connection', 'close'] : [];
+    this.#response.useChunkedEncodingByDefault = isFramed;
+    const closing = this.#shouldClose() || !isFramed ? ['Connection', 'close'] : [];
     this.#response.writeHead(status, [...headers, ...closing]);
     return true;
   }
--- /dev/null
+++ b/src/ingress/IngressServer.test.ts
@@ -0,0 +1,97 @@
+import { equal, match, ok } from 'node:assert/strict';
+import { connect } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
+import { getFreePort } from '../../test/support/getFreePort.ts';
+import type { CallerLimits } from '../directory/ServingConfiguration.ts';
+import { ManualClock } from '../time/ManualClock.ts';
+import type { CallerExchange } from './CallerExchange.ts';
+import { createErrorAnswer } from './createErrorAnswer.ts';
+import { IngressServer } from './IngressServer.ts';
+
+const LIMITS: CallerLimits = {
+  maxHeaderBytes: 2_000, maxBodyBytes: 10, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000,
+};
+const HEAD = 'Host: a.example\r\nX-Request-Id: 1\r\n';
+
+let server: IngressServer | null = null;
+let port = 0;
+
+async function startServer(onRequest: (exchange: CallerExchange) => void): Promise<void> {
+  port = await getFreePort();
+  const protocol = new PlatformUpstreamProtocol();
+  server = new IngressServer({
+    address: `127.0.0.1:${port}`,
+    clock: new ManualClock(),
+    getLimits: () => LIMITS,
+    decodeRequest: (rawHeaders) => protocol.decodeRequest(rawHeaders),
+    onRequest,
+  });
+  await server.listen();
+}
+
+/** Sends raw bytes and collects what comes back until the connection ends. */
+async function exchangeBytes(bytes: string): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    const socket = connect(port, '127.0.0.1', () => socket.write(bytes));
+    socket.on('data', (chunk) => {
+      text += chunk.toString();
+    });
+    socket.on('error', () => {});
+    socket.on('close', () => resolve(text));
+  });
+}
+
+describe('IngressServer', () => {
+  afterEach(() => server?.close());
+
+  it('hands on a whole request and closes the connection when it is draining', async () => {
+    await startServer((exchange) => {
+      equal(exchange.request.body.toString(), 'body');
+      equal(exchange.request.path, '/p/q?x=1');
+      exchange.answer(createErrorAnswer(503, 'full', 250));
+    });
+    server?.startDraining();
+    const bytes = `POST /p/q?x=1 HTTP/1.1\r\n${HEAD}Content-Length: 4\r\n\r\nbody`;
+    const text = await exchangeBytes(bytes);
+    match(text, /^HTTP\/1.1 503 /);
+    match(text, /Retry-After: 0.250\r\n/);
+  });
+
+  it('ends an answer without length with its connection, and marks no end', async () => {
+    await startServer((exchange) => exchange.answer({
+      isFramed: false, status: 200, headers: ['X-Of', 'upstream'], body: Buffer.from('text'),
+    }));
+    const text = await exchangeBytes(`GET / HTTP/1.1\r\n${HEAD}\r\n`);
+    ok(text.endsWith('\r\n\r\ntext'), text);
+    ok(!/content-length|transfer-encoding/i.test(text), text);
+  });
+
+  it('does not make a stream look whole whose end is not certain', async () => {
+    await startServer((exchange) => {
+      exchange.beginStream(200, [], true);
+      exchange.write(Buffer.from('id: 1\n\n'));
+      exchange.end(false);
+    });
+    const text = await exchangeBytes(`GET / HTTP/1.1\r\n${HEAD}\r\n`);
+    ok(!text.includes('0\r\n\r\n'), text);
+  });
+
+  it('refuses a body over the bound, a request without id, and large headers', async () => {
+    await startServer(() => {});
+    const large = `POST / HTTP/1.1\r\n${HEAD}Content-Length: 11\r\n\r\n01234567890`;
+    match(await exchangeBytes(large), /^HTTP\/1.1 413 /);
+    match(await exchangeBytes('GET / HTTP/1.1\r\nHost: a\r\n\r\n'), /^HTTP\/1.1 400 /);
+    const headers = `GET / HTTP/1.1\r\n${HEAD}X-Large: ${'x'.repeat(2_000)}\r\n\r\n`;
+    match(await exchangeBytes(headers), /^HTTP\/1.1 431 /);
+  });
+
+  it('refuses a request with two lengths', async () => {
+    await startServer(() => ok(false, 'a smuggled request was handed on'));
+    const lengths = 'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n';
+    const bytes = `POST / HTTP/1.1\r\n${HEAD}${lengths}\r\n`
+      + '0\r\n\r\nGET /other HTTP/1.1\r\n\r\n';
+    match(await exchangeBytes(bytes), /^HTTP\/1.1 400 /);
+  });
+});
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -212,7 +212,8 @@
       }
     }
     if (!this.#exchange.hasAnswered && this.#head !== null) {
-      this.#exchange.beginStream(this.#head.status, this.#head.passedHeaders);
+      const { status, passedHeaders, isFramed } = this.#head;
+      this.#exchange.beginStream(status, passedHeaders, isFramed);
       this.#note('started');
     }
     this.#lastEventId = id ?? this.#lastEventId;
@@ -271,9 +272,9 @@
       return;
     }
     if (!this.#exchange.hasAnswered) {
-      this.#exchange.beginStream(head.status, head.passedHeaders);
+      this.#exchange.beginStream(head.status, head.passedHeaders, head.isFramed);
     }
-    this.#exchange.end();
+    this.#exchange.end(head.isFramed);
     this.#finish('answered', { lastEventId: this.#lastEventId });
   }
 
@@ -284,8 +285,11 @@
       return;
     }
     const body = Buffer.concat(this.#errorChunks);
-    this.#exchange.answer({ status: head.status, headers: head.passedHeaders, body });
-    this.#finish('engine-failed', { status: head.status });
+    const { status, passedHeaders, isFramed } = head;
+    this.#exchange.answer({
+      status, headers: passedHeaders, body, isFramed,
+    });
+    this.#finish('engine-failed', { status });
   }
 
   /** Goes on after an attempt that did not run. */
--- a/src/relay/UpstreamProtocol.ts
+++ b/src/relay/UpstreamProtocol.ts
@@ -34,8 +34,8 @@
   readonly isNotRun: boolean;
   /** Whether another upstream has taken the address. */
   readonly isWrongUpstream: boolean;
-  /** Whether it bears an upstream's proof of origin. */
-  readonly isSigned: boolean;
+  /** Whether it says where its body ends; otherwise that ends with the connection. */
+  readonly isFramed: boolean;
   readonly load: ReportedLoad | null;
 }
 
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -222,7 +222,10 @@
   }
 
   #answer(head: AnswerHead, body: Buffer): void {
-    this.#exchange.answer({ status: head.status, headers: head.passedHeaders, body });
+    const { status, passedHeaders, isFramed } = head;
+    this.#exchange.answer({
+      status, headers: passedHeaders, body, isFramed,
+    });
     this.#finish('answered', { status: head.status });
   }
 
