--- a/src/placement/MakerTable.ts
+++ b/src/placement/MakerTable.ts
@@ -5,6 +5,8 @@
   readonly id: UpstreamId;
   /** Calls that are out. */
   callCount: number;
+  /** When the newest call is likely to end. */
+  busyUntilMs: number;
   /** Space that calls under way will take. */
   promisedBytes: number;
   /** Space that results take until they are freed or lapse. */
@@ -47,6 +49,7 @@
     const maker: MakerRecord = {
       id,
       callCount: 0,
+      busyUntilMs: 0,
       promisedBytes: 0,
       heldBytes: 0,
       slowness: 1,
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -5,7 +5,7 @@
 import type { UpstreamId } from '../lib/ids.ts';
 import type { Clock } from '../time/Clock.ts';
 import { chooseEngine } from './chooseEngine.ts';
-import { EngineTable } from './EngineTable.ts';
+import { EngineTable, getCachedTokens } from './EngineTable.ts';
 import {
   createPlacementJob, getLastStages, isStageDone, type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
@@ -79,7 +79,7 @@
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#drop(request.requestId);
     const onTimeMs = request.onTimeMs - this.#startMs;
-    const job = createPlacementJob({ ...request, onTimeMs }, nowMs, answer);
+    const job = createPlacementJob({ ...request, onTimeMs }, nowMs, this.#getPreferredDomain(request), answer);
     const expectedMs = this.#scheduler.getExpectedMs(job);
     if (expectedMs > request.remainingMs) {
       this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - request.remainingMs);
@@ -184,6 +184,18 @@
     job.answer({ kind: 'placed', upstreamId: engineId, inputs });
   }
 
+  /** The failure domain of the engine that keeps most of a prompt. */
+  #getPreferredDomain(request: PlacementRequest): string | null {
+    let best: { domain: string; tokens: number } | null = null;
+    this.#options.directory.getUsable(request.poolId).forEach(({ entry }) => {
+      const tokens = getCachedTokens(this.#engines.get(entry.id), request.parts);
+      if (tokens > (best?.tokens ?? 0)) {
+        best = { domain: entry.failureDomain, tokens };
+      }
+    });
+    return (best as { domain: string } | null)?.domain ?? null;
+  }
+
   #noteStartTime(job: PlacementJob): void {
     const tookMs = this.#options.clock.getMonotonicMs() - job.placedAtMs;
     this.#startMs += START_TIME_GAIN * (tookMs - this.#startMs);
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -28,6 +28,8 @@
   readonly stages: readonly JobStage[];
   readonly onTimeAtMs: number;
   readonly deadlineAtMs: number;
+  /** Where the engine is that likely keeps its prompt; null for anywhere. */
+  readonly preferredDomain: string | null;
   state: 'inStages' | 'awaitingEngine' | 'placed';
   engineId: UpstreamId | null;
   /** When the engine was chosen; 0 before. */
@@ -55,12 +57,14 @@
 /**
  * @param request - what is asked for
  * @param nowMs - the time of the step
+ * @param preferredDomain - where the engine is that likely keeps its prompt
  * @param answer - gets the result
  * @returns the job, with no piece done
  */
 export function createPlacementJob(
   request: PlacementRequest,
   nowMs: number,
+  preferredDomain: string | null,
   answer: (result: PlacementResult) => void,
 ): PlacementJob {
   const heights = getHeights(request);
@@ -78,6 +82,7 @@
     })),
     onTimeAtMs: nowMs + request.onTimeMs,
     deadlineAtMs: nowMs + request.remainingMs,
+    preferredDomain,
     state: 'inStages',
     engineId: null,
     placedAtMs: 0,
--- a/src/placement/StageCall.ts
+++ b/src/placement/StageCall.ts
@@ -1,5 +1,5 @@
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
-import type { PlannedPiece } from './planBatch.ts';
+import type { PlannedPiece } from './planBatches.ts';
 
 /** One piece as the upstream needs it. */
 export interface StageItem {
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -8,8 +8,8 @@
   isStageDone, isStageOpen, type JobPiece, type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
 import {
-  compareGroups, planBatch, type PieceGroup, type PlannedPiece,
-} from './planBatch.ts';
+  compareGroups, planBatches, type BusyMaker, type PieceGroup, type PlannedPiece,
+} from './planBatches.ts';
 import {
   PIECE_FAILURE, type PieceOutcome, type StageCall, type StageItem, type StageOutcome,
 } from './StageCall.ts';
@@ -30,6 +30,8 @@
 const MIN_TIMEOUT_MS = 1_000;
 /** Pause before an upstream without room is asked again. */
 const NO_ROOM_PAUSE_MS = 60;
+/** Part of the room that is planned with, since results are only about as large as declared. */
+const ROOM_PART = 0.95;
 /** Upstreams slower than this multiple of the fastest one are used when nothing better is idle. */
 const SLOW_FACTOR = 2;
 
@@ -54,6 +56,26 @@
   return pieces.reduce((sum, { stage }) => sum + stage.resultBytes, 0);
 }
 
+function getConsumers(job: PlacementJob, stage: JobStage): JobStage[] {
+  return job.stages.filter((other) => other.after.includes(stage.index));
+}
+
+/** Bytes that one piece of a stage takes in. */
+function getInputBytes(job: PlacementJob, stage: JobStage): number {
+  return stage.after.reduce((sum, index) => {
+    const needed = job.stages[index];
+    return sum + (needed === undefined ? 0 : needed.pieces.length * needed.resultBytes);
+  }, 0);
+}
+
+/** Bytes that are taken in of a stage's results by all that need them. */
+function getOutputBytes(job: PlacementJob, stage: JobStage): number {
+  const ownBytes = stage.pieces.length * stage.resultBytes;
+  const consumers = getConsumers(job, stage);
+  const pieceCount = consumers.reduce((sum, consumer) => sum + consumer.pieces.length, 0);
+  return ownBytes * (consumers.length === 0 ? 1 : pieceCount);
+}
+
 function resetPiece(piece: JobPiece): void {
   piece.state = 'waiting';
   piece.handle = null;
@@ -103,9 +125,13 @@
    * @returns the time its stages take behind what waits already
    */
   getExpectedMs(job: PlacementJob): number {
-    return this.getLeastMs(job) + this.#sumLevels(job, (_limits, _count, poolId) => (
-      this.#getBacklogMs(poolId, job.request.priority)
-    ));
+    const leastMs = this.getLeastMs(job);
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const getMs = (isFirst: (other: PlacementJob) => boolean): number => leastMs
+      + this.#sumLevels(job, (_limits, _count, poolId) => this.#getBacklogMs(poolId, isFirst));
+    const onTimeMs = getMs((other) => other.request.priority <= job.request.priority
+      && nowMs + this.getLeastMs(other) <= other.onTimeAtMs);
+    return nowMs + onTimeMs <= job.onTimeAtMs ? onTimeMs : getMs(() => true);
   }
 
   /**
@@ -125,7 +151,7 @@
   reopenLapsed(job: PlacementJob): void {
     // A stage comes after those it needs, so that one pass from the end reaches all of them.
     [...job.stages].reverse().forEach((stage) => {
-      const consumers = job.stages.filter((other) => other.after.includes(stage.index));
+      const consumers = getConsumers(job, stage);
       if (consumers.length === 0 || consumers.some((consumer) => !isStageDone(consumer))) {
         stage.pieces
           .filter((piece) => piece.state === 'done'
@@ -194,18 +220,17 @@
     if (groups.length === 0) {
       return;
     }
-    this.#getIdleMakers(pool.id, limits).forEach(({ upstream, maker }) => {
-      const waiting = groups
-        .map((group) => ({
-          ...group, pieces: group.pieces.filter((piece) => piece.state === 'waiting'),
-        }))
-        .filter((group) => group.pieces.length > 0);
-      const planned = planBatch(waiting, {
-        maxPieces: limits.maxPieces,
-        freeBytes: limits.roomBytes - maker.heldBytes - maker.promisedBytes,
-      });
-      if (planned.length > 0) {
-        this.#send(upstream, maker, limits, planned);
+    const idle = this.#getIdleMakers(pool.id, limits);
+    const spaces = idle.map(({ upstream, maker }) => ({
+      makerId: maker.id,
+      failureDomain: upstream.entry.failureDomain,
+      maxPieces: limits.maxPieces,
+      freeBytes: limits.roomBytes * ROOM_PART - maker.heldBytes - maker.promisedBytes,
+    }));
+    planBatches(groups, spaces, this.#getBusyMakers(pool.id, limits)).forEach((batch) => {
+      const found = idle.find(({ maker }) => maker.id === batch.makerId);
+      if (found !== undefined) {
+        this.#send(found.upstream, found.maker, limits, batch.pieces);
       }
     });
   }
@@ -223,11 +248,73 @@
           pieces: stage.pieces.filter((piece) => piece.state === 'waiting'),
           canBeOnTime,
           slackMs: (canBeOnTime ? job.onTimeAtMs : job.deadlineAtMs) - doneAtMs,
+          failureDomain: this.#getDomain(job, stage),
+          inputBytes: getInputBytes(job, stage) * stage.pieces.length,
         };
       })
       .filter((group) => group.pieces.length > 0));
   }
 
+  #getBusyMakers(poolId: PoolId, limits: BatchLimits): BusyMaker[] {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return this.#options.directory.getUsable(poolId).flatMap(({ entry }) => {
+      const maker = this.#makers.get(entry.id);
+      return maker.callCount < limits.callSlots || maker.avoidUntilMs > nowMs ? [] : [{
+        failureDomain: entry.failureDomain, freeInMs: Math.max(0, maker.busyUntilMs - nowMs),
+      }];
+    });
+  }
+
+  /** Where a stage's pieces are best made; null for anywhere. */
+  #getDomain(job: PlacementJob, stage: JobStage): string | null {
+    const inputDomain = this.#getInputDomain(job, stage);
+    const consumers = getConsumers(job, stage);
+    const inputBytes = getInputBytes(job, stage) * stage.pieces.length;
+    const outputBytes = getOutputBytes(job, stage);
+    if (consumers.length === 0) {
+      return outputBytes > inputBytes ? job.preferredDomain : inputDomain ?? job.preferredDomain;
+    }
+    const [consumer] = consumers;
+    return consumer !== undefined && outputBytes > inputBytes
+      ? this.#getLeastLoadedDomain(consumer.poolId)
+      : inputDomain;
+  }
+
+  /** The failure domain whose upstreams of a pool have least to do, by what stands there for them. */
+  #getLeastLoadedDomain(poolId: PoolId): string | null {
+    const makerCounts = new Map<string, number>();
+    this.#options.directory.getUsable(poolId).forEach(({ entry }) => {
+      makerCounts.set(entry.failureDomain, (makerCounts.get(entry.failureDomain) ?? 0) + 1);
+    });
+    const loads = new Map<string, number>();
+    this.#jobs.forEach((job) => job.stages
+      .filter((stage) => stage.poolId === poolId && !isStageDone(stage))
+      .forEach((stage) => {
+        const domain = this.#getInputDomain(job, stage);
+        if (domain !== null) {
+          loads.set(domain, (loads.get(domain) ?? 0) + stage.pieces.length);
+        }
+      }));
+    const [best] = [...makerCounts]
+      .map(([domain, count]) => ({ domain, load: (loads.get(domain) ?? 0) / count }))
+      .sort((left, right) => left.load - right.load);
+    return best?.domain ?? null;
+  }
+
+  /** The failure domain in which most of a stage's inputs stand, or will stand. */
+  #getInputDomain(job: PlacementJob, stage: JobStage): string | null {
+    const counts = new Map<string, number>();
+    stage.after.flatMap((index) => job.stages[index]?.pieces ?? []).forEach(({ makerId }) => {
+      const maker = makerId === null ? undefined : this.#options.directory.getUpstream(makerId);
+      if (maker !== undefined) {
+        const domain = maker.entry.failureDomain;
+        counts.set(domain, (counts.get(domain) ?? 0) + 1);
+      }
+    });
+    const [best] = [...counts].sort(([, left], [, right]) => right - left);
+    return best?.[0] ?? null;
+  }
+
   #getIdleMakers(
     poolId: PoolId,
     limits: BatchLimits,
@@ -257,6 +344,7 @@
       piece.makerId = maker.id;
     });
     maker.callCount += 1;
+    maker.busyUntilMs = nowMs + expectedMs * Math.max(1, maker.slowness);
     maker.promisedBytes += getResultBytes(pieces);
     this.#options.sendCall({
       poolId: upstream.entry.poolId,
@@ -303,7 +391,7 @@
 
   #freeUnneeded(job: PlacementJob): void {
     job.stages.forEach((stage) => {
-      const consumers = job.stages.filter((other) => other.after.includes(stage.index));
+      const consumers = getConsumers(job, stage);
       if (consumers.length > 0 && consumers.every(isStageDone)) {
         this.#freeStage(stage);
       }
@@ -352,15 +440,15 @@
     return [...levels.values()].reduce((sum, ms) => sum + ms, 0);
   }
 
-  /** Time until a pool has done the waiting pieces that go before a request of this priority. */
-  #getBacklogMs(poolId: PoolId, priority: number): number {
+  /** Time until a pool has done the waiting pieces of some requests. */
+  #getBacklogMs(poolId: PoolId, isCounted: (job: PlacementJob) => boolean): number {
     const limits = this.#options.directory.configuration?.pools.get(poolId)?.batch;
     const makerCount = this.#options.directory.getUsable(poolId).length;
     if (limits === undefined || limits === null || makerCount === 0) {
       return 0;
     }
     const waitingCount = [...this.#jobs]
-      .filter((job) => job.request.priority <= priority)
+      .filter(isCounted)
       .flatMap((job) => job.stages.filter((stage) => stage.poolId === poolId))
       .reduce((sum, stage) => (
         sum + stage.pieces.filter((piece) => piece.state === 'waiting').length
