--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -79,7 +79,8 @@
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#drop(request.requestId);
     const onTimeMs = request.onTimeMs - this.#startMs;
-    const job = createPlacementJob({ ...request, onTimeMs }, nowMs, this.#getPreferredDomain(request), answer);
+    const preferredDomain = this.#getPreferredDomain(request);
+    const job = createPlacementJob({ ...request, onTimeMs }, nowMs, preferredDomain, answer);
     const expectedMs = this.#scheduler.getExpectedMs(job);
     if (expectedMs > request.remainingMs) {
       this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - request.remainingMs);
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -280,7 +280,7 @@
       : inputDomain;
   }
 
-  /** The failure domain whose upstreams of a pool have least to do, by what stands there for them. */
+  /** The failure domain whose upstreams of a pool have least to do with what stands there. */
   #getLeastLoadedDomain(poolId: PoolId): string | null {
     const makerCounts = new Map<string, number>();
     this.#options.directory.getUsable(poolId).forEach(({ entry }) => {
