--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -57,6 +57,8 @@
 
   readonly #watch: PlacerWatch;
 
+  #placerId: HostId | undefined;
+
   readonly #notes = new Map<string, PlacementNote[]>();
 
   /**
@@ -119,6 +121,13 @@
     const candidates = [...directory.hosts.values()]
       .filter((host) => host.id === hostId || !this.#watch.isAvoided(host));
     const [chosenId] = getHighestScored(PLACER_KEY, candidates.map((host) => host.id), 1);
+    if (chosenId !== this.#placerId) {
+      this.#options.logger.info(
+        { event: 'placerChosen', hostId: chosenId ?? hostId, before: this.#placerId },
+        'another host places for all',
+      );
+      this.#placerId = chosenId;
+    }
     const chosen = chosenId === undefined ? undefined : directory.hosts.get(chosenId);
     return chosen === undefined || chosen.id === hostId ? null : chosen;
   }
--- /dev/null
+++ b/src/placement/planBatches.test.ts
@@ -0,0 +1,148 @@
+import { deepEqual, equal, ok } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { toId, type PoolId, type UpstreamId } from '../lib/ids.ts';
+import { createPlacementJob, type PlacementJob } from './PlacementJob.ts';
+import {
+  compareGroups, planBatches, type BatchSpace, type PieceGroup,
+} from './planBatches.ts';
+
+interface GroupSketch {
+  readonly id: string;
+  readonly pieceCount?: number;
+  readonly resultBytes?: number;
+  readonly priority?: number;
+  readonly slackMs?: number;
+  readonly canBeOnTime?: boolean;
+  readonly failureDomain?: string;
+  readonly inputBytes?: number;
+}
+
+function createJob(sketch: GroupSketch): PlacementJob {
+  return createPlacementJob({
+    requestId: sketch.id,
+    failureDomain: 'a',
+    poolId: toId<PoolId>('engines'),
+    stages: [{
+      poolId: toId<PoolId>('pool'), after: [], resultBytes: sketch.resultBytes ?? 10,
+    }],
+    pieceCounts: [sketch.pieceCount ?? 1],
+    pieceKey: '',
+    parts: [],
+    promptTokens: 1,
+    maxOutputTokens: 1,
+    priority: sketch.priority ?? 0,
+    onTimeMs: 1_000,
+    remainingMs: 5_000,
+    excludedIds: [],
+  }, 0, null, () => {});
+}
+
+function createGroup(sketch: GroupSketch): PieceGroup {
+  const job = createJob(sketch);
+  const [stage] = job.stages;
+  ok(stage);
+  return {
+    job,
+    stage,
+    pieces: stage.pieces,
+    canBeOnTime: sketch.canBeOnTime ?? true,
+    slackMs: sketch.slackMs ?? 500,
+    failureDomain: sketch.failureDomain ?? null,
+    inputBytes: sketch.inputBytes ?? 0,
+  };
+}
+
+function createSpace(failureDomain: string, limits: Partial<BatchSpace> = {}): BatchSpace {
+  return {
+    makerId: toId<UpstreamId>(`maker-${failureDomain}`),
+    failureDomain,
+    maxPieces: 4,
+    freeBytes: 1_000,
+    ...limits,
+  };
+}
+
+function plan(groups: PieceGroup[], spaces: BatchSpace[]): Record<string, string[]> {
+  return Object.fromEntries(planBatches(groups, spaces).map((batch) => [
+    batch.makerId, batch.pieces.map(({ job }) => job.request.requestId),
+  ]));
+}
+
+describe('compareGroups', () => {
+  it('puts what can be on time first, then the urgent class, then the least slack', () => {
+    const groups = [
+      createGroup({ id: 'late', canBeOnTime: false }),
+      createGroup({ id: 'idle', slackMs: 900 }),
+      createGroup({ id: 'minor', priority: 1, slackMs: 1 }),
+      createGroup({ id: 'pressed', slackMs: 5 }),
+    ];
+    deepEqual(
+      groups.sort(compareGroups).map((group) => group.job.request.requestId),
+      ['pressed', 'idle', 'minor', 'late'],
+    );
+  });
+
+  it('serves more on time than order of arrival when twice as much comes as can be done', () => {
+    const callMs = 300;
+    const runBurst = (isRanked: boolean): number => {
+      let waiting = Array.from({ length: 80 }, (_, index) => ({
+        id: `${index}`, arrivedAtMs: index * (callMs / 8),
+      }));
+      let onTimeCount = 0;
+      for (let nowMs = 0; waiting.length > 0; nowMs += callMs) {
+        const groups = waiting.filter((one) => one.arrivedAtMs <= nowMs).map((one) => {
+          const slackMs = one.arrivedAtMs + 1_000 - nowMs - callMs;
+          return createGroup({ id: one.id, slackMs, canBeOnTime: slackMs >= 0 });
+        });
+        const ordered = isRanked ? [...groups].sort(compareGroups) : groups;
+        const [batch] = planBatches(ordered, [createSpace('a')]);
+        const done = new Set(batch?.pieces.map(({ job }) => job.request.requestId));
+        onTimeCount += groups
+          .filter((group) => done.has(group.job.request.requestId) && group.canBeOnTime).length;
+        waiting = waiting.filter((one) => !done.has(one.id));
+      }
+      return onTimeCount;
+    };
+    const inOrder = runBurst(false);
+    const ranked = runBurst(true);
+    ok(ranked >= inOrder * 2, `${ranked} on time against ${inOrder} in order of arrival`);
+  });
+});
+
+describe('planBatches', () => {
+  it('keeps a group whole when one call can hold it', () => {
+    const groups = ['x', 'y'].map((id) => createGroup({ id, pieceCount: 3 }));
+    deepEqual(plan(groups, [createSpace('a'), createSpace('b')]), {
+      'maker-a': ['x', 'x', 'x'], 'maker-b': ['y', 'y', 'y'],
+    });
+  });
+
+  it('fills one call before it begins another', () => {
+    const groups = [createGroup({ id: 'x' }), createGroup({ id: 'y' })];
+    deepEqual(plan(groups, [createSpace('a'), createSpace('b')]), { 'maker-a': ['x', 'y'] });
+  });
+
+  it('takes no more results than there is room for', () => {
+    const groups = [createGroup({ id: 'x', pieceCount: 4, resultBytes: 400 })];
+    deepEqual(plan(groups, [createSpace('a')]), { 'maker-a': ['x', 'x'] });
+  });
+
+  it('carries nothing across while upstreams are idle in each failure domain', () => {
+    const groups = ['a', 'b', 'c', 'a', 'b', 'c'].map((failureDomain, index) => (
+      createGroup({ id: `${index}`, failureDomain, resultBytes: 100 })
+    ));
+    const spaces = ['a', 'b', 'c'].map((failureDomain) => createSpace(failureDomain));
+    deepEqual(plan(groups, spaces), {
+      'maker-a': ['0', '3'], 'maker-b': ['1', '4'], 'maker-c': ['2', '5'],
+    });
+  });
+
+  it('lets a group that takes in much wait for a near upstream, within its slack', () => {
+    const group = createGroup({ id: 'x', failureDomain: 'b', inputBytes: 3_000_000 });
+    const idle = [createSpace('a')];
+    equal(planBatches([group], idle, [{ failureDomain: 'b', freeInMs: 100 }]).length, 0);
+    equal(planBatches([group], idle, [{ failureDomain: 'b', freeInMs: 400 }]).length, 1);
+    const late = { ...group, canBeOnTime: false };
+    equal(planBatches([late], idle, [{ failureDomain: 'b', freeInMs: 100 }]).length, 1);
+  });
+});
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -300,6 +300,7 @@
       this.#giveUp(STATUS.unavailable, 'engines-full', SHORT_RETRY_AFTER_MS);
       return;
     }
+    this.#context.metrics.noteRepeat('generation', 'not-run');
     this.#place();
   }
 
@@ -311,6 +312,7 @@
       && this.#takeRetry();
     this.#log(mayRunAgain ? 'resumed' : 'brokenOff', { detail, lastEventId: this.#lastEventId });
     if (mayRunAgain) {
+      this.#context.metrics.noteRepeat('generation', 'broken');
       this.#place();
     } else {
       this.#giveUp(STATUS.badGateway, 'engine-broke-off', null);
@@ -351,6 +353,8 @@
       this.#running.abort(outcome);
     }
     this.#note('ended');
+    const elapsedMs = this.#context.clock.getMonotonicMs() - this.#arrivedAtMs;
+    this.#context.metrics.noteEnd('generation', outcome, elapsedMs);
     this.#log(outcome, details);
   }
 
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -7,6 +7,7 @@
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
 import type { ColdPacer } from './ColdPacer.ts';
 import type { HostShares } from './HostShares.ts';
+import type { RelayMetrics } from './RelayMetrics.ts';
 import type { UpstreamBook } from './UpstreamBook.ts';
 import type { UpstreamProtocol } from './UpstreamProtocol.ts';
 
@@ -21,6 +22,7 @@
   readonly shares: HostShares;
   readonly pacer: ColdPacer;
   readonly logger: Logger;
+  readonly metrics: RelayMetrics;
   readonly failureDomain: string;
 }
 
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -12,6 +12,7 @@
 import { ColdPacer } from './ColdPacer.ts';
 import { HostShares } from './HostShares.ts';
 import type { RelayHostAdapters, RelayHostSettings } from './RelayHostOptions.ts';
+import { RelayMetrics } from './RelayMetrics.ts';
 import { RelayManager } from './RelayManager.ts';
 import { UpstreamBook } from './UpstreamBook.ts';
 
@@ -55,6 +56,8 @@
 
   readonly #relays: RelayManager;
 
+  readonly #metrics = new RelayMetrics();
+
   readonly #ingress: IngressServer;
 
   readonly #readiness: ReadinessServer;
@@ -105,6 +108,7 @@
       shares: new HostShares(clock, directory, settings.sharedBounds),
       pacer: new ColdPacer(clock),
       logger,
+      metrics: this.#metrics,
       failureDomain: settings.failureDomain,
     });
     this.#ingress = new IngressServer({
@@ -128,6 +132,7 @@
       this.#peerServer.listen(this.#settings.peerAddress),
       this.#ingress.listen(),
       this.#readiness.listen(this.#settings.readinessAddress),
+      this.#metrics.listen(this.#settings.metricsAddress),
     ]);
     await this.#registration.start();
     this.#logger.info({ event: 'started', settings: this.#settings }, 'the host has started');
@@ -186,6 +191,7 @@
     );
     this.#ingress.close();
     this.#readiness.close();
+    this.#metrics.close();
     this.#follower.stop();
     this.#client.close();
     this.#service.close();
--- a/src/relay/RelayHostOptions.ts
+++ b/src/relay/RelayHostOptions.ts
@@ -16,6 +16,8 @@
   readonly readinessPath: string;
   /** IP address and port for the other hosts. */
   readonly peerAddress: string;
+  /** IP address and port where counters and latencies are served. */
+  readonly metricsAddress: string;
   /** IP address and port of the store. */
   readonly storeAddress: string;
   readonly sharedBounds: SharedBounds;
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -104,6 +104,7 @@
     reason: string,
     retryAfterMs: number | null,
   ): void {
+    this.#context.metrics.noteRefusal(reason);
     this.#context.logger.info({
       event: 'refused',
       requestId: exchange.request.profile.id,
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -140,6 +140,7 @@
   /** Asks a second upstream while the first one is silent. */
   #hedge(): void {
     if (!this.#isOver && this.#open.size === 1 && this.#mayRunAgain()) {
+      this.#context.metrics.noteRepeat('whole', 'silent');
       this.#log('hedged');
       this.#send();
     }
@@ -199,6 +200,7 @@
         isRepeatable: true, remainingMs: this.#getRemainingMs(), medianMs: 0,
       });
     if (mayRepeat) {
+      this.#context.metrics.noteRepeat('whole', 'not-run');
       this.#send();
     } else if (this.#open.size === 0) {
       this.#giveUp(STATUS.unavailable, 'upstreams-full');
@@ -208,6 +210,7 @@
   /** Goes on after an attempt that ran or may have run. */
   #runAgain(): void {
     if (this.#mayRunAgain()) {
+      this.#context.metrics.noteRepeat('whole', 'failed');
       this.#send();
     } else if (this.#open.size === 0) {
       this.#giveUp(STATUS.badGateway, 'upstream-failed');
@@ -249,6 +252,8 @@
     this.#isOver = true;
     this.#timers.forEach((timer) => clearTimeout(timer));
     this.#open.forEach((attempt) => attempt.running?.abort(outcome));
+    const elapsedMs = this.#context.clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs;
+    this.#context.metrics.noteEnd('whole', outcome, elapsedMs);
     this.#log(outcome, details);
   }
 
