--- a/src/placement/MakerTable.ts
+++ b/src/placement/MakerTable.ts
@@ -23,6 +23,8 @@
   readonly makerId: UpstreamId;
   readonly bytes: number;
   readonly lapsesAtMs: number;
+  /** Whether its upstream has been told that nobody needs it; it still takes up space. */
+  isFreeing: boolean;
 }
 
 /** Pause after a failed call; doubles with each further one. */
@@ -77,39 +79,55 @@
    * @param lapsesAtMs - when it goes by itself
    */
   hold(makerId: UpstreamId, handle: string, bytes: number, lapsesAtMs: number): void {
-    this.#held.set(handle, { makerId, bytes, lapsesAtMs });
+    this.#held.set(handle, {
+      makerId, bytes, lapsesAtMs, isFreeing: false,
+    });
     this.get(makerId).heldBytes += bytes;
   }
 
   /**
-   * @param handle - a result that is not needed any more
+   * Marks a result that is not needed any more; it takes up space until its upstream has let it go.
+   *
+   * @param handle - the result
    * @returns who keeps it; null when it is not held
    */
   release(handle: string): UpstreamId | null {
     const result = this.#held.get(handle);
-    if (result === undefined) {
+    if (result === undefined || result.isFreeing) {
       return null;
     }
-    this.#held.delete(handle);
-    this.get(result.makerId).heldBytes -= result.bytes;
+    result.isFreeing = true;
     return result.makerId;
   }
 
+  /**
+   * Gives back the space of results.
+   *
+   * @param handles - results that are gone
+   */
+  noteGone(handles: readonly string[]): void {
+    handles.forEach((handle) => {
+      const result = this.#held.get(handle);
+      if (result !== undefined) {
+        this.#held.delete(handle);
+        this.get(result.makerId).heldBytes -= result.bytes;
+      }
+    });
+  }
+
   /**
    * @param handle - a result
    * @returns whether it still stands, as far as is known
    */
   isHeld(handle: string): boolean {
-    return this.#held.has(handle);
+    return this.#held.get(handle)?.isFreeing === false;
   }
 
   /** @param nowMs - results that lapse until then are let go */
   expire(nowMs: number): void {
-    [...this.#held].forEach(([handle, result]) => {
-      if (result.lapsesAtMs <= nowMs) {
-        this.release(handle);
-      }
-    });
+    this.noteGone([...this.#held]
+      .filter(([, result]) => result.lapsesAtMs <= nowMs)
+      .map(([handle]) => handle));
   }
 
   /**
--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -35,6 +35,23 @@
     deepEqual(bed.freed, ['first-0/1', 'second-0/2']);
   });
 
+  it('does not plan with room before its upstream has let the results go', () => {
+    const batch = { roomBytes: 2_200, maxPieces: 2 };
+    const bed = new PlacementTestBed({ first: { makers: 1, batch }, second: { makers: 1 } });
+    bed.place({ requestId: 'r1', stages: [FIRST, SECOND], pieceCounts: [2, 1] });
+    bed.place({ requestId: 'r2', stages: [FIRST], pieceCounts: [1] });
+    const [firstCall] = bed.takeCalls();
+    ok(firstCall);
+    bed.complete(firstCall);
+    const [secondCall] = bed.takeCalls();
+    ok(secondCall);
+    bed.complete(secondCall);
+    bed.desk.run();
+    deepEqual([bed.freed.length, bed.takeCalls().length], [2, 0]);
+    bed.desk.noteFreed(bed.freed);
+    equal(bed.takeCalls().length, 1);
+  });
+
   it('does the earlier stage again when a maker goes with results of the later one', () => {
     const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 2 } });
     bed.place({ requestId: 'r', stages: [FIRST, SECOND], pieceCounts: [1, 11] });
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -22,7 +22,7 @@
   readonly logger: Logger;
   /** @param call - to be sent now; its end comes back through `finishCall` */
   readonly sendCall: (call: StageCall) => void;
-  /** Frees results at the upstream that keeps them. */
+  /** Frees results at the upstream that keeps them; the end comes back through `noteFreed`. */
   readonly sendFree: StageSchedulerOptions['sendFree'];
 }
 
@@ -133,6 +133,12 @@
     this.run();
   }
 
+  /** @param handles - results that their upstream has let go */
+  noteFreed(handles: readonly string[]): void {
+    this.#scheduler.noteFreed(handles);
+    this.run();
+  }
+
   /** Does what can be done now; to be called after each event and every few milliseconds. */
   run(): void {
     this.#expire();
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -67,7 +67,8 @@
   }
 
   #free(address: string, handles: readonly string[]): void {
-    this.#caller.free(address, handles).catch((error: unknown) => {
+    const freeing = this.#caller.free(address, handles);
+    freeing.then(() => this.desk.noteFreed(handles)).catch((error: unknown) => {
       this.#logger.debug(
         {
           event: 'freeFailed', address, handles, error: String(error),
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -20,7 +20,7 @@
   readonly directory: Directory;
   /** @param call - to be sent now; its end comes back through `finishCall` */
   readonly sendCall: (call: StageCall) => void;
-  /** Frees results at the upstream that keeps them. */
+  /** Frees results at the upstream that keeps them; the end comes back through `noteFreed`. */
   readonly sendFree: (makerId: UpstreamId, address: string, handles: readonly string[]) => void;
 }
 
@@ -143,6 +143,11 @@
     this.#jobs.forEach((job) => this.reopenLapsed(job));
   }
 
+  /** @param handles - results that their upstream has let go */
+  noteFreed(handles: readonly string[]): void {
+    this.#makers.noteGone(handles);
+  }
+
   /**
    * Does pieces again whose results are needed and don't stand any more.
    *
