--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -52,6 +52,23 @@
     equal(bed.takeCalls().length, 1);
   });
 
+  it('counts the room of results whose answer was lost, until they lapse', () => {
+    const batch = { roomBytes: 2_200, maxPieces: 2, resultTtlMs: 4_000 };
+    const bed = new PlacementTestBed({ first: { makers: 1, batch } });
+    bed.place({
+      requestId: 'r', stages: [FIRST], pieceCounts: [2], remainingMs: 9_000,
+    });
+    const [call] = bed.takeCalls();
+    ok(call);
+    bed.desk.finishCall(call, { kind: 'broken', detail: 'reset' });
+    bed.clock.advance(3_000);
+    bed.desk.run();
+    equal(bed.takeCalls().length, 0);
+    bed.clock.advance(1_000);
+    bed.desk.run();
+    equal(bed.takeCalls().length, 1);
+  });
+
   it('does the earlier stage again when a maker goes with results of the later one', () => {
     const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 2 } });
     bed.place({ requestId: 'r', stages: [FIRST, SECOND], pieceCounts: [1, 11] });
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -90,6 +90,9 @@
 
   readonly #jobs = new Set<PlacementJob>();
 
+  /** Calls without answer; names the room that their results take. */
+  #unknownCount = 0;
+
   readonly #toFree = new Map<UpstreamId, string[]>();
 
   /**
@@ -198,6 +201,7 @@
         break;
       case 'broken':
         this.#makers.noteFailure(call.makerId, nowMs);
+        this.#holdUnknown(call, nowMs);
         call.pieces.forEach(({ piece }) => resetPiece(piece));
         break;
       default:
@@ -363,6 +367,18 @@
     });
   }
 
+  /** Results whose answer was lost take up room under handles that nobody knows. */
+  #holdUnknown(call: StageCall, nowMs: number): void {
+    const limits = this.#options.directory.configuration?.pools.get(call.poolId)?.batch;
+    this.#unknownCount += 1;
+    this.#makers.hold(
+      call.makerId,
+      `unknown ${this.#unknownCount}`,
+      getResultBytes(call.pieces),
+      nowMs + (limits?.resultTtlMs ?? 0),
+    );
+  }
+
   #finishPiece(
     call: StageCall,
     { job, stage, piece }: PlannedPiece,
