--- /dev/null
+++ b/src/relay/RelayHost.test.ts
@@ -0,0 +1,143 @@
+import { deepEqual, equal, rejects } from 'node:assert/strict';
+import { request as sendRequest, type IncomingMessage } from 'node:http';
+import { afterEach, describe, it } from 'node:test';
+import { RelayTestBed, type UpstreamHandler } from '../../test/support/RelayTestBed.ts';
+
+let bed: RelayTestBed | null = null;
+
+/** Sends with a chosen Host header, which `fetch` does not allow. */
+function send(
+  path: string,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<{ status: number; text: string; headers: IncomingMessage['headers'] }> {
+  return new Promise((resolve, reject) => {
+    const request = sendRequest(`${bed?.url}${path}`, {
+      agent: false,
+      headers: {
+        host: 'a.example', 'x-request-id': 'r1', authorization: 'Bearer key', ...headers,
+      },
+    }, (response) => {
+      let text = '';
+      response.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+      });
+      response.on('end', () => resolve({
+        status: response.statusCode ?? 0, text, headers: response.headers,
+      }));
+      response.on('error', reject);
+    });
+    request.on('error', reject);
+    request.end();
+  });
+}
+
+async function startBed(...handlers: UpstreamHandler[]): Promise<RelayTestBed> {
+  bed = new RelayTestBed();
+  await bed.start(handlers);
+  return bed;
+}
+
+describe('RelayHost', () => {
+  afterEach(async () => {
+    await bed?.close();
+  });
+
+  it('passes on the account and not the key, and refuses unknown routes and keys', async () => {
+    const seen: unknown[] = [];
+    await startBed((request, response) => {
+      seen.push([request.url, request.headers.authorization, request.headers['x-tenant-id']]);
+      response.end('fine');
+    });
+    equal((await send('/safe/x?y=1', { 'x-tenant-id': 'forged' })).text, 'fine');
+    equal((await send('/unknown/')).status, 404);
+    equal((await send('/safe/', { authorization: 'Bearer other' })).status, 401);
+    deepEqual(seen, [['/safe/x?y=1', undefined, 'account']]);
+  });
+
+  it('runs a repeatable request again when it fails, and no other', async () => {
+    let runCount = 0;
+    const fail: UpstreamHandler = (request) => {
+      runCount += 1;
+      request.socket.resetAndDestroy();
+    };
+    await startBed(fail, fail);
+    equal((await send('/once/')).status, 502);
+    equal(runCount, 1);
+    equal((await send('/safe/')).status, 502);
+    equal(runCount, 3);
+  });
+
+  it('goes elsewhere when an upstream says that it has not run the request', async () => {
+    let runCount = 0;
+    const refuseFirst: UpstreamHandler = (_request, response) => {
+      runCount += 1;
+      if (runCount === 1) {
+        response.writeHead(503, { 'x-not-executed': '1' }).end();
+      } else {
+        response.end('ran');
+      }
+    };
+    await startBed(refuseFirst, refuseFirst);
+    equal((await send('/once/')).text, 'ran');
+    equal(runCount, 2);
+  });
+
+  it('lets a broken stream go on at another engine, each event once and in order', async () => {
+    const seen: unknown[] = [];
+    const breakFirst: UpstreamHandler = (request, response) => {
+      const lastId = Number(request.headers['last-event-id'] ?? 0);
+      seen.push(lastId);
+      if (lastId === 0) {
+        response.write('id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda');
+        setTimeout(() => request.socket.resetAndDestroy(), 30);
+      } else {
+        response.end('id: 3\ndata: c\n\nid: 4\ndata: d\n\n');
+      }
+    };
+    await startBed(breakFirst, breakFirst);
+    const { text } = await send('/stream/');
+    equal(text, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n');
+    deepEqual(seen, [0, 2]);
+  });
+
+  it('breaks off a stream that may not be resumed, so that it does not look whole', async () => {
+    await startBed((request, response) => {
+      response.write('id: 1\ndata: a\n\n');
+      setTimeout(() => request.socket.resetAndDestroy(), 30);
+    });
+    await rejects(send('/single/'));
+  });
+
+  it('ends the work of an engine when its caller leaves', async () => {
+    const ended = new Promise<void>((resolve) => {
+      startBed((request, response) => {
+        request.socket.once('close', () => resolve());
+        response.write('id: 1\ndata: a\n\n');
+      }).then(({ url }) => {
+        const request = sendRequest(`${url}/stream/`, {
+          headers: { host: 'a.example', 'x-request-id': 'r1', authorization: 'Bearer key' },
+        }, () => request.destroy());
+        request.on('error', () => {});
+        request.end();
+      }, () => {});
+    });
+    await ended;
+  });
+
+  it('is not ready while it leaves, and answers what it has', async () => {
+    let answer = (): void => {};
+    const { readinessUrl } = await startBed((_request, response) => {
+      answer = () => response.end('late but whole');
+    });
+    equal((await fetch(readinessUrl)).status, 200);
+    const pending = send('/once/');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    const stopped = bed?.stop();
+    equal((await fetch(readinessUrl)).status, 503);
+    answer();
+    equal((await pending).text, 'late but whole');
+    await stopped;
+  });
+});
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -156,7 +156,7 @@
       );
     });
     await this.#waitUntilDone(this.#stoppingSinceMs);
-    this.#close();
+    await this.#close();
   }
 
   #isReady(): boolean {
@@ -184,7 +184,7 @@
     }
   }
 
-  #close(): void {
+  async #close(): Promise<void> {
     this.#logger.info(
       { event: 'stopped', openRequestCount: this.#ingress.openRequestCount },
       'the host has left',
@@ -195,6 +195,7 @@
     this.#follower.stop();
     this.#client.close();
     this.#service.close();
+    await this.#peerServer.close();
   }
 
   #watchDirectory(): void {
--- /dev/null
+++ b/test/support/MemoryDirectoryStore.ts
@@ -0,0 +1,40 @@
+import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
+import type {
+  DirectorySnapshot, DirectoryStore, FollowResult, RenewResult,
+} from '../../src/directory/DirectoryStore.ts';
+
+const FOLLOW_PAUSE_MS = 20;
+
+/** A store that holds what the test puts there. */
+export class MemoryDirectoryStore implements DirectoryStore {
+  readonly changes: DirectoryChange[] = [];
+
+  async readAll(): Promise<DirectorySnapshot> {
+    return { changes: [...this.changes], revision: this.changes.length };
+  }
+
+  async follow(revision: number): Promise<FollowResult> {
+    await new Promise((resolve) => {
+      setTimeout(resolve, FOLLOW_PAUSE_MS);
+    });
+    return {
+      kind: 'changes', changes: this.changes.slice(revision), revision: this.changes.length,
+    };
+  }
+
+  async createLease(): Promise<number> {
+    return 1;
+  }
+
+  async renewLease(): Promise<RenewResult> {
+    return 'renewed';
+  }
+
+  async endLease(): Promise<void> {
+    return undefined;
+  }
+
+  async writeHost(): Promise<RenewResult> {
+    return 'renewed';
+  }
+}
--- /dev/null
+++ b/test/support/RelayTestBed.ts
@@ -0,0 +1,176 @@
+import {
+  createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { pino } from 'pino';
+import { PlatformStageCaller } from '../../platform/PlatformStageCaller.ts';
+import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
+import { REPETITION, type ServingRoute } from '../../src/directory/ServingConfiguration.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../../src/lib/ids.ts';
+import { RelayHost } from '../../src/relay/RelayHost.ts';
+import { SystemClock } from '../../src/time/SystemClock.ts';
+import { UpstreamConnections } from '../../src/upstreams/UpstreamConnections.ts';
+import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
+import { getFreePort } from './getFreePort.ts';
+
+/** The pool of all upstreams of the test bed. */
+const POOL_ID = toId<PoolId>('pool');
+
+/** How an upstream of the test bed answers one request. */
+export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
+const ROUTE: ServingRoute = {
+  name: 'safe',
+  host: 'a.example',
+  pathPrefix: '/safe/',
+  repetition: REPETITION.repeatable,
+  isStream: false,
+  isResumable: false,
+  timeoutMs: 3_000,
+  targetLatencyMs: 2_000,
+  gapTargetMs: 1_000,
+  priority: 0,
+  maxAttempts: 2,
+  targets: [{ poolId: POOL_ID, weight: 1 }],
+  stages: [],
+  isOpen: false,
+};
+
+/** One real entry host between a test's caller and upstreams, all in this process. */
+export class RelayTestBed {
+  readonly #servers: Server[] = [];
+
+  readonly #store = new MemoryDirectoryStore();
+
+  readonly #connections = new UpstreamConnections();
+
+  #host: RelayHost | null = null;
+
+  /** Base address for callers. */
+  url = '';
+
+  /** Address at which the host says whether it is ready. */
+  readinessUrl = '';
+
+  /** @param handlers - one for each upstream */
+  async start(handlers: readonly UpstreamHandler[]): Promise<void> {
+    await Promise.all(handlers.map((handler, index) => this.#addUpstream(`u${index}`, handler)));
+    this.#store.changes.push({
+      kind: 'configuration',
+      configuration: {
+        version: 1,
+        routes: [
+          ROUTE,
+          {
+            ...ROUTE, name: 'once', pathPrefix: '/once/', repetition: REPETITION.once,
+          },
+          {
+            ...ROUTE, name: 'stream', pathPrefix: '/stream/', isStream: true, isResumable: true,
+          },
+          {
+            ...ROUTE,
+            name: 'single',
+            pathPrefix: '/single/',
+            isStream: true,
+            repetition: REPETITION.once,
+            maxAttempts: 1,
+          },
+        ],
+        pools: new Map([[POOL_ID, {
+          id: POOL_ID,
+          healthPath: '/health',
+          maxConnections: 10,
+          coldRequestsPerSecond: 0,
+          batch: null,
+          engine: null,
+        }]]),
+        accountsByKey: new Map([['key', { name: 'account', priority: null }]]),
+        callerLimits: {
+          maxHeaderBytes: 16_384,
+          maxBodyBytes: 100_000,
+          headerTimeoutMs: 3_000,
+          idleTimeoutMs: 5_000,
+        },
+      },
+    });
+    const [caller, ready, peer, metrics] = await Promise.all(
+      Array.from({ length: 4 }, () => getFreePort()),
+    );
+    this.url = `http://127.0.0.1:${caller}`;
+    this.readinessUrl = `http://127.0.0.1:${ready}/ready`;
+    this.#host = new RelayHost({
+      hostId: toId<HostId>('host'),
+      failureDomain: 'a',
+      callerAddress: `127.0.0.1:${caller}`,
+      readinessAddress: `127.0.0.1:${ready}`,
+      readinessPath: '/ready',
+      peerAddress: `127.0.0.1:${peer}`,
+      metricsAddress: `127.0.0.1:${metrics}`,
+      storeAddress: '',
+      sharedBounds: {
+        retryRatio: 0.2, retrySlack: 50, retryWindowMs: 10_000, coldOvershoot: 1, coldSlack: 1,
+      },
+      graceMs: 1_000,
+    }, {
+      store: this.#store,
+      protocol: new PlatformUpstreamProtocol(),
+      stageCaller: new PlatformStageCaller(this.#connections),
+      connections: this.#connections,
+    }, new SystemClock(), pino({ level: 'silent' }));
+    await this.#host.start();
+  }
+
+  /**
+   * @param path - the path
+   * @param headers - what differs from a request with a good key
+   * @returns the answer
+   */
+  request(path: string, headers: Readonly<Record<string, string>> = {}): Promise<Response> {
+    return fetch(`${this.url}${path}`, {
+      headers: {
+        host: 'a.example', 'x-request-id': 'r1', authorization: 'Bearer key', ...headers,
+      },
+    });
+  }
+
+  /** @returns when the host has left as planned */
+  async stop(): Promise<void> {
+    await this.#host?.stop();
+  }
+
+  /** Ends everything. */
+  async close(): Promise<void> {
+    await this.stop();
+    await this.#connections.close();
+    this.#servers.forEach((server) => {
+      server.close();
+      server.closeAllConnections();
+    });
+  }
+
+  async #addUpstream(id: string, handler: UpstreamHandler): Promise<void> {
+    const server = createServer((request, response) => {
+      response.setHeader('x-request-id', request.headers['x-request-id'] ?? '');
+      handler(request, response);
+    });
+    this.#servers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    this.#store.changes.push({
+      kind: 'upstream',
+      entry: {
+        id: toId<UpstreamId>(id),
+        poolId: POOL_ID,
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        failureDomain: 'a',
+        isDraining: false,
+        slots: 4,
+        coldRemainingMs: 0,
+        startedAtMs: null,
+      },
+    });
+  }
+}
