--- a/src/upstreams/createConnector.ts
+++ b/src/upstreams/createConnector.ts
@@ -1,4 +1,3 @@
-import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
 
 /** Stands for a reset where undici would take `ECONNRESET` for the end of an answer. */
