--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -59,6 +59,9 @@
 
   #refusedCount = 0;
 
+  /** Whether the next repeat is taken out of the budget already. */
+  #isRepeatPaid = false;
+
   #isOver = false;
 
   #deadlineTimer: NodeJS.Timeout | null = null;
@@ -309,7 +312,8 @@
     const { route } = this.#terms;
     const mayRunAgain = route.isResumable
       && this.#runCount < route.maxAttempts
-      && this.#takeRetry();
+      && (this.#isRepeatPaid || this.#takeRetry());
+    this.#isRepeatPaid = false;
     this.#log(mayRunAgain ? 'resumed' : 'brokenOff', { detail, lastEventId: this.#lastEventId });
     if (mayRunAgain) {
       this.#context.metrics.noteRepeat('generation', 'broken');
@@ -372,11 +376,17 @@
   #watchSilence(silenceMs: number): void {
     this.#clearSilence();
     if (this.#terms.route.isResumable && this.#runCount < this.#terms.route.maxAttempts) {
-      this.#silenceTimer = setTimeout(
-        () => this.#running?.abort(`silent for ${Math.round(silenceMs)} ms`),
-        silenceMs,
-      );
+      this.#silenceTimer = setTimeout(() => this.#leaveSilent(silenceMs), silenceMs);
+    }
+  }
+
+  /** Without a repeat in the budget the silent engine is still the better hope. */
+  #leaveSilent(silenceMs: number): void {
+    if (this.#running === null || !this.#takeRetry()) {
+      return;
     }
+    this.#isRepeatPaid = true;
+    this.#running.abort(`silent for ${Math.round(silenceMs)} ms`);
   }
 
   #clearSilence(): void {
--- a/src/relay/RelayHost.test.ts
+++ b/src/relay/RelayHost.test.ts
@@ -108,6 +108,17 @@
     await rejects(send('/single/'));
   });
 
+  it('does not leave a silent engine when the budget allows no repeat', async () => {
+    bed = new RelayTestBed();
+    const pauseInStream: UpstreamHandler = (_request, response) => {
+      response.write('id: 1\ndata: a\n\n');
+      setTimeout(() => response.end('id: 2\ndata: b\n\n'), 600);
+    };
+    await bed.start([pauseInStream, pauseInStream], 0);
+    const { text } = await send('/stream/');
+    equal(text, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+  });
+
   it('ends the work of an engine when its caller leaves', async () => {
     const ended = new Promise<void>((resolve) => {
       startBed((request, response) => {
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -30,7 +30,7 @@
   isResumable: false,
   timeoutMs: 3_000,
   targetLatencyMs: 2_000,
-  gapTargetMs: 1_000,
+  gapTargetMs: 60,
   priority: 0,
   maxAttempts: 2,
   targets: [{ poolId: POOL_ID, weight: 1 }],
@@ -54,8 +54,11 @@
   /** Address at which the host says whether it is ready. */
   readinessUrl = '';
 
-  /** @param handlers - one for each upstream */
-  async start(handlers: readonly UpstreamHandler[]): Promise<void> {
+  /**
+   * @param handlers - one for each upstream
+   * @param retrySlack - repeats that are allowed at any load
+   */
+  async start(handlers: readonly UpstreamHandler[], retrySlack = 50): Promise<void> {
     await Promise.all(handlers.map((handler, index) => this.#addUpstream(`u${index}`, handler)));
     this.#store.changes.push({
       kind: 'configuration',
@@ -110,7 +113,7 @@
       metricsAddress: `127.0.0.1:${metrics}`,
       storeAddress: '',
       sharedBounds: {
-        retryRatio: 0.2, retrySlack: 50, retryWindowMs: 10_000, coldOvershoot: 1, coldSlack: 1,
+        retryRatio: 0.2, retrySlack, retryWindowMs: 10_000, coldOvershoot: 1, coldSlack: 1,
       },
       graceMs: 1_000,
     }, {
