--- a/src/placement/PlacerWatch.ts
+++ b/src/placement/PlacerWatch.ts
@@ -7,9 +7,17 @@
 /** Pause between two questions whether the placing host lives. */
 const PROBE_EVERY_MS = 250;
 /** Silence after which it is taken for gone. */
-const PROBE_TIMEOUT_MS = 600;
-/** How long a host that failed is passed over. */
-const AVOID_MS = 1_500;
+const PROBE_TIMEOUT_MS = 900;
+/** How long a host that failed is passed over; doubles with each failure that follows soon. */
+const MIN_AVOID_MS = 1_500;
+const MAX_AVOID_MS = 12_000;
+/** A failure this long after the last avoidance counts as a first one. */
+const FORGIVE_AFTER_MS = 10_000;
+
+interface Avoidance {
+  readonly untilMs: number;
+  readonly durationMs: number;
+}
 
 /** What the watch needs. */
 export interface PlacerWatchOptions {
@@ -32,7 +40,7 @@
 
   readonly #watched = new Map<string, WatchedPlacer>();
 
-  readonly #avoidUntilMs = new Map<string, number>();
+  readonly #avoided = new Map<string, Avoidance>();
 
   /**
    * @param options - see {@link PlacerWatchOptions}
@@ -46,7 +54,9 @@
    * @returns whether it failed a moment ago
    */
   isAvoided(host: HostEntry): boolean {
-    return (this.#avoidUntilMs.get(host.peerAddress) ?? 0) > this.#options.clock.getMonotonicMs();
+    const avoidance = this.#avoided.get(host.peerAddress);
+    return avoidance !== undefined
+      && avoidance.untilMs > this.#options.clock.getMonotonicMs();
   }
 
   /**
@@ -66,17 +76,24 @@
   }
 
   /**
+   * Passes a host over for a while. One that fails again and again is passed over for longer, since
+   * hosts that go back and forth at different times split the traffic between two that place.
+   *
    * @param host - a host that did not answer
    * @param detail - what was seen
    */
   noteFailure(host: HostEntry, detail: string): void {
-    if (!this.isAvoided(host)) {
-      this.#options.logger.warn(
-        { event: 'placerLost', hostId: host.id, detail },
-        'the host that places does not answer; another one takes over',
-      );
+    if (this.isAvoided(host)) {
+      return;
     }
-    this.#avoidUntilMs.set(host.peerAddress, this.#options.clock.getMonotonicMs() + AVOID_MS);
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const last = this.#avoided.get(host.peerAddress);
+    const isFirst = last === undefined || nowMs - last.untilMs > FORGIVE_AFTER_MS;
+    const durationMs = isFirst ? MIN_AVOID_MS : Math.min(MAX_AVOID_MS, last.durationMs * 2);
+    this.#avoided.set(host.peerAddress, { untilMs: nowMs + durationMs, durationMs });
+    this.#options.logger.warn({
+      event: 'placerLost', hostId: host.id, detail, durationMs,
+    }, 'the host that places does not answer; another one takes over');
   }
 
   /** Ends all watching. */
