Compute what the placing host asks again and again once

The least time of a request is now kept until one of its pieces ends, the least loaded failure domain for a run, and groups are only formed while an upstream is idle.

--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -90,6 +90,12 @@
 
   readonly #jobs = new Set<PlacementJob>();
 
+  /** What `getLeastMs` said, for jobs none of whose pieces has ended or been opened since. */
+  readonly #leastMs = new Map<PlacementJob, number>();
+
+  /** Where upstreams of a pool have least to do, for the run that is under way. */
+  readonly #leastLoaded = new Map<PoolId, string | null>();
+
   /** Calls without answer; names the room that their results take. */
   #unknownCount = 0;
 
@@ -110,6 +116,7 @@
   /** @param job - a request that needs no stage any more; its results are freed */
   remove(job: PlacementJob): void {
     this.#jobs.delete(job);
+    this.#leastMs.delete(job);
     job.stages.forEach((stage) => this.#freeStage(stage));
   }
 
@@ -118,9 +125,15 @@
    * @returns the least time that its stages still take, with no wait
    */
   getLeastMs(job: PlacementJob): number {
-    return this.#sumLevels(job, (limits, pieceCount) => limits.callMs
+    const known = this.#leastMs.get(job);
+    if (known !== undefined) {
+      return known;
+    }
+    const leastMs = this.#sumLevels(job, (limits, pieceCount) => limits.callMs
       + limits.pieceMs * Math.min(pieceCount, limits.maxPieces)
       + (Math.ceil(pieceCount / limits.maxPieces) - 1) * limits.callMs);
+    this.#leastMs.set(job, leastMs);
+    return leastMs;
   }
 
   /**
@@ -157,6 +170,7 @@
    * @param job - a request whose stages are not all done
    */
   reopenLapsed(job: PlacementJob): void {
+    this.#leastMs.delete(job);
     // A stage comes after those it needs, so that one pass from the end reaches all of them.
     [...job.stages].reverse().forEach((stage) => {
       const consumers = getConsumers(job, stage);
@@ -186,6 +200,7 @@
   finishCall(call: StageCall, outcome: StageOutcome): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     const maker = this.#makers.get(call.makerId);
+    call.pieces.forEach(({ job }) => this.#leastMs.delete(job));
     maker.callCount = Math.max(0, maker.callCount - 1);
     maker.promisedBytes = Math.max(0, maker.promisedBytes - getResultBytes(call.pieces));
     switch (outcome.kind) {
@@ -212,6 +227,7 @@
   /** Sends what can be sent now, and frees what nobody needs. */
   run(): void {
     this.#makers.expire(this.#options.clock.getMonotonicMs());
+    this.#leastLoaded.clear();
     this.#flushFrees();
     const pools = this.#options.directory.configuration?.pools;
     const poolIds = new Set([...this.#jobs]
@@ -225,11 +241,11 @@
   }
 
   #runPool(pool: ServingPool, limits: BatchLimits): void {
-    const groups = this.#getGroups(pool.id).sort(compareGroups);
-    if (groups.length === 0) {
+    const idle = this.#getIdleMakers(pool.id, limits);
+    if (idle.length === 0) {
       return;
     }
-    const idle = this.#getIdleMakers(pool.id, limits);
+    const groups = this.#getGroups(pool.id).sort(compareGroups);
     const spaces = idle.map(({ upstream, maker }) => ({
       makerId: maker.id,
       failureDomain: upstream.entry.failureDomain,
@@ -291,6 +307,16 @@
 
   /** The failure domain whose upstreams of a pool have least to do with what stands there. */
   #getLeastLoadedDomain(poolId: PoolId): string | null {
+    const known = this.#leastLoaded.get(poolId);
+    if (known !== undefined) {
+      return known;
+    }
+    const domain = this.#findLeastLoadedDomain(poolId);
+    this.#leastLoaded.set(poolId, domain);
+    return domain;
+  }
+
+  #findLeastLoadedDomain(poolId: PoolId): string | null {
     const makerCounts = new Map<string, number>();
     this.#options.directory.getUsable(poolId).forEach(({ entry }) => {
       makerCounts.set(entry.failureDomain, (makerCounts.get(entry.failureDomain) ?? 0) + 1);
