--- a/src/core/Core.ts
+++ b/src/core/Core.ts
@@ -289,6 +289,7 @@
         return;
       case 'keyValueAnswered':
         claims.handleKeyValueAnswer(input);
+        fleet?.handleKeyValueAnswer(input);
         ledger?.handleKeyValueAnswer(input);
         configurationManager.handleKeyValueAnswer(input);
         return;
--- a/src/directory/Directory.test.ts
+++ b/src/directory/Directory.test.ts
@@ -26,6 +26,7 @@
   id: string,
   failureDomain = 'a',
   isDraining = false,
+  startedAtMs: number | null = null,
 ): DirectoryChange {
   return {
     kind: 'upstream',
@@ -37,7 +38,7 @@
       isDraining,
       slots: 1,
       coldRemainingMs: 0,
-      startedAtMs: null,
+      startedAtMs,
     },
   };
 }
@@ -57,6 +58,17 @@
     equal(directory.configuration?.version, 9);
   });
 
+  it('takes an upstream that started again under its id for another one', () => {
+    const directory = new Directory(new ManualClock());
+    const kinds: string[] = [];
+    directory.onChange((change) => kinds.push(change.kind));
+    directory.apply(createUpstreamChange('one', 'a', false, 1_000));
+    directory.apply(createUpstreamChange('one', 'a', true, 1_000));
+    directory.apply(createUpstreamChange('one', 'a', false, 2_000));
+    directory.apply(createUpstreamChange('one', 'a', false, null));
+    deepEqual(kinds, ['upstream', 'upstream', 'upstreamGone', 'upstream', 'upstream']);
+  });
+
   it('gives no work to upstreams that drain or stand in a drained failure domain', () => {
     const directory = new Directory(new ManualClock());
     directory.apply(createUpstreamChange('u1', 'a'));
--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -108,6 +108,10 @@
 
   /** @param change - what the store says */
   apply(change: DirectoryChange): void {
+    if (change.kind === 'upstream' && this.#isRestart(change.entry)) {
+      // The process of before is gone with all that it kept, though its id goes on.
+      this.apply({ kind: 'upstreamGone', upstreamId: change.entry.id });
+    }
     if (this.#update(change)) {
       this.#listeners.forEach((listener) => listener(change));
     }
@@ -136,6 +140,11 @@
       .forEach((change) => this.apply(change));
   }
 
+  #isRestart({ id, startedAtMs }: UpstreamEntry): boolean {
+    const known = this.#upstreams.get(id)?.entry.startedAtMs ?? null;
+    return known !== null && startedAtMs !== null && startedAtMs !== known;
+  }
+
   #isOpen(upstream: KnownUpstream): boolean {
     return !upstream.entry.isDraining && !this.#drainedDomains.has(upstream.entry.failureDomain);
   }
--- a/src/duties/DutyAssignment.test.ts
+++ b/src/duties/DutyAssignment.test.ts
@@ -1,12 +1,16 @@
 import { deepEqual, equal, ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
+import { DutyTestHost } from '../../test/support/DutyTestHost.ts';
 import { FakeCoreContext } from '../../test/support/FakeCoreContext.ts';
-import { toId, type HostId, type UpstreamId } from '../lib/ids.ts';
+import { FakeKeyValueStore } from '../../test/support/FakeKeyValueStore.ts';
+import { DEFAULT_LEASE_OPTIONS } from '../leases/LeaseOptions.ts';
+import { toId, type UpstreamId } from '../lib/ids.ts';
 import type { MemberRecord } from '../peers/PeerMessage.ts';
 import { DutyAssignment, type DutyMembership } from './DutyAssignment.ts';
 
-const LEASE_MS = 5000;
+const { ttlMs } = DEFAULT_LEASE_OPTIONS;
+const STEP_MS = 50;
 const UPSTREAM_COUNT = 60;
 const UPSTREAMS = Array.from({ length: UPSTREAM_COUNT }, (_, index) => ({
   id: `upstream-${index}`, failureDomainId: 'domain-a',
@@ -16,8 +20,6 @@
 class FakeMembership implements DutyMembership {
   readonly context = new FakeCoreContext('host-0');
 
-  readonly heardAtMs = new Map<string, number>();
-
   isFresh = true;
 
   #members: MemberRecord[] = [];
@@ -38,14 +40,6 @@
     return this.#members;
   }
 
-  getHeardAtMs(hostId: HostId): number | null {
-    return this.heardAtMs.get(hostId) ?? null;
-  }
-
-  hasLeft(hostId: HostId): boolean {
-    return this.#members.some((member) => member.hostId === hostId && member.state === 'leaving');
-  }
-
   isViewFresh(): boolean {
     return this.isFresh;
   }
@@ -56,7 +50,7 @@
 } {
   const membership = new FakeMembership();
   membership.setHosts(names);
-  const duties = new DutyAssignment(membership.context, membership, { leaseMs: LEASE_MS });
+  const duties = new DutyAssignment(membership.context, membership);
   duties.setUpstreams(UPSTREAMS);
   return { membership, duties };
 }
@@ -69,17 +63,22 @@
   return Array.from({ length: count }, (_, index) => `host-${index}`);
 }
 
+/** Who has each duty: the steward's of the one failure domain, and the claim shards'. */
+function getHolders(duties: DutyAssignment): (string | null)[] {
+  return [getStewards(duties)[0] ?? null, ...duties.getClaimOwners()];
+}
+
 describe('DutyAssignment', () => {
   it('moves the duties of a host that goes, and no others', () => {
     const counts = fc.tuple(fc.integer({ min: 2, max: 40 }), fc.nat());
     fc.assert(fc.property(counts, ([count, pick]) => {
       const names = getNames(count);
       const { membership, duties } = createDuties(names);
-      const before = getStewards(duties);
+      const before = getHolders(duties);
       const gone = names[1 + (pick % (count - 1))];
       membership.setHosts(names.filter((name) => name !== gone));
       duties.noteMembersChanged();
-      const after = getStewards(duties);
+      const after = getHolders(duties);
       const moved = before.filter((hostId, index) => hostId !== after[index]);
       ok(moved.every((hostId) => hostId === gone));
       equal(duties.movedCount, before.filter((hostId) => hostId === gone).length);
@@ -89,10 +88,10 @@
   it('moves duties to a host that joins only', () => {
     fc.assert(fc.property(fc.integer({ min: 1, max: 40 }), (count) => {
       const { membership, duties } = createDuties(getNames(count));
-      const before = getStewards(duties);
+      const before = getHolders(duties);
       membership.setHosts([...getNames(count), 'joiner']);
       duties.noteMembersChanged();
-      ok(getStewards(duties).every((hostId, index) => (
+      ok(getHolders(duties).every((hostId, index) => (
         hostId === before[index] || hostId === 'joiner')));
     }), { seed: 5, numRuns: 100 });
   });
@@ -105,32 +104,40 @@
     deepEqual([...new Set(duties.getClaimOwners())], ['host-0']);
   });
 
-  const leases: [string, number, boolean, boolean][] = [
-    ['holds a duty while a majority is heard', 0, true, true],
-    ['loses its duties a lease after a majority was heard', LEASE_MS, true, false],
-    ['acts on no duty with a stale view', 0, false, false],
+  it('names one steward for all upstreams of a failure domain, and another when that goes', () => {
+    const names = getNames(5);
+    const { membership, duties } = createDuties(names);
+    const [first, ...others] = [...new Set(getStewards(duties))];
+    deepEqual(others, []);
+    membership.setHosts(names.filter((name) => name !== first));
+    duties.noteMembersChanged();
+    const [second] = [...new Set(getStewards(duties))];
+    ok(second !== undefined && second !== first);
+  });
+
+  const leases: [string, number, boolean, boolean, boolean][] = [
+    ['holds a duty while it has the lease', 0, true, true, true],
+    ['loses its duties a lease after the platform was last reached', ttlMs, true, true, false],
+    ['acts on no duty with a stale view', 0, true, false, false],
+    ['holds no duty that another host is placed on', 0, false, true, false],
   ];
-  leases.forEach(([name, silenceMs, isFresh, isHeld]) => {
+  leases.forEach(([name, silenceMs, isChosen, isFresh, isHeld]) => {
     it(name, () => {
-      const { membership, duties } = createDuties(getNames(3));
-      const own = toId<UpstreamId>(`upstream-${getStewards(duties).indexOf('host-0')}`);
-      membership.heardAtMs.set('host-1', membership.context.getNowMs());
+      const membership = new FakeMembership();
+      membership.setHosts(isChosen ? ['host-0'] : ['host-1']);
       membership.isFresh = isFresh;
-      membership.context.clock.advance(silenceMs);
-      equal(duties.getOwnDuty(own) !== null, isHeld);
+      const { clock } = membership.context;
+      const host = new DutyTestHost('host-0', membership, new FakeKeyValueStore(), clock);
+      host.duties.setUpstreams(UPSTREAMS);
+      for (let elapsedMs = 0; elapsedMs < ttlMs; elapsedMs += STEP_MS) {
+        host.step();
+        clock.advance(STEP_MS);
+      }
+      clock.advance(silenceMs);
+      equal(host.duties.getOwnDuty(toId('upstream-0')) !== null, isHeld);
     });
   });
 
-  it('begins a duty only after the lease of the former holder', () => {
-    const { membership, duties } = createDuties(getNames(3));
-    const moved = getStewards(duties).indexOf('host-1');
-    membership.context.clock.advance(1000);
-    membership.setHosts(['host-0']);
-    duties.noteMembersChanged();
-    const duty = duties.getOwnDuty(toId<UpstreamId>(`upstream-${moved}`));
-    ok((duty?.sinceMs ?? 0) >= membership.context.getNowMs() + LEASE_MS);
-  });
-
   it('names a few configuration watchers per domain', () => {
     const names = getNames(20);
     const watchers = names.filter((name) => {
--- a/src/duties/DutyAssignment.ts
+++ b/src/duties/DutyAssignment.ts
@@ -1,6 +1,10 @@
 import type { StewardDirectory, StewardDuty, Steward } from '../grants/StewardDirectory.ts';
-import type { FailureDomainId, HostId, UpstreamId } from '../lib/ids.ts';
+import {
+  toId, type FailureDomainId, type HostId, type UpstreamId,
+} from '../lib/ids.ts';
 import type { CoreContext } from '../core/CoreContext.ts';
+import type { KeyValueAnsweredInput } from '../core/CoreInput.ts';
+import { LeaseHolder } from '../leases/LeaseHolder.ts';
 import { getHighestScored } from '../membership/getHighestScored.ts';
 import type { MemberRecord } from '../peers/PeerMessage.ts';
 import { DUTY_KIND, type DutyKind } from './DUTY_KIND.ts';
@@ -9,24 +13,22 @@
 /** What the assignment reads of the membership. */
 export interface DutyMembership {
   getMembers(): MemberRecord[];
-  getHeardAtMs(hostId: HostId): number | null;
-  hasLeft(hostId: HostId): boolean;
   isViewFresh(): boolean;
 }
 
 /** Bound while the size of the fleet is not known. */
 const UNKNOWN_HOST_COUNT_BOUND = 1024;
 
-interface DutyHolding {
-  readonly hostId: HostId;
-  readonly epoch: number;
-  readonly sinceMs: number;
-}
+/** Key of the lease under which one host of a failure domain is steward of its upstreams. */
+const STEWARD_LEASE_PREFIX = 'leases/steward/';
 
 /**
  * Places duties on hosts by rendezvous hashing over the members, so that all hosts with the same
  * view agree without a message and a change of one member moves its own duties only. A leaving
  * host hands over at once; the duties of a dead one move when its suspicion ends.
+ *
+ * Two hosts with different views may both be placed on a duty. That is harmless for all duties but
+ * the steward's, who may act only while it holds the lease of its failure domain.
  */
 export class DutyAssignment implements StewardDirectory {
   readonly #context: CoreContext;
@@ -37,15 +39,15 @@
 
   readonly #upstreamDomains = new Map<UpstreamId, FailureDomainId>();
 
-  readonly #holdings = new Map<string, DutyHolding>();
+  /** Who has which duty, by the duty's key. */
+  readonly #holders = new Map<string, HostId>();
+
+  readonly #stewardLease: LeaseHolder;
 
   #present: MemberRecord[] = [];
 
   #memberById = new Map<HostId, MemberRecord>();
 
-  /** Hosts of the own domain that were present or died lately; the quorum counts them. */
-  #domainHostIds: HostId[] = [];
-
   #epoch = 0;
 
   #movedCount = 0;
@@ -65,6 +67,8 @@
     this.#context = context;
     this.#membership = membership;
     this.#options = { ...DEFAULT_DUTY_OPTIONS, ...options };
+    const { failureDomainId } = context.self;
+    this.#stewardLease = new LeaseHolder(context, `${STEWARD_LEASE_PREFIX}${failureDomainId}`);
     this.noteMembersChanged();
   }
 
@@ -86,21 +90,38 @@
   /** Reads the members again; call it when one of them changed. */
   noteMembersChanged(): void {
     const members = this.#membership.getMembers();
-    const ownDomainId = this.#context.self.failureDomainId;
     this.#epoch += 1;
     this.#present = members.filter(({ state }) => state === 'alive' || state === 'suspect');
     this.#memberById = new Map(this.#present.map((member) => [member.hostId, member]));
-    this.#domainHostIds = members
-      .filter(({ failureDomainId, hostId }) => (
-        failureDomainId === ownDomainId && !this.#membership.hasLeft(hostId)))
-      .map(({ hostId }) => hostId);
-    this.#holdings.forEach((holding, duty) => {
+    this.#holders.forEach((holderId, duty) => {
       const hostId = this.#choose(duty);
-      if (hostId !== holding.hostId) {
+      if (hostId !== holderId) {
         this.#movedCount += 1;
-        this.#setHolding(duty, hostId);
+        this.#setHolder(duty, hostId);
       }
     });
+    const { hostId, failureDomainId } = this.#context.self;
+    this.#stewardLease.setIsWanted(this.#getSteward(failureDomainId) === hostId);
+  }
+
+  /** Sends the call to the platform that is due. */
+  tick(): void {
+    this.#stewardLease.tick();
+  }
+
+  /**
+   * @returns when the next tick is due
+   */
+  getNextWakeMs(): number {
+    return this.#stewardLease.getNextWakeMs();
+  }
+
+  /**
+   * @param input - an answer of the platform
+   * @returns whether the call was one of the duties' own
+   */
+  handleKeyValueAnswer(input: KeyValueAnsweredInput): boolean {
+    return this.#stewardLease.handleKeyValueAnswer(input);
   }
 
   /**
@@ -113,30 +134,21 @@
     upstreams.forEach(({ id, failureDomainId }) => {
       this.#upstreamDomains.set(id as UpstreamId, failureDomainId as FailureDomainId);
     });
-    this.#holdings.forEach((_, duty) => {
-      if (duty.startsWith(DUTY_KIND.steward) && !this.#isKnownSteward(duty)) {
-        this.#holdings.delete(duty);
-      }
-    });
   }
 
   /** @inheritdoc */
   getSteward(upstreamId: UpstreamId): Steward | null {
-    const hostId = this.#getHolding(DUTY_KIND.steward, upstreamId)?.hostId;
+    const domainId = this.#upstreamDomains.get(upstreamId);
+    const hostId = domainId === undefined ? undefined : this.#getSteward(domainId);
     const member = hostId === undefined ? undefined : this.#memberById.get(hostId);
     return member === undefined ? null : { hostId: member.hostId, address: member.peerAddress };
   }
 
   /** @inheritdoc */
   getOwnDuty(upstreamId: UpstreamId): StewardDuty | null {
-    const holding = this.#getHolding(DUTY_KIND.steward, upstreamId);
-    const untilMs = this.#getLeaseEndMs();
-    const isOwn = holding?.hostId === this.#context.self.hostId;
-    if (holding === undefined || !isOwn || untilMs <= this.#context.getNowMs()) {
-      return null;
-    }
-    // The former steward may act until its lease ends, so that the duty begins a lease later.
-    return { epoch: holding.epoch, sinceMs: holding.sinceMs + this.#getLeaseMs(), untilMs };
+    const { failureDomainId } = this.#context.self;
+    const isOwnDomain = this.#upstreamDomains.get(upstreamId) === failureDomainId;
+    return isOwnDomain && this.#membership.isViewFresh() ? this.#stewardLease.getHeld() : null;
   }
 
   /** @inheritdoc */
@@ -156,7 +168,7 @@
    */
   getClaimOwners(): (HostId | null)[] {
     return Array.from({ length: this.#options.claimShardCount }, (_, shard) => (
-      this.#getHolding(DUTY_KIND.claimShard, String(shard))?.hostId ?? null));
+      this.#getHolder(DUTY_KIND.claimShard, String(shard)) ?? null));
   }
 
   /**
@@ -172,32 +184,30 @@
     ).includes(hostId);
   }
 
-  #getHolding(kind: DutyKind, name: string): DutyHolding | undefined {
+  #getSteward(domainId: FailureDomainId): HostId | undefined {
+    return this.#getHolder(DUTY_KIND.steward, domainId);
+  }
+
+  #getHolder(kind: DutyKind, name: string): HostId | undefined {
     const duty = `${kind} ${name}`;
-    if (!this.#holdings.has(duty)) {
-      this.#setHolding(duty, this.#choose(duty));
+    if (!this.#holders.has(duty)) {
+      this.#setHolder(duty, this.#choose(duty));
     }
-    return this.#holdings.get(duty);
+    return this.#holders.get(duty);
   }
 
-  #setHolding(duty: string, hostId: HostId | undefined): void {
+  #setHolder(duty: string, hostId: HostId | undefined): void {
     if (hostId === undefined) {
-      this.#holdings.delete(duty);
+      this.#holders.delete(duty);
     } else {
-      this.#holdings.set(duty, {
-        hostId, epoch: this.#epoch, sinceMs: this.#context.getNowMs(),
-      });
+      this.#holders.set(duty, hostId);
     }
   }
 
   #choose(duty: string): HostId | undefined {
-    const [kind, name] = this.#splitDuty(duty);
-    const domainId = kind === DUTY_KIND.steward
-      ? this.#upstreamDomains.get(name as UpstreamId)
-      : undefined;
-    if (kind === DUTY_KIND.steward && domainId === undefined) {
-      return undefined;
-    }
+    const space = duty.indexOf(' ');
+    const isSteward = duty.slice(0, space) === DUTY_KIND.steward;
+    const domainId = isSteward ? toId<FailureDomainId>(duty.slice(space + 1)) : undefined;
     return getHighestScored(duty, this.#getCandidates(domainId), 1)[0];
   }
 
@@ -206,36 +216,4 @@
       .filter(({ failureDomainId }) => domainId === undefined || failureDomainId === domainId)
       .map(({ hostId }) => hostId);
   }
-
-  #splitDuty(duty: string): [string, string] {
-    const space = duty.indexOf(' ');
-    return [duty.slice(0, space), duty.slice(space + 1)];
-  }
-
-  #isKnownSteward(duty: string): boolean {
-    return this.#upstreamDomains.has(this.#splitDuty(duty)[1] as UpstreamId);
-  }
-
-  /**
-   * A host whose side of a partition holds no majority of the domain's hosts loses its duties, so
-   * that two sides do not both hold one.
-   */
-  #getLeaseEndMs(): number {
-    if (!this.#membership.isViewFresh()) {
-      return -Infinity;
-    }
-    const nowMs = this.#context.getNowMs();
-    const ownId = this.#context.self.hostId;
-    const heard = this.#domainHostIds
-      .map((hostId) => (hostId === ownId ? nowMs : this.#membership.getHeardAtMs(hostId)))
-      .map((heardAtMs) => heardAtMs ?? -Infinity)
-      .sort((a, b) => b - a);
-    const quorum = Math.floor(heard.length / 2) + 1;
-    return (heard[quorum - 1] ?? -Infinity) + this.#getLeaseMs();
-  }
-
-  #getLeaseMs(): number {
-    const { leaseMs, leasePerHostMs } = this.#options;
-    return Math.max(leaseMs, leasePerHostMs * this.#domainHostIds.length);
-  }
 }
--- a/src/fleet/FleetCoordinator.ts
+++ b/src/fleet/FleetCoordinator.ts
@@ -1,5 +1,6 @@
 import type { ConfigurationRecord } from '../configuration/records/ConfigurationRecord.ts';
 import type { CoreContext } from '../core/CoreContext.ts';
+import type { KeyValueAnsweredInput } from '../core/CoreInput.ts';
 import { DutyAssignment } from '../duties/DutyAssignment.ts';
 import type { DutyOptions } from '../duties/DutyOptions.ts';
 import { DigestExchange } from '../gossip/DigestExchange.ts';
@@ -85,6 +86,13 @@
     }
   }
 
+  /**
+   * @param input - an answer of the platform; those to calls of other parts are passed over
+   */
+  handleKeyValueAnswer(input: KeyValueAnsweredInput): void {
+    this.duties.handleKeyValueAnswer(input);
+  }
+
   /**
    * @param hostId - a member to whom no connection could be made or kept
    */
@@ -123,6 +131,7 @@
       this.duties.noteMembersChanged();
       this.#listener?.onDutiesChanged(this.duties);
     }
+    this.duties.tick();
     this.gossip.tick();
   }
 
@@ -130,7 +139,11 @@
    * @returns when the next tick is due
    */
   getNextWakeMs(): number {
-    return Math.min(this.membership.getNextWakeMs(), this.gossip.getNextWakeMs());
+    return Math.min(
+      this.membership.getNextWakeMs(),
+      this.duties.getNextWakeMs(),
+      this.gossip.getNextWakeMs(),
+    );
   }
 
   #handleEvent(event: MembershipEvent): void {
--- a/src/membership/MemberEntry.ts
+++ b/src/membership/MemberEntry.ts
@@ -5,8 +5,4 @@
   readonly record: MemberRecord;
   /** Since when the record has its state, by the own clock. */
   readonly stateSinceMs: number;
-  /** When the member last answered or sent a heartbeat directly; null for never. */
-  readonly heardAtMs: number | null;
-  /** Whether this start of the member told that it leaves, whatever became of it later. */
-  readonly hasLeft: boolean;
 }
--- a/src/membership/MemberTable.ts
+++ b/src/membership/MemberTable.ts
@@ -60,9 +60,7 @@
         return false;
       }
       this.#version += 1;
-      this.#entries.set(heard.hostId, {
-        record: heard, stateSinceMs: nowMs, heardAtMs: null, hasLeft: heard.state === 'leaving',
-      });
+      this.#entries.set(heard.hostId, { record: heard, stateSinceMs: nowMs });
       return true;
     }
     const record = getMergedRecord(entry.record, heard);
@@ -74,12 +72,7 @@
     const stateSinceMs = isSameState ? entry.stateSinceMs : nowMs;
     this.#version += 1;
     const isSameStart = record.incarnationId === entry.record.incarnationId;
-    this.#entries.set(heard.hostId, {
-      ...entry,
-      record,
-      stateSinceMs,
-      hasLeft: record.state === 'leaving' || (isSameStart && entry.hasLeft),
-    });
+    this.#entries.set(heard.hostId, { record, stateSinceMs });
     // That a host of the host list was reached is no news to those who have the list.
     const isHintConfirmed = entry.record.generation === 0 && isSameStart
       && entry.record.state === record.state;
@@ -101,17 +94,6 @@
     return true;
   }
 
-  /**
-   * @param hostId - a member that answered or sent a heartbeat itself
-   * @param nowMs - the time of the step
-   */
-  noteHeard(hostId: HostId, nowMs: number): void {
-    const entry = this.#entries.get(hostId);
-    if (entry !== undefined) {
-      this.#entries.set(hostId, { ...entry, heardAtMs: nowMs });
-    }
-  }
-
   /**
    * Forgets members that have been dead for long.
    *
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -118,24 +118,6 @@
       .map(({ hostId }) => hostId);
   }
 
-  /**
-   * @param hostId - a member
-   * @returns when it last answered or sent a heartbeat itself; null for never
-   */
-  getHeardAtMs(hostId: HostId): number | null {
-    return this.#table.get(hostId)?.heardAtMs ?? null;
-  }
-
-  /**
-   * @param hostId - a member
-   * @returns whether it told that it leaves
-   */
-  hasLeft(hostId: HostId): boolean {
-    return hostId === this.#self.hostId
-      ? this.#self.state === 'leaving'
-      : this.#table.get(hostId)?.hasLeft === true;
-  }
-
   /**
    * @returns false between waking from a pause and hearing of the peers again; a host does nothing
    *   that rests on its duties until then
@@ -360,7 +342,6 @@
   }
 
   #noteHeard(hostId: HostId): void {
-    this.#table.noteHeard(hostId, this.#context.getNowMs());
     this.#unanswered.remove(hostId);
     if (this.#pauses.noteHeard()) {
       this.#events.push({ kind: 'viewRefreshed' });
