Place for groups of failure domains on a host each, and run the desk once for events that come together

Change: failure domains with three usable upstreams of each placed pool form groups of their own (others are joined), sessions go to groups by weighted rendezvous hashing, each group has one placing host: the fittest by processor and link, then rendezvous hashing. A refused request asks one more group. Events within 3 ms are answered by one run of the desk.

--- a/src/directory/HostEntry.ts
+++ b/src/directory/HostEntry.ts
@@ -6,4 +6,8 @@
   readonly failureDomain: string;
   /** IP address and port at which peers reach it. */
   readonly peerAddress: string;
+  /** Processor cores that it may use. */
+  readonly processorCores: number;
+  /** Bandwidth of its link. */
+  readonly linkMbps: number;
 }
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -2,15 +2,17 @@
 import type { Directory } from '../directory/Directory.ts';
 import type { HostEntry } from '../directory/HostEntry.ts';
 import type { HostId, UpstreamId } from '../lib/ids.ts';
-import { getHighestScored } from '../membership/getHighestScored.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
 import type { PlacementDesk } from './PlacementDesk.ts';
 import { PLACEMENT_PATHS } from './PLACEMENT_PATHS.ts';
+import { findPlacementGroups, type PlacementGroup } from './PlacementGroup.ts';
 import {
-  REFUSAL, type PlacementNote, type PlacementRequest, type PlacementResult,
+  REFUSAL, type PlacementDemand, type PlacementNote, type PlacementRequest, type PlacementResult,
 } from './PlacementRequest.ts';
+import { PlacerChooser } from './PlacerChooser.ts';
 import { PlacerWatch } from './PlacerWatch.ts';
+import { orderGroups } from './orderGroups.ts';
 
 /** What a placement client is built from. */
 export interface PlacementClientOptions {
@@ -37,27 +39,43 @@
   note(kind: PlacementNote['kind'], upstreamId: UpstreamId): void;
 }
 
-/** Key by which all hosts choose the one that places. */
-const PLACER_KEY = 'placement';
 /** Notes are collected for this long before they are sent. */
 const NOTE_DELAY_MS = 10;
 const NOTE_TIMEOUT_MS = 1_000;
 
-function deductTime(request: PlacementRequest, elapsedMs: number): PlacementRequest {
+/** Groups that a request asks in turn while they refuse it. */
+const MAX_GROUPS = 2;
+/** Where there is nothing to place on, this host says so itself. */
+const NO_GROUP: PlacementGroup = { domains: [], weight: 1 };
+
+function createRequest(
+  demand: PlacementDemand,
+  group: PlacementGroup,
+  elapsedMs: number,
+): PlacementRequest {
   return {
-    ...request,
-    onTimeMs: request.onTimeMs - elapsedMs,
-    remainingMs: request.remainingMs - elapsedMs,
+    ...demand,
+    domains: group.domains,
+    onTimeMs: demand.onTimeMs - elapsedMs,
+    remainingMs: demand.remainingMs - elapsedMs,
   };
 }
 
-/** Has requests placed by the host that places for all, or by this one when that is away. */
+/** What requests of one session have in common: the last part of their prompts. */
+function getSessionKey({ parts, requestId }: PlacementDemand): string {
+  return parts.at(-1)?.id ?? requestId;
+}
+
+/** Has requests placed by the host that places for a group, or by this one when that is away. */
 export class PlacementClient {
   readonly #options: PlacementClientOptions;
 
   readonly #watch: PlacerWatch;
 
-  #placerId: HostId | undefined;
+  readonly #chooser: PlacerChooser;
+
+  /** Null when the directory has changed since they were found. */
+  #groups: readonly PlacementGroup[] | null = null;
 
   readonly #notes = new Map<string, PlacementNote[]>();
 
@@ -67,46 +85,59 @@
   constructor(options: PlacementClientOptions) {
     this.#options = options;
     this.#watch = new PlacerWatch(options);
+    this.#chooser = new PlacerChooser({
+      ...options, isAvoided: (host) => this.#watch.isAvoided(host),
+    });
+    options.directory.onChange(() => {
+      this.#groups = null;
+    });
   }
 
   /**
-   * @param request - what is to be placed
+   * @param demand - what is to be placed
    * @returns the placement
    */
-  place(request: PlacementRequest): RunningPlacement {
+  place(demand: PlacementDemand): RunningPlacement {
     const startedAtMs = this.#options.clock.getMonotonicMs();
+    const waitingGroups = this.#getGroups(demand);
     let isCancelled = false;
     let cancelCurrent = (): void => {};
     let placer: HostEntry | null = null;
-    const attempt = async (): Promise<PlacementResult> => {
-      placer = this.#choosePlacer();
+    const attempt = async (group: PlacementGroup): Promise<PlacementResult> => {
+      placer = this.#chooser.choose(group);
       const elapsedMs = this.#options.clock.getMonotonicMs() - startedAtMs;
-      const remaining = deductTime(request, elapsedMs);
+      const request = createRequest(demand, group, elapsedMs);
       if (placer === null) {
         return new Promise((resolve) => {
-          cancelCurrent = this.#options.desk.place(remaining, resolve);
+          cancelCurrent = this.#options.desk.place(request, resolve);
         });
       }
       const controller = new AbortController();
       cancelCurrent = () => controller.abort();
       try {
-        return await this.#placeAt(placer, remaining, controller);
+        return await this.#placeAt(placer, request, controller);
       } catch (error) {
-        if (isCancelled || remaining.remainingMs <= 0) {
+        if (isCancelled || request.remainingMs <= 0) {
           return { kind: 'refused', reason: REFUSAL.unreachable, retryAfterMs: 0 };
         }
         this.#watch.noteFailure(placer, String(error));
-        return attempt();
+        return attempt(group);
       }
     };
+    const attemptInTurn = async (): Promise<PlacementResult> => {
+      const result = await attempt(waitingGroups.shift() ?? NO_GROUP);
+      return result.kind === 'refused' && !isCancelled && waitingGroups.length > 0
+        ? attemptInTurn()
+        : result;
+    };
     return {
-      result: attempt(),
+      result: attemptInTurn(),
       cancel: () => {
         isCancelled = true;
         cancelCurrent();
       },
       note: (kind, upstreamId) => {
-        this.#note(placer, { requestId: request.requestId, upstreamId, kind });
+        this.#note(placer, { requestId: demand.requestId, upstreamId, kind });
       },
     };
   }
@@ -116,20 +147,9 @@
     this.#watch.close();
   }
 
-  #choosePlacer(): HostEntry | null {
-    const { directory, hostId } = this.#options;
-    const candidates = [...directory.hosts.values()]
-      .filter((host) => host.id === hostId || !this.#watch.isAvoided(host));
-    const [chosenId] = getHighestScored(PLACER_KEY, candidates.map((host) => host.id), 1);
-    if (chosenId !== this.#placerId) {
-      this.#options.logger.info(
-        { event: 'placerChosen', hostId: chosenId ?? hostId, before: this.#placerId },
-        'another host places for all',
-      );
-      this.#placerId = chosenId;
-    }
-    const chosen = chosenId === undefined ? undefined : directory.hosts.get(chosenId);
-    return chosen === undefined || chosen.id === hostId ? null : chosen;
+  #getGroups(demand: PlacementDemand): PlacementGroup[] {
+    this.#groups ??= findPlacementGroups(this.#options.directory);
+    return orderGroups(this.#groups, getSessionKey(demand)).slice(0, MAX_GROUPS);
   }
 
   async #placeAt(
@@ -159,7 +179,6 @@
   #note(placer: HostEntry | null, note: PlacementNote): void {
     if (placer === null) {
       this.#options.desk.note(note);
-      this.#options.desk.run();
       return;
     }
     const { peerAddress } = placer;
--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -23,6 +23,23 @@
     equal(result?.kind === 'placed' && result.inputs.length, 3);
   });
 
+  it('makes the pieces of a group and runs its generations in its own failure domains', () => {
+    const bed = new PlacementTestBed({ first: { makers: 6 } }, 6);
+    ['r1', 'r2', 'r3'].forEach((requestId) => {
+      bed.place({
+        requestId, stages: [FIRST], pieceCounts: [30], domains: ['b'],
+      });
+    });
+    const calls = bed.takeCalls();
+    deepEqual(new Set(calls.map((call) => call.makerId)), new Set(['first-1', 'first-4']));
+    while (bed.results.size < 3) {
+      [...calls.splice(0), ...bed.takeCalls()].forEach((call) => bed.complete(call));
+    }
+    bed.results.forEach((result) => {
+      ok(result.kind === 'placed' && ['engines-1', 'engines-4'].includes(result.upstreamId));
+    });
+  });
+
   it('frees results as soon as nobody needs them', () => {
     const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 1 } });
     bed.place({ requestId: 'r', stages: [FIRST, SECOND] });
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../time/Clock.ts';
 import { chooseEngine } from './chooseEngine.ts';
 import { EngineTable, getCachedTokens } from './EngineTable.ts';
+import { getGroupUpstreams } from './getGroupUpstreams.ts';
 import {
   createPlacementJob, getLastStages, isStageDone, type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
@@ -24,6 +25,8 @@
   readonly sendCall: (call: StageCall) => void;
   /** Frees results at the upstream that keeps them; the end comes back through `noteFreed`. */
   readonly sendFree: StageSchedulerOptions['sendFree'];
+  /** Asks for a call of `run`; several asks may be answered by one. */
+  readonly requestRun: () => void;
 }
 
 /** How long a placed request is remembered behind its deadline, when its host says nothing. */
@@ -88,11 +91,11 @@
     }
     this.#jobs.set(request.requestId, job);
     this.#scheduler.add(job);
-    this.run();
+    this.#options.requestRun();
     return () => {
       if (this.#jobs.get(request.requestId) === job && job.state !== 'placed') {
         this.#drop(request.requestId);
-        this.run();
+        this.#options.requestRun();
       }
     };
   }
@@ -108,6 +111,7 @@
         if (isCurrent) {
           this.#scheduler.remove(job);
           this.#noteStartTime(job);
+          this.#options.requestRun();
         }
         return;
       case 'failed':
@@ -122,6 +126,7 @@
     if (isCurrent) {
       this.#drop(note.requestId);
     }
+    this.#options.requestRun();
   }
 
   /**
@@ -130,16 +135,16 @@
    */
   finishCall(call: StageCall, outcome: StageOutcome): void {
     this.#scheduler.finishCall(call, outcome);
-    this.run();
+    this.#options.requestRun();
   }
 
   /** @param handles - results that their upstream has let go */
   noteFreed(handles: readonly string[]): void {
     this.#scheduler.noteFreed(handles);
-    this.run();
+    this.#options.requestRun();
   }
 
-  /** Does what can be done now; to be called after each event and every few milliseconds. */
+  /** Does what can be done now. */
   run(): void {
     this.#expire();
     this.#jobs.forEach((job) => {
@@ -167,7 +172,7 @@
       return;
     }
     const bounds = directory.configuration?.pools.get(request.poolId)?.engine;
-    const candidates = directory.getUsable(request.poolId)
+    const candidates = getGroupUpstreams(directory, request.poolId, request.domains)
       .filter(({ entry }) => !request.excludedIds.includes(entry.id))
       .map(({ entry }) => ({
         engine: this.#engines.get(entry.id), failureDomain: entry.failureDomain,
@@ -194,7 +199,8 @@
   /** The failure domain of the engine that keeps most of a prompt. */
   #getPreferredDomain(request: PlacementRequest): string | null {
     let best: { domain: string; tokens: number } | null = null;
-    this.#options.directory.getUsable(request.poolId).forEach(({ entry }) => {
+    const { directory } = this.#options;
+    getGroupUpstreams(directory, request.poolId, request.domains).forEach(({ entry }) => {
       const tokens = getCachedTokens(this.#engines.get(entry.id), request.parts);
       if (tokens > (best?.tokens ?? 0)) {
         best = { domain: entry.failureDomain, tokens };
--- /dev/null
+++ b/src/placement/PlacementGroup.ts
@@ -0,0 +1,92 @@
+import type { Directory } from '../directory/Directory.ts';
+import type { PoolId } from '../lib/ids.ts';
+
+/**
+ * Failure domains whose upstreams one host fills together. Groups share no upstream, so that each
+ * has a placing host of its own, and results stay within a group.
+ */
+export interface PlacementGroup {
+  /** In alphabetical order; the first one names the group. */
+  readonly domains: readonly string[];
+  /** Its part of the work, relative to the other groups: what its scarcest pool can do. */
+  readonly weight: number;
+}
+
+/**
+ * Upstreams that a group needs of each pool. Calls of a pool with fewer are seldom full, and one
+ * upstream that goes takes too large a part with it.
+ */
+const MIN_UPSTREAMS = 3;
+
+interface DomainCounts {
+  readonly domains: readonly string[];
+  /** Usable upstreams of each pool, in the order of the pools. */
+  readonly counts: readonly number[];
+}
+
+/** Pools that work on the stages of a route, or that run what has stages. */
+function getPlacedPools(directory: Directory): PoolId[] {
+  const routes = directory.configuration?.routes ?? [];
+  const staged = routes.filter((route) => route.stages.length > 0);
+  return [...new Set(staged.flatMap((route) => [
+    ...route.stages.map((stage) => stage.poolId),
+    ...route.targets.map((target) => target.poolId),
+  ]))];
+}
+
+function getDomainCounts(directory: Directory, poolIds: readonly PoolId[]): DomainCounts[] {
+  const byDomain = new Map<string, number[]>();
+  poolIds.forEach((poolId, index) => {
+    directory.getUsable(poolId).forEach(({ entry }) => {
+      const counts = byDomain.get(entry.failureDomain) ?? poolIds.map(() => 0);
+      counts[index] = (counts[index] ?? 0) + 1;
+      byDomain.set(entry.failureDomain, counts);
+    });
+  });
+  return [...byDomain].map(([domain, counts]) => ({ domains: [domain], counts }));
+}
+
+function getScarcest({ counts }: DomainCounts): number {
+  return Math.min(...counts);
+}
+
+function merge(left: DomainCounts, right: DomainCounts): DomainCounts {
+  return {
+    domains: [...left.domains, ...right.domains].sort(),
+    counts: left.counts.map((count, index) => count + (right.counts[index] ?? 0)),
+  };
+}
+
+/** Joins the smallest ones until each is large enough. */
+function mergeSmall(groups: readonly DomainCounts[]): DomainCounts[] {
+  const [smallest, next, ...others] = [...groups].sort((left, right) => (
+    getScarcest(left) - getScarcest(right)
+    || ((left.domains[0] ?? '') < (right.domains[0] ?? '') ? -1 : 1)));
+  return smallest === undefined || next === undefined || getScarcest(smallest) >= MIN_UPSTREAMS
+    ? [...groups]
+    : mergeSmall([merge(smallest, next), ...others]);
+}
+
+/**
+ * Splits the failure domains into groups that are placed on by different hosts.
+ *
+ * Load pattern: a fleet whose placements are more than one host can work out, or carry over its
+ * link. A fleet with one or two upstreams of a pool in each failure domain stays one group, since
+ * calls are only full where all the traffic of a pool is seen.
+ *
+ * @param directory - what is known of configuration and upstreams
+ * @returns the groups; empty when there is no upstream to place on
+ */
+export function findPlacementGroups(directory: Directory): PlacementGroup[] {
+  const poolIds = getPlacedPools(directory);
+  if (poolIds.length === 0) {
+    return [];
+  }
+  const merged = mergeSmall(getDomainCounts(directory, poolIds));
+  const totals = poolIds.map((_, index) => (
+    merged.reduce((sum, group) => sum + (group.counts[index] ?? 0), 0)));
+  return merged.map(({ domains, counts }) => ({
+    domains,
+    weight: Math.min(...counts.map((count, index) => count / Math.max(1, totals[index] ?? 1))),
+  }));
+}
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -3,10 +3,8 @@
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
 
 /** A generation that needs its stages done and an engine. Durations count from its sending. */
-export interface PlacementRequest {
+export interface PlacementDemand {
   readonly requestId: string;
-  /** Failure domain of the entry host that will send it. */
-  readonly failureDomain: string;
   /** Whose engines may run it. */
   readonly poolId: PoolId;
   readonly stages: readonly RouteStage[];
@@ -27,6 +25,12 @@
   readonly excludedIds: readonly UpstreamId[];
 }
 
+/** A generation on its way to the host that places for a group of failure domains. */
+export interface PlacementRequest extends PlacementDemand {
+  /** The group's failure domains. */
+  readonly domains: readonly string[];
+}
+
 /** Why a placement is refused. */
 export const REFUSAL = {
   /** It can't be done in the time that is left. */
--- a/src/placement/PlacementServer.ts
+++ b/src/placement/PlacementServer.ts
@@ -28,7 +28,6 @@
     });
     this.#server.post(PLACEMENT_PATHS.notes, async (request, reply) => {
       (request.body as PlacementNote[]).forEach((note) => desk.note(note));
-      desk.run();
       reply.code(204);
     });
     this.#server.get(PLACEMENT_PATHS.alive, async (_request, reply) => {
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -7,6 +7,8 @@
 
 /** How often the desk looks for what fell due. */
 const TICK_MS = 20;
+/** Events that come within this time are answered by one run. */
+const RUN_DELAY_MS = 3;
 
 /** Runs a placement desk: sends its calls and wakes it. */
 export class PlacementService {
@@ -16,6 +18,8 @@
 
   readonly #timer: NodeJS.Timeout;
 
+  #pendingRun: NodeJS.Timeout | null = null;
+
   /** What decides. */
   readonly desk: PlacementDesk;
 
@@ -34,6 +38,7 @@
       logger,
       sendCall: (call) => this.#send(call),
       sendFree: (_makerId, address, handles) => this.#free(address, handles),
+      requestRun: () => this.#requestRun(),
     });
     this.#timer = setInterval(() => {
       if (this.desk.waitingCount > 0) {
@@ -45,6 +50,14 @@
   /** Ends the ticks. */
   close(): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#pendingRun ?? undefined);
+  }
+
+  #requestRun(): void {
+    this.#pendingRun ??= setTimeout(() => {
+      this.#pendingRun = null;
+      this.desk.run();
+    }, RUN_DELAY_MS);
   }
 
   #send(call: StageCall): void {
--- a/src/placement/PlacerWatch.test.ts
+++ b/src/placement/PlacerWatch.test.ts
@@ -1,12 +1,19 @@
 import { equal } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
+import type { HostEntry } from '../directory/HostEntry.ts';
 import { toId, type HostId } from '../lib/ids.ts';
 import { ManualClock } from '../time/ManualClock.ts';
 import { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
 import { PlacerWatch } from './PlacerWatch.ts';
 
-const HOST = { id: toId<HostId>('h'), failureDomain: 'a', peerAddress: '127.0.0.1:1' };
+const HOST: HostEntry = {
+  id: toId<HostId>('h'),
+  failureDomain: 'a',
+  peerAddress: '127.0.0.1:1',
+  processorCores: 1,
+  linkMbps: 1_000,
+};
 
 /** Fails at once whenever the host is used again; returns how often that is within a time. */
 function countReturns(durationMs: number): number {
--- /dev/null
+++ b/src/placement/StageForecast.ts
@@ -0,0 +1,105 @@
+import type { Directory } from '../directory/Directory.ts';
+import type { BatchLimits } from '../directory/ServingConfiguration.ts';
+import type { PoolId } from '../lib/ids.ts';
+import type { Clock } from '../time/Clock.ts';
+import type { GroupJobs } from './GroupJobs.ts';
+import type { PlacementJob } from './PlacementJob.ts';
+
+/** Which of the waiting requests go before one that is asked about. */
+type JobFilter = (job: PlacementJob) => boolean;
+
+/**
+ * How long the stages of a request still take.
+ *
+ * Load pattern: a burst of more than the pools do. Requests that can't be done behind what waits
+ * before them are refused at once; in a queue without a forecast they are found out at their
+ * deadline, after their first stages have been worked on in vain.
+ */
+export class StageForecast {
+  readonly #clock: Clock;
+
+  readonly #directory: Directory;
+
+  /** What `getLeastMs` said, for jobs none of whose pieces has ended or been opened since. */
+  readonly #leastMs = new Map<PlacementJob, number>();
+
+  /**
+   * @param clock - the time of the step
+   * @param directory - figures of the pools
+   */
+  constructor(clock: Clock, directory: Directory) {
+    this.#clock = clock;
+    this.#directory = directory;
+  }
+
+  /** @param job - a request one of whose pieces has ended or been opened again, or that is gone */
+  forget(job: PlacementJob): void {
+    this.#leastMs.delete(job);
+  }
+
+  /**
+   * @param job - a request that is waiting for its stages
+   * @returns the least time that its stages still take, with no wait
+   */
+  getLeastMs(job: PlacementJob): number {
+    const known = this.#leastMs.get(job);
+    if (known !== undefined) {
+      return known;
+    }
+    const leastMs = this.#sumLevels(job, (limits, pieceCount) => limits.callMs
+      + limits.pieceMs * Math.min(pieceCount, limits.maxPieces)
+      + (Math.ceil(pieceCount / limits.maxPieces) - 1) * limits.callMs);
+    this.#leastMs.set(job, leastMs);
+    return leastMs;
+  }
+
+  /**
+   * @param job - a request, added to the group or not
+   * @param group - what waits before it
+   * @returns the time its stages take behind what waits already
+   */
+  getExpectedMs(job: PlacementJob, group: GroupJobs): number {
+    const nowMs = this.#clock.getMonotonicMs();
+    const onTimeMs = this.#getMsBehind(job, group, (other) => (
+      other.request.priority <= job.request.priority
+      && nowMs + this.getLeastMs(other) <= other.onTimeAtMs));
+    return nowMs + onTimeMs <= job.onTimeAtMs
+      ? onTimeMs
+      : this.#getMsBehind(job, group, () => true);
+  }
+
+  #getMsBehind(job: PlacementJob, group: GroupJobs, isFirst: JobFilter): number {
+    const waitingCounts = new Map<PoolId, number>();
+    group.jobs.forEach((other) => {
+      if (isFirst(other)) {
+        other.stages.forEach(({ poolId, pieces }) => {
+          const count = pieces.reduce((sum, { state }) => sum + Number(state === 'waiting'), 0);
+          waitingCounts.set(poolId, (waitingCounts.get(poolId) ?? 0) + count);
+        });
+      }
+    });
+    return this.getLeastMs(job) + this.#sumLevels(job, (limits, _count, poolId) => {
+      const makerCount = group.getUsable(poolId).length;
+      const fullCallMs = limits.callMs + limits.pieceMs * limits.maxPieces;
+      const perCall = limits.maxPieces * makerCount * limits.callSlots;
+      return makerCount === 0 ? 0 : ((waitingCounts.get(poolId) ?? 0) / perCall) * fullCallMs;
+    });
+  }
+
+  /** Sums a figure over the levels that are open; the stages of one level run side by side. */
+  #sumLevels(
+    job: PlacementJob,
+    getMs: (limits: BatchLimits, pieceCount: number, poolId: PoolId) => number,
+  ): number {
+    const levels = new Map<number, number>();
+    job.stages.forEach((stage) => {
+      const openCount = stage.pieces.filter((piece) => piece.state !== 'done').length;
+      const limits = this.#directory.configuration?.pools.get(stage.poolId)?.batch;
+      if (openCount > 0 && limits !== undefined && limits !== null) {
+        const ms = getMs(limits, openCount, stage.poolId);
+        levels.set(stage.height, Math.max(levels.get(stage.height) ?? 0, ms));
+      }
+    });
+    return [...levels.values()].reduce((sum, ms) => sum + ms, 0);
+  }
+}
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -1,8 +1,10 @@
 import type { Directory, KnownUpstream } from '../directory/Directory.ts';
 import type { BatchLimits, ServingPool } from '../directory/ServingConfiguration.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
-import type { PoolId, UpstreamId } from '../lib/ids.ts';
+import type { UpstreamId } from '../lib/ids.ts';
 import type { Clock } from '../time/Clock.ts';
+import { DomainChooser } from './DomainChooser.ts';
+import { GroupJobs } from './GroupJobs.ts';
 import { MakerTable, type MakerRecord } from './MakerTable.ts';
 import {
   isStageDone, isStageOpen, type JobPiece, type JobStage, type PlacementJob,
@@ -13,6 +15,8 @@
 import {
   PIECE_FAILURE, type PieceOutcome, type StageCall, type StageItem, type StageOutcome,
 } from './StageCall.ts';
+import { StageForecast } from './StageForecast.ts';
+import { getConsumers, getInputBytes } from './stageBytes.ts';
 
 /** What the scheduler needs from outside. */
 export interface StageSchedulerOptions {
@@ -35,6 +39,15 @@
 /** Upstreams slower than this multiple of the fastest one are used when nothing better is idle. */
 const SLOW_FACTOR = 2;
 
+interface UsableMaker {
+  readonly upstream: KnownUpstream;
+  readonly maker: MakerRecord;
+}
+
+function getGroupKey({ request }: PlacementJob): string {
+  return request.domains.join(' ');
+}
+
 function createItem({ job, stage, piece }: PlannedPiece, nowMs: number): StageItem {
   const inputs = stage.after.flatMap((index) => job.stages[index]?.pieces ?? [])
     .flatMap((needed) => (needed.handle === null ? [] : [needed.handle]));
@@ -56,26 +69,6 @@
   return pieces.reduce((sum, { stage }) => sum + stage.resultBytes, 0);
 }
 
-function getConsumers(job: PlacementJob, stage: JobStage): JobStage[] {
-  return job.stages.filter((other) => other.after.includes(stage.index));
-}
-
-/** Bytes that one piece of a stage takes in. */
-function getInputBytes(job: PlacementJob, stage: JobStage): number {
-  return stage.after.reduce((sum, index) => {
-    const needed = job.stages[index];
-    return sum + (needed === undefined ? 0 : needed.pieces.length * needed.resultBytes);
-  }, 0);
-}
-
-/** Bytes that are taken in of a stage's results by all that need them. */
-function getOutputBytes(job: PlacementJob, stage: JobStage): number {
-  const ownBytes = stage.pieces.length * stage.resultBytes;
-  const consumers = getConsumers(job, stage);
-  const pieceCount = consumers.reduce((sum, consumer) => sum + consumer.pieces.length, 0);
-  return ownBytes * (consumers.length === 0 ? 1 : pieceCount);
-}
-
 function resetPiece(piece: JobPiece): void {
   piece.state = 'waiting';
   piece.handle = null;
@@ -88,13 +81,10 @@
 
   readonly #makers = new MakerTable();
 
-  readonly #jobs = new Set<PlacementJob>();
-
-  /** What `getLeastMs` said, for jobs none of whose pieces has ended or been opened since. */
-  readonly #leastMs = new Map<PlacementJob, number>();
+  readonly #forecast: StageForecast;
 
-  /** Where upstreams of a pool have least to do, for the run that is under way. */
-  readonly #leastLoaded = new Map<PoolId, string | null>();
+  /** What waits, by the failure domains of its group. */
+  readonly #groups = new Map<string, GroupJobs>();
 
   /** Calls without answer; names the room that their results take. */
   #unknownCount = 0;
@@ -106,17 +96,18 @@
    */
   constructor(options: StageSchedulerOptions) {
     this.#options = options;
+    this.#forecast = new StageForecast(options.clock, options.directory);
   }
 
   /** @param job - a request whose stages are to be done */
   add(job: PlacementJob): void {
-    this.#jobs.add(job);
+    this.#getGroup(job).jobs.add(job);
   }
 
   /** @param job - a request that needs no stage any more; its results are freed */
   remove(job: PlacementJob): void {
-    this.#jobs.delete(job);
-    this.#leastMs.delete(job);
+    this.#groups.get(getGroupKey(job))?.jobs.delete(job);
+    this.#forecast.forget(job);
     job.stages.forEach((stage) => this.#freeStage(stage));
   }
 
@@ -125,15 +116,7 @@
    * @returns the least time that its stages still take, with no wait
    */
   getLeastMs(job: PlacementJob): number {
-    const known = this.#leastMs.get(job);
-    if (known !== undefined) {
-      return known;
-    }
-    const leastMs = this.#sumLevels(job, (limits, pieceCount) => limits.callMs
-      + limits.pieceMs * Math.min(pieceCount, limits.maxPieces)
-      + (Math.ceil(pieceCount / limits.maxPieces) - 1) * limits.callMs);
-    this.#leastMs.set(job, leastMs);
-    return leastMs;
+    return this.#forecast.getLeastMs(job);
   }
 
   /**
@@ -141,13 +124,7 @@
    * @returns the time its stages take behind what waits already
    */
   getExpectedMs(job: PlacementJob): number {
-    const leastMs = this.getLeastMs(job);
-    const nowMs = this.#options.clock.getMonotonicMs();
-    const getMs = (isFirst: (other: PlacementJob) => boolean): number => leastMs
-      + this.#sumLevels(job, (_limits, _count, poolId) => this.#getBacklogMs(poolId, isFirst));
-    const onTimeMs = getMs((other) => other.request.priority <= job.request.priority
-      && nowMs + this.getLeastMs(other) <= other.onTimeAtMs);
-    return nowMs + onTimeMs <= job.onTimeAtMs ? onTimeMs : getMs(() => true);
+    return this.#forecast.getExpectedMs(job, this.#getGroup(job));
   }
 
   /**
@@ -156,7 +133,7 @@
   forgetMaker(upstreamId: UpstreamId): void {
     this.#makers.forget(upstreamId);
     this.#toFree.delete(upstreamId);
-    this.#jobs.forEach((job) => this.reopenLapsed(job));
+    this.#groups.forEach(({ jobs }) => jobs.forEach((job) => this.reopenLapsed(job)));
   }
 
   /** @param handles - results that their upstream has let go */
@@ -170,7 +147,7 @@
    * @param job - a request whose stages are not all done
    */
   reopenLapsed(job: PlacementJob): void {
-    this.#leastMs.delete(job);
+    this.#forecast.forget(job);
     // A stage comes after those it needs, so that one pass from the end reaches all of them.
     [...job.stages].reverse().forEach((stage) => {
       const consumers = getConsumers(job, stage);
@@ -200,7 +177,7 @@
   finishCall(call: StageCall, outcome: StageOutcome): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     const maker = this.#makers.get(call.makerId);
-    call.pieces.forEach(({ job }) => this.#leastMs.delete(job));
+    call.pieces.forEach(({ job }) => this.#forecast.forget(job));
     maker.callCount = Math.max(0, maker.callCount - 1);
     maker.promisedBytes = Math.max(0, maker.promisedBytes - getResultBytes(call.pieces));
     switch (outcome.kind) {
@@ -227,32 +204,62 @@
   /** Sends what can be sent now, and frees what nobody needs. */
   run(): void {
     this.#makers.expire(this.#options.clock.getMonotonicMs());
-    this.#leastLoaded.clear();
     this.#flushFrees();
+    this.#groups.forEach((group, key) => {
+      if (group.jobs.size === 0) {
+        this.#groups.delete(key);
+      }
+      this.#runGroup(group);
+    });
+  }
+
+  #getGroup(job: PlacementJob): GroupJobs {
+    const key = getGroupKey(job);
+    const known = this.#groups.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const group = new GroupJobs(this.#options.directory, job.request.domains);
+    this.#groups.set(key, group);
+    return group;
+  }
+
+  #runGroup(group: GroupJobs): void {
     const pools = this.#options.directory.configuration?.pools;
-    const poolIds = new Set([...this.#jobs]
+    const chooser = new DomainChooser(this.#options.directory, group);
+    const poolIds = new Set([...group.jobs]
       .flatMap((job) => job.stages.map((stage) => stage.poolId)));
     poolIds.forEach((poolId) => {
       const pool = pools?.get(poolId);
       if (pool !== undefined && pool.batch !== null) {
-        this.#runPool(pool, pool.batch);
+        this.#runPool(group, chooser, pool, pool.batch);
       }
     });
   }
 
-  #runPool(pool: ServingPool, limits: BatchLimits): void {
-    const idle = this.#getIdleMakers(pool.id, limits);
+  #runPool(
+    group: GroupJobs,
+    chooser: DomainChooser,
+    pool: ServingPool,
+    limits: BatchLimits,
+  ): void {
+    const usable = group.getUsable(pool.id)
+      .map((upstream) => ({ upstream, maker: this.#makers.get(upstream.entry.id) }));
+    const idle = this.#getIdleMakers(usable, limits);
     if (idle.length === 0) {
       return;
     }
-    const groups = this.#getGroups(pool.id).sort(compareGroups);
+    const groups = this.#getPieceGroups(group, chooser, pool).sort(compareGroups);
+    if (groups.length === 0) {
+      return;
+    }
     const spaces = idle.map(({ upstream, maker }) => ({
       makerId: maker.id,
       failureDomain: upstream.entry.failureDomain,
       maxPieces: limits.maxPieces,
       freeBytes: limits.roomBytes * ROOM_PART - maker.heldBytes - maker.promisedBytes,
     }));
-    planBatches(groups, spaces, this.#getBusyMakers(pool.id, limits)).forEach((batch) => {
+    planBatches(groups, spaces, this.#getBusyMakers(usable, limits)).forEach((batch) => {
       const found = idle.find(({ maker }) => maker.id === batch.makerId);
       if (found !== undefined) {
         this.#send(found.upstream, found.maker, limits, batch.pieces);
@@ -260,106 +267,44 @@
     });
   }
 
-  #getGroups(poolId: PoolId): PieceGroup[] {
+  #getPieceGroups(group: GroupJobs, chooser: DomainChooser, pool: ServingPool): PieceGroup[] {
     const nowMs = this.#options.clock.getMonotonicMs();
-    return [...this.#jobs].flatMap((job) => job.stages
-      .filter((stage) => stage.poolId === poolId && isStageOpen(job, stage))
-      .map((stage) => {
+    return [...group.jobs].flatMap((job) => job.stages
+      .filter((stage) => stage.poolId === pool.id && isStageOpen(job, stage))
+      .map((stage) => ({
+        job, stage, pieces: stage.pieces.filter((piece) => piece.state === 'waiting'),
+      }))
+      .filter(({ pieces }) => pieces.length > 0)
+      .map(({ stage, pieces }) => {
         const doneAtMs = nowMs + this.getLeastMs(job);
         const canBeOnTime = doneAtMs <= job.onTimeAtMs;
         return {
           job,
           stage,
-          pieces: stage.pieces.filter((piece) => piece.state === 'waiting'),
+          pieces,
           canBeOnTime,
           slackMs: (canBeOnTime ? job.onTimeAtMs : job.deadlineAtMs) - doneAtMs,
-          failureDomain: this.#getDomain(job, stage),
-          inputBytes: getInputBytes(job, stage) * stage.pieces.length,
+          failureDomain: chooser.choose(job, stage),
+          inputBytes: getInputBytes(job, stage),
         };
-      })
-      .filter((group) => group.pieces.length > 0));
+      }));
   }
 
-  #getBusyMakers(poolId: PoolId, limits: BatchLimits): BusyMaker[] {
+  #getBusyMakers(usable: readonly UsableMaker[], limits: BatchLimits): BusyMaker[] {
     const nowMs = this.#options.clock.getMonotonicMs();
-    return this.#options.directory.getUsable(poolId).flatMap(({ entry }) => {
-      const maker = this.#makers.get(entry.id);
-      return maker.callCount < limits.callSlots || maker.avoidUntilMs > nowMs ? [] : [{
-        failureDomain: entry.failureDomain, freeInMs: Math.max(0, maker.busyUntilMs - nowMs),
-      }];
-    });
-  }
-
-  /** Where a stage's pieces are best made; null for anywhere. */
-  #getDomain(job: PlacementJob, stage: JobStage): string | null {
-    const inputDomain = this.#getInputDomain(job, stage);
-    const consumers = getConsumers(job, stage);
-    const inputBytes = getInputBytes(job, stage) * stage.pieces.length;
-    const outputBytes = getOutputBytes(job, stage);
-    if (consumers.length === 0) {
-      return outputBytes > inputBytes ? job.preferredDomain : inputDomain ?? job.preferredDomain;
-    }
-    const [consumer] = consumers;
-    return consumer !== undefined && outputBytes > inputBytes
-      ? this.#getLeastLoadedDomain(consumer.poolId)
-      : inputDomain;
-  }
-
-  /** The failure domain whose upstreams of a pool have least to do with what stands there. */
-  #getLeastLoadedDomain(poolId: PoolId): string | null {
-    const known = this.#leastLoaded.get(poolId);
-    if (known !== undefined) {
-      return known;
-    }
-    const domain = this.#findLeastLoadedDomain(poolId);
-    this.#leastLoaded.set(poolId, domain);
-    return domain;
-  }
-
-  #findLeastLoadedDomain(poolId: PoolId): string | null {
-    const makerCounts = new Map<string, number>();
-    this.#options.directory.getUsable(poolId).forEach(({ entry }) => {
-      makerCounts.set(entry.failureDomain, (makerCounts.get(entry.failureDomain) ?? 0) + 1);
-    });
-    const loads = new Map<string, number>();
-    this.#jobs.forEach((job) => job.stages
-      .filter((stage) => stage.poolId === poolId && !isStageDone(stage))
-      .forEach((stage) => {
-        const domain = this.#getInputDomain(job, stage);
-        if (domain !== null) {
-          loads.set(domain, (loads.get(domain) ?? 0) + stage.pieces.length);
-        }
+    return usable
+      .filter(({ maker }) => maker.callCount >= limits.callSlots && maker.avoidUntilMs <= nowMs)
+      .map(({ upstream, maker }) => ({
+        failureDomain: upstream.entry.failureDomain,
+        freeInMs: Math.max(0, maker.busyUntilMs - nowMs),
       }));
-    const [best] = [...makerCounts]
-      .map(([domain, count]) => ({ domain, load: (loads.get(domain) ?? 0) / count }))
-      .sort((left, right) => left.load - right.load);
-    return best?.domain ?? null;
   }
 
-  /** The failure domain in which most of a stage's inputs stand, or will stand. */
-  #getInputDomain(job: PlacementJob, stage: JobStage): string | null {
-    const counts = new Map<string, number>();
-    stage.after.flatMap((index) => job.stages[index]?.pieces ?? []).forEach(({ makerId }) => {
-      const maker = makerId === null ? undefined : this.#options.directory.getUpstream(makerId);
-      if (maker !== undefined) {
-        const domain = maker.entry.failureDomain;
-        counts.set(domain, (counts.get(domain) ?? 0) + 1);
-      }
-    });
-    const [best] = [...counts].sort(([, left], [, right]) => right - left);
-    return best?.[0] ?? null;
-  }
-
-  #getIdleMakers(
-    poolId: PoolId,
-    limits: BatchLimits,
-  ): { upstream: KnownUpstream; maker: MakerRecord }[] {
+  #getIdleMakers(usable: readonly UsableMaker[], limits: BatchLimits): UsableMaker[] {
     const nowMs = this.#options.clock.getMonotonicMs();
-    const usable = this.#options.directory.getUsable(poolId)
-      .map((upstream) => ({ upstream, maker: this.#makers.get(upstream.entry.id) }))
-      .filter(({ maker }) => maker.avoidUntilMs <= nowMs);
-    const fastest = Math.min(...usable.map(({ maker }) => maker.slowness));
-    const idle = usable.filter(({ maker }) => maker.callCount < limits.callSlots);
+    const good = usable.filter(({ maker }) => maker.avoidUntilMs <= nowMs);
+    const fastest = Math.min(...good.map(({ maker }) => maker.slowness));
+    const idle = good.filter(({ maker }) => maker.callCount < limits.callSlots);
     const brisk = idle.filter(({ maker }) => maker.slowness <= fastest * SLOW_FACTOR);
     return (brisk.length > 0 ? brisk : idle)
       .sort((left, right) => left.maker.heldBytes - right.maker.heldBytes
@@ -417,7 +362,7 @@
       this.#makers.hold(call.makerId, outcome.handle, stage.resultBytes, nowMs + ttlMs);
       piece.state = 'done';
       piece.handle = outcome.handle;
-      if (!this.#jobs.has(job)) {
+      if (this.#groups.get(getGroupKey(job))?.jobs.has(job) !== true) {
         this.#freePiece(piece);
       } else if (isStageDone(stage)) {
         this.#freeUnneeded(job);
@@ -469,38 +414,4 @@
     });
     this.#toFree.clear();
   }
-
-  /** Sums a figure over the levels that are open; the stages of one level run side by side. */
-  #sumLevels(
-    job: PlacementJob,
-    getMs: (limits: BatchLimits, pieceCount: number, poolId: PoolId) => number,
-  ): number {
-    const levels = new Map<number, number>();
-    job.stages.forEach((stage) => {
-      const openCount = stage.pieces.filter((piece) => piece.state !== 'done').length;
-      const limits = this.#options.directory.configuration?.pools.get(stage.poolId)?.batch;
-      if (openCount > 0 && limits !== undefined && limits !== null) {
-        const ms = getMs(limits, openCount, stage.poolId);
-        levels.set(stage.height, Math.max(levels.get(stage.height) ?? 0, ms));
-      }
-    });
-    return [...levels.values()].reduce((sum, ms) => sum + ms, 0);
-  }
-
-  /** Time until a pool has done the waiting pieces of some requests. */
-  #getBacklogMs(poolId: PoolId, isCounted: (job: PlacementJob) => boolean): number {
-    const limits = this.#options.directory.configuration?.pools.get(poolId)?.batch;
-    const makerCount = this.#options.directory.getUsable(poolId).length;
-    if (limits === undefined || limits === null || makerCount === 0) {
-      return 0;
-    }
-    const waitingCount = [...this.#jobs]
-      .filter(isCounted)
-      .flatMap((job) => job.stages.filter((stage) => stage.poolId === poolId))
-      .reduce((sum, stage) => (
-        sum + stage.pieces.filter((piece) => piece.state === 'waiting').length
-      ), 0);
-    const fullCallMs = limits.callMs + limits.pieceMs * limits.maxPieces;
-    return (waitingCount / (limits.maxPieces * makerCount * limits.callSlots)) * fullCallMs;
-  }
 }
--- a/src/placement/planBatches.test.ts
+++ b/src/placement/planBatches.test.ts
@@ -20,7 +20,7 @@
 function createJob(sketch: GroupSketch): PlacementJob {
   return createPlacementJob({
     requestId: sketch.id,
-    failureDomain: 'a',
+    domains: ['a'],
     poolId: toId<PoolId>('engines'),
     stages: [{
       poolId: toId<PoolId>('pool'), after: [], resultBytes: sketch.resultBytes ?? 10,
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -107,7 +107,6 @@
     const waitedMs = this.#context.clock.getMonotonicMs() - this.#arrivedAtMs;
     const placement = this.#context.placements.place({
       requestId: profile.id,
-      failureDomain: this.#context.failureDomain,
       poolId: this.#terms.poolId,
       stages: route.stages,
       pieceCounts: profile.pieceCounts,
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -87,6 +87,8 @@
       id: settings.hostId,
       failureDomain: settings.failureDomain,
       peerAddress: settings.peerAddress,
+      processorCores: settings.processorCores,
+      linkMbps: settings.linkMbps,
     }, logger);
     this.#service = new PlacementService(clock, directory, adapters.stageCaller, logger);
     this.#peerServer = new PlacementServer(this.#service.desk);
--- a/src/relay/RelayHostOptions.ts
+++ b/src/relay/RelayHostOptions.ts
@@ -9,6 +9,10 @@
 export interface RelayHostSettings {
   readonly hostId: HostId;
   readonly failureDomain: string;
+  /** Processor cores that the process may use. */
+  readonly processorCores: number;
+  /** Bandwidth of the host's link. */
+  readonly linkMbps: number;
   /** IP address and port for callers. */
   readonly callerAddress: string;
   /** IP address and port where the platform asks whether the host is ready. */
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -1,6 +1,8 @@
 import { pino } from 'pino';
 import { Directory } from '../../src/directory/Directory.ts';
-import type { BatchLimits, ServingPool } from '../../src/directory/ServingConfiguration.ts';
+import {
+  REPETITION, type BatchLimits, type ServingPool, type ServingRoute,
+} from '../../src/directory/ServingConfiguration.ts';
 import { toId, type PoolId, type UpstreamId } from '../../src/lib/ids.ts';
 import { PlacementDesk } from '../../src/placement/PlacementDesk.ts';
 import type { PlacementRequest, PlacementResult } from '../../src/placement/PlacementRequest.ts';
@@ -44,8 +46,12 @@
 
   readonly desk: PlacementDesk;
 
+  readonly #pools: ReadonlyMap<PoolId, ServingPool>;
+
   #handleCount = 0;
 
+  #version = 0;
+
   /**
    * @param stagePools - upstreams and figures of each pool of stages, by its name
    * @param engineCount - how many model engines there are
@@ -60,32 +66,47 @@
       logger: pino({ level: 'silent' }),
       sendCall: (call) => this.calls.push(call),
       sendFree: (_makerId, _address, handles) => this.freed.push(...handles),
+      requestRun: () => this.desk.run(),
     });
     const pools = Object.entries(stagePools)
       .map(([name, { batch }]) => createPool(toId<PoolId>(name), { ...DEFAULT_BATCH, ...batch }));
-    this.directory.apply({
-      kind: 'configuration',
-      configuration: {
-        version: 1,
-        routes: [],
-        pools: new Map([...pools, createPool(ENGINE_POOL_ID, null)]
-          .map((pool) => [pool.id, pool])),
-        accountsByKey: null,
-        callerLimits: {
-          maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
-        },
-      },
-    });
+    this.#pools = new Map([...pools, createPool(ENGINE_POOL_ID, null)]
+      .map((pool) => [pool.id, pool]));
+    this.#setRoutes([]);
     Object.entries(stagePools).forEach(([name, { makers }]) => {
       this.#addUpstreams(toId<PoolId>(name), makers);
     });
     this.#addUpstreams(ENGINE_POOL_ID, engineCount);
   }
 
+  /**
+   * Puts a configuration in force that has one route, with a stage in each of some pools.
+   *
+   * @param poolNames - the pools
+   */
+  setStagedRoute(poolNames: readonly string[]): void {
+    this.#setRoutes([{
+      name: 'route',
+      host: '',
+      pathPrefix: '/',
+      repetition: REPETITION.once,
+      isStream: true,
+      isResumable: false,
+      timeoutMs: 6_000,
+      targetLatencyMs: 2_000,
+      gapTargetMs: 400,
+      priority: 0,
+      maxAttempts: 1,
+      targets: [{ poolId: ENGINE_POOL_ID, weight: 1 }],
+      stages: poolNames.map((name) => ({ poolId: toId(name), after: [], resultBytes: 1 })),
+      isOpen: true,
+    }]);
+  }
+
   /** @param request - what differs from a request without stages */
   place(request: Partial<PlacementRequest> & { readonly requestId: string }): () => void {
     return this.desk.place({
-      failureDomain: 'a',
+      domains: ['a', 'b', 'c'],
       poolId: ENGINE_POOL_ID,
       stages: [],
       pieceCounts: (request.stages ?? []).map(() => 1),
@@ -127,6 +148,22 @@
     this.desk.finishCall(call, { kind: 'answered', pieces });
   }
 
+  #setRoutes(routes: readonly ServingRoute[]): void {
+    this.#version += 1;
+    this.directory.apply({
+      kind: 'configuration',
+      configuration: {
+        version: this.#version,
+        routes,
+        pools: this.#pools,
+        accountsByKey: null,
+        callerLimits: {
+          maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+        },
+      },
+    });
+  }
+
   #addUpstreams(poolId: PoolId, count: number): void {
     Array.from({ length: count }, (_, index) => index).forEach((index) => {
       this.directory.apply({
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -106,6 +106,8 @@
     this.#host = new RelayHost({
       hostId: toId<HostId>('host'),
       failureDomain: 'a',
+      processorCores: 1,
+      linkMbps: 1_000,
       callerAddress: `127.0.0.1:${caller}`,
       readinessAddress: `127.0.0.1:${ready}`,
       readinessPath: '/ready',
