--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -1,4 +1,7 @@
+import { setTimeout as pauseFor } from 'node:timers/promises';
 import type { Logger } from 'pino';
+import { Backoff } from '../configuration/Backoff.ts';
+import type { RandomSource } from '../lib/RandomSource.ts';
 import type { Directory } from './Directory.ts';
 import type { DirectoryStore } from './DirectoryStore.ts';
 
@@ -6,34 +9,45 @@
 export interface DirectoryFollowerOptions {
   /** How long one wait for changes lasts; a silent connection goes unnoticed for so long. */
   readonly waitMs: number;
+  /** Pause after changes, so that those which come together cost one call. */
+  readonly settleMs: number;
   /** First pause after a failed call. */
   readonly minPauseMs: number;
-  /** Longest pause between failed calls. */
+  /** Longest pause between failed calls, before jitter. */
   readonly maxPauseMs: number;
 }
 
 /** Defaults of {@link DirectoryFollowerOptions}. */
 export const DEFAULT_DIRECTORY_FOLLOWER_OPTIONS: DirectoryFollowerOptions = {
   waitMs: 2_000,
+  settleMs: 300,
   minPauseMs: 50,
-  maxPauseMs: 400,
+  maxPauseMs: 300,
 };
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
+/** What a follower is made of. */
+export interface DirectoryFollowerParts {
+  /** What is followed. */
+  readonly store: DirectoryStore;
+  /** What is kept up to date. */
+  readonly directory: Directory;
+  /** Gets a line when the store is lost and when it is back. */
+  readonly logger: Logger;
+  /** For the jitter of pauses. */
+  readonly random: RandomSource;
+  /** Waits; replaced in tests. */
+  readonly pause?: (durationMs: number) => Promise<void>;
 }
 
 /** Reads the store once and then follows its changes, for as long as the process runs. */
 export class DirectoryFollower {
-  readonly #store: DirectoryStore;
-
-  readonly #directory: Directory;
+  readonly #parts: DirectoryFollowerParts;
 
   readonly #options: DirectoryFollowerOptions;
 
-  readonly #logger: Logger;
+  readonly #backoff: Backoff;
+
+  readonly #pause: (durationMs: number) => Promise<void>;
 
   #revision: number | null = null;
 
@@ -44,21 +58,16 @@
   #hasRead = false;
 
   /**
-   * @param store - what is followed
-   * @param directory - what is kept up to date
-   * @param logger - gets a line when the store is lost and when it is back
-   * @param options - waits and pauses
+   * @param parts - see {@link DirectoryFollowerParts}
+   * @param options - what differs from the defaults
    */
-  constructor(
-    store: DirectoryStore,
-    directory: Directory,
-    logger: Logger,
-    options: DirectoryFollowerOptions = DEFAULT_DIRECTORY_FOLLOWER_OPTIONS,
-  ) {
-    this.#store = store;
-    this.#directory = directory;
-    this.#logger = logger;
-    this.#options = options;
+  constructor(parts: DirectoryFollowerParts, options: Partial<DirectoryFollowerOptions> = {}) {
+    this.#parts = parts;
+    this.#options = { ...DEFAULT_DIRECTORY_FOLLOWER_OPTIONS, ...options };
+    this.#backoff = new Backoff(parts.random, {
+      minDelayMs: this.#options.minPauseMs, maxDelayMs: this.#options.maxPauseMs,
+    });
+    this.#pause = parts.pause ?? ((durationMs) => pauseFor(durationMs));
   }
 
   /** Whether the store has been read at least once. */
@@ -73,18 +82,21 @@
 
   /** Follows until stopped. */
   async run(): Promise<void> {
-    let pauseMs = this.#options.minPauseMs;
     while (!this.#isStopped) {
       try {
         // eslint-disable-next-line no-await-in-loop -- each wait goes on from the one before
-        await this.#step();
+        const hasChanged = await this.#step();
         this.#noteContact();
-        pauseMs = this.#options.minPauseMs;
+        this.#backoff.reset();
+        // Without a configuration the host can't serve, so that every moment counts.
+        if (hasChanged && this.#parts.directory.configuration !== null) {
+          // eslint-disable-next-line no-await-in-loop -- the pause is the point
+          await this.#pause(this.#options.settleMs);
+        }
       } catch (error) {
         this.#noteLoss(error);
         // eslint-disable-next-line no-await-in-loop -- the pause is the point
-        await pause(pauseMs * (0.5 + Math.random() / 2));
-        pauseMs = Math.min(pauseMs * 2, this.#options.maxPauseMs);
+        await this.#pause(this.#backoff.getNextDelayMs());
       }
     }
   }
@@ -99,48 +111,51 @@
     this.#revision = null;
   }
 
-  async #step(): Promise<void> {
+  /** @returns whether the store had changes */
+  async #step(): Promise<boolean> {
     if (this.#revision === null) {
-      const snapshot = await this.#store.readAll();
-      this.#directory.applySnapshot(snapshot);
+      const snapshot = await this.#parts.store.readAll();
+      this.#parts.directory.applySnapshot(snapshot);
       this.#revision = snapshot.revision;
       this.#hasRead = true;
-      this.#logger.info({
+      this.#parts.logger.info({
         event: 'directoryRead',
         revision: snapshot.revision,
         entryCount: snapshot.changes.length,
-        version: this.#directory.configuration?.version ?? null,
+        version: this.#parts.directory.configuration?.version ?? null,
       }, 'read the whole directory');
-      return;
+      return false;
     }
     const startRevision = this.#revision;
-    const result = await this.#store.follow(startRevision, this.#options.waitMs);
+    const { store, directory } = this.#parts;
+    const result = await store.follow(startRevision, this.#options.waitMs);
     if (this.#revision !== startRevision) {
-      return;
+      return false;
     }
     if (result.kind === 'historyLost') {
-      this.#logger.warn(
+      this.#parts.logger.warn(
         { event: 'directoryHistoryLost', revision: startRevision },
         'the store has dropped the history that follows this revision; reading everything',
       );
       this.#revision = null;
-      return;
+      return false;
     }
-    result.changes.forEach((change) => this.#directory.apply(change));
+    result.changes.forEach((change) => directory.apply(change));
     this.#revision = result.revision;
+    return result.changes.length > 0;
   }
 
   #noteContact(): void {
     if (!this.#hasContact) {
       this.#hasContact = true;
-      this.#logger.info({ event: 'storeRegained', revision: this.#revision }, 'the store answers');
+      this.#parts.logger.info({ event: 'storeRegained', revision: this.#revision }, 'the store answers');
     }
   }
 
   #noteLoss(error: unknown): void {
     if (this.#hasContact) {
       this.#hasContact = false;
-      this.#logger.warn(
+      this.#parts.logger.warn(
         { event: 'storeLost', revision: this.#revision, error: String(error) },
         'the store gives no answer; serving with what is known',
       );
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -8,6 +8,7 @@
 import { PlacementClient } from '../placement/PlacementClient.ts';
 import { PlacementServer } from '../placement/PlacementServer.ts';
 import { PlacementService } from '../placement/PlacementService.ts';
+import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
 import { ColdPacer } from './ColdPacer.ts';
 import { HostShares } from './HostShares.ts';
@@ -82,7 +83,9 @@
     this.#logger = logger;
     const directory = new Directory(clock);
     this.#directory = directory;
-    this.#follower = new DirectoryFollower(adapters.store, directory, logger);
+    this.#follower = new DirectoryFollower({
+      store: adapters.store, directory, logger, random: new SystemRandomSource(),
+    }, { waitMs: settings.storeWaitMs });
     this.#registration = new HostRegistration(adapters.store, {
       id: settings.hostId,
       failureDomain: settings.failureDomain,
--- a/src/relay/RelayHostOptions.ts
+++ b/src/relay/RelayHostOptions.ts
@@ -24,6 +24,8 @@
   readonly metricsAddress: string;
   /** IP address and port of the store. */
   readonly storeAddress: string;
+  /** How long one wait for changes in the store lasts. */
+  readonly storeWaitMs: number;
   readonly sharedBounds: SharedBounds;
   /** Time from the signal to leave to the end of the process. */
   readonly graceMs: number;
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -114,6 +114,7 @@
       peerAddress: `127.0.0.1:${peer}`,
       metricsAddress: `127.0.0.1:${metrics}`,
       storeAddress: '',
+      storeWaitMs: 1_000,
       sharedBounds: {
         retryRatio: 0.2, retrySlack, retryWindowMs: 10_000, coldOvershoot: 1, coldSlack: 1,
       },
