--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -148,7 +148,10 @@
   #noteContact(): void {
     if (!this.#hasContact) {
       this.#hasContact = true;
-      this.#parts.logger.info({ event: 'storeRegained', revision: this.#revision }, 'the store answers');
+      this.#parts.logger.info(
+        { event: 'storeRegained', revision: this.#revision },
+        'the store answers',
+      );
     }
   }
 
