Add the placement experiment: the real desk between modelled upstreams under a manual clock

`npm run bench -- placement` judges who places, and any change of the desk, in seconds: worth, refusals, wasted stage time and processor time for three fleets and three loads. PlacementRun.test.ts replays a burst against each host alone.

--- a/bench/BENCHES.ts
+++ b/bench/BENCHES.ts
@@ -47,6 +47,11 @@
     summary: 'a failure domain leaves under load and returns with cold upstreams',
     load: () => import('./domain.ts'),
   },
+  {
+    name: 'placement',
+    summary: 'worth of generations by who places them, under calm load, bursts and overload',
+    load: () => import('./placement.ts'),
+  },
   {
     name: 'step',
     summary: 'time and allocation of a core step against what exists',
--- /dev/null
+++ b/bench/placement/PlacementDeployment.ts
@@ -0,0 +1,180 @@
+import type {
+  BatchLimits, EngineLimits, RouteStage,
+} from '../../src/directory/ServingConfiguration.ts';
+import { toId, type PoolId } from '../../src/lib/ids.ts';
+
+/** A pool of upstreams that make stage results. */
+export interface StagePoolModel {
+  readonly id: PoolId;
+  /** Upstreams in each failure domain. */
+  readonly counts: readonly number[];
+  readonly batch: BatchLimits;
+}
+
+/** How fast model engines work. */
+export interface EngineModelFigures {
+  readonly limits: EngineLimits;
+  /** Engines in each failure domain. */
+  readonly counts: readonly number[];
+  /** Prompt tokens that an engine reads in a millisecond. */
+  readonly promptTokensPerMs: number;
+  /** Time of one step, in which each running generation gains a token. */
+  readonly stepMs: number;
+  /** What each running generation adds to a step. */
+  readonly stepMsPerRunning: number;
+}
+
+/** Requests of one kind. */
+export interface RequestClass {
+  readonly name: string;
+  readonly perSecond: number;
+  readonly priority: number;
+  readonly onTimeMs: number;
+  readonly deadlineMs: number;
+  /** What an answer on time is worth, and one that is late. */
+  readonly worth: number;
+  readonly lateWorth: number;
+  readonly stages: readonly RouteStage[];
+  /** Mean count of each stage's pieces, and how often the stage is needed at all. */
+  readonly pieces: readonly { readonly mean: number; readonly share: number }[];
+  /** Prompt parts that requests share: tokens, and how many different ones there are. */
+  readonly sharedParts: readonly { readonly tokens: number; readonly variants: number }[];
+  readonly ownTokens: number;
+  readonly outputTokens: number;
+}
+
+/** A fleet to place on. */
+export interface PlacementDeployment {
+  readonly name: string;
+  readonly domains: readonly string[];
+  readonly stagePools: readonly StagePoolModel[];
+  readonly engines: EngineModelFigures;
+  readonly classes: readonly RequestClass[];
+}
+
+const RESULT_TTL_MS = 4_000;
+const CALL_MS = 200;
+const LARGE_RESULT_BYTES = 1_500_000;
+const MIDDLE_RESULT_BYTES = 60_000;
+const SMALL_RESULT_BYTES = 6_000;
+const SHORT_RESULT_BYTES = 8_000;
+
+const FETCH = toId<PoolId>('fetch');
+const MATCH = toId<PoolId>('match');
+const ENCODE = toId<PoolId>('encode');
+
+function createPool(
+  id: PoolId,
+  counts: readonly number[],
+  figures: { maxPieces: number; pieceMs: number; roomBytes: number },
+): StagePoolModel {
+  return {
+    id,
+    counts,
+    batch: {
+      callSlots: 1, callMs: CALL_MS, resultTtlMs: RESULT_TTL_MS, ...figures,
+    },
+  };
+}
+
+function createStage(poolId: PoolId, after: readonly number[], resultBytes: number): RouteStage {
+  return { poolId, after, resultBytes };
+}
+
+/** Three kinds of generations: long and urgent, middling, and short with many events. */
+function createClasses(perSecond: number): RequestClass[] {
+  const chain = (first: number): RouteStage[] => [
+    createStage(FETCH, [], SHORT_RESULT_BYTES),
+    createStage(MATCH, [first], MIDDLE_RESULT_BYTES),
+    createStage(ENCODE, [first + 1], SMALL_RESULT_BYTES),
+  ];
+  const chainPieces = [{ mean: 1, share: 1 }, { mean: 4, share: 1 }, { mean: 10, share: 1 }];
+  return [
+    {
+      name: 'long',
+      perSecond: perSecond * 0.33,
+      priority: 0,
+      onTimeMs: 2_000,
+      deadlineMs: 8_000,
+      worth: 4.5,
+      lateWorth: 0.67,
+      stages: [createStage(FETCH, [], LARGE_RESULT_BYTES), ...chain(1)],
+      pieces: [{ mean: 1.5, share: 0.4 }, ...chainPieces],
+      sharedParts: [{ tokens: 2_500, variants: 4 }, { tokens: 3_800, variants: 200 }],
+      ownTokens: 2_900,
+      outputTokens: 50,
+    },
+    {
+      name: 'middle',
+      perSecond: perSecond * 0.4,
+      priority: 1,
+      onTimeMs: 2_500,
+      deadlineMs: 6_000,
+      worth: 1.1,
+      lateWorth: 0.17,
+      stages: chain(0),
+      pieces: chainPieces,
+      sharedParts: [{ tokens: 340, variants: 8 }, { tokens: 230, variants: 250 }],
+      ownTokens: 1_800,
+      outputTokens: 24,
+    },
+    {
+      name: 'short',
+      perSecond: perSecond * 0.27,
+      priority: 2,
+      onTimeMs: 1_800,
+      deadlineMs: 15_000,
+      worth: 0.5,
+      lateWorth: 0.08,
+      stages: [createStage(FETCH, [], LARGE_RESULT_BYTES)],
+      pieces: [{ mean: 2.5, share: 0.7 }],
+      sharedParts: [{ tokens: 100, variants: 4 }, { tokens: 70, variants: 120 }],
+      ownTokens: 540,
+      outputTokens: 280,
+    },
+  ];
+}
+
+const ENGINE_SPEED = {
+  limits: { slots: 64, memoryTokens: 320_000 },
+  promptTokensPerMs: 42,
+  stepMs: 5.5,
+  stepMsPerRunning: 0.03,
+};
+
+/** Fleets of the kinds that users run; the last one is one that none of them has. */
+export const PLACEMENT_DEPLOYMENTS: readonly PlacementDeployment[] = [
+  {
+    name: 'small',
+    domains: ['a', 'b', 'c'],
+    stagePools: [
+      createPool(FETCH, [1, 1, 1], { maxPieces: 6, pieceMs: 28, roomBytes: 13_500_000 }),
+      createPool(MATCH, [2, 1, 1], { maxPieces: 10, pieceMs: 17, roomBytes: 1_400_000 }),
+      createPool(ENCODE, [2, 1, 1], { maxPieces: 28, pieceMs: 6, roomBytes: 370_000 }),
+    ],
+    engines: { ...ENGINE_SPEED, counts: [3, 3, 2] },
+    classes: createClasses(21),
+  },
+  {
+    name: 'large',
+    domains: ['a', 'b', 'c', 'd'],
+    stagePools: [
+      createPool(FETCH, [4, 3, 3, 3], { maxPieces: 16, pieceMs: 11, roomBytes: 36_000_000 }),
+      createPool(MATCH, [3, 3, 3, 3], { maxPieces: 50, pieceMs: 3.4, roomBytes: 7_000_000 }),
+      createPool(ENCODE, [4, 3, 3, 3], { maxPieces: 98, pieceMs: 1.8, roomBytes: 1_300_000 }),
+    ],
+    engines: { ...ENGINE_SPEED, counts: [25, 25, 24, 24] },
+    classes: createClasses(220),
+  },
+  {
+    name: 'uneven',
+    domains: ['a', 'b'],
+    stagePools: [
+      createPool(FETCH, [5, 1], { maxPieces: 4, pieceMs: 50, roomBytes: 9_000_000 }),
+      createPool(MATCH, [1, 3], { maxPieces: 24, pieceMs: 8, roomBytes: 4_000_000 }),
+      createPool(ENCODE, [2, 2], { maxPieces: 40, pieceMs: 4, roomBytes: 600_000 }),
+    ],
+    engines: { ...ENGINE_SPEED, counts: [2, 4] },
+    classes: createClasses(22),
+  },
+];
--- /dev/null
+++ b/bench/placement/PlacementRun.test.ts
@@ -0,0 +1,27 @@
+import { ok } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { PLACEMENT_DEPLOYMENTS } from './PlacementDeployment.ts';
+import { PlacementRun, type PlacementFigures, type PlacerKind } from './PlacementRun.ts';
+
+const DURATION_MS = 12_000;
+const BURST = { fromMs: 2_000, untilMs: 7_000, factor: 2.3 };
+
+function play(deploymentName: string, placer: PlacerKind): PlacementFigures {
+  const deployment = PLACEMENT_DEPLOYMENTS.find(({ name }) => name === deploymentName);
+  ok(deployment);
+  return new PlacementRun({
+    deployment, placer, load: 1, bursts: [BURST], durationMs: DURATION_MS, seed: 3,
+  }).run();
+}
+
+describe('PlacementRun', () => {
+  ['small', 'uneven'].forEach((name) => {
+    it(`earns more in a burst where one host sees all calls of a pool, on ${name}`, () => {
+      ok(play(name, 'one').worthPart > 1.2 * play(name, 'alone').worthPart);
+    });
+  });
+
+  it('keeps nearly all of that on a large fleet with a host for each group', () => {
+    ok(play('large', 'groups').worthPart > 0.9 * play('large', 'one').worthPart);
+  });
+});
--- /dev/null
+++ b/bench/placement/PlacementRun.ts
@@ -0,0 +1,373 @@
+import { performance } from 'node:perf_hooks';
+import { pino } from 'pino';
+import { Directory } from '../../src/directory/Directory.ts';
+import {
+  REPETITION, type ServingPool, type ServingRoute,
+} from '../../src/directory/ServingConfiguration.ts';
+import type { PromptPart } from '../../src/ingress/CallerRequest.ts';
+import { toId, type PoolId, type UpstreamId } from '../../src/lib/ids.ts';
+import { SeededRandomSource } from '../../src/lib/SeededRandomSource.ts';
+import { PlacementDesk } from '../../src/placement/PlacementDesk.ts';
+import { findPlacementGroups, type PlacementGroup } from '../../src/placement/PlacementGroup.ts';
+import type { PlacementResult } from '../../src/placement/PlacementRequest.ts';
+import { orderGroups } from '../../src/placement/orderGroups.ts';
+import { ManualClock } from '../../src/time/ManualClock.ts';
+import { EventQueue } from '../load/EventQueue.ts';
+import { EngineModel } from './EngineModel.ts';
+import type { PlacementDeployment, RequestClass } from './PlacementDeployment.ts';
+import { StageMakerModel } from './StageMakerModel.ts';
+
+/** Who decides: a desk for each group, one for all, or each host for its own callers. */
+export const PLACER_KINDS = ['groups', 'one', 'alone'] as const;
+
+/** A member of {@link PLACER_KINDS}. */
+export type PlacerKind = typeof PLACER_KINDS[number];
+
+/** A span in which more requests come than usual. */
+export interface Burst {
+  readonly fromMs: number;
+  readonly untilMs: number;
+  /** Multiple of the usual rate. */
+  readonly factor: number;
+}
+
+/** What a run is made from. */
+export interface PlacementRunOptions {
+  readonly deployment: PlacementDeployment;
+  readonly placer: PlacerKind;
+  /** Multiple of the deployment's rates. */
+  readonly load: number;
+  readonly bursts: readonly Burst[];
+  readonly durationMs: number;
+  readonly seed: number;
+}
+
+/** What a run came to. */
+export interface PlacementFigures {
+  /** Worth that was earned, of what was owed. */
+  readonly worthPart: number;
+  readonly onTimePart: number;
+  readonly latePart: number;
+  readonly refusedPart: number;
+  /** Part of the stage upstreams' time that went into results nobody used. */
+  readonly wastedPart: number;
+  /** Processor time of the deciding code for one request. */
+  readonly deskMsPerRequest: number;
+}
+
+interface Call {
+  readonly requestClass: RequestClass;
+  readonly askedAtMs: number;
+  readonly parts: readonly PromptPart[];
+  readonly pieceCounts: readonly number[];
+  hasComeBack: boolean;
+}
+
+const ENGINE_POOL_ID = toId<PoolId>('engines');
+const MS_PER_SECOND = 1_000;
+const HOST_COUNT = 8;
+const HOP_MS = 1;
+const RUN_DELAY_MS = 3;
+const TICK_MS = 20;
+/** Callers heed a time to come back of up to this part of what they have left. */
+const HEEDED_PART = 1 / 3;
+
+/** The real placement desk between callers, stage upstreams and engines that are models. */
+export class PlacementRun {
+  readonly #options: PlacementRunOptions;
+
+  readonly #random: SeededRandomSource;
+
+  readonly #clock = new ManualClock();
+
+  readonly #events = new EventQueue(this.#clock);
+
+  readonly #directory = new Directory(this.#clock);
+
+  readonly #makers = new Map<UpstreamId, StageMakerModel>();
+
+  readonly #makerByHandle = new Map<string, StageMakerModel>();
+
+  readonly #engines = new Map<UpstreamId, EngineModel>();
+
+  readonly #desks = new Map<string, PlacementDesk>();
+
+  readonly #groups: readonly PlacementGroup[];
+
+  #requestCount = 0;
+
+  #deskMs = 0;
+
+  readonly #sums = {
+    asked: 0, onTime: 0, late: 0, refused: 0, owed: 0, earned: 0,
+  };
+
+  /**
+   * @param options - see {@link PlacementRunOptions}
+   */
+  constructor(options: PlacementRunOptions) {
+    this.#options = options;
+    this.#random = new SeededRandomSource(options.seed);
+    this.#addUpstreams();
+    const all = { domains: options.deployment.domains, weight: 1 };
+    this.#groups = options.placer === 'groups' ? findPlacementGroups(this.#directory) : [all];
+  }
+
+  /** @returns what came of all requests */
+  run(): PlacementFigures {
+    const { deployment, durationMs } = this.#options;
+    deployment.classes.forEach((requestClass) => this.#scheduleNext(requestClass));
+    this.#tick();
+    const longestMs = Math.max(...deployment.classes.map(({ deadlineMs }) => deadlineMs));
+    this.#events.runUntil(durationMs + longestMs);
+    const makers = [...this.#makers.values()];
+    const busyMs = makers.reduce((sum, maker) => sum + maker.busyMs, 0);
+    const wastedMs = makers.reduce((sum, maker) => sum + maker.wastedMs, 0);
+    const sums = this.#sums;
+    return {
+      worthPart: sums.earned / sums.owed,
+      onTimePart: sums.onTime / sums.asked,
+      latePart: sums.late / sums.asked,
+      refusedPart: sums.refused / sums.asked,
+      wastedPart: wastedMs / busyMs,
+      deskMsPerRequest: this.#deskMs / sums.asked,
+    };
+  }
+
+  #tick(): void {
+    this.#desks.forEach((desk) => this.#measure(() => desk.run()));
+    if (this.#events.nowMs < this.#options.durationMs * 2) {
+      this.#events.after(TICK_MS, () => this.#tick());
+    }
+  }
+
+  #measure<T>(action: () => T): T {
+    const startMs = performance.now();
+    const result = action();
+    this.#deskMs += performance.now() - startMs;
+    return result;
+  }
+
+  #scheduleNext(requestClass: RequestClass): void {
+    const { load, bursts, durationMs } = this.#options;
+    const { nowMs } = this.#events;
+    const burst = bursts.find(({ fromMs, untilMs }) => fromMs <= nowMs && nowMs < untilMs);
+    const perSecond = requestClass.perSecond * load * (burst?.factor ?? 1);
+    const gapMs = (-Math.log(1 - this.#random.getFraction()) * MS_PER_SECOND) / perSecond;
+    this.#events.after(gapMs, () => {
+      if (this.#events.nowMs < durationMs) {
+        this.#ask(this.#createCall(requestClass));
+        this.#scheduleNext(requestClass);
+      }
+    });
+  }
+
+  #createCall(requestClass: RequestClass): Call {
+    const shared = requestClass.sharedParts.map(({ tokens, variants }, index) => ({
+      id: `${requestClass.name}-${index}-${Math.floor(this.#random.getFraction() * variants)}`,
+      tokens,
+    }));
+    this.#sums.asked += 1;
+    this.#sums.owed += requestClass.worth;
+    return {
+      requestClass,
+      askedAtMs: this.#events.nowMs,
+      parts: [...shared, { id: `own-${this.#sums.asked}`, tokens: requestClass.ownTokens }],
+      pieceCounts: requestClass.pieces.map(({ mean, share }) => (
+        this.#random.getFraction() < share
+          ? Math.max(1, Math.round(mean * (0.5 + this.#random.getFraction())))
+          : 0)),
+      hasComeBack: false,
+    };
+  }
+
+  #ask(call: Call): void {
+    const { requestClass } = call;
+    const elapsedMs = this.#events.nowMs - call.askedAtMs;
+    this.#requestCount += 1;
+    const requestId = `r${this.#requestCount}`;
+    const [group] = orderGroups(this.#groups, call.parts.at(-2)?.id ?? requestId);
+    const desk = this.#getDesk(group?.domains[0] ?? '');
+    this.#measure(() => desk.place({
+      requestId,
+      domains: group?.domains ?? [],
+      poolId: ENGINE_POOL_ID,
+      stages: requestClass.stages,
+      pieceCounts: call.pieceCounts,
+      pieceKey: 'key',
+      parts: call.parts,
+      promptTokens: call.parts.reduce((sum, part) => sum + part.tokens, 0),
+      maxOutputTokens: requestClass.outputTokens,
+      priority: requestClass.priority,
+      onTimeMs: requestClass.onTimeMs - elapsedMs,
+      remainingMs: requestClass.deadlineMs - elapsedMs,
+      excludedIds: [],
+    }, (result) => this.#take(call, desk, requestId, result)));
+  }
+
+  #take(call: Call, desk: PlacementDesk, requestId: string, result: PlacementResult): void {
+    if (result.kind === 'refused') {
+      this.#comeBack(call, result.retryAfterMs);
+      return;
+    }
+    const { upstreamId, inputs } = result;
+    this.#events.after(HOP_MS, () => {
+      this.#noteUsed(inputs);
+      this.#engines.get(upstreamId)?.run(call.parts, call.requestClass.outputTokens, () => {
+        this.#earn(call);
+        this.#measure(() => desk.note({ requestId, upstreamId, kind: 'started' }));
+      }, () => this.#measure(() => desk.note({ requestId, upstreamId, kind: 'ended' })));
+    });
+  }
+
+  #comeBack(call: Call, retryAfterMs: number): void {
+    const leftMs = call.askedAtMs + call.requestClass.deadlineMs - this.#events.nowMs;
+    if (call.hasComeBack || leftMs <= 0) {
+      this.#sums.refused += 1;
+      return;
+    }
+    const returning = call;
+    returning.hasComeBack = true;
+    this.#events.after(Math.min(retryAfterMs, leftMs * HEEDED_PART), () => this.#ask(returning));
+  }
+
+  #earn({ requestClass, askedAtMs }: Call): void {
+    const elapsedMs = this.#events.nowMs - askedAtMs;
+    if (elapsedMs <= requestClass.onTimeMs) {
+      this.#sums.onTime += 1;
+      this.#sums.earned += requestClass.worth;
+    } else if (elapsedMs <= requestClass.deadlineMs) {
+      this.#sums.late += 1;
+      this.#sums.earned += requestClass.lateWorth;
+    }
+  }
+
+  #noteUsed(handles: readonly string[]): void {
+    handles.forEach((handle) => this.#makerByHandle.get(handle)?.noteUsed([handle]));
+  }
+
+  #getDesk(groupName: string): PlacementDesk {
+    const isAlone = this.#options.placer === 'alone';
+    const key = isAlone ? `host ${this.#requestCount % HOST_COUNT}` : groupName;
+    const known = this.#desks.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const desk = this.#createDesk();
+    this.#desks.set(key, desk);
+    return desk;
+  }
+
+  #createDesk(): PlacementDesk {
+    let isRunDue = false;
+    const desk: PlacementDesk = new PlacementDesk({
+      clock: this.#clock,
+      directory: this.#directory,
+      logger: pino({ level: 'silent' }),
+      sendCall: (call) => {
+        const maker = this.#makers.get(call.makerId);
+        call.items.forEach((item) => this.#noteUsed(item.inputs));
+        maker?.run(call, (pieces) => {
+          pieces.forEach((piece) => {
+            if (piece.kind === 'result') {
+              this.#makerByHandle.set(piece.handle, maker);
+            }
+          });
+          this.#measure(() => desk.finishCall(call, { kind: 'answered', pieces }));
+        });
+      },
+      sendFree: (makerId, _address, handles) => this.#events.after(2 * HOP_MS, () => {
+        this.#makers.get(makerId)?.free(handles);
+        handles.forEach((handle) => this.#makerByHandle.delete(handle));
+        this.#measure(() => desk.noteFreed(handles));
+      }),
+      requestRun: () => {
+        if (!isRunDue) {
+          isRunDue = true;
+          this.#events.after(RUN_DELAY_MS, () => {
+            isRunDue = false;
+            this.#measure(() => desk.run());
+          });
+        }
+      },
+    });
+    return desk;
+  }
+
+  #addUpstreams(): void {
+    const { stagePools, engines } = this.#options.deployment;
+    this.#directory.apply({
+      kind: 'configuration',
+      configuration: {
+        version: 1,
+        routes: this.#createRoutes(),
+        pools: new Map(this.#createPools().map((pool) => [pool.id, pool])),
+        accountsByKey: null,
+        callerLimits: {
+          maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+        },
+      },
+    });
+    stagePools.forEach(({ id, counts, batch }) => this.#addPool(id, counts, (upstreamId) => {
+      this.#makers.set(upstreamId, new StageMakerModel(batch, this.#events, this.#random));
+    }));
+    this.#addPool(ENGINE_POOL_ID, engines.counts, (upstreamId) => {
+      this.#engines.set(upstreamId, new EngineModel(engines, this.#events));
+    });
+  }
+
+  #addPool(poolId: PoolId, counts: readonly number[], create: (id: UpstreamId) => void): void {
+    counts.forEach((count, domainIndex) => {
+      for (let index = 0; index < count; index += 1) {
+        const failureDomain = this.#options.deployment.domains[domainIndex] ?? '';
+        const id = toId<UpstreamId>(`${poolId}-${failureDomain}-${index}`);
+        create(id);
+        this.#directory.apply({
+          kind: 'upstream',
+          entry: {
+            id,
+            poolId,
+            address: id,
+            failureDomain,
+            isDraining: false,
+            slots: 1,
+            coldRemainingMs: 0,
+            startedAtMs: 1,
+          },
+        });
+      }
+    });
+  }
+
+  #createPools(): ServingPool[] {
+    const { stagePools, engines } = this.#options.deployment;
+    const base = { healthPath: '/', maxConnections: 100, coldRequestsPerSecond: 0 };
+    return [
+      ...stagePools.map(({ id, batch }) => ({
+        ...base, id, batch, engine: null,
+      })),
+      {
+        ...base, id: ENGINE_POOL_ID, batch: null, engine: engines.limits,
+      },
+    ];
+  }
+
+  #createRoutes(): ServingRoute[] {
+    return this.#options.deployment.classes.map((requestClass) => ({
+      name: requestClass.name,
+      host: '',
+      pathPrefix: `/${requestClass.name}/`,
+      repetition: REPETITION.once,
+      isStream: true,
+      isResumable: false,
+      timeoutMs: requestClass.deadlineMs,
+      targetLatencyMs: requestClass.onTimeMs,
+      gapTargetMs: 400,
+      priority: requestClass.priority,
+      maxAttempts: 1,
+      targets: [{ poolId: ENGINE_POOL_ID, weight: 1 }],
+      stages: requestClass.stages,
+      isOpen: true,
+    }));
+  }
+}
--- /dev/null
+++ b/bench/placement/StageMakerModel.ts
@@ -0,0 +1,116 @@
+import type { BatchLimits } from '../../src/directory/ServingConfiguration.ts';
+import type { RandomSource } from '../../src/lib/RandomSource.ts';
+import {
+  PIECE_FAILURE, type PieceOutcome, type StageCall,
+} from '../../src/placement/StageCall.ts';
+import type { EventQueue } from '../load/EventQueue.ts';
+
+/** How much pieces differ from the declared time. */
+const PIECE_SPREAD = 0.4;
+/** One way between hosts. */
+const HOP_MS = 1;
+
+interface HeldResult {
+  readonly bytes: number;
+  readonly workMs: number;
+  isUsed: boolean;
+}
+
+/** One upstream that makes stage results: one call at a time, and room for a few results. */
+export class StageMakerModel {
+  readonly #limits: BatchLimits;
+
+  readonly #events: EventQueue;
+
+  readonly #random: RandomSource;
+
+  readonly #held = new Map<string, HeldResult>();
+
+  #freeAtMs = 0;
+
+  #usedBytes = 0;
+
+  #resultCount = 0;
+
+  /** Time spent on results that nobody used. */
+  wastedMs = 0;
+
+  /** Time spent on calls. */
+  busyMs = 0;
+
+  /**
+   * @param limits - the pool's figures
+   * @param events - the time
+   * @param random - for the spread of piece times
+   */
+  constructor(limits: BatchLimits, events: EventQueue, random: RandomSource) {
+    this.#limits = limits;
+    this.#events = events;
+    this.#random = random;
+  }
+
+  /**
+   * @param call - a call that has been sent
+   * @param answer - gets what became of its pieces
+   */
+  run(call: StageCall, answer: (outcomes: PieceOutcome[]) => void): void {
+    const waitMs = Math.max(HOP_MS, this.#freeAtMs - this.#events.nowMs);
+    const startAtMs = this.#events.nowMs + waitMs;
+    this.#freeAtMs = startAtMs + call.expectedMs;
+    this.#events.after(waitMs, () => this.#work(call, answer));
+  }
+
+  /** @param handles - results that nobody needs any more */
+  free(handles: readonly string[]): void {
+    handles.forEach((handle) => this.#drop(handle));
+  }
+
+  /** @param handles - results that are taken in */
+  noteUsed(handles: readonly string[]): void {
+    handles.forEach((handle) => {
+      const result = this.#held.get(handle);
+      if (result !== undefined) {
+        result.isUsed = true;
+      }
+    });
+  }
+
+  #work(call: StageCall, answer: (outcomes: PieceOutcome[]) => void): void {
+    let tookMs = this.#limits.callMs;
+    const outcomes = call.items.map((item, index): PieceOutcome => {
+      if (item.remainingMs <= this.#events.nowMs - call.startedAtMs) {
+        return { kind: 'failure', failure: PIECE_FAILURE.late };
+      }
+      const bytes = call.pieces[index]?.stage.resultBytes ?? 0;
+      if (this.#usedBytes + bytes > this.#limits.roomBytes) {
+        return { kind: 'failure', failure: PIECE_FAILURE.noRoom };
+      }
+      const spread = 1 + PIECE_SPREAD * (2 * this.#random.getFraction() - 1);
+      const workMs = this.#limits.pieceMs * spread;
+      tookMs += workMs;
+      return { kind: 'result', handle: this.#hold(call.makerId, bytes, workMs) };
+    });
+    this.busyMs += tookMs;
+    this.#freeAtMs = this.#events.nowMs + tookMs;
+    this.#events.after(tookMs + HOP_MS, () => answer(outcomes));
+  }
+
+  #hold(makerId: string, bytes: number, workMs: number): string {
+    this.#resultCount += 1;
+    const handle = `${makerId}/${this.#resultCount}`;
+    const sharedMs = this.#limits.callMs / this.#limits.maxPieces;
+    this.#held.set(handle, { bytes, workMs: workMs + sharedMs, isUsed: false });
+    this.#usedBytes += bytes;
+    this.#events.after(this.#limits.resultTtlMs, () => this.#drop(handle));
+    return handle;
+  }
+
+  #drop(handle: string): void {
+    const result = this.#held.get(handle);
+    if (result !== undefined) {
+      this.#held.delete(handle);
+      this.#usedBytes -= result.bytes;
+      this.wastedMs += result.isUsed ? 0 : result.workMs;
+    }
+  }
+}
--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -88,8 +88,7 @@
         const hasChanged = await this.#step();
         this.#noteContact();
         this.#backoff.reset();
-        // Without a configuration the host can't serve, so that every moment counts.
-        if (hasChanged && this.#parts.directory.configuration !== null) {
+        if (hasChanged) {
           // eslint-disable-next-line no-await-in-loop -- the pause is the point
           await this.#pause(this.#options.settleMs);
         }
