Keep the duty to place with the host that is there for longest; believe an upstream that lacks room

Changes: the lowest revision of registration places (two moves for a restart become one); room that an upstream lacks counts as taken by others for 1 s, so that calls ask for what fits. Tests: PlacerChooser, PlacementDesk (red before).

--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -3,7 +3,7 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { DirectoryChange } from './DirectoryChange.ts';
 import type { DirectorySnapshot } from './DirectoryStore.ts';
-import type { HostEntry } from './HostEntry.ts';
+import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
 import type { UpstreamEntry } from './UpstreamEntry.ts';
 
@@ -43,7 +43,7 @@
 
   readonly #upstreams = new Map<UpstreamId, KnownUpstream>();
 
-  readonly #hosts = new Map<HostId, HostEntry>();
+  readonly #hosts = new Map<HostId, KnownHost>();
 
   readonly #drainedDomains = new Set<string>();
 
@@ -66,7 +66,7 @@
   }
 
   /** The hosts that hold a lease, this one included once it is registered. */
-  get hosts(): ReadonlyMap<HostId, HostEntry> {
+  get hosts(): ReadonlyMap<HostId, KnownHost> {
     return this.#hosts;
   }
 
--- a/src/directory/DirectoryChange.ts
+++ b/src/directory/DirectoryChange.ts
@@ -1,5 +1,5 @@
 import type { HostId, UpstreamId } from '../lib/ids.ts';
-import type { HostEntry } from './HostEntry.ts';
+import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
 import type { UpstreamEntry } from './UpstreamEntry.ts';
 
@@ -10,5 +10,5 @@
   | { readonly kind: 'upstreamGone'; readonly upstreamId: UpstreamId }
   | { readonly kind: 'domainDrained'; readonly failureDomain: string }
   | { readonly kind: 'domainRestored'; readonly failureDomain: string }
-  | { readonly kind: 'host'; readonly entry: HostEntry }
+  | { readonly kind: 'host'; readonly entry: KnownHost }
   | { readonly kind: 'hostGone'; readonly hostId: HostId };
--- a/src/directory/HostEntry.ts
+++ b/src/directory/HostEntry.ts
@@ -11,3 +11,9 @@
   /** Bandwidth of its link. */
   readonly linkMbps: number;
 }
+
+/** An entry host as the store shows it. */
+export interface KnownHost extends HostEntry {
+  /** The store's revision at which its process registered; the lower, the longer it is there. */
+  readonly registeredRevision: number;
+}
--- a/src/placement/PlacerChooser.ts
+++ b/src/placement/PlacerChooser.ts
@@ -1,8 +1,7 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
-import type { HostEntry } from '../directory/HostEntry.ts';
+import type { HostEntry, KnownHost } from '../directory/HostEntry.ts';
 import type { HostId } from '../lib/ids.ts';
-import { getRendezvousScore } from '../membership/getRendezvousScore.ts';
 import type { PlacementGroup } from './PlacementGroup.ts';
 
 /** Processor cores with which a host can place for a group. */
@@ -25,7 +24,20 @@
   return Math.min(1, processorCores / SUFFICIENT_CORES, linkMbps / SUFFICIENT_LINK_MBPS);
 }
 
-/** Chooses the host that places for a group; all hosts with the same view choose the same one. */
+/** The fittest first, then the one that is there for longest. */
+function compareHosts(left: KnownHost, right: KnownHost): number {
+  return getFitness(right) - getFitness(left)
+    || left.registeredRevision - right.registeredRevision
+    || (left.id < right.id ? -1 : 1);
+}
+
+/**
+ * Chooses the host that places for a group; all hosts with the same view choose the same one.
+ *
+ * Load pattern: hosts that are restarted in turn under load. What a placing host knows of calls and
+ * room goes with it, so that the duty must not come back to a host that has started again: the one
+ * that is there for longest has it.
+ */
 export class PlacerChooser {
   readonly #options: PlacerChooserOptions;
 
@@ -49,12 +61,9 @@
       .filter((host) => host.id === hostId || !isAvoided(host));
     const near = present.filter((host) => group.domains.includes(host.failureDomain));
     const groupName = group.domains[0] ?? '';
-    const [chosen] = (near.length > 0 ? near : present)
-      .map((host) => ({ host, score: getRendezvousScore(`placement ${groupName}`, host.id) }))
-      .sort((left, right) => getFitness(right.host) - getFitness(left.host)
-        || right.score - left.score);
-    this.#noteChoice(groupName, chosen?.host.id ?? hostId);
-    return chosen === undefined || chosen.host.id === hostId ? null : chosen.host;
+    const [chosen] = [...(near.length > 0 ? near : present)].sort(compareHosts);
+    this.#noteChoice(groupName, chosen?.id ?? hostId);
+    return chosen === undefined || chosen.id === hostId ? null : chosen;
   }
 
   #noteChoice(groupName: string, hostId: HostId): void {
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -32,8 +32,13 @@
 const TIMEOUT_FACTOR = 3;
 /** Time a call may take in any case. */
 const MIN_TIMEOUT_MS = 1_000;
-/** Pause before an upstream without room is asked again. */
-const NO_ROOM_PAUSE_MS = 60;
+/** Pause before an upstream that was full is asked again. */
+const FULL_PAUSE_MS = 60;
+/**
+ * How long an upstream that lacked room is taken to hold what this host doesn't know of: results of
+ * a host that placed before, which nobody frees.
+ */
+const FOREIGN_ROOM_MS = 1_000;
 /** Part of the room that is planned with, since results are only about as large as declared. */
 const ROOM_PART = 0.95;
 /** Upstreams slower than this multiple of the fastest one are used when nothing better is idle. */
@@ -69,6 +74,10 @@
   return pieces.reduce((sum, { stage }) => sum + stage.resultBytes, 0);
 }
 
+function getFreeBytes(maker: MakerRecord, limits: BatchLimits): number {
+  return limits.roomBytes * ROOM_PART - maker.heldBytes - maker.promisedBytes;
+}
+
 function resetPiece(piece: JobPiece): void {
   piece.state = 'waiting';
   piece.handle = null;
@@ -86,7 +95,7 @@
   /** What waits, by the failure domains of its group. */
   readonly #groups = new Map<string, GroupJobs>();
 
-  /** Calls without answer; names the room that their results take. */
+  /** Counts results whose handles nobody knows, to name the room that they take. */
   #unknownCount = 0;
 
   readonly #toFree = new Map<UpstreamId, string[]>();
@@ -186,14 +195,15 @@
         call.pieces.forEach((planned, index) => {
           this.#finishPiece(call, planned, outcome.pieces[index], nowMs);
         });
+        this.#noteLackOfRoom(call, outcome.pieces, nowMs);
         break;
       case 'notRun':
-        maker.avoidUntilMs = nowMs + NO_ROOM_PAUSE_MS;
+        maker.avoidUntilMs = nowMs + FULL_PAUSE_MS;
         call.pieces.forEach(({ piece }) => resetPiece(piece));
         break;
       case 'broken':
         this.#makers.noteFailure(call.makerId, nowMs);
-        this.#holdUnknown(call, nowMs);
+        this.#holdUnknown(call, getResultBytes(call.pieces), nowMs + this.#getResultTtlMs(call));
         call.pieces.forEach(({ piece }) => resetPiece(piece));
         break;
       default:
@@ -257,7 +267,7 @@
       makerId: maker.id,
       failureDomain: upstream.entry.failureDomain,
       maxPieces: limits.maxPieces,
-      freeBytes: limits.roomBytes * ROOM_PART - maker.heldBytes - maker.promisedBytes,
+      freeBytes: getFreeBytes(maker, limits),
     }));
     planBatches(groups, spaces, this.#getBusyMakers(usable, limits)).forEach((batch) => {
       const found = idle.find(({ maker }) => maker.id === batch.makerId);
@@ -338,16 +348,21 @@
     });
   }
 
-  /** Results whose answer was lost take up room under handles that nobody knows. */
-  #holdUnknown(call: StageCall, nowMs: number): void {
+  /** An upstream that lacks room, though this host thought otherwise, keeps results of others. */
+  #noteLackOfRoom(call: StageCall, outcomes: readonly PieceOutcome[], nowMs: number): void {
+    const isLacking = outcomes.some((outcome) => (
+      outcome.kind === 'failure' && outcome.failure === PIECE_FAILURE.noRoom));
     const limits = this.#options.directory.configuration?.pools.get(call.poolId)?.batch;
+    if (isLacking && limits !== undefined && limits !== null) {
+      const foreignBytes = getFreeBytes(this.#makers.get(call.makerId), limits);
+      this.#holdUnknown(call, Math.max(0, foreignBytes), nowMs + FOREIGN_ROOM_MS);
+    }
+  }
+
+  /** Results whose handles nobody knows take up room until they lapse. */
+  #holdUnknown({ makerId }: StageCall, bytes: number, lapsesAtMs: number): void {
     this.#unknownCount += 1;
-    this.#makers.hold(
-      call.makerId,
-      `unknown ${this.#unknownCount}`,
-      getResultBytes(call.pieces),
-      nowMs + (limits?.resultTtlMs ?? 0),
-    );
+    this.#makers.hold(makerId, `unknown ${this.#unknownCount}`, bytes, lapsesAtMs);
   }
 
   #finishPiece(
@@ -357,9 +372,8 @@
     nowMs: number,
   ): void {
     if (outcome?.kind === 'result') {
-      const limits = this.#options.directory.configuration?.pools.get(call.poolId)?.batch;
-      const ttlMs = limits?.resultTtlMs ?? 0;
-      this.#makers.hold(call.makerId, outcome.handle, stage.resultBytes, nowMs + ttlMs);
+      const lapsesAtMs = nowMs + this.#getResultTtlMs(call);
+      this.#makers.hold(call.makerId, outcome.handle, stage.resultBytes, lapsesAtMs);
       piece.state = 'done';
       piece.handle = outcome.handle;
       if (this.#groups.get(getGroupKey(job))?.jobs.has(job) !== true) {
@@ -376,11 +390,13 @@
         this.#freePiece(needed);
       }));
       this.reopenLapsed(job);
-    } else if (failure === PIECE_FAILURE.noRoom) {
-      this.#makers.get(call.makerId).avoidUntilMs = nowMs + NO_ROOM_PAUSE_MS;
     }
   }
 
+  #getResultTtlMs({ poolId }: StageCall): number {
+    return this.#options.directory.configuration?.pools.get(poolId)?.batch?.resultTtlMs ?? 0;
+  }
+
   #freeUnneeded(job: PlacementJob): void {
     job.stages.forEach((stage) => {
       const consumers = getConsumers(job, stage);
