Hand placements over when the placing host leaves, with the results that stand

Now a host that leaves gives each waiting request back with the handles of its results as soon as no piece of it is being made; its entry host asks the next one, which goes on from there. Settling is 5 ms for each host (300 ms on small sites told of leaving upstreams too late for nothing). Tests: PlacementDesk.test.ts (hand-over), DirectoryFollower.test.ts.

--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -191,6 +191,7 @@
     this.#measure(() => desk.place({
       requestId,
       domains: group?.domains ?? [],
+      standingResults: [],
       poolId: ENGINE_POOL_ID,
       stages: requestClass.stages,
       pieceCounts: call.pieceCounts,
@@ -206,8 +207,8 @@
   }
 
   #take(call: Call, desk: PlacementDesk, requestId: string, result: PlacementResult): void {
-    if (result.kind === 'refused') {
-      this.#comeBack(call, result.retryAfterMs);
+    if (result.kind !== 'placed') {
+      this.#comeBack(call, result.kind === 'refused' ? result.retryAfterMs : 0);
       return;
     }
     const { upstreamId, inputs } = result;
--- a/src/directory/DirectoryFollower.test.ts
+++ b/src/directory/DirectoryFollower.test.ts
@@ -3,13 +3,14 @@
 import { pino } from 'pino';
 import { MemoryDirectoryStore } from '../../test/support/MemoryDirectoryStore.ts';
 import { SeededRandomSource } from '../lib/SeededRandomSource.ts';
+import { toId, type HostId } from '../lib/ids.ts';
 import { ManualClock } from '../time/ManualClock.ts';
 import { Directory } from './Directory.ts';
 import type { DirectoryChange } from './DirectoryChange.ts';
 import { DEFAULT_DIRECTORY_FOLLOWER_OPTIONS, DirectoryFollower } from './DirectoryFollower.ts';
 import type { FollowResult } from './DirectoryStore.ts';
 
-const { settleMs, minPauseMs, maxPauseMs } = DEFAULT_DIRECTORY_FOLLOWER_OPTIONS;
+const { settlePerHostMs, minPauseMs, maxPauseMs } = DEFAULT_DIRECTORY_FOLLOWER_OPTIONS;
 
 const CONFIGURATION: DirectoryChange = {
   kind: 'configuration',
@@ -23,6 +24,20 @@
     },
   },
 };
+function createHost(name: string): DirectoryChange {
+  return {
+    kind: 'host',
+    entry: {
+      id: toId<HostId>(name),
+      failureDomain: 'a',
+      peerAddress: name,
+      processorCores: 1,
+      linkMbps: 1,
+      registeredRevision: 1,
+    },
+  };
+}
+
 const DRAINED: DirectoryChange = { kind: 'domainDrained', failureDomain: 'a' };
 
 /** A store whose waits end as a test says. */
@@ -78,11 +93,11 @@
 }
 
 describe('DirectoryFollower', () => {
-  it('lets changes settle, and asks on at once when there were none', async () => {
-    const { pausesMs } = await follow([], [
+  it('lets changes settle for longer the more hosts there are, and asks on at once after none', async () => {
+    const { pausesMs } = await follow([createHost('one'), createHost('two')], [
       createChanges(DRAINED), createChanges(), createChanges(CONFIGURATION), createChanges(),
     ]);
-    deepEqual(pausesMs, [settleMs, settleMs]);
+    deepEqual(pausesMs, [2 * settlePerHostMs, 2 * settlePerHostMs]);
   });
 
   it('reads everything again when the store has dropped the history', async () => {
--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -9,8 +9,11 @@
 export interface DirectoryFollowerOptions {
   /** How long one wait for changes lasts; a silent connection goes unnoticed for so long. */
   readonly waitMs: number;
-  /** Pause after changes, so that those which come together cost one call. */
-  readonly settleMs: number;
+  /**
+   * Pause after changes for each host there is, so that those which come together cost one call:
+   * every change costs a call of every host.
+   */
+  readonly settlePerHostMs: number;
   /** First pause after a failed call. */
   readonly minPauseMs: number;
   /** Longest pause between failed calls, before jitter. */
@@ -20,7 +23,7 @@
 /** Defaults of {@link DirectoryFollowerOptions}. */
 export const DEFAULT_DIRECTORY_FOLLOWER_OPTIONS: DirectoryFollowerOptions = {
   waitMs: 2_000,
-  settleMs: 300,
+  settlePerHostMs: 5,
   minPauseMs: 50,
   maxPauseMs: 300,
 };
@@ -90,7 +93,7 @@
         this.#backoff.reset();
         if (hasChanged) {
           // eslint-disable-next-line no-await-in-loop -- the pause is the point
-          await this.#pause(this.#options.settleMs);
+          await this.#pause(this.#options.settlePerHostMs * this.#parts.directory.hosts.size);
         }
       } catch (error) {
         this.#noteLoss(error);
--- a/src/placement/MakerTable.ts
+++ b/src/placement/MakerTable.ts
@@ -123,6 +123,15 @@
     return this.#held.get(handle)?.isFreeing === false;
   }
 
+  /**
+   * @param handle - a result
+   * @returns when it goes by itself; null when it does not stand, as far as is known
+   */
+  getLapseMs(handle: string): number | null {
+    const result = this.#held.get(handle);
+    return result?.isFreeing === false ? result.lapsesAtMs : null;
+  }
+
   /** @param nowMs - results that lapse until then are let go */
   expire(nowMs: number): void {
     this.noteGone([...this.#held]
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -9,6 +9,7 @@
 import { findPlacementGroups, type PlacementGroup } from './PlacementGroup.ts';
 import {
   REFUSAL, type PlacementDemand, type PlacementNote, type PlacementRequest, type PlacementResult,
+  type StandingResult,
 } from './PlacementRequest.ts';
 import { PlacerChooser } from './PlacerChooser.ts';
 import { PlacerWatch } from './PlacerWatch.ts';
@@ -25,9 +26,12 @@
   readonly logger: Logger;
 }
 
+/** What becomes of a placement in the end; it may have been handed over before. */
+export type FinalPlacementResult = Exclude<PlacementResult, { kind: 'handedOver' }>;
+
 /** A placement that is under way. */
 export interface RunningPlacement {
-  readonly result: Promise<PlacementResult>;
+  readonly result: Promise<FinalPlacementResult>;
   /** Withdraws the request. */
   cancel(): void;
   /**
@@ -52,10 +56,12 @@
   demand: PlacementDemand,
   group: PlacementGroup,
   elapsedMs: number,
+  standingResults: readonly StandingResult[],
 ): PlacementRequest {
   return {
     ...demand,
     domains: group.domains,
+    standingResults,
     onTimeMs: demand.onTimeMs - elapsedMs,
     remainingMs: demand.remainingMs - elapsedMs,
   };
@@ -74,6 +80,9 @@
 
   readonly #chooser: PlacerChooser;
 
+  /** Whether this host leaves, so that others place for it as well. */
+  #isOwnDeskLeaving = false;
+
   /** Null when the directory has changed since they were found. */
   #groups: readonly PlacementGroup[] | null = null;
 
@@ -86,7 +95,9 @@
     this.#options = options;
     this.#watch = new PlacerWatch(options);
     this.#chooser = new PlacerChooser({
-      ...options, isAvoided: (host) => this.#watch.isAvoided(host),
+      ...options,
+      isAvoided: (host) => (
+        host.id === options.hostId ? this.#isOwnDeskLeaving : this.#watch.isAvoided(host)),
     });
     options.directory.onChange(() => {
       this.#groups = null;
@@ -103,28 +114,40 @@
     let isCancelled = false;
     let cancelCurrent = (): void => {};
     let placer: HostEntry | null = null;
-    const attempt = async (group: PlacementGroup): Promise<PlacementResult> => {
-      placer = this.#chooser.choose(group);
-      const elapsedMs = this.#options.clock.getMonotonicMs() - startedAtMs;
-      const request = createRequest(demand, group, elapsedMs);
-      if (placer === null) {
-        return new Promise((resolve) => {
-          cancelCurrent = this.#options.desk.place(request, resolve);
-        });
+    let standing: readonly StandingResult[] = [];
+    const attempt = async (group: PlacementGroup): Promise<FinalPlacementResult> => {
+      const chosen = this.#chooser.choose(group);
+      placer = chosen;
+      if (chosen === null && this.#isOwnDeskLeaving) {
+        return { kind: 'refused', reason: REFUSAL.unreachable, retryAfterMs: 0 };
       }
+      const elapsedMs = this.#options.clock.getMonotonicMs() - startedAtMs;
+      const request = createRequest(demand, group, elapsedMs, standing);
       const controller = new AbortController();
-      cancelCurrent = () => controller.abort();
       try {
-        return await this.#placeAt(placer, request, controller);
+        const result = await (chosen === null
+          ? new Promise<PlacementResult>((resolve) => {
+            cancelCurrent = this.#options.desk.place(request, resolve);
+          })
+          : this.#placeAt(chosen, request, controller, (cancel) => {
+            cancelCurrent = cancel;
+          }));
+        if (result.kind !== 'handedOver') {
+          return result;
+        }
+        standing = result.results;
+        this.#noteLeaving(chosen);
       } catch (error) {
-        if (isCancelled || request.remainingMs <= 0) {
+        if (isCancelled || chosen === null || request.remainingMs <= 0) {
           return { kind: 'refused', reason: REFUSAL.unreachable, retryAfterMs: 0 };
         }
-        this.#watch.noteFailure(placer, String(error));
-        return attempt(group);
+        this.#watch.noteFailure(chosen, String(error));
       }
+      return isCancelled
+        ? { kind: 'refused', reason: REFUSAL.unreachable, retryAfterMs: 0 }
+        : attempt(group);
     };
-    const attemptInTurn = async (): Promise<PlacementResult> => {
+    const attemptInTurn = async (): Promise<FinalPlacementResult> => {
       const result = await attempt(waitingGroups.shift() ?? NO_GROUP);
       return result.kind === 'refused' && !isCancelled && waitingGroups.length > 0
         ? attemptInTurn()
@@ -156,7 +179,9 @@
     placer: HostEntry,
     request: PlacementRequest,
     controller: AbortController,
+    setCancel: (cancel: () => void) => void,
   ): Promise<PlacementResult> {
+    setCancel(() => controller.abort());
     const release = this.#watch.watch(placer, controller);
     try {
       const response = await this.#options.connections.get(`http://${placer.peerAddress}`).request({
@@ -176,6 +201,15 @@
     }
   }
 
+  /** @param placer - a host that hands its placements over; null for this one */
+  #noteLeaving(placer: HostEntry | null): void {
+    if (placer === null) {
+      this.#isOwnDeskLeaving = true;
+    } else {
+      this.#watch.noteFailure(placer, 'it is leaving');
+    }
+  }
+
   #note(placer: HostEntry | null, note: PlacementNote): void {
     if (placer === null) {
       this.#options.desk.note(note);
--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -41,6 +41,35 @@
     });
   });
 
+  it('hands a request over with the results that stand, once no piece of it is being made', () => {
+    const third: RouteStage = { poolId: toId<PoolId>('second'), after: [1], resultBytes: 1_000 };
+    const makers = { first: { makers: 1 }, second: { makers: 1 } };
+    const stages = [FIRST, SECOND, third];
+    const before = new PlacementTestBed(makers);
+    before.place({ requestId: 'r', stages, pieceCounts: [2, 3, 1] });
+    before.takeCalls().forEach((call) => before.complete(call));
+    before.desk.startHandingOver();
+    deepEqual(before.results.size, 0);
+    before.takeCalls().forEach((call) => before.complete(call));
+    const result = before.results.get('r');
+    ok(result?.kind === 'handedOver');
+    deepEqual(result.results.map(({ stageIndex }) => stageIndex), [1, 1, 1]);
+    const after = new PlacementTestBed(makers);
+    after.place({
+      requestId: 'r', stages, pieceCounts: [2, 3, 1], standingResults: result.results,
+    });
+    const items = after.takeCalls().flatMap((call) => call.items);
+    deepEqual(items.map(({ stageIndex, inputs }) => [stageIndex, inputs.length]), [[2, 3]]);
+  });
+
+  it('hands over at once what comes while it is leaving', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1 } });
+    bed.desk.startHandingOver();
+    bed.place({ requestId: 'r', stages: [FIRST], pieceCounts: [1] });
+    equal(bed.results.get('r')?.kind, 'handedOver');
+    equal(bed.takeCalls().length, 0);
+  });
+
   it('frees results as soon as nobody needs them', () => {
     const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 1 } });
     bed.place({ requestId: 'r', stages: [FIRST, SECOND] });
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -54,6 +54,8 @@
 
   readonly #jobs = new Map<string, PlacementJob>();
 
+  #isHandingOver = false;
+
   /** Time from a placement to the engine's first token, lately. */
   #startMs = 0;
 
@@ -79,6 +81,10 @@
    * @returns withdraws the request; without effect once it is placed
    */
   place(request: PlacementRequest, answer: (result: PlacementResult) => void): () => void {
+    if (this.#isHandingOver) {
+      answer({ kind: 'handedOver', results: request.standingResults });
+      return () => {};
+    }
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#drop(request.requestId);
     const onTimeMs = request.onTimeMs - this.#startMs;
@@ -91,6 +97,7 @@
     }
     this.#jobs.set(request.requestId, job);
     this.#scheduler.add(job);
+    this.#scheduler.takeOver(job);
     this.#options.requestRun();
     return () => {
       if (this.#jobs.get(request.requestId) === job && job.state !== 'placed') {
@@ -144,9 +151,19 @@
     this.#options.requestRun();
   }
 
+  /** Gives back what it has not placed, each request with the results that stand of it. */
+  startHandingOver(): void {
+    this.#isHandingOver = true;
+    this.#options.requestRun();
+  }
+
   /** Does what can be done now. */
   run(): void {
     this.#expire();
+    if (this.#isHandingOver) {
+      this.#handOver();
+      return;
+    }
     this.#jobs.forEach((job) => {
       if (job.state === 'inStages' && job.stages.every(isStageDone)) {
         job.state = 'awaitingEngine';
@@ -160,6 +177,23 @@
     this.#scheduler.run();
   }
 
+  /** A request with pieces that are being made stays until those calls are over. */
+  #handOver(): void {
+    this.#jobs.forEach((job, requestId) => {
+      const isMoving = job.state !== 'placed'
+        && !job.stages.some(({ pieces }) => pieces.some(({ state }) => state === 'running'));
+      if (isMoving) {
+        this.#jobs.delete(requestId);
+        const results = this.#scheduler.handOver(job);
+        this.#options.logger.info({
+          event: 'placementHandedOver', requestId, resultCount: results.length,
+        }, 'handed a request over to the next placing host');
+        job.answer({ kind: 'handedOver', results });
+      }
+    });
+    this.#scheduler.flushFrees();
+  }
+
   #placeOnEngine(job: PlacementJob): void {
     const { request } = job;
     const { directory, clock } = this.#options;
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -2,6 +2,17 @@
 import type { PromptPart } from '../ingress/CallerRequest.ts';
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
 
+/** A stage result that stands already, at a request that another host had begun to place. */
+export interface StandingResult {
+  readonly stageIndex: number;
+  readonly pieceIndex: number;
+  readonly handle: string;
+  /** Upstream that keeps it. */
+  readonly makerId: UpstreamId;
+  /** How much longer it is kept when nobody frees it. */
+  readonly remainingTtlMs: number;
+}
+
 /** A generation that needs its stages done and an engine. Durations count from its sending. */
 export interface PlacementDemand {
   readonly requestId: string;
@@ -29,6 +40,8 @@
 export interface PlacementRequest extends PlacementDemand {
   /** The group's failure domains. */
   readonly domains: readonly string[];
+  /** What a host that placed before and left has handed over. */
+  readonly standingResults: readonly StandingResult[];
 }
 
 /** Why a placement is refused. */
@@ -57,6 +70,11 @@
     readonly reason: Refusal;
     /** When it is worth coming back. */
     readonly retryAfterMs: number;
+  }
+  | {
+    /** The host that placed is leaving; the next one goes on from these results. */
+    readonly kind: 'handedOver';
+    readonly results: readonly StandingResult[];
   };
 
 /** What an entry host tells of a request that was placed. */
--- a/src/placement/PlacerChooser.ts
+++ b/src/placement/PlacerChooser.ts
@@ -15,7 +15,7 @@
   readonly directory: Directory;
   /** Gets a line when another host is chosen for a group. */
   readonly logger: Logger;
-  /** Whether a host failed a moment ago. */
+  /** Whether a host failed a moment ago, or is leaving. */
   readonly isAvoided: (host: HostEntry) => boolean;
 }
 
@@ -57,8 +57,7 @@
    */
   choose(group: PlacementGroup): HostEntry | null {
     const { directory, hostId, isAvoided } = this.#options;
-    const present = [...directory.hosts.values()]
-      .filter((host) => host.id === hostId || !isAvoided(host));
+    const present = [...directory.hosts.values()].filter((host) => !isAvoided(host));
     const near = present.filter((host) => group.domains.includes(host.failureDomain));
     const groupName = group.domains[0] ?? '';
     const [chosen] = [...(near.length > 0 ? near : present)].sort(compareHosts);
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -15,6 +15,7 @@
 import {
   PIECE_FAILURE, type PieceOutcome, type StageCall, type StageItem, type StageOutcome,
 } from './StageCall.ts';
+import type { StandingResult } from './PlacementRequest.ts';
 import { StageForecast } from './StageForecast.ts';
 import { getConsumers, getInputBytes } from './stageBytes.ts';
 
@@ -113,6 +114,57 @@
     this.#getGroup(job).jobs.add(job);
   }
 
+  /**
+   * Takes in results that another host has had made for a request.
+   *
+   * @param job - the request, added already
+   */
+  takeOver(job: PlacementJob): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    job.request.standingResults.forEach((result) => {
+      const stage = job.stages[result.stageIndex];
+      const piece = stage?.pieces[result.pieceIndex];
+      const isThere = this.#options.directory.getUpstream(result.makerId) !== undefined;
+      if (stage !== undefined && piece !== undefined && isThere) {
+        const lapsesAtMs = nowMs + result.remainingTtlMs;
+        this.#makers.hold(result.makerId, result.handle, stage.resultBytes, lapsesAtMs);
+        Object.assign(piece, { state: 'done', handle: result.handle, makerId: result.makerId });
+      }
+    });
+    // Results that were freed, since all that need them are done, are not missing.
+    [...job.stages].reverse().forEach((stage) => {
+      const consumers = getConsumers(job, stage);
+      if (consumers.length > 0 && consumers.every(isStageDone)) {
+        stage.pieces.forEach((piece) => Object.assign(piece, { state: 'done' }));
+      }
+    });
+    this.#forecast.forget(job);
+  }
+
+  /**
+   * Lets go of a request, whose results go on to stand for the host that places it next.
+   *
+   * @param job - a request none of whose pieces is being made
+   * @returns what stands of it
+   */
+  handOver(job: PlacementJob): StandingResult[] {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const results = job.stages.flatMap((stage) => stage.pieces.flatMap((piece) => {
+      const lapsesAtMs = piece.handle === null ? null : this.#makers.getLapseMs(piece.handle);
+      return piece.handle === null || piece.makerId === null || lapsesAtMs === null ? [] : [{
+        stageIndex: stage.index,
+        pieceIndex: piece.index,
+        handle: piece.handle,
+        makerId: piece.makerId,
+        remainingTtlMs: Math.max(0, lapsesAtMs - nowMs),
+      }];
+    }));
+    this.#makers.noteGone(results.map(({ handle }) => handle));
+    job.stages.forEach((stage) => stage.pieces.forEach(resetPiece));
+    this.remove(job);
+    return results;
+  }
+
   /** @param job - a request that needs no stage any more; its results are freed */
   remove(job: PlacementJob): void {
     this.#groups.get(getGroupKey(job))?.jobs.delete(job);
@@ -214,7 +266,7 @@
   /** Sends what can be sent now, and frees what nobody needs. */
   run(): void {
     this.#makers.expire(this.#options.clock.getMonotonicMs());
-    this.#flushFrees();
+    this.flushFrees();
     this.#groups.forEach((group, key) => {
       if (group.jobs.size === 0) {
         this.#groups.delete(key);
@@ -421,7 +473,8 @@
     piece.handle = null;
   }
 
-  #flushFrees(): void {
+  /** Frees what nobody needs. */
+  flushFrees(): void {
     this.#toFree.forEach((handles, makerId) => {
       const upstream = this.#options.directory.getUpstream(makerId);
       if (upstream !== undefined) {
--- a/src/placement/planBatches.test.ts
+++ b/src/placement/planBatches.test.ts
@@ -21,6 +21,7 @@
   return createPlacementJob({
     requestId: sketch.id,
     domains: ['a'],
+    standingResults: [],
     poolId: toId<PoolId>('engines'),
     stages: [{
       poolId: toId<PoolId>('pool'), after: [], resultBytes: sketch.resultBytes ?? 10,
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -2,14 +2,14 @@
 import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { UpstreamId } from '../lib/ids.ts';
-import type { RunningPlacement } from '../placement/PlacementClient.ts';
-import type { PlacementNote, PlacementResult } from '../placement/PlacementRequest.ts';
+import type { FinalPlacementResult, RunningPlacement } from '../placement/PlacementClient.ts';
+import type { PlacementNote } from '../placement/PlacementRequest.ts';
 import { EventSplitter, type StreamEvent } from './EventSplitter.ts';
 import type { RelayContext, RelayTerms } from './RelayContext.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
 import type { AnswerHead } from './UpstreamProtocol.ts';
 
-type Placed = Extract<PlacementResult, { kind: 'placed' }>;
+type Placed = Extract<FinalPlacementResult, { kind: 'placed' }>;
 
 /** Silence, in multiples of the longest pause, after which a stream goes on elsewhere. */
 const SILENCE_FACTOR = 4;
@@ -127,7 +127,7 @@
       });
   }
 
-  #takePlacement(placement: RunningPlacement, result: PlacementResult): void {
+  #takePlacement(placement: RunningPlacement, result: FinalPlacementResult): void {
     if (result.kind === 'placed' && this.#isOver) {
       placement.note('ended', result.upstreamId);
       return;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -154,6 +154,7 @@
       'the host is leaving',
     );
     this.#ingress.startDraining();
+    this.#service.desk.startHandingOver();
     this.#registration.stop().catch((error: unknown) => {
       this.#logger.info(
         { event: 'leaseNotEnded', error: String(error) },
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -107,6 +107,7 @@
   place(request: Partial<PlacementRequest> & { readonly requestId: string }): () => void {
     return this.desk.place({
       domains: ['a', 'b', 'c'],
+      standingResults: [],
       poolId: ENGINE_POOL_ID,
       stages: [],
       pieceCounts: (request.stages ?? []).map(() => 1),
