--- a/src/directory/DirectoryFollower.test.ts
+++ b/src/directory/DirectoryFollower.test.ts
@@ -93,8 +93,9 @@
 }
 
 describe('DirectoryFollower', () => {
-  it('lets changes settle for longer the more hosts there are, and asks on at once after none', async () => {
-    const { pausesMs } = await follow([createHost('one'), createHost('two')], [
+  it('lets changes settle, longer with more hosts, and asks on at once after none', async () => {
+    const hosts = [createHost('one'), createHost('two')];
+    const { pausesMs } = await follow(hosts, [
       createChanges(DRAINED), createChanges(), createChanges(CONFIGURATION), createChanges(),
     ]);
     deepEqual(pausesMs, [2 * settlePerHostMs, 2 * settlePerHostMs]);
--- /dev/null
+++ b/standins/store/StoreStandin.ts
@@ -0,0 +1,195 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  fastify, type FastifyInstance, type FastifyReply, type FastifyRequest,
+} from 'fastify';
+import { STORE_PATHS } from '../../platform/WIRE.ts';
+import { StoreState, type StoreTransaction } from './StoreState.ts';
+
+/** How the store misbehaves. */
+export type StoreFault =
+  | { readonly kind: 'none' }
+  /** Refuses every call, and does nothing. */
+  | { readonly kind: 'down' }
+  /** Answers no call, and does nothing. */
+  | { readonly kind: 'silent' }
+  /** Does what is asked and breaks the connection off. */
+  | { readonly kind: 'answersLost' }
+  | { readonly kind: 'slow'; readonly delayMs: number };
+
+const LOOPBACK = '127.0.0.1';
+const PAGE_SIZE = 500;
+const LEASE_CHECK_MS = 100;
+const STATUS = {
+  notFound: 404, gone: 410, conflict: 412, unavailable: 503,
+} as const;
+
+type Query = Readonly<Record<string, string | undefined>>;
+type Handler = (request: FastifyRequest, reply: FastifyReply) => unknown;
+
+function getLeaseId(request: FastifyRequest): number {
+  return Number((request.params as { id: string }).id);
+}
+
+function answerLease(reply: FastifyReply, stands: boolean): Record<string, never> {
+  if (!stands) {
+    reply.code(STATUS.notFound);
+  }
+  return {};
+}
+
+/** The users' store by its published protocol, in memory, with faults. */
+export class StoreStandin {
+  readonly state = new StoreState();
+
+  readonly #fastify: FastifyInstance = fastify({ forceCloseConnections: true });
+
+  readonly #leaseTimer: NodeJS.Timeout;
+
+  readonly #pageSize: number;
+
+  #port = 0;
+
+  #hasEnded = false;
+
+  /** How the store misbehaves now. */
+  fault: StoreFault = { kind: 'none' };
+
+  /** Calls that came in, whatever became of them. */
+  callCount = 0;
+
+  /**
+   * @param pageSize - most items in one answer
+   */
+  constructor(pageSize = PAGE_SIZE) {
+    this.#pageSize = pageSize;
+    this.#route('GET', STORE_PATHS.range, (request) => this.#getRange(request.query as Query));
+    this.#route('GET', STORE_PATHS.watch, (request, reply) => (
+      this.#watch(request.query as Query, reply)));
+    this.#route('POST', STORE_PATHS.transaction, (request, reply) => (
+      this.#apply(request.body as StoreTransaction, reply)));
+    this.#route('POST', STORE_PATHS.createLease, (request) => {
+      const ttlMs = Number((request.body as { ttl_ms: number }).ttl_ms);
+      return { lease: this.state.createLease(ttlMs), ttl_ms: ttlMs };
+    });
+    this.#route('POST', `${STORE_PATHS.renewLease}:id`, (request, reply) => (
+      answerLease(reply, this.state.renewLease(getLeaseId(request)))));
+    this.#route('DELETE', `${STORE_PATHS.endLease}:id`, (request, reply) => (
+      answerLease(reply, this.state.endLease(getLeaseId(request)))));
+    this.#leaseTimer = setInterval(() => this.state.expireLeases(), LEASE_CHECK_MS);
+  }
+
+  /** IP address and port. */
+  get address(): string {
+    return `${LOOPBACK}:${this.#port}`;
+  }
+
+  /** @returns when it listens */
+  async listen(): Promise<void> {
+    await this.#fastify.listen({ host: LOOPBACK, port: 0 });
+    const address = this.#fastify.server.address();
+    this.#port = typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
+  /**
+   * Writes as the operator or an upstream does.
+   *
+   * @param key - the key
+   * @param value - written as JSON
+   */
+  put(key: string, value: unknown): void {
+    const text = Buffer.from(JSON.stringify(value)).toString('base64');
+    this.state.apply({ expected: [], writes: [{ key, value: text }], remove: [] });
+  }
+
+  /** @param key - removed as the operator or an upstream does */
+  remove(key: string): void {
+    this.state.apply({ expected: [], writes: [], remove: [key] });
+  }
+
+  /** Ends everything. */
+  async close(): Promise<void> {
+    this.#hasEnded = true;
+    clearInterval(this.#leaseTimer);
+    await this.#fastify.close();
+  }
+
+  #route(method: 'GET' | 'POST' | 'DELETE', url: string, handler: Handler): void {
+    this.#fastify.route({
+      method,
+      url,
+      handler: async (request, reply) => {
+        this.callCount += 1;
+        const { fault } = this;
+        if (fault.kind === 'down') {
+          return reply.code(STATUS.unavailable).send({});
+        }
+        if (fault.kind === 'silent') {
+          return new Promise(() => {});
+        }
+        if (fault.kind === 'slow') {
+          await sleep(fault.delayMs);
+        }
+        const answer = await handler(request, reply);
+        if (fault.kind === 'answersLost') {
+          reply.raw.destroy();
+        }
+        return answer ?? {};
+      },
+    });
+  }
+
+  #getRange(query: Query): unknown {
+    const { items, hasMore } = this.state.getRange(
+      query.prefix ?? '',
+      query.after ?? '',
+      this.#pageSize,
+    );
+    return { items, has_more: hasMore, as_of: this.state.revision };
+  }
+
+  async #watch(query: Query, reply: FastifyReply): Promise<unknown> {
+    const prefix = query.prefix ?? '';
+    const after = Number(query.after);
+    if (this.state.getEvents(prefix, after)?.length === 0) {
+      await this.#waitForChange(Number(query.wait_ms));
+    }
+    const events = this.state.getEvents(prefix, after);
+    if (events === null) {
+      reply.code(STATUS.gone);
+      return {};
+    }
+    return { events, as_of: this.state.revision };
+  }
+
+  async #waitForChange(waitMs: number): Promise<void> {
+    if (this.#hasEnded) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      let removeListener = (): void => {};
+      const timer = setTimeout(() => {
+        removeListener();
+        resolve();
+      }, waitMs);
+      removeListener = this.state.addListener(() => {
+        clearTimeout(timer);
+        removeListener();
+        resolve();
+      });
+    });
+  }
+
+  #apply(transaction: StoreTransaction, reply: FastifyReply): unknown {
+    const result = this.state.apply(transaction);
+    switch (result.kind) {
+      case 'done':
+        return { rev: result.rev };
+      case 'conflict':
+        reply.code(STATUS.conflict);
+        return { items: result.items };
+      default:
+        reply.code(STATUS.notFound);
+        return {};
+    }
+  }
+}
--- /dev/null
+++ b/standins/store/StoreState.ts
@@ -0,0 +1,199 @@
+import { performance } from 'node:perf_hooks';
+
+/** An item of the store. */
+export interface StoreItem {
+  readonly key: string;
+  /** Standard base64. */
+  readonly value: string;
+  readonly rev: number;
+  readonly created: number;
+  /** 0 for none. */
+  readonly lease: number;
+}
+
+/** One change: an item as it was written, or what was removed. */
+export type StoreEvent = StoreItem | {
+  readonly key: string; readonly rev: number; readonly deleted: true;
+};
+
+/** What a transaction asks for. */
+export interface StoreTransaction {
+  readonly expected: readonly { readonly key: string; readonly rev: number }[];
+  readonly writes: readonly {
+    readonly key: string; readonly value: string; readonly lease?: number;
+  }[];
+  readonly remove: readonly string[];
+}
+
+/** What became of a transaction. */
+export type TransactionResult =
+  | { readonly kind: 'done'; readonly rev: number }
+  | { readonly kind: 'conflict'; readonly items: readonly StoreItem[] }
+  | { readonly kind: 'leaseUnknown' };
+
+interface Lease {
+  readonly ttlMs: number;
+  endsAtMs: number;
+}
+
+const FIRST_REVISION = 100;
+
+/** What the users' store keeps: items under revisions, leases, and a history of changes. */
+export class StoreState {
+  readonly #items = new Map<string, StoreItem>();
+
+  readonly #leases = new Map<number, Lease>();
+
+  readonly #listeners = new Set<() => void>();
+
+  #events: StoreEvent[] = [];
+
+  #revision = FIRST_REVISION;
+
+  #oldestRevision = FIRST_REVISION;
+
+  #leaseCount = 0;
+
+  /** The revision of the newest change. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /**
+   * @param key - a key
+   * @returns its item
+   */
+  get(key: string): StoreItem | undefined {
+    return this.#items.get(key);
+  }
+
+  /**
+   * @param prefix - what keys begin with
+   * @param after - only keys behind this one
+   * @param limit - most items
+   * @returns the items in the order of their keys, and whether there are more
+   */
+  getRange(
+    prefix: string,
+    after: string,
+    limit: number,
+  ): { items: StoreItem[]; hasMore: boolean } {
+    const items = [...this.#items.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    return { items: items.slice(0, limit), hasMore: items.length > limit };
+  }
+
+  /**
+   * @param prefix - what keys begin with
+   * @param after - a revision
+   * @returns the changes behind it; null when that history is dropped
+   */
+  getEvents(prefix: string, after: number): StoreEvent[] | null {
+    return after < this.#oldestRevision
+      ? null
+      : this.#events.filter(({ key, rev }) => rev > after && key.startsWith(prefix));
+  }
+
+  /** @param listener - called after each change, until it is removed again */
+  addListener(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /**
+   * Carries a transaction out, whole or not at all.
+   *
+   * @param transaction - what is expected and what is written
+   * @returns what became of it
+   */
+  apply({ expected, writes, remove }: StoreTransaction): TransactionResult {
+    this.expireLeases();
+    const isMet = expected.every(({ key, rev }) => (this.#items.get(key)?.rev ?? 0) === rev);
+    if (!isMet) {
+      const items = expected.flatMap(({ key }) => this.#items.get(key) ?? []);
+      return { kind: 'conflict', items };
+    }
+    const leases = writes.map(({ lease }) => lease ?? 0).filter((lease) => lease !== 0);
+    if (!leases.every((lease) => this.#leases.has(lease))) {
+      return { kind: 'leaseUnknown' };
+    }
+    this.#revision += 1;
+    writes.forEach(({ key, value, lease }) => this.#write(key, value, lease ?? 0));
+    remove.forEach((key) => this.#remove(key));
+    this.#notify();
+    return { kind: 'done', rev: this.#revision };
+  }
+
+  /**
+   * @param ttlMs - how long it lasts without renewal
+   * @returns its id
+   */
+  createLease(ttlMs: number): number {
+    this.#leaseCount += 1;
+    this.#leases.set(this.#leaseCount, { ttlMs, endsAtMs: performance.now() + ttlMs });
+    return this.#leaseCount;
+  }
+
+  /**
+   * @param id - a lease
+   * @returns whether it still stood
+   */
+  renewLease(id: number): boolean {
+    this.expireLeases();
+    const lease = this.#leases.get(id);
+    if (lease !== undefined) {
+      lease.endsAtMs = performance.now() + lease.ttlMs;
+    }
+    return lease !== undefined;
+  }
+
+  /**
+   * @param id - a lease; what was written under it goes with it
+   * @returns whether it still stood
+   */
+  endLease(id: number): boolean {
+    if (!this.#leases.delete(id)) {
+      return false;
+    }
+    const keys = [...this.#items.values()].filter(({ lease }) => lease === id);
+    if (keys.length > 0) {
+      this.#revision += 1;
+      keys.forEach(({ key }) => this.#remove(key));
+      this.#notify();
+    }
+    return true;
+  }
+
+  /** Ends the leases whose time is up. */
+  expireLeases(): void {
+    const nowMs = performance.now();
+    [...this.#leases].filter(([, { endsAtMs }]) => endsAtMs <= nowMs)
+      .forEach(([id]) => this.endLease(id));
+  }
+
+  /** Drops all history up to now. */
+  dropHistory(): void {
+    this.#oldestRevision = this.#revision;
+    this.#events = [];
+  }
+
+  #write(key: string, value: string, lease: number): void {
+    const created = this.#items.get(key)?.created ?? this.#revision;
+    const item = {
+      key, value, rev: this.#revision, created, lease,
+    };
+    this.#items.set(key, item);
+    this.#events.push(item);
+  }
+
+  #remove(key: string): void {
+    if (this.#items.delete(key)) {
+      this.#events.push({ key, rev: this.#revision, deleted: true });
+    }
+  }
+
+  #notify(): void {
+    this.#listeners.forEach((listener) => listener());
+  }
+}
