--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -33,13 +33,8 @@
 const TIMEOUT_FACTOR = 3;
 /** Time a call may take in any case. */
 const MIN_TIMEOUT_MS = 1_000;
-/** Pause before an upstream that was full is asked again. */
-const FULL_PAUSE_MS = 60;
-/**
- * How long an upstream that lacked room is taken to hold what this host doesn't know of: results of
- * a host that placed before, which nobody frees.
- */
-const FOREIGN_ROOM_MS = 1_000;
+/** Pause before an upstream that was full or without room is asked again. */
+const NO_ROOM_PAUSE_MS = 60;
 /** Part of the room that is planned with, since results are only about as large as declared. */
 const ROOM_PART = 0.95;
 /** Upstreams slower than this multiple of the fastest one are used when nothing better is idle. */
@@ -247,10 +242,9 @@
         call.pieces.forEach((planned, index) => {
           this.#finishPiece(call, planned, outcome.pieces[index], nowMs);
         });
-        this.#noteLackOfRoom(call, outcome.pieces, nowMs);
         break;
       case 'notRun':
-        maker.avoidUntilMs = nowMs + FULL_PAUSE_MS;
+        maker.avoidUntilMs = nowMs + NO_ROOM_PAUSE_MS;
         call.pieces.forEach(({ piece }) => resetPiece(piece));
         break;
       case 'broken':
@@ -400,17 +394,6 @@
     });
   }
 
-  /** An upstream that lacks room, though this host thought otherwise, keeps results of others. */
-  #noteLackOfRoom(call: StageCall, outcomes: readonly PieceOutcome[], nowMs: number): void {
-    const isLacking = outcomes.some((outcome) => (
-      outcome.kind === 'failure' && outcome.failure === PIECE_FAILURE.noRoom));
-    const limits = this.#options.directory.configuration?.pools.get(call.poolId)?.batch;
-    if (isLacking && limits !== undefined && limits !== null) {
-      const foreignBytes = getFreeBytes(this.#makers.get(call.makerId), limits);
-      this.#holdUnknown(call, Math.max(0, foreignBytes), nowMs + FOREIGN_ROOM_MS);
-    }
-  }
-
   /** Results whose handles nobody knows take up room until they lapse. */
   #holdUnknown({ makerId }: StageCall, bytes: number, lapsesAtMs: number): void {
     this.#unknownCount += 1;
@@ -442,6 +425,8 @@
         this.#freePiece(needed);
       }));
       this.reopenLapsed(job);
+    } else if (failure === PIECE_FAILURE.noRoom) {
+      this.#makers.get(call.makerId).avoidUntilMs = nowMs + NO_ROOM_PAUSE_MS;
     }
   }
 
