--- /dev/null
+++ b/scripts/runSoak.ts
@@ -0,0 +1,53 @@
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { SoakRun } from './soak/SoakRun.ts';
+
+/*
+ * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H]`: real entry hosts as processes
+ * on loopback under faults from outside. Exits 1 when a promise was not kept, and names the seed.
+ */
+const MS_PER_MINUTE = 60_000;
+const FAULT_MS = 12_000;
+const CALM_MS = 9_000;
+/** Loopback networks 127.64 to 127.191 are free of what else may listen there. */
+const FIRST_NETWORK = 64;
+const NETWORK_COUNT = 128;
+
+const options = await yargs(hideBin(process.argv)).options({
+  seeds: { type: 'number', default: 1, describe: 'how many seeds, one after the other' },
+  seed: { type: 'number', default: 1, describe: 'the first seed' },
+  minutes: { type: 'number', default: Infinity, describe: 'begin no further seed after this' },
+  hosts: { type: 'number', default: 4, describe: 'entry hosts, a process each' },
+}).strict().parse();
+
+const startMs = performance.now();
+const failedSeeds: number[] = [];
+let { seed } = options;
+while (
+  seed < options.seed + options.seeds
+  && performance.now() - startMs < options.minutes * MS_PER_MINUTE
+) {
+  const folder = join(tmpdir(), `parsleylift-soak-${process.pid}-${seed}`);
+  const run = new SoakRun({
+    seed,
+    hostCount: options.hosts,
+    faultMs: FAULT_MS,
+    calmMs: CALM_MS,
+    folder,
+    network: FIRST_NETWORK + (process.pid % NETWORK_COUNT),
+  });
+  // eslint-disable-next-line no-await-in-loop -- one seed after the other, on one machine
+  const violations = await run.run();
+  console.log(`seed ${seed}: ${run.servedCount} of ${run.requestCount} served, `
+    + `${violations.length} violations; logs in ${folder}`);
+  violations.forEach((violation) => console.log(`  ${JSON.stringify(violation)}`));
+  if (violations.length > 0) {
+    failedSeeds.push(seed);
+  }
+  seed += 1;
+}
+const isClean = failedSeeds.length === 0;
+console.log(isClean ? 'no promise was broken' : `failed seeds: ${failedSeeds.join(' ')}`);
+process.exit(isClean ? 0 : 1);
--- /dev/null
+++ b/scripts/soak/SoakCaller.ts
@@ -0,0 +1,87 @@
+import { randomUUID } from 'node:crypto';
+import { Agent, request as sendRequest } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import { REQUEST_KIND, type CallerRecord, type RequestKind } from './SoakRecord.ts';
+import { SOAK_HOST_NAME, SOAK_KEY } from './createSoakManifest.ts';
+
+const DEADLINE_MS: Readonly<Record<RequestKind, number>> = {
+  [REQUEST_KIND.repeatable]: 2_000, [REQUEST_KIND.once]: 2_000, [REQUEST_KIND.stream]: 5_000,
+};
+
+/** Sends requests over kept connections and writes down what comes back. */
+export class SoakCaller {
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 16 });
+
+  readonly #records: CallerRecord[];
+
+  /** @param records - gets an entry for each request */
+  constructor(records: CallerRecord[]) {
+    this.#records = records;
+  }
+
+  /**
+   * @param hostIndex - the host
+   * @param address - where it listens
+   * @param kind - what to ask for
+   */
+  send(
+    hostIndex: number,
+    address: { readonly host: string; readonly port: number },
+    kind: RequestKind,
+  ): void {
+    const record: CallerRecord = {
+      requestId: randomUUID(),
+      kind,
+      hostIndex,
+      sentAtMs: performance.now(),
+      deadlineMs: DEADLINE_MS[kind],
+      endedAtMs: null,
+      status: null,
+      isSigned: false,
+      isWhole: false,
+      body: '',
+    };
+    this.#records.push(record);
+    const end = (): void => {
+      record.endedAtMs ??= performance.now();
+    };
+    const request = sendRequest({
+      ...address,
+      agent: this.#agent,
+      method: 'POST',
+      path: `/${kind}/x`,
+      headers: {
+        Host: SOAK_HOST_NAME,
+        Authorization: `Bearer ${SOAK_KEY}`,
+        'X-Request-Id': record.requestId,
+        'X-Deadline-Ms': String(record.deadlineMs),
+        'X-Pieces': '1',
+        'X-Piece-Key': 'key',
+        'X-Token-Usage': '100,50',
+        'X-Prompt-Prefix': `${record.requestId.slice(0, 8)}:100`,
+        'X-Model': 'm',
+      },
+    }, (response) => {
+      record.status = response.statusCode ?? null;
+      record.isSigned = response.headers['x-response-signature'] !== undefined;
+      response.setEncoding('utf8');
+      response.on('data', (text: string) => {
+        record.body += text;
+      });
+      response.on('end', () => {
+        record.isWhole = response.complete;
+        end();
+      });
+      response.on('close', end);
+      response.on('error', end);
+    });
+    request.on('error', end);
+    request.on('close', end);
+    request.end('body');
+  }
+
+  /** Ends all connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+}
--- /dev/null
+++ b/scripts/soak/SoakHost.ts
@@ -0,0 +1,139 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { performance } from 'node:perf_hooks';
+import { ChildProgram } from '../fleet/ChildProgram.ts';
+import type { HostSpan } from './SoakRecord.ts';
+
+/** What a host of the soak is told. */
+export interface SoakHostOptions {
+  readonly index: number;
+  /** Folder for settings and logs. */
+  readonly folder: string;
+  /** Loopback address that only this host uses, since all hosts have the same ports. */
+  readonly ip: string;
+  readonly failureDomain: string;
+  readonly storeAddress: string;
+  /** Gets the spans in which the host did not run. */
+  readonly onSpan: (span: HostSpan) => void;
+}
+
+const PORTS = {
+  callers: 18_625, readiness: 18_621, peers: 17_740,
+} as const;
+const GRACE_S = 4;
+const START_TIMEOUT_MS = 30_000;
+/** Time after its start or wake in which a host may not be held to its promises. */
+const SETTLE_MS = 1_000;
+
+/** One real entry host in a process of its own, ended and started again by signals. */
+export class SoakHost {
+  readonly #options: SoakHostOptions;
+
+  readonly #settingsFile: string;
+
+  #child: ChildProgram | null = null;
+
+  #startCount = 0;
+
+  #isBusy = false;
+
+  /**
+   * @param options - see {@link SoakHostOptions}
+   */
+  constructor(options: SoakHostOptions) {
+    this.#options = options;
+    this.#settingsFile = join(options.folder, `host-${options.index}.json`);
+    writeFileSync(this.#settingsFile, JSON.stringify(this.#createSettings()));
+  }
+
+  /** Where callers connect. */
+  get callerAddress(): { readonly host: string; readonly port: number } {
+    return { host: this.#options.ip, port: PORTS.callers };
+  }
+
+  /** @returns when the host serves */
+  async start(): Promise<void> {
+    this.#startCount += 1;
+    const { folder, index } = this.#options;
+    this.#child = await ChildProgram.start({
+      name: `host ${index}`,
+      args: ['platform/main.ts'],
+      env: { PARSLEYLIFT_BOOT: this.#settingsFile },
+      readyPattern: /"event":"started"/,
+      startTimeoutMs: START_TIMEOUT_MS,
+      logFile: join(folder, `host-${index}-${this.#startCount}.log`),
+    });
+  }
+
+  /**
+   * Ends the process and starts it again.
+   *
+   * @param signal - `SIGTERM` for a planned end, `SIGKILL` for a sudden one
+   */
+  async restart(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    await this.#disturb(async (child) => {
+      child.kill(signal);
+      await child.exited;
+      await this.start();
+    });
+  }
+
+  /** @param durationMs - how long the process stands still */
+  async pause(durationMs: number): Promise<void> {
+    await this.#disturb(async (child) => {
+      child.kill('SIGSTOP');
+      await sleep(durationMs);
+      child.kill('SIGCONT');
+    });
+  }
+
+  /** Tells the process that its settings have changed. */
+  reload(): void {
+    this.#child?.kill('SIGHUP');
+  }
+
+  /** Ends the process for good. */
+  async stop(): Promise<void> {
+    this.#child?.kill('SIGCONT');
+    this.#child?.kill('SIGKILL');
+    await this.#child?.exited;
+  }
+
+  async #disturb(action: (child: ChildProgram) => Promise<void>): Promise<void> {
+    if (this.#child === null || this.#isBusy) {
+      return;
+    }
+    this.#isBusy = true;
+    const fromMs = performance.now();
+    await action(this.#child);
+    this.#options.onSpan({
+      hostIndex: this.#options.index, fromMs, untilMs: performance.now() + SETTLE_MS,
+    });
+    this.#isBusy = false;
+  }
+
+  #createSettings(): unknown {
+    const {
+      index, ip, failureDomain, storeAddress,
+    } = this.#options;
+    return {
+      node_name: `soak-${index}`,
+      ip,
+      zone: failureDomain,
+      internal_port_range: [PORTS.peers, PORTS.peers + 1],
+      listen: { front: `${ip}:${PORTS.callers}`, ready: `${ip}:${PORTS.readiness}` },
+      limits: { cpu_share: 1, cores: 1, link_mbps: 1_000 },
+      bounds: {
+        contact_ms: 3_000,
+        retry_budget_ratio: 0.2,
+        budget_slack: 50,
+        retry_window_s: 10,
+        cold_overshoot: 1.5,
+        cold_slack: 5,
+        grace_s: GRACE_S,
+      },
+      platform: { address: storeAddress },
+    };
+  }
+}
--- /dev/null
+++ b/scripts/soak/SoakRecord.ts
@@ -0,0 +1,59 @@
+/** What kind of request a caller sends. */
+export const REQUEST_KIND = {
+  /** May run any number of times. */
+  repeatable: 'repeatable',
+  /** Runs at most once. */
+  once: 'once',
+  /** A stream of events, with stages before it, that may be resumed. */
+  stream: 'stream',
+} as const;
+
+/** A member of {@link REQUEST_KIND}. */
+export type RequestKind = typeof REQUEST_KIND[keyof typeof REQUEST_KIND];
+
+/** What a caller has seen of one request. */
+export interface CallerRecord {
+  readonly requestId: string;
+  readonly kind: RequestKind;
+  readonly hostIndex: number;
+  readonly sentAtMs: number;
+  readonly deadlineMs: number;
+  /** Null while there is no end yet. */
+  endedAtMs: number | null;
+  /** Null when the connection ended without an answer. */
+  status: number | null;
+  /** Whether the answer bears the signature of an upstream. */
+  isSigned: boolean;
+  /** Whether the answer's end was seen. */
+  isWhole: boolean;
+  body: string;
+}
+
+/** One run of a request, or of a piece, at an upstream. */
+export interface RunRecord {
+  readonly requestId: string;
+  readonly kind: RequestKind;
+  readonly upstreamId: string;
+  readonly atMs: number;
+  /** Last event that the caller had before; null for a run from its start. */
+  readonly lastEventId: number | null;
+  /** What was wrong with its inputs; null for nothing. */
+  readonly inputFault: string | null;
+  readonly account: string | null;
+}
+
+/** Spans in which a host did not run: killed, stopped or paused. */
+export interface HostSpan {
+  readonly hostIndex: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** All that callers and upstreams have seen. */
+export interface SoakRecord {
+  readonly callers: CallerRecord[];
+  readonly runs: RunRecord[];
+  readonly hostSpans: HostSpan[];
+  /** When the last fault was over; requests sent a while later have to be served. */
+  calmSinceMs: number;
+}
--- /dev/null
+++ b/scripts/soak/createSoakManifest.ts
@@ -0,0 +1,66 @@
+import { REQUEST_KIND } from './SoakRecord.ts';
+
+/** Name under which callers ask. */
+export const SOAK_HOST_NAME = 'soak.example';
+/** The callers' key. */
+export const SOAK_KEY = 'soak-key';
+/** The account that holds it. */
+export const SOAK_ACCOUNT = 'soak-account';
+
+/** Pools of the soak; each has the name of what it runs. */
+export const SOAK_POOLS = {
+  [REQUEST_KIND.repeatable]: REQUEST_KIND.repeatable,
+  [REQUEST_KIND.once]: REQUEST_KIND.once,
+  [REQUEST_KIND.stream]: REQUEST_KIND.stream,
+  stage: 'stage',
+} as const;
+
+function createRoute(kind: string, fields: Readonly<Record<string, unknown>>): unknown {
+  return {
+    name: kind,
+    host: SOAK_HOST_NAME,
+    prefix: `/${kind}/`,
+    service: kind,
+    timeout_ms: 5_000,
+    target_latency_ms: 1_000,
+    max_attempts: 2,
+    ...fields,
+  };
+}
+
+function createService(name: string, fields: Readonly<Record<string, unknown>> = {}): unknown {
+  return {
+    name, health_path: '/health', max_connections: 100, ...fields,
+  };
+}
+
+/**
+ * @param version - of the manifest
+ * @returns the manifest of the soak as the operator writes it
+ */
+export function createSoakManifest(version: number): unknown {
+  return {
+    version,
+    routes: [
+      createRoute(REQUEST_KIND.repeatable, { kind: 'safe' }),
+      createRoute(REQUEST_KIND.once, { kind: 'unsafe', max_attempts: 1 }),
+      createRoute(REQUEST_KIND.stream, {
+        kind: 'streaming',
+        stream_resume: true,
+        gap_target_ms: 400,
+        stages: [{ service: SOAK_POOLS.stage, after: [], bytes: 1_000 }],
+      }),
+    ],
+    services: [
+      createService(REQUEST_KIND.repeatable),
+      createService(REQUEST_KIND.once),
+      createService(REQUEST_KIND.stream, { engine: { slots: 64, kv_capacity_tokens: 100_000 } }),
+      createService(SOAK_POOLS.stage, {
+        pieces: {
+          slots: 4, queue: 8, batch: 10, call_ms: 30, item_ms: 1, headroom_mb: 10, handle_s: 4,
+        },
+      }),
+    ],
+    tenants: [{ name: SOAK_ACCOUNT, api_keys: [SOAK_KEY] }],
+  };
+}
--- /dev/null
+++ b/scripts/soak/findViolations.ts
@@ -0,0 +1,118 @@
+import {
+  REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
+} from './SoakRecord.ts';
+import { SOAK_ACCOUNT } from './createSoakManifest.ts';
+
+/** A promise that was not kept. */
+export interface Violation {
+  readonly promise: 'atMostOnce' | 'notRun' | 'wholeAnswer' | 'inOrder' | 'ended' | 'asked'
+    | 'inputs' | 'account' | 'recovered';
+  readonly requestId: string;
+  readonly detail: string;
+}
+
+/** Statuses that promise that a request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const STATUS_OK = 200;
+/** How long after its deadline a request may go without an end. */
+const END_SLACK_MS = 1_500;
+/** Time after the last fault in which hosts may still find their feet. */
+const RECOVERY_MS = 6_000;
+/** Part of the requests after that which has to be served. */
+const RECOVERED_PART = 0.95;
+
+/** Events of a whole stream: numbered from 1, the last one says so. */
+export const EVENT_COUNT = 12;
+
+function findRunFaults(record: SoakRecord, runs: ReadonlyMap<string, RunRecord[]>): Violation[] {
+  const callers = new Map(record.callers.map((caller) => [caller.requestId, caller]));
+  return [...runs].flatMap(([requestId, own]): Violation[] => {
+    const caller = callers.get(requestId);
+    if (caller === undefined) {
+      return [{ promise: 'asked', requestId, detail: `ran at ${own[0]?.upstreamId ?? ''}` }];
+    }
+    const found = own.flatMap(({ inputFault, account }): Violation[] => [
+      ...inputFault === null ? [] : [{ promise: 'inputs' as const, requestId, detail: inputFault }],
+      ...account === SOAK_ACCOUNT ? [] : [{
+        promise: 'account' as const, requestId, detail: `ran for account ${account ?? '(none)'}`,
+      }],
+    ]);
+    if (caller.kind === REQUEST_KIND.once && own.length > 1) {
+      found.push({ promise: 'atMostOnce', requestId, detail: `ran ${own.length} times` });
+    }
+    const { status } = caller;
+    if (caller.kind === REQUEST_KIND.once && status !== null && NOT_RUN_STATUSES.has(status)) {
+      found.push({ promise: 'notRun', requestId, detail: `ran, and was answered ${status}` });
+    }
+    return found;
+  });
+}
+
+function findStreamFault({ body, isWhole }: CallerRecord): string | null {
+  const ids = [...body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+  const isOrdered = ids.every((id, index) => id === index + 1);
+  if (!isOrdered) {
+    return `events ${ids.join(' ')}`;
+  }
+  return isWhole && ids.length !== EVENT_COUNT ? `looks whole after ${ids.length} events` : null;
+}
+
+function findAnswerFaults(caller: CallerRecord): Violation[] {
+  const { requestId, kind } = caller;
+  if (caller.status !== STATUS_OK) {
+    return [];
+  }
+  if (!caller.isSigned) {
+    return [{ promise: 'wholeAnswer', requestId, detail: 'a success without signature' }];
+  }
+  if (kind === REQUEST_KIND.stream) {
+    const fault = findStreamFault(caller);
+    return fault === null ? [] : [{ promise: 'inOrder', requestId, detail: fault }];
+  }
+  return caller.isWhole && caller.body !== `answer to ${requestId}`
+    ? [{ promise: 'wholeAnswer', requestId, detail: `got ${JSON.stringify(caller.body)}` }]
+    : [];
+}
+
+function findEndFaults(record: SoakRecord, nowMs: number): Violation[] {
+  return record.callers
+    .filter(({ hostIndex, sentAtMs, deadlineMs }) => !record.hostSpans.some((span) => (
+      span.hostIndex === hostIndex
+      && span.fromMs <= sentAtMs + deadlineMs
+      && span.untilMs >= sentAtMs)))
+    .filter(({ endedAtMs, sentAtMs, deadlineMs }) => (
+      (endedAtMs ?? nowMs) > sentAtMs + deadlineMs + END_SLACK_MS))
+    .map(({ requestId, endedAtMs, sentAtMs }) => ({
+      promise: 'ended',
+      requestId,
+      detail: endedAtMs === null ? 'no end' : `ended after ${Math.round(endedAtMs - sentAtMs)} ms`,
+    }));
+}
+
+function findRecoveryFault({ callers, calmSinceMs }: SoakRecord): Violation[] {
+  const late = callers.filter(({ sentAtMs }) => sentAtMs >= calmSinceMs + RECOVERY_MS);
+  const served = late.filter(({ status, isWhole }) => status === STATUS_OK && isWhole);
+  return late.length === 0 || served.length >= late.length * RECOVERED_PART ? [] : [{
+    promise: 'recovered', requestId: '', detail: `${served.length} of ${late.length} were served`,
+  }];
+}
+
+/**
+ * Checks the promises from what callers and upstreams have seen.
+ *
+ * @param record - what they have seen
+ * @param nowMs - the time of the check
+ * @returns each promise that was not kept
+ */
+export function findViolations(record: SoakRecord, nowMs: number): Violation[] {
+  const runs = new Map<string, RunRecord[]>();
+  record.runs.forEach((run) => {
+    runs.set(run.requestId, [...runs.get(run.requestId) ?? [], run]);
+  });
+  return [
+    ...findRunFaults(record, runs),
+    ...record.callers.flatMap(findAnswerFaults),
+    ...findEndFaults(record, nowMs),
+    ...findRecoveryFault(record),
+  ];
+}
