Pass over upstreams that have gone silent, and close connections that were silent to a deadline

Change: an upstream that leaves all its attempts without an answer for 1.5 times the objective gets no more; at a deadline its connections are closed, so that the next attempt has to connect first and goes elsewhere unsent.

--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -14,6 +14,8 @@
    * every change costs a call of every host.
    */
   readonly settlePerHostMs: number;
+  /** Longest such pause. */
+  readonly maxSettleMs: number;
   /** First pause after a failed call. */
   readonly minPauseMs: number;
   /** Longest pause between failed calls, before jitter. */
@@ -23,7 +25,8 @@
 /** Defaults of {@link DirectoryFollowerOptions}. */
 export const DEFAULT_DIRECTORY_FOLLOWER_OPTIONS: DirectoryFollowerOptions = {
   waitMs: 2_000,
-  settlePerHostMs: 5,
+  settlePerHostMs: 10,
+  maxSettleMs: 800,
   minPauseMs: 50,
   maxPauseMs: 300,
 };
@@ -93,7 +96,7 @@
         this.#backoff.reset();
         if (hasChanged) {
           // eslint-disable-next-line no-await-in-loop -- the pause is the point
-          await this.#pause(this.#options.settlePerHostMs * this.#parts.directory.hosts.size);
+          await this.#pause(this.#getSettleMs());
         }
       } catch (error) {
         this.#noteLoss(error);
@@ -113,6 +116,11 @@
     this.#revision = null;
   }
 
+  #getSettleMs(): number {
+    const { settlePerHostMs, maxSettleMs } = this.#options;
+    return Math.min(maxSettleMs, settlePerHostMs * this.#parts.directory.hosts.size);
+  }
+
   /** @returns whether the store had changes */
   async #step(): Promise<boolean> {
     if (this.#revision === null) {
--- a/src/relay/UpstreamBook.ts
+++ b/src/relay/UpstreamBook.ts
@@ -11,6 +11,8 @@
   avoidUntilMs: number;
   load: ReportedLoad | null;
   loadReadAtMs: number;
+  /** Since when attempts are open and none of them was answered; null when that is not so. */
+  silentSinceMs: number | null;
 }
 
 /** Weight of the newest attempt in the failure rate. */
@@ -45,12 +47,20 @@
   /**
    * Chooses the upstream that is likely to answer first.
    *
+   * Load pattern: a failure domain that is cut off while requests keep coming. Connections to it
+   * stay open and silent; without a look at the silence a third of the requests wait there until
+   * their deadline, and those that may run once are lost.
+   *
    * @param candidates - upstreams that may be used
+   * @param patienceMs - how long an upstream may leave all its attempts without an answer
    * @returns the choice; null when there is none
    */
-  choose(candidates: readonly KnownUpstream[]): KnownUpstream | null {
+  choose(candidates: readonly KnownUpstream[], patienceMs: number): KnownUpstream | null {
     const nowMs = this.#clock.getMonotonicMs();
-    const good = candidates.filter(({ entry }) => this.#get(entry.id).avoidUntilMs <= nowMs);
+    const good = candidates.filter(({ entry }) => {
+      const { avoidUntilMs, silentSinceMs } = this.#get(entry.id);
+      return avoidUntilMs <= nowMs && nowMs - (silentSinceMs ?? nowMs) <= patienceMs;
+    });
     let best: { upstream: KnownUpstream; cost: number } | null = null;
     // When all have failed a moment ago, trying one is better than trying none.
     (good.length > 0 ? good : candidates).forEach((upstream) => {
@@ -64,17 +74,21 @@
 
   /** @param id - an upstream that gets a request now */
   noteSent(id: UpstreamId): void {
-    this.#get(id).openCount += 1;
+    const notes = this.#get(id);
+    notes.openCount += 1;
+    notes.silentSinceMs ??= this.#clock.getMonotonicMs();
   }
 
   /**
-   * @param id - the upstream
+   * @param id - an upstream that has begun to answer
    * @param load - what it says of its load, if it does
    */
-  noteLoad(id: UpstreamId, load: ReportedLoad | null): void {
+  noteAnswer(id: UpstreamId, load: ReportedLoad | null): void {
     const notes = this.#get(id);
+    const nowMs = this.#clock.getMonotonicMs();
     notes.load = load;
-    notes.loadReadAtMs = this.#clock.getMonotonicMs();
+    notes.loadReadAtMs = nowMs;
+    notes.silentSinceMs = nowMs;
   }
 
   /**
@@ -85,17 +99,23 @@
   noteEnded(id: UpstreamId, end: 'good' | 'failed' | 'broken' | 'dropped'): void {
     const notes = this.#get(id);
     notes.openCount -= 1;
+    if (notes.openCount === 0) {
+      notes.silentSinceMs = null;
+    }
     if (end === 'dropped') {
       return;
     }
     notes.failureRate += FAILURE_GAIN * (Number(end !== 'good') - notes.failureRate);
-    if (end !== 'broken') {
+    if (end === 'broken') {
+      this.#avoid(notes);
+    } else {
       notes.failuresInARow = 0;
-      return;
     }
-    const pauseMs = Math.min(MAX_AVOID_MS, MIN_AVOID_MS * 2 ** notes.failuresInARow);
-    notes.failuresInARow += 1;
-    notes.avoidUntilMs = this.#clock.getMonotonicMs() + pauseMs;
+  }
+
+  /** @param id - an upstream that left an attempt without an answer until its deadline */
+  noteSilent(id: UpstreamId): void {
+    this.#avoid(this.#get(id));
   }
 
   /** @param id - an upstream that is gone */
@@ -103,6 +123,13 @@
     this.#notes.delete(id);
   }
 
+  #avoid(notes: UpstreamNotes): void {
+    const avoided = notes;
+    const pauseMs = Math.min(MAX_AVOID_MS, MIN_AVOID_MS * 2 ** avoided.failuresInARow);
+    avoided.failuresInARow += 1;
+    avoided.avoidUntilMs = this.#clock.getMonotonicMs() + pauseMs;
+  }
+
   #getCost({ entry }: KnownUpstream, nowMs: number): number {
     const notes = this.#get(entry.id);
     const isRecent = nowMs - notes.loadReadAtMs <= LOAD_MAX_AGE_MS;
@@ -127,6 +154,7 @@
       avoidUntilMs: 0,
       load: null,
       loadReadAtMs: 0,
+      silentSinceMs: null,
     };
     this.#notes.set(id, notes);
     return notes;
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -9,6 +9,8 @@
 
 interface OpenAttempt {
   readonly upstreamId: UpstreamId;
+  /** Base address of the upstream. */
+  readonly url: string;
   running: RunningAttempt | null;
   head: AnswerHead | null;
   readonly chunks: Buffer[];
@@ -16,6 +18,8 @@
 
 /** Part of the objective after which a second upstream is asked as well. */
 const HEDGE_PART = 0.6;
+/** Multiple of the objective for which an upstream may be silent before it is passed over. */
+const PATIENCE_PART = 1.5;
 /** Pause before a pool without a usable upstream is looked at again. */
 const NO_UPSTREAM_PAUSE_MS = 50;
 /** When a caller is asked back after a refusal. */
@@ -79,7 +83,7 @@
   start(): void {
     this.#context.shares.getRetryBudget(this.#terms.poolId).noteOffered();
     this.#exchange.onGone(() => this.#finish('caller-gone'));
-    this.#after(this.#getRemainingMs(), () => this.#giveUp(STATUS.timeout, 'timeout'));
+    this.#after(this.#getRemainingMs(), () => this.#timeOut());
     this.#send();
   }
 
@@ -98,21 +102,23 @@
     const { directory, book } = this.#context;
     const usable = directory.getUsable(this.#terms.poolId);
     const untried = usable.filter(({ entry }) => !this.#tried.has(entry.id));
-    const upstream = book.choose(untried.length > 0 ? untried : usable);
+    const patienceMs = this.#terms.route.targetLatencyMs * PATIENCE_PART;
+    const upstream = book.choose(untried.length > 0 ? untried : usable, patienceMs);
     if (upstream === null) {
       this.#after(NO_UPSTREAM_PAUSE_MS, () => this.#send());
       return;
     }
     const { id, address } = upstream.entry;
+    const url = `http://${address}`;
     const attempt: OpenAttempt = {
-      upstreamId: id, running: null, head: null, chunks: [],
+      upstreamId: id, url, running: null, head: null, chunks: [],
     };
     this.#tried.add(id);
     this.#open.add(attempt);
     this.#runCount += 1;
     book.noteSent(id);
     attempt.running = sendAttempt(
-      this.#context.connections.get(`http://${address}`),
+      this.#context.connections.get(url),
       this.#context.protocol,
       this.#exchange.request,
       {
@@ -126,7 +132,7 @@
       {
         onHead: (head) => {
           attempt.head = head;
-          book.noteLoad(id, head.load);
+          book.noteAnswer(id, head.load);
         },
         onData: (chunk) => attempt.chunks.push(chunk),
         onEnd: (end) => this.#endAttempt(attempt, end),
@@ -232,6 +238,19 @@
     this.#finish('answered', { status: head.status });
   }
 
+  /** An upstream that is silent to the end may be cut off; new connections will show it. */
+  #timeOut(): void {
+    this.#open.forEach((attempt) => {
+      if (attempt.head === null) {
+        this.#context.book.noteSilent(attempt.upstreamId);
+        this.#context.connections.forget(attempt.url).catch((error: unknown) => {
+          this.#log('connectionsNotClosed', { error: String(error) });
+        });
+      }
+    });
+    this.#giveUp(STATUS.timeout, 'timeout');
+  }
+
   #giveUp(status: number, reason: string): void {
     if (this.#lastFailure !== null) {
       this.#answer(this.#lastFailure.head, this.#lastFailure.body);
