--- a/src/cli/commands/createExplainCommand.ts
+++ b/src/cli/commands/createExplainCommand.ts
@@ -1,4 +1,6 @@
 import type { CommandModule } from 'yargs';
+import { explainFromLogs, type LogExplanation } from '../../explain/explainFromLogs.ts';
+import { readLogFiles } from '../../explain/readLogFiles.ts';
 import type { RequestExplanation } from '../../operators/RequestExplanation.ts';
 import type { CliContext } from '../CliContext.ts';
 import { formatTable } from '../formatTable.ts';
@@ -6,6 +8,8 @@
 
 interface ExplainArguments extends RemoteArguments {
   readonly requestId: string;
+  /** Log files to read in place of asking a host. */
+  readonly logs: readonly string[] | undefined;
 }
 
 function formatExplanation(explanation: RequestExplanation): string {
@@ -17,6 +21,30 @@
     formatTable(['ms', 'decision', 'detail'], rows)}`;
 }
 
+function formatLogExplanation(explanation: LogExplanation): string {
+  const {
+    requestId, outcome, cause, decidingLine, lines,
+  } = explanation;
+  const startMs = lines.find((line) => line.requestId === requestId)?.atMs ?? 0;
+  const rows = lines.map((line) => [
+    line === decidingLine ? '>' : '',
+    Math.round(line.atMs - startMs),
+    line.source,
+    line.event,
+    JSON.stringify(line.details),
+  ]);
+  return `request ${requestId}: ${outcome ?? 'no end is known'}. ${cause}\n${
+    formatTable(['', 'ms', 'log', 'event', 'details'], rows)}`;
+}
+
+async function explainLogs(
+  { requestId, logs, json }: ExplainArguments,
+  io: CliContext['io'],
+): Promise<void> {
+  const explanation = explainFromLogs(requestId, await readLogFiles(logs ?? [], requestId));
+  io.writeOut(json ? `${JSON.stringify(explanation)}\n` : formatLogExplanation(explanation));
+}
+
 /**
  * @param context - of the command line
  * @returns the command `explain`
@@ -27,8 +55,15 @@
     describe: 'show why a request ran where it ran, or why it did not run',
     builder: (parser) => addRemoteOptions(parser.positional('requestId', {
       type: 'string', demandOption: true, describe: 'as given to the caller',
-    })).example('$0 explain 9b2e...', 'ask the host that took the request'),
+    }).option('logs', {
+      type: 'string', array: true, describe: 'log files of any hosts, in place of asking one',
+    })).example('$0 explain 9b2e...', 'ask the host that took the request')
+      .example('$0 explain 9b2e... --logs *.log', 'from the logs of all hosts alone'),
     handler: async (args) => {
+      if (args.logs !== undefined) {
+        await explainLogs(args, io);
+        return;
+      }
       const path = `/operator/v1/requests/${encodeURIComponent(args.requestId)}/explanation`;
       const explanation = await createOperatorClient(args, io)
         .callOk<RequestExplanation>('GET', path);
--- /dev/null
+++ b/src/explain/explainFromLogs.test.ts
@@ -0,0 +1,77 @@
+import { equal, ok } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { explainFromLogs } from './explainFromLogs.ts';
+import { parseLogLine, type LogLine } from './LogLine.ts';
+
+const START_MS = 1_000_000;
+
+function createLine(
+  source: string,
+  afterMs: number,
+  fields: Readonly<Record<string, unknown>>,
+): LogLine {
+  const line = parseLogLine(JSON.stringify({
+    level: 30, time: START_MS + afterMs, msg: 'text', ...fields,
+  }), source);
+  ok(line);
+  return line;
+}
+
+function relay(source: string, afterMs: number, outcome: string, details: object = {}): LogLine {
+  return createLine(source, afterMs, {
+    event: 'relay', requestId: 'r', outcome, ...details,
+  });
+}
+
+const REFUSED_BY_PLACER = createLine('b.log', 5, {
+  event: 'placementRefused', requestId: 'r', leastMs: 900, remainingMs: 500,
+});
+
+describe('explainFromLogs', () => {
+  it('names the placing host\'s line for a request that was refused under load', () => {
+    const found = explainFromLogs('r', [relay('a.log', 7, 'too-late'), REFUSED_BY_PLACER]);
+    equal(found.outcome, 'too-late');
+    equal(found.decidingLine, REFUSED_BY_PLACER);
+  });
+
+  it('tells a timeout before an engine was chosen from one at an engine', () => {
+    const inStages = explainFromLogs('r', [relay('a.log', 5_000, 'timeout')]);
+    ok(inStages.cause.includes('before an engine was chosen'));
+    const atEngine = explainFromLogs('r', [
+      relay('a.log', 100, 'sent', { upstreamId: 'i-1' }), relay('a.log', 5_000, 'timeout'),
+    ]);
+    ok(atEngine.cause.includes('i-1'));
+  });
+
+  it('names the break for a stream that an engine broke off', () => {
+    const broken = relay('a.log', 300, 'brokenOff', { detail: 'other side closed' });
+    const found = explainFromLogs('r', [
+      relay('a.log', 100, 'sent'), broken, relay('a.log', 301, 'engine-broke-off'),
+    ]);
+    equal(found.decidingLine, broken);
+  });
+
+  it('shows what changed around a request, and nothing of other times and requests', () => {
+    const near = createLine('c.log', 900, { event: 'placerLost', hostId: 'h' });
+    const found = explainFromLogs('r', [
+      relay('a.log', 0, 'sent'),
+      near,
+      createLine('c.log', 9_000, { event: 'placerLost', hostId: 'h' }),
+      createLine('c.log', 1, { event: 'relay', requestId: 'other', outcome: 'answered' }),
+    ]);
+    equal(found.lines.length, 2);
+    ok(found.lines.includes(near));
+    equal(found.outcome, null);
+  });
+
+  it('passes over what is no line of a log', () => {
+    ['', 'text', '{"cut":', '{"time":"x","event":"relay"}'].forEach((text) => {
+      equal(parseLogLine(text, 'a.log'), null);
+    });
+  });
+
+  it('reads lines behind a prefix that a collector has put before them', () => {
+    const line = parseLogLine('12.5 host-1 {"time":5,"event":"paused"}', 'a.log');
+    equal(line?.event, 'paused');
+  });
+});
