Keep a placement group the same one when it gains or loses a failure domain

Cause: the key of a group named all its failure domains, so that requests of before and after a change (a failure domain cut off, drained, back) were two groups on the same upstreams, and the older one went first whatever its requests' class. Test red before.

--- a/src/placement/GroupJobs.ts
+++ b/src/placement/GroupJobs.ts
@@ -7,7 +7,8 @@
 export class GroupJobs {
   readonly #directory: Directory;
 
-  readonly #domains: readonly string[];
+  /** The group's failure domains, as the newest request names them. */
+  domains: readonly string[];
 
   readonly jobs = new Set<PlacementJob>();
 
@@ -17,7 +18,7 @@
    */
   constructor(directory: Directory, domains: readonly string[]) {
     this.#directory = directory;
-    this.#domains = domains;
+    this.domains = domains;
   }
 
   /**
@@ -25,6 +26,6 @@
    * @returns the upstreams that may work for the group
    */
   getUsable(poolId: PoolId): readonly KnownUpstream[] {
-    return getGroupUpstreams(this.#directory, poolId, this.#domains);
+    return getGroupUpstreams(this.#directory, poolId, this.domains);
   }
 }
--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -40,6 +40,22 @@
     });
   });
 
+  it('keeps the order of requests when their group loses a failure domain', () => {
+    const bed = new PlacementTestBed({ first: { makers: 2, batch: { maxPieces: 4 } } });
+    bed.place({ requestId: 'running', stages: [FIRST], pieceCounts: [8] });
+    const calls = bed.takeCalls();
+    bed.place({
+      requestId: 'minor', stages: [FIRST], pieceCounts: [8], priority: 1,
+    });
+    bed.place({
+      requestId: 'urgent', stages: [FIRST], pieceCounts: [8], domains: ['a', 'b'],
+    });
+    calls.forEach((call) => bed.complete(call));
+    bed.takeCalls().forEach(({ items }) => items.forEach(({ requestId }) => {
+      equal(requestId, 'urgent');
+    }));
+  });
+
   it('hands a request over with the results that stand, once no piece of it is being made', () => {
     const third: RouteStage = { poolId: toId<PoolId>('second'), after: [1], resultBytes: 1_000 };
     const makers = { first: { makers: 1 }, second: { makers: 1 } };
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -45,8 +45,9 @@
   readonly maker: MakerRecord;
 }
 
+/** A group that gains or loses a failure domain stays the same one; its first one names it. */
 function getGroupKey({ request }: PlacementJob): string {
-  return request.domains.join(' ');
+  return request.domains[0] ?? '';
 }
 
 function createItem({ job, stage, piece }: PlannedPiece, nowMs: number): StageItem {
@@ -88,7 +89,7 @@
 
   readonly #forecast: StageForecast;
 
-  /** What waits, by the failure domains of its group. */
+  /** What waits, by the name of its group. */
   readonly #groups = new Map<string, GroupJobs>();
 
   /** Counts results whose handles nobody knows, to name the room that they take. */
@@ -106,7 +107,9 @@
 
   /** @param job - a request whose stages are to be done */
   add(job: PlacementJob): void {
-    this.#getGroup(job).jobs.add(job);
+    const group = this.#getGroup(job);
+    group.domains = job.request.domains;
+    group.jobs.add(job);
   }
 
   /**
