--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -56,6 +56,22 @@
     }));
   });
 
+  it('refuses at once what would be late and take most of its time, and nothing on time', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1, batch: { maxPieces: 5 } } });
+    const place = (requestId: string, onTimeMs: number, remainingMs: number): void => {
+      bed.place({
+        requestId, stages: [FIRST], pieceCounts: [5], onTimeMs, remainingMs,
+      });
+    };
+    Array.from({ length: 12 }, (_, index) => place(`before-${index}`, 9_000, 10_000));
+    place('doomed', 1_000, 5_000);
+    place('late', 1_000, 9_000);
+    place('onTime', 4_500, 5_000);
+    equal(bed.results.get('doomed')?.kind, 'refused');
+    equal(bed.results.get('late'), undefined);
+    equal(bed.results.get('onTime'), undefined);
+  });
+
   it('hands a request over with the results that stand, once no piece of it is being made', () => {
     const third: RouteStage = { poolId: toId<PoolId>('second'), after: [1], resultBytes: 1_000 };
     const makers = { first: { makers: 1 }, second: { makers: 1 } };
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -33,6 +33,11 @@
 const FORGET_AFTER_MS = 2_000;
 /** Weight of the newest generation in the time to the first token. */
 const START_TIME_GAIN = 0.1;
+/**
+ * Part of its time that a request may be expected to take when it can't be on time any more. What
+ * can be on time goes before it, also what comes later, so that it takes longer than it looks.
+ */
+const LATE_PART = 0.5;
 /** Shortest time after which a refused caller is asked back. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -91,8 +96,10 @@
     const preferredDomain = this.#getPreferredDomain(request);
     const job = createPlacementJob({ ...request, onTimeMs }, nowMs, preferredDomain, answer);
     const expectedMs = this.#scheduler.getExpectedMs(job);
-    if (expectedMs > request.remainingMs) {
-      this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - request.remainingMs);
+    const allowedMs = request.remainingMs * (expectedMs > onTimeMs ? LATE_PART : 1);
+    // What another host has had made already is not thrown away.
+    if (expectedMs > allowedMs && request.standingResults.length === 0) {
+      this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - allowedMs);
       return () => {};
     }
     this.#jobs.set(request.requestId, job);
