--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -99,7 +99,7 @@
     const allowedMs = request.remainingMs * (expectedMs > onTimeMs ? LATE_PART : 1);
     // What another host has had made already is not thrown away.
     if (expectedMs > allowedMs && request.standingResults.length === 0) {
-      this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - allowedMs);
+      this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - allowedMs, expectedMs);
       return () => {};
     }
     this.#jobs.set(request.requestId, job);
@@ -284,13 +284,20 @@
     });
   }
 
-  #answerRefusal(job: PlacementJob, reason: Refusal, retryAfterMs: number): void {
+  #answerRefusal(
+    job: PlacementJob,
+    reason: Refusal,
+    retryAfterMs: number,
+    expectedMs = this.#scheduler.getLeastMs(job),
+  ): void {
     this.#options.logger.info({
       event: 'placementRefused',
       requestId: job.request.requestId,
       reason,
       remainingMs: Math.round(job.deadlineAtMs - this.#options.clock.getMonotonicMs()),
       leastMs: Math.round(this.#scheduler.getLeastMs(job)),
+      expectedMs: Math.round(expectedMs),
+      version: this.#options.directory.configuration?.version ?? null,
       waitingCount: this.waitingCount,
     }, 'refused a placement');
     job.answer({
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -117,6 +117,7 @@
     this.#open.add(attempt);
     this.#runCount += 1;
     book.noteSent(id);
+    this.#log('sent', { upstreamId: id });
     attempt.running = sendAttempt(
       this.#context.connections.get(url),
       this.#context.protocol,
