--- /dev/null
+++ b/src/placement/StageResults.ts
@@ -0,0 +1,144 @@
+import type { Directory } from '../directory/Directory.ts';
+import type { UpstreamId } from '../lib/ids.ts';
+import type { Clock } from '../time/Clock.ts';
+import type { MakerTable } from './MakerTable.ts';
+import {
+  isStageDone, type JobPiece, type JobStage, type PlacementJob,
+} from './PlacementJob.ts';
+import type { StandingResult } from './PlacementRequest.ts';
+import { resetPiece } from './resetPiece.ts';
+import { getConsumers } from './stageBytes.ts';
+
+/** What the results need from outside. */
+export interface StageResultsParts {
+  readonly clock: Clock;
+  readonly directory: Directory;
+  /** Who keeps which result. */
+  readonly makers: MakerTable;
+  /** Frees results at the upstream that keeps them. */
+  readonly sendFree: (makerId: UpstreamId, address: string, handles: readonly string[]) => void;
+}
+
+/** The results of stages: which stand, which are needed, and which are let go. */
+export class StageResults {
+  readonly #parts: StageResultsParts;
+
+  readonly #toFree = new Map<UpstreamId, string[]>();
+
+  /**
+   * @param parts - see {@link StageResultsParts}
+   */
+  constructor(parts: StageResultsParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Takes in results that another host has had made for a request.
+   *
+   * @param job - the request
+   */
+  takeOver(job: PlacementJob): void {
+    const nowMs = this.#parts.clock.getMonotonicMs();
+    job.request.standingResults.forEach((result) => {
+      const stage = job.stages[result.stageIndex];
+      const piece = stage?.pieces[result.pieceIndex];
+      const isThere = this.#parts.directory.getUpstream(result.makerId) !== undefined;
+      if (stage !== undefined && piece !== undefined && isThere) {
+        const lapsesAtMs = nowMs + result.remainingTtlMs;
+        this.#parts.makers.hold(result.makerId, result.handle, stage.resultBytes, lapsesAtMs);
+        Object.assign(piece, { state: 'done', handle: result.handle, makerId: result.makerId });
+      }
+    });
+    // Results that were freed, since all that need them are done, are not missing.
+    [...job.stages].reverse().forEach((stage) => {
+      const consumers = getConsumers(job, stage);
+      if (consumers.length > 0 && consumers.every(isStageDone)) {
+        stage.pieces.forEach((piece) => Object.assign(piece, { state: 'done' }));
+      }
+    });
+  }
+
+  /**
+   * Lets go of results, which go on to stand for the host that places their request next.
+   *
+   * @param job - a request none of whose pieces is being made
+   * @returns what stands of it
+   */
+  handOver(job: PlacementJob): StandingResult[] {
+    const nowMs = this.#parts.clock.getMonotonicMs();
+    const results = job.stages.flatMap((stage) => stage.pieces.flatMap((piece) => {
+      const lapsesAtMs = piece.handle === null ? null : this.#parts.makers.getLapseMs(piece.handle);
+      return piece.handle === null || piece.makerId === null || lapsesAtMs === null ? [] : [{
+        stageIndex: stage.index,
+        pieceIndex: piece.index,
+        handle: piece.handle,
+        makerId: piece.makerId,
+        remainingTtlMs: Math.max(0, lapsesAtMs - nowMs),
+      }];
+    }));
+    this.#parts.makers.noteGone(results.map(({ handle }) => handle));
+    job.stages.forEach((stage) => stage.pieces.forEach(resetPiece));
+    return results;
+  }
+
+  /**
+   * Opens pieces again whose results are needed and don't stand any more.
+   *
+   * @param job - a request whose stages are not all done
+   */
+  reopenLapsed(job: PlacementJob): void {
+    // A stage comes after those it needs, so that one pass from the end reaches all of them.
+    [...job.stages].reverse().forEach((stage) => {
+      const consumers = getConsumers(job, stage);
+      if (consumers.length === 0 || consumers.some((consumer) => !isStageDone(consumer))) {
+        stage.pieces
+          .filter((piece) => piece.state === 'done'
+            && (piece.handle === null || !this.#parts.makers.isHeld(piece.handle)))
+          .forEach(resetPiece);
+      }
+    });
+  }
+
+  /** @param makerId - an upstream that is gone; nothing is to be freed there */
+  forgetMaker(makerId: UpstreamId): void {
+    this.#toFree.delete(makerId);
+  }
+
+  /** @param job - a request one of whose stages is done; what that needed is freed */
+  freeUnneeded(job: PlacementJob): void {
+    job.stages.forEach((stage) => {
+      const consumers = getConsumers(job, stage);
+      if (consumers.length > 0 && consumers.every(isStageDone)) {
+        this.freeStage(stage);
+      }
+    });
+  }
+
+  /** @param stage - a stage whose results nobody needs */
+  freeStage(stage: JobStage): void {
+    stage.pieces.forEach((piece) => this.freePiece(piece));
+  }
+
+  /** @param piece - a piece whose result nobody needs */
+  freePiece(piece: JobPiece): void {
+    if (piece.handle === null) {
+      return;
+    }
+    const makerId = this.#parts.makers.release(piece.handle);
+    if (makerId !== null) {
+      this.#toFree.set(makerId, [...this.#toFree.get(makerId) ?? [], piece.handle]);
+    }
+    piece.handle = null;
+  }
+
+  /** Frees what nobody needs. */
+  flushFrees(): void {
+    this.#toFree.forEach((handles, makerId) => {
+      const upstream = this.#parts.directory.getUpstream(makerId);
+      if (upstream !== undefined) {
+        this.#parts.sendFree(makerId, upstream.entry.address, handles);
+      }
+    });
+    this.#toFree.clear();
+  }
+}
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -7,7 +7,7 @@
 import { GroupJobs } from './GroupJobs.ts';
 import { MakerTable, type MakerRecord } from './MakerTable.ts';
 import {
-  isStageDone, isStageOpen, type JobPiece, type JobStage, type PlacementJob,
+  isStageDone, isStageOpen, type PlacementJob,
 } from './PlacementJob.ts';
 import {
   compareGroups, planBatches, type BusyMaker, type PieceGroup, type PlannedPiece,
@@ -17,7 +17,9 @@
 } from './StageCall.ts';
 import type { StandingResult } from './PlacementRequest.ts';
 import { StageForecast } from './StageForecast.ts';
-import { getConsumers, getInputBytes } from './stageBytes.ts';
+import { StageResults } from './StageResults.ts';
+import { resetPiece } from './resetPiece.ts';
+import { getInputBytes } from './stageBytes.ts';
 
 /** What the scheduler needs from outside. */
 export interface StageSchedulerOptions {
@@ -75,18 +77,14 @@
   return limits.roomBytes * ROOM_PART - maker.heldBytes - maker.promisedBytes;
 }
 
-function resetPiece(piece: JobPiece): void {
-  piece.state = 'waiting';
-  piece.handle = null;
-  piece.makerId = null;
-}
-
 /** Forms the calls of batched stages and places them on upstreams. */
 export class StageScheduler {
   readonly #options: StageSchedulerOptions;
 
   readonly #makers = new MakerTable();
 
+  readonly #results: StageResults;
+
   readonly #forecast: StageForecast;
 
   /** What waits, by the name of its group. */
@@ -95,14 +93,13 @@
   /** Counts results whose handles nobody knows, to name the room that they take. */
   #unknownCount = 0;
 
-  readonly #toFree = new Map<UpstreamId, string[]>();
-
   /**
    * @param options - time, what is known of upstreams, and how calls go out
    */
   constructor(options: StageSchedulerOptions) {
     this.#options = options;
     this.#forecast = new StageForecast(options.clock, options.directory);
+    this.#results = new StageResults({ ...options, makers: this.#makers });
   }
 
   /** @param job - a request whose stages are to be done */
@@ -118,24 +115,7 @@
    * @param job - the request, added already
    */
   takeOver(job: PlacementJob): void {
-    const nowMs = this.#options.clock.getMonotonicMs();
-    job.request.standingResults.forEach((result) => {
-      const stage = job.stages[result.stageIndex];
-      const piece = stage?.pieces[result.pieceIndex];
-      const isThere = this.#options.directory.getUpstream(result.makerId) !== undefined;
-      if (stage !== undefined && piece !== undefined && isThere) {
-        const lapsesAtMs = nowMs + result.remainingTtlMs;
-        this.#makers.hold(result.makerId, result.handle, stage.resultBytes, lapsesAtMs);
-        Object.assign(piece, { state: 'done', handle: result.handle, makerId: result.makerId });
-      }
-    });
-    // Results that were freed, since all that need them are done, are not missing.
-    [...job.stages].reverse().forEach((stage) => {
-      const consumers = getConsumers(job, stage);
-      if (consumers.length > 0 && consumers.every(isStageDone)) {
-        stage.pieces.forEach((piece) => Object.assign(piece, { state: 'done' }));
-      }
-    });
+    this.#results.takeOver(job);
     this.#forecast.forget(job);
   }
 
@@ -146,19 +126,7 @@
    * @returns what stands of it
    */
   handOver(job: PlacementJob): StandingResult[] {
-    const nowMs = this.#options.clock.getMonotonicMs();
-    const results = job.stages.flatMap((stage) => stage.pieces.flatMap((piece) => {
-      const lapsesAtMs = piece.handle === null ? null : this.#makers.getLapseMs(piece.handle);
-      return piece.handle === null || piece.makerId === null || lapsesAtMs === null ? [] : [{
-        stageIndex: stage.index,
-        pieceIndex: piece.index,
-        handle: piece.handle,
-        makerId: piece.makerId,
-        remainingTtlMs: Math.max(0, lapsesAtMs - nowMs),
-      }];
-    }));
-    this.#makers.noteGone(results.map(({ handle }) => handle));
-    job.stages.forEach((stage) => stage.pieces.forEach(resetPiece));
+    const results = this.#results.handOver(job);
     this.remove(job);
     return results;
   }
@@ -167,7 +135,7 @@
   remove(job: PlacementJob): void {
     this.#groups.get(getGroupKey(job))?.jobs.delete(job);
     this.#forecast.forget(job);
-    job.stages.forEach((stage) => this.#freeStage(stage));
+    job.stages.forEach((stage) => this.#results.freeStage(stage));
   }
 
   /**
@@ -191,7 +159,7 @@
    */
   forgetMaker(upstreamId: UpstreamId): void {
     this.#makers.forget(upstreamId);
-    this.#toFree.delete(upstreamId);
+    this.#results.forgetMaker(upstreamId);
     this.#groups.forEach(({ jobs }) => jobs.forEach((job) => this.reopenLapsed(job)));
   }
 
@@ -207,16 +175,7 @@
    */
   reopenLapsed(job: PlacementJob): void {
     this.#forecast.forget(job);
-    // A stage comes after those it needs, so that one pass from the end reaches all of them.
-    [...job.stages].reverse().forEach((stage) => {
-      const consumers = getConsumers(job, stage);
-      if (consumers.length === 0 || consumers.some((consumer) => !isStageDone(consumer))) {
-        stage.pieces
-          .filter((piece) => piece.state === 'done'
-            && (piece.handle === null || !this.#makers.isHeld(piece.handle)))
-          .forEach(resetPiece);
-      }
-    });
+    this.#results.reopenLapsed(job);
   }
 
   /**
@@ -260,10 +219,15 @@
     }
   }
 
+  /** Frees what nobody needs, and sends nothing. */
+  flushFrees(): void {
+    this.#results.flushFrees();
+  }
+
   /** Sends what can be sent now, and frees what nobody needs. */
   run(): void {
     this.#makers.expire(this.#options.clock.getMonotonicMs());
-    this.flushFrees();
+    this.#results.flushFrees();
     this.#groups.forEach((group, key) => {
       if (group.jobs.size === 0) {
         this.#groups.delete(key);
@@ -415,9 +379,9 @@
       piece.state = 'done';
       piece.handle = outcome.handle;
       if (this.#groups.get(getGroupKey(job))?.jobs.has(job) !== true) {
-        this.#freePiece(piece);
+        this.#results.freePiece(piece);
       } else if (isStageDone(stage)) {
-        this.#freeUnneeded(job);
+        this.#results.freeUnneeded(job);
       }
       return;
     }
@@ -425,7 +389,7 @@
     const failure = outcome?.failure ?? PIECE_FAILURE.failed;
     if (failure === PIECE_FAILURE.inputGone) {
       stage.after.forEach((index) => job.stages[index]?.pieces.forEach((needed) => {
-        this.#freePiece(needed);
+        this.#results.freePiece(needed);
       }));
       this.reopenLapsed(job);
     } else if (failure === PIECE_FAILURE.noRoom) {
@@ -436,39 +400,4 @@
   #getResultTtlMs({ poolId }: StageCall): number {
     return this.#options.directory.configuration?.pools.get(poolId)?.batch?.resultTtlMs ?? 0;
   }
-
-  #freeUnneeded(job: PlacementJob): void {
-    job.stages.forEach((stage) => {
-      const consumers = getConsumers(job, stage);
-      if (consumers.length > 0 && consumers.every(isStageDone)) {
-        this.#freeStage(stage);
-      }
-    });
-  }
-
-  #freeStage(stage: JobStage): void {
-    stage.pieces.forEach((piece) => this.#freePiece(piece));
-  }
-
-  #freePiece(piece: JobPiece): void {
-    if (piece.handle === null) {
-      return;
-    }
-    const makerId = this.#makers.release(piece.handle);
-    if (makerId !== null) {
-      this.#toFree.set(makerId, [...this.#toFree.get(makerId) ?? [], piece.handle]);
-    }
-    piece.handle = null;
-  }
-
-  /** Frees what nobody needs. */
-  flushFrees(): void {
-    this.#toFree.forEach((handles, makerId) => {
-      const upstream = this.#options.directory.getUpstream(makerId);
-      if (upstream !== undefined) {
-        this.#options.sendFree(makerId, upstream.entry.address, handles);
-      }
-    });
-    this.#toFree.clear();
-  }
 }
--- a/src/placement/chooseEngine.ts
+++ b/src/placement/chooseEngine.ts
@@ -29,6 +29,11 @@
  * over a prompt.
  */
 const TOKENS_PER_RUNNING = 150;
+/**
+ * Weight of tokens that an engine would have to read, against those that wait to be read there
+ * already: what another engine keeps is read in vain, and slows all that run beside it.
+ */
+const READ_WEIGHT = 2;
 /** Prompt tokens that cost as much as bringing a megabyte from another failure domain. */
 const TOKENS_PER_FOREIGN_MEGABYTE = 300;
 const BYTES_PER_MEGABYTE = 1_000_000;
@@ -46,7 +51,7 @@
     .reduce((sum, generation) => sum + (generation.hasStarted ? 0 : generation.readTokens), 0);
   const foreignBytes = [...demand.inputBytes]
     .reduce((sum, [domain, bytes]) => sum + (domain === failureDomain ? 0 : bytes), 0);
-  return ownTokens
+  return ownTokens * READ_WEIGHT
     + waitingTokens
     + engine.generations.size * TOKENS_PER_RUNNING
     + (foreignBytes / BYTES_PER_MEGABYTE) * TOKENS_PER_FOREIGN_MEGABYTE;
