--- /dev/null
+++ b/src/placement/PlacementClient.test.ts
@@ -0,0 +1,146 @@
+import { deepEqual, equal, ok } from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { pino } from 'pino';
+import { PlacementTestBed, ENGINE_POOL_ID } from '../../test/support/PlacementTestBed.ts';
+import { getFreePort } from '../../test/support/getFreePort.ts';
+import type { RouteStage } from '../directory/ServingConfiguration.ts';
+import { toId, type HostId, type PoolId } from '../lib/ids.ts';
+import { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import { PlacementClient } from './PlacementClient.ts';
+import type { PlacementDemand } from './PlacementRequest.ts';
+import { PlacementServer } from './PlacementServer.ts';
+
+const FIRST: RouteStage = { poolId: toId<PoolId>('first'), after: [], resultBytes: 1 };
+const SECOND: RouteStage = { poolId: toId<PoolId>('second'), after: [0], resultBytes: 1 };
+const DEMAND: PlacementDemand = {
+  requestId: 'r',
+  poolId: ENGINE_POOL_ID,
+  stages: [FIRST, SECOND],
+  pieceCounts: [1, 1],
+  pieceKey: 'key',
+  parts: [],
+  promptTokens: 10,
+  maxOutputTokens: 10,
+  priority: 0,
+  onTimeMs: 5_000,
+  remainingMs: 9_000,
+  excludedIds: [],
+};
+const POLL_MS = 5;
+
+function createBed(): PlacementTestBed {
+  const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 1 } });
+  bed.setStagedRoute(['first', 'second']);
+  return bed;
+}
+
+/** Answers every call of a desk as it comes, until a number of them is answered. */
+async function completeCalls(bed: PlacementTestBed, count: number): Promise<void> {
+  let answered = 0;
+  while (answered < count) {
+    const calls = bed.takeCalls();
+    calls.forEach((call) => bed.complete(call));
+    answered += calls.length;
+    // eslint-disable-next-line no-await-in-loop -- looks again after a while
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+}
+
+/** A client whose own desk is one of several hosts'. */
+class ClientRig {
+  readonly own = createBed();
+
+  readonly connections = new UpstreamConnections();
+
+  readonly client: PlacementClient;
+
+  readonly #servers: PlacementServer[] = [];
+
+  constructor() {
+    this.client = new PlacementClient({
+      clock: this.own.clock,
+      hostId: toId<HostId>('own'),
+      directory: this.own.directory,
+      desk: this.own.desk,
+      connections: this.connections,
+      logger: pino({ level: 'silent' }),
+    });
+  }
+
+  async addHost(name: string, registeredRevision: number): Promise<PlacementTestBed> {
+    const bed = createBed();
+    const peerAddress = `127.0.0.1:${await getFreePort()}`;
+    const server = new PlacementServer(bed.desk);
+    await server.listen(peerAddress);
+    this.#servers.push(server);
+    this.own.directory.apply({
+      kind: 'host',
+      entry: {
+        id: toId<HostId>(name),
+        failureDomain: 'a',
+        peerAddress,
+        processorCores: 1,
+        linkMbps: 1_000,
+        registeredRevision,
+      },
+    });
+    return bed;
+  }
+
+  async close(): Promise<void> {
+    this.client.close();
+    await this.connections.close();
+    await Promise.all(this.#servers.map((server) => server.close()));
+  }
+}
+
+describe('PlacementClient', () => {
+  let rig: ClientRig | null = null;
+
+  afterEach(async () => {
+    await rig?.close();
+  });
+
+  it('takes what a leaving host hands over to the next one, which goes on from there', async () => {
+    rig = new ClientRig();
+    const oldest = await rig.addHost('oldest', 1);
+    const next = await rig.addHost('next', 2);
+    const placement = rig.client.place(DEMAND);
+    await completeCalls(oldest, 1);
+    const [second] = oldest.takeCalls();
+    oldest.desk.startHandingOver();
+    ok(second);
+    oldest.complete(second);
+    const result = await placement.result;
+    equal(result.kind, 'placed');
+    deepEqual(next.calls, []);
+  });
+
+  it('goes to the next host when one does not answer, and to its own desk at last', async () => {
+    rig = new ClientRig();
+    rig.own.directory.apply({
+      kind: 'host',
+      entry: {
+        id: toId<HostId>('gone'),
+        failureDomain: 'a',
+        peerAddress: `127.0.0.1:${await getFreePort()}`,
+        processorCores: 1,
+        linkMbps: 1_000,
+        registeredRevision: 1,
+      },
+    });
+    const placement = rig.client.place(DEMAND);
+    await completeCalls(rig.own, 2);
+    equal((await placement.result).kind, 'placed');
+  });
+
+  it('says that nobody places when its own desk is leaving too', async () => {
+    rig = new ClientRig();
+    rig.own.desk.startHandingOver();
+    const result = await rig.client.place(DEMAND).result;
+    ok(result.kind === 'refused');
+    equal(result.reason, 'unreachable');
+  });
+});
