--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -3,10 +3,13 @@
 import { pino } from 'pino';
 import { PlacementTestBed, ENGINE_POOL_ID } from '../../test/support/PlacementTestBed.ts';
 import { getFreePort } from '../../test/support/getFreePort.ts';
+import { Directory } from '../directory/Directory.ts';
 import type { RouteStage } from '../directory/ServingConfiguration.ts';
 import { toId, type HostId, type PoolId } from '../lib/ids.ts';
 import { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import { ManualClock } from '../time/ManualClock.ts';
 import { PlacementClient } from './PlacementClient.ts';
+import { PlacementDesk } from './PlacementDesk.ts';
 import type { PlacementDemand } from './PlacementRequest.ts';
 import { PlacementServer } from './PlacementServer.ts';
 
@@ -71,8 +74,13 @@
 
   async addHost(name: string, registeredRevision: number): Promise<PlacementTestBed> {
     const bed = createBed();
+    await this.addDesk(name, registeredRevision, bed.desk);
+    return bed;
+  }
+
+  async addDesk(name: string, registeredRevision: number, desk: PlacementDesk): Promise<void> {
     const peerAddress = `127.0.0.1:${await getFreePort()}`;
-    const server = new PlacementServer(bed.desk);
+    const server = new PlacementServer(desk);
     await server.listen(peerAddress);
     this.#servers.push(server);
     this.own.directory.apply({
@@ -86,7 +94,6 @@
         registeredRevision,
       },
     });
-    return bed;
   }
 
   async close(): Promise<void> {
@@ -136,6 +143,23 @@
     equal((await placement.result).kind, 'placed');
   });
 
+  it('passes over a host that has started again and knows no configuration yet', async () => {
+    rig = new ClientRig();
+    const clock = new ManualClock();
+    await rig.addDesk('started-again', 1, new PlacementDesk({
+      clock,
+      directory: new Directory(clock),
+      logger: pino({ level: 'silent' }),
+      sendCall: () => {},
+      sendFree: () => {},
+      requestRun: () => {},
+    }));
+    const next = await rig.addHost('next', 2);
+    const placement = rig.client.place(DEMAND);
+    await completeCalls(next, 2);
+    equal((await placement.result).kind, 'placed');
+  });
+
   it('says that nobody places when its own desk is leaving too', async () => {
     rig = new ClientRig();
     rig.own.desk.startHandingOver();
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -73,6 +73,11 @@
     options.directory.onChange((change) => this.#applyChange(change));
   }
 
+  /** Whether it knows what to place on; not so at a host that started while the store is away. */
+  get isReady(): boolean {
+    return this.#options.directory.configuration !== null;
+  }
+
   /** Requests that wait for stages or an engine. */
   get waitingCount(): number {
     return [...this.#jobs.values()].filter((job) => job.state !== 'placed').length;
--- a/src/placement/PlacementServer.ts
+++ b/src/placement/PlacementServer.ts
@@ -4,6 +4,8 @@
 import type { PlacementNote, PlacementRequest, PlacementResult } from './PlacementRequest.ts';
 import { PLACEMENT_PATHS } from './PLACEMENT_PATHS.ts';
 
+const STATUS_UNAVAILABLE = 503;
+
 /** Lets the other entry hosts use this host's placement desk. */
 export class PlacementServer {
   readonly #desk: PlacementDesk;
@@ -17,6 +19,10 @@
     this.#desk = desk;
     this.#server = fastify({ logger: false, forceCloseConnections: true });
     this.#server.post(PLACEMENT_PATHS.place, async (request, reply) => {
+      if (!desk.isReady) {
+        reply.code(STATUS_UNAVAILABLE);
+        return { detail: 'no configuration is known here yet' };
+      }
       const result = await this.#place(request.body as PlacementRequest, (withdraw) => {
         reply.raw.once('close', () => {
           if (!reply.raw.writableFinished) {
