--- a/scripts/soak/SoakProxy.ts
+++ b/scripts/soak/SoakProxy.ts
@@ -8,6 +8,15 @@
 const LOOPBACK = '127.0.0.1';
 const DELAY_MS = 150;
 
+/** A socket that is ending already can't be reset: Node would wait for its end for ever at exit. */
+function resetSocket(socket: Socket): void {
+  if (socket.writableEnded || socket.connecting) {
+    socket.destroy();
+  } else {
+    socket.resetAndDestroy();
+  }
+}
+
 /** Stands between the hosts and one upstream, or the store, and harms what passes. */
 export class SoakProxy {
   readonly #targetPort: number;
@@ -44,13 +53,13 @@
 
   /** Resets all open connections. */
   reset(): void {
-    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+    this.#sockets.forEach(resetSocket);
   }
 
   /** Ends it. */
   close(): void {
     this.#server.close();
-    this.reset();
+    this.#sockets.forEach((socket) => socket.destroy());
   }
 
   #join(caller: Socket): void {
