Count repeats at the upstreams in the soak, and log each repeat that a host decides on

The soak's checker counted no repeats, and the hosts logged neither what a repeat was taken from nor when one that was paid for left.

- Soak: every arrival at an upstream is recorded, rejected ones included; countRepeats finds for each service the sliding window with the least left of the bound, with the base as the users' rules take it. runSoak prints it for each run, broken or not.
New faults: a whole pool refuses, fails, hangs, breaks off or stands still; all hosts are killed, or end in series; callers come back at once; each host has a store connection of its own.
- Hosts: one 'repeat' line for each decision (request, pool, kind, reason, what was left before and after, host count, age of the directory), 'accepted' when a request is taken in, 'sent' with the index of the send and the time since its repeat was decided on, 'piecesRepeated' for pieces.
Counter by pool, kind, reason and outcome; gauge of what is left.

No decision is changed.

--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -203,6 +203,7 @@
       onTimeMs: requestClass.onTimeMs - elapsedMs,
       remainingMs: requestClass.deadlineMs - elapsedMs,
       excludedIds: [],
+      isPlacedAgain: false,
     }, (result) => this.#take(call, desk, requestId, result)));
   }
 
--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -3,13 +3,17 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { SoakRun } from './soak/SoakRun.ts';
+import { formatRepeats } from './soak/formatRepeats.ts';
 
 /*
- * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H]`: real entry hosts as processes
- * on loopback under faults from outside. Exits 1 when a promise was not kept, and names the seed.
+ * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H] [--rate R] [--retries C]
+ * [--slack B]`: real entry hosts as processes on loopback under faults from outside. Counts what
+ * arrives at each service more than once. Exits 1 when a promise was not kept, and names the seed.
  */
 const MS_PER_MINUTE = 60_000;
 const FAULT_MS = 12_000;
+const RETRY_RATIO = 0.2;
+const RETRY_WINDOW_MS = 10_000;
 const CALM_MS = 9_000;
 /** Loopback networks 127.64 to 127.191 are free of what else may listen there. */
 const FIRST_NETWORK = 64;
@@ -20,6 +24,9 @@
   seed: { type: 'number', default: 1, describe: 'the first seed' },
   minutes: { type: 'number', default: Infinity, describe: 'begin no further seed after this' },
   hosts: { type: 'number', default: 4, describe: 'entry hosts, a process each' },
+  rate: { type: 'number', default: 10, describe: 'requests a second for each host' },
+  retries: { type: 'number', default: 2, describe: 'times that callers come back at once' },
+  slack: { type: 'number', default: 50, describe: 'repeats in a window at any load' },
 }).strict().parse();
 
 const startMs = performance.now();
@@ -33,6 +40,9 @@
   const run = new SoakRun({
     seed,
     hostCount: options.hosts,
+    requestsPerSecond: options.rate,
+    callerRetries: options.retries,
+    bounds: { ratio: RETRY_RATIO, slack: options.slack, windowMs: RETRY_WINDOW_MS },
     faultMs: FAULT_MS,
     calmMs: CALM_MS,
     folder,
@@ -42,6 +52,7 @@
   const violations = await run.run();
   console.log(`seed ${seed}: ${run.servedCount} of ${run.requestCount} served, `
     + `${violations.length} violations; logs in ${folder}`);
+  run.getRepeats().forEach((report) => console.log(`  ${formatRepeats(report)}`));
   violations.forEach((violation) => console.log(`  ${JSON.stringify(violation)}`));
   if (violations.length > 0) {
     failedSeeds.push(seed);
--- a/scripts/soak/SoakCaller.ts
+++ b/scripts/soak/SoakCaller.ts
@@ -8,12 +8,35 @@
   [REQUEST_KIND.repeatable]: 2_000, [REQUEST_KIND.once]: 2_000, [REQUEST_KIND.stream]: 5_000,
 };
 
+/** How a request that was refused or failed is sent again. */
+export interface SoakRetry {
+  /** How often it is sent again at most, each time at once. */
+  readonly retriesLeft: number;
+  /** @returns the host that gets it next */
+  readonly choose: () => {
+    readonly index: number;
+    readonly address: { readonly host: string; readonly port: number };
+  };
+}
+
+const STATUS_OK = 200;
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+
+/** A request that may run once is sent again only when it has certainly not run. */
+function isWorthRetrying({ kind, status, isWhole }: CallerRecord): boolean {
+  return kind === REQUEST_KIND.once
+    ? status !== null && NOT_RUN_STATUSES.has(status)
+    : status !== STATUS_OK || !isWhole;
+}
+
 /** Sends requests over kept connections and writes down what comes back. */
 export class SoakCaller {
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 16 });
 
   readonly #records: CallerRecord[];
 
+  #isClosed = false;
+
   /** @param records - gets an entry for each request */
   constructor(records: CallerRecord[]) {
     this.#records = records;
@@ -23,16 +46,21 @@
    * @param hostIndex - the host
    * @param address - where it listens
    * @param kind - what to ask for
+   * @param retry - how it comes back; null for never
+   * @param isRetry - whether it has come back
    */
   send(
     hostIndex: number,
     address: { readonly host: string; readonly port: number },
     kind: RequestKind,
+    retry: SoakRetry | null = null,
+    isRetry = false,
   ): void {
     const record: CallerRecord = {
       requestId: randomUUID(),
       kind,
       hostIndex,
+      isRetry,
       sentAtMs: performance.now(),
       deadlineMs: DEADLINE_MS[kind],
       endedAtMs: null,
@@ -43,7 +71,10 @@
     };
     this.#records.push(record);
     const end = (): void => {
-      record.endedAtMs ??= performance.now();
+      if (record.endedAtMs === null) {
+        record.endedAtMs = performance.now();
+        this.#sendAgain(record, retry);
+      }
     };
     const request = sendRequest({
       ...address,
@@ -80,8 +111,18 @@
     request.end('body');
   }
 
-  /** Ends all connections. */
+  #sendAgain(record: CallerRecord, retry: SoakRetry | null): void {
+    if (retry === null || retry.retriesLeft === 0 || this.#isClosed || !isWorthRetrying(record)) {
+      return;
+    }
+    const { index, address } = retry.choose();
+    const rest = { ...retry, retriesLeft: retry.retriesLeft - 1 };
+    this.send(index, address, record.kind, rest, true);
+  }
+
+  /** Ends all connections; nothing is sent again. */
   close(): void {
+    this.#isClosed = true;
     this.#agent.destroy();
   }
 }
--- a/scripts/soak/SoakHost.ts
+++ b/scripts/soak/SoakHost.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { ChildProgram } from '../fleet/ChildProgram.ts';
+import type { RepeatBounds } from './RepeatBounds.ts';
 import type { HostSpan } from './SoakRecord.ts';
 
 /** What a host of the soak is told. */
@@ -14,6 +15,7 @@
   readonly ip: string;
   readonly failureDomain: string;
   readonly storeAddress: string;
+  readonly bounds: RepeatBounds;
   /** Gets the spans in which the host did not run. */
   readonly onSpan: (span: HostSpan) => void;
 }
@@ -22,6 +24,7 @@
   callers: 18_625, readiness: 18_621, peers: 17_740,
 } as const;
 const GRACE_S = 4;
+const MS_PER_SECOND = 1_000;
 const START_TIMEOUT_MS = 30_000;
 /** Time after its start or wake in which a host may not be held to its promises. */
 const SETTLE_MS = 1_000;
@@ -115,7 +118,7 @@
 
   #createSettings(): unknown {
     const {
-      index, ip, failureDomain, storeAddress,
+      index, ip, failureDomain, storeAddress, bounds,
     } = this.#options;
     return {
       node_name: `soak-${index}`,
@@ -126,9 +129,9 @@
       limits: { cpu_share: 1, cores: 1, link_mbps: 1_000 },
       bounds: {
         contact_ms: 3_000,
-        retry_budget_ratio: 0.2,
-        budget_slack: 50,
-        retry_window_s: 10,
+        retry_budget_ratio: bounds.ratio,
+        budget_slack: bounds.slack,
+        retry_window_s: bounds.windowMs / MS_PER_SECOND,
         cold_overshoot: 1.5,
         cold_slack: 5,
         grace_s: GRACE_S,
--- a/scripts/soak/SoakProxy.ts
+++ b/scripts/soak/SoakProxy.ts
@@ -3,7 +3,7 @@
 } from 'node:net';
 
 /** What a proxy does to what passes through it. */
-export type ProxyFault = 'none' | 'delay' | 'silent' | 'cutAnswers';
+export type ProxyFault = 'none' | 'delay' | 'hold' | 'silent' | 'cutAnswers';
 
 const LOOPBACK = '127.0.0.1';
 const DELAY_MS = 150;
@@ -28,8 +28,10 @@
   /** Sockets to which bytes were lost. */
   readonly #deaf = new WeakSet<Socket>();
 
-  /** What it does now. */
-  fault: ProxyFault = 'none';
+  #fault: ProxyFault = 'none';
+
+  /** What waits while everything is held back, as before a process that stands still. */
+  readonly #held: (() => void)[] = [];
 
   /**
    * @param targetPort - port on loopback that it leads to
@@ -39,6 +41,18 @@
     this.#server = createServer((caller) => this.#join(caller));
   }
 
+  /** What it does now. */
+  get fault(): ProxyFault {
+    return this.#fault;
+  }
+
+  set fault(fault: ProxyFault) {
+    this.#fault = fault;
+    if (fault !== 'hold') {
+      this.#held.splice(0).forEach((action) => action());
+    }
+  }
+
   /** IP address and port for the hosts. */
   get address(): string {
     return `${LOOPBACK}:${(this.#server.address() as AddressInfo).port}`;
@@ -71,21 +85,32 @@
       // The other side hears of it through its own close.
       socket.on('error', () => socket.destroy());
     });
-    caller.on('close', () => target.destroy());
+    caller.on('close', () => this.#closeTarget(target));
     target.on('close', () => caller.destroy());
     caller.on('data', (chunk: Buffer) => this.#pass(chunk, target, ['silent']));
     target.on('data', (chunk: Buffer) => this.#pass(chunk, caller, ['silent', 'cutAnswers']));
   }
 
+  /** A target that stands still reads what was sent before it sees the end. */
+  #closeTarget(target: Socket): void {
+    if (this.#fault === 'hold') {
+      this.#held.push(() => target.end());
+    } else {
+      target.destroy();
+    }
+  }
+
   #pass(chunk: Buffer, to: Socket, losingFaults: readonly ProxyFault[]): void {
     // A direction that has lost bytes stays silent, as it would on a real network.
-    if (losingFaults.includes(this.fault)) {
+    if (losingFaults.includes(this.#fault)) {
       this.#deaf.add(to);
     }
     if (this.#deaf.has(to)) {
       return;
     }
-    if (this.fault === 'delay') {
+    if (this.#fault === 'hold') {
+      this.#held.push(() => to.write(chunk));
+    } else if (this.#fault === 'delay') {
       setTimeout(() => to.write(chunk), DELAY_MS);
     } else {
       to.write(chunk);
--- a/scripts/soak/SoakRecord.ts
+++ b/scripts/soak/SoakRecord.ts
@@ -16,6 +16,8 @@
   readonly requestId: string;
   readonly kind: RequestKind;
   readonly hostIndex: number;
+  /** Whether it came at once after a refusal or a failure. */
+  readonly isRetry: boolean;
   readonly sentAtMs: number;
   readonly deadlineMs: number;
   /** Null while there is no end yet. */
@@ -42,6 +44,25 @@
   readonly account: string | null;
 }
 
+/** What arrived at a service: a request, or one piece of a stage of it. */
+export const ARRIVAL_KIND = {
+  whole: 'whole', generation: 'generation', piece: 'piece',
+} as const;
+
+/** A member of {@link ARRIVAL_KIND}. */
+export type ArrivalKind = typeof ARRIVAL_KIND[keyof typeof ARRIVAL_KIND];
+
+/** Something that an upstream has read whole, whether it ran it or not. */
+export interface ArrivalRecord {
+  readonly service: string;
+  readonly kind: ArrivalKind;
+  readonly requestId: string;
+  /** What is sent once at best: the request, or the request with stage and piece. */
+  readonly unit: string;
+  readonly upstreamId: string;
+  readonly atMs: number;
+}
+
 /** Spans in which a host did not run: killed, stopped or paused. */
 export interface HostSpan {
   readonly hostIndex: number;
@@ -53,6 +74,7 @@
 export interface SoakRecord {
   readonly callers: CallerRecord[];
   readonly runs: RunRecord[];
+  readonly arrivals: ArrivalRecord[];
   readonly hostSpans: HostSpan[];
   /** When the last fault was over; requests sent a while later have to be served. */
   calmSinceMs: number;
--- /dev/null
+++ b/scripts/soak/SoakStriker.ts
@@ -0,0 +1,229 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { STORE_KEYS } from '../../platform/WIRE.ts';
+import { exhaustiveSwitchError } from '../../src/lib/exhaustiveSwitchError.ts';
+import type { StoreFault, StoreStandin } from '../../standins/store/StoreStandin.ts';
+import type { SoakHost } from './SoakHost.ts';
+import type { SoakProxy } from './SoakProxy.ts';
+import type { SoakUpstream } from './SoakUpstream.ts';
+import { createSoakManifest } from './createSoakManifest.ts';
+import type { PlannedFault, SoakFault } from './createSoakPlan.ts';
+
+/** An upstream behind its proxy. */
+export interface PlacedUpstream {
+  readonly upstream: SoakUpstream;
+  readonly proxy: SoakProxy;
+  readonly failureDomain: string;
+}
+
+/** What faults strike. */
+export interface SoakTargets {
+  readonly store: StoreStandin;
+  /** One for each host. */
+  readonly storeProxies: readonly SoakProxy[];
+  readonly upstreams: readonly PlacedUpstream[];
+  readonly hosts: readonly SoakHost[];
+}
+
+const SLOW_MS = 400;
+const DRAIN_MS = 1_500;
+/** Pause between two hosts that are ended one after the other. */
+const SERIES_GAP_MS = 300;
+
+function getStoreFault(how: Extract<SoakFault, { kind: 'store' }>['how']): StoreFault {
+  switch (how) {
+    case 'down':
+    case 'answersLost':
+      return { kind: how };
+    case 'slow':
+      return { kind: how, delayMs: SLOW_MS };
+    case 'forget':
+      return { kind: 'none' };
+    default:
+      throw exhaustiveSwitchError(how);
+  }
+}
+
+async function holdBack(proxy: SoakProxy, durationMs: number): Promise<void> {
+  const held = proxy;
+  held.fault = 'hold';
+  await sleep(durationMs);
+  held.fault = 'none';
+}
+
+/** Carries out the faults of a soak. */
+export class SoakStriker {
+  readonly #targets: SoakTargets;
+
+  #version = 1;
+
+  /**
+   * @param targets - what faults strike
+   */
+  constructor(targets: SoakTargets) {
+    this.#targets = targets;
+  }
+
+  /**
+   * Writes an upstream's entry as it would itself.
+   *
+   * @param placed - the upstream
+   * @param state - what it says of itself
+   */
+  register({ upstream, proxy, failureDomain }: PlacedUpstream, state: 'ready' | 'draining'): void {
+    this.#targets.store.put(`${STORE_KEYS.upstreamPrefix}${upstream.id}`, {
+      service: upstream.kind,
+      address: proxy.address,
+      zone: failureDomain,
+      slots: 8,
+      state,
+      cold_left_ms: 0,
+      born: upstream.startedAtMs,
+    });
+  }
+
+  /** Puts the next version of the manifest in force. */
+  putManifest(): void {
+    this.#targets.store.put(STORE_KEYS.configuration, createSoakManifest(this.#version));
+    this.#version += 1;
+  }
+
+  /**
+   * @param planned - a fault that is due
+   * @returns when it is over
+   */
+  async strike({ fault, pick, durationMs }: PlannedFault): Promise<void> {
+    switch (fault.kind) {
+      case 'host':
+        await this.#strikeHost(fault.how, pick, durationMs);
+        return;
+      case 'allHosts':
+        await this.#strikeAllHosts(fault.how);
+        return;
+      case 'upstream':
+        await this.#strikeUpstream(fault.how, pick, durationMs);
+        return;
+      case 'pool':
+        await this.#strikePool(fault.how, pick, durationMs);
+        return;
+      case 'connection':
+        await this.#strikeConnection(fault, pick, durationMs);
+        return;
+      case 'store':
+        await this.#strikeStore(fault.how, durationMs);
+        return;
+      case 'manifest':
+        this.putManifest();
+        return;
+      default:
+        throw exhaustiveSwitchError(fault);
+    }
+  }
+
+  async #strikeHost(
+    how: Extract<SoakFault, { kind: 'host' }>['how'],
+    pick: number,
+    durationMs: number,
+  ): Promise<void> {
+    const { hosts } = this.#targets;
+    const host = hosts[pick % hosts.length];
+    switch (how) {
+      case 'terminate':
+        await host?.restart('SIGTERM');
+        return;
+      case 'kill':
+        await host?.restart('SIGKILL');
+        return;
+      case 'pause':
+        await host?.pause(durationMs);
+        return;
+      case 'reload':
+        host?.reload();
+        return;
+      default:
+        throw exhaustiveSwitchError(how);
+    }
+  }
+
+  /** Ended one after the other, or killed at the same moment. */
+  async #strikeAllHosts(how: 'terminate' | 'kill'): Promise<void> {
+    await Promise.all(this.#targets.hosts.map(async (host, index) => {
+      if (how === 'terminate') {
+        await sleep(index * SERIES_GAP_MS);
+      }
+      await host.restart(how === 'terminate' ? 'SIGTERM' : 'SIGKILL');
+    }));
+  }
+
+  async #strikeUpstream(
+    how: Extract<SoakFault, { kind: 'upstream' }>['how'],
+    pick: number,
+    durationMs: number,
+  ): Promise<void> {
+    const { upstreams, store } = this.#targets;
+    const placed = upstreams[pick % upstreams.length];
+    if (placed === undefined) {
+      return;
+    }
+    if (how === 'hold') {
+      await holdBack(placed.proxy, durationMs);
+      return;
+    }
+    const key = `${STORE_KEYS.upstreamPrefix}${placed.upstream.id}`;
+    if (how === 'drain') {
+      this.register(placed, 'draining');
+      await sleep(DRAIN_MS);
+    }
+    placed.upstream.crash();
+    store.remove(key);
+    this.register(placed, 'ready');
+  }
+
+  async #strikePool(
+    how: Extract<SoakFault, { kind: 'pool' }>['how'],
+    pick: number,
+    durationMs: number,
+  ): Promise<void> {
+    const { upstreams } = this.#targets;
+    const kind = upstreams[pick % upstreams.length]?.upstream.kind;
+    const pool = upstreams.filter(({ upstream }) => upstream.kind === kind);
+    if (how === 'hold') {
+      await Promise.all(pool.map(({ proxy }) => holdBack(proxy, durationMs)));
+      return;
+    }
+    const members = pool.map(({ upstream }) => upstream);
+    members.forEach((upstream) => Object.assign(upstream, { fault: how }));
+    await sleep(durationMs);
+    members.forEach((upstream) => Object.assign(upstream, { fault: 'none' }));
+  }
+
+  async #strikeConnection(
+    { how, target }: Extract<SoakFault, { kind: 'connection' }>,
+    pick: number,
+    durationMs: number,
+  ): Promise<void> {
+    const { storeProxies, upstreams } = this.#targets;
+    const proxy = target === 'store'
+      ? storeProxies[pick % storeProxies.length]
+      : upstreams[pick % upstreams.length]?.proxy;
+    if (how === 'reset' || proxy === undefined) {
+      proxy?.reset();
+      return;
+    }
+    proxy.fault = how;
+    await sleep(durationMs);
+    proxy.fault = 'none';
+  }
+
+  async #strikeStore(
+    how: Extract<SoakFault, { kind: 'store' }>['how'],
+    durationMs: number,
+  ): Promise<void> {
+    const { store } = this.#targets;
+    if (how === 'forget') {
+      store.state.dropHistory();
+    }
+    store.fault = getStoreFault(how);
+    await sleep(durationMs);
+    store.fault = { kind: 'none' };
+  }
+}
--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -7,13 +7,23 @@
 import { text as readText } from 'node:stream/consumers';
 import { HEADERS, UPSTREAM_PATHS } from '../../platform/WIRE.ts';
 import { EVENT_COUNT } from './findViolations.ts';
-import { REQUEST_KIND, type RequestKind, type RunRecord } from './SoakRecord.ts';
+import {
+  ARRIVAL_KIND, REQUEST_KIND, type ArrivalKind, type ArrivalRecord, type RequestKind,
+  type RunRecord,
+} from './SoakRecord.ts';
 
 const LOOPBACK = '127.0.0.1';
 const WORK_MS = 15;
 const EVENT_GAP_MS = 20;
 const CALL_MS = 30;
 const MISDIRECTED = 421;
+const UNAVAILABLE = 503;
+const FAILED = 500;
+/** Requests at the same time beyond which an upstream refuses. */
+const CAPACITY = 12;
+
+/** How an upstream misbehaves. */
+export type UpstreamFault = 'none' | 'refuse' | 'fail' | 'hang' | 'break';
 
 interface StageItem {
   readonly id: string;
@@ -34,11 +44,17 @@
   return inputs.endsWith(`/${requestId}-0-0`) ? null : `inputs ${inputs}`;
 }
 
+/** Gets what an upstream has seen. */
+export interface SoakUpstreamEvents {
+  readonly onRun: (run: RunRecord) => void;
+  readonly onArrival: (arrival: ArrivalRecord) => void;
+}
+
 /** An upstream of the soak: a plain service, a model engine or one that makes stage results. */
 export class SoakUpstream {
   readonly kind: RequestKind | 'stage';
 
-  readonly #onRun: (run: RunRecord) => void;
+  readonly #events: SoakUpstreamEvents;
 
   readonly #server: Server;
 
@@ -47,13 +63,18 @@
 
   startedAtMs = 0;
 
+  /** What it does wrong now. */
+  fault: UpstreamFault = 'none';
+
+  #openCount = 0;
+
   /**
    * @param kind - what it does
-   * @param onRun - gets each run
+   * @param events - gets each arrival and each run
    */
-  constructor(kind: RequestKind | 'stage', onRun: (run: RunRecord) => void) {
+  constructor(kind: RequestKind | 'stage', events: SoakUpstreamEvents) {
     this.kind = kind;
-    this.#onRun = onRun;
+    this.#events = events;
     this.#server = createServer((request, response) => {
       this.#handle(request, response).catch(() => response.destroy());
     });
@@ -93,8 +114,13 @@
     const body = await readText(request);
     const requestId = getHeader(request, HEADERS.requestId) ?? '';
     response.setHeader('X-Request-Id', requestId);
+    this.#noteArrivals(requestId, body, request);
     if ((getHeader(request, HEADERS.expectedUpstream) ?? this.id) !== this.id) {
       response.writeHead(MISDIRECTED, { 'X-Not-Executed': '1' }).end();
+    } else if (this.fault === 'refuse' || this.#openCount >= CAPACITY) {
+      response.writeHead(UNAVAILABLE, { 'X-Not-Executed': '1' }).end();
+    } else if (this.fault === 'break') {
+      request.socket.destroy();
     } else if (request.url === UPSTREAM_PATHS.runStage) {
       this.#runStage(body, response);
     } else if (this.kind === 'stage') {
@@ -104,13 +130,32 @@
     }
   }
 
+  #noteArrivals(requestId: string, body: string, request: IncomingMessage): void {
+    const note = (kind: ArrivalKind, id: string, unit: string): void => this.#events.onArrival({
+      service: this.kind, kind, requestId: id, unit, upstreamId: this.id, atMs: performance.now(),
+    });
+    if (request.url === UPSTREAM_PATHS.runStage) {
+      const { items } = JSON.parse(body) as { items: StageItem[] };
+      items.forEach(({ id, stage, piece }) => (
+        note(ARRIVAL_KIND.piece, id, `${id}-${stage}-${piece}`)));
+    } else if (this.kind !== 'stage') {
+      const isStream = this.kind === REQUEST_KIND.stream;
+      note(isStream ? ARRIVAL_KIND.generation : ARRIVAL_KIND.whole, requestId, requestId);
+    }
+  }
+
   #runStage(body: string, response: ServerResponse): void {
+    if (this.fault === 'hang') {
+      return;
+    }
     const { items } = JSON.parse(body) as { items: StageItem[] };
     setTimeout(() => {
       response.setHeader('Content-Type', 'application/json');
       response.end(JSON.stringify({
         items: items.map(({ id, stage, piece }) => ({
-          handle: `${LOOPBACK}:${this.port}/${id}-${stage}-${piece}`,
+          ...(this.fault === 'fail'
+            ? { reason: 'room' }
+            : { handle: `${LOOPBACK}:${this.port}/${id}-${stage}-${piece}` }),
         })),
       }));
     }, CALL_MS);
@@ -125,7 +170,11 @@
     const lastEventText = getHeader(request, HEADERS.lastEventId);
     const lastEventId = lastEventText === null ? null : Number(lastEventText);
     const isStream = kind === REQUEST_KIND.stream;
-    this.#onRun({
+    this.#openCount += 1;
+    response.once('close', () => {
+      this.#openCount -= 1;
+    });
+    this.#events.onRun({
       requestId,
       kind,
       upstreamId: this.id,
@@ -135,7 +184,12 @@
       account: getHeader(request, HEADERS.account),
     });
     response.setHeader('X-Response-Signature', `signed-${this.id}`);
-    if (isStream) {
+    if (this.fault === 'hang') {
+      return;
+    }
+    if (this.fault === 'fail') {
+      response.writeHead(FAILED).end('failed');
+    } else if (isStream) {
       response.writeHead(200, { 'Content-Type': 'text/event-stream' });
       this.#sendEvents(response, (lastEventId ?? 0) + 1);
     } else {
--- a/scripts/soak/createSoakManifest.ts
+++ b/scripts/soak/createSoakManifest.ts
@@ -22,7 +22,7 @@
     prefix: `/${kind}/`,
     service: kind,
     timeout_ms: 5_000,
-    target_latency_ms: 1_000,
+    target_latency_ms: 200,
     max_attempts: 2,
     ...fields,
   };
@@ -46,6 +46,7 @@
       createRoute(REQUEST_KIND.once, { kind: 'unsafe', max_attempts: 1 }),
       createRoute(REQUEST_KIND.stream, {
         kind: 'streaming',
+        target_latency_ms: 1_000,
         stream_resume: true,
         gap_target_ms: 400,
         stages: [{ service: SOAK_POOLS.stage, after: [], bytes: 1_000 }],
--- a/scripts/soak/createSoakPlan.ts
+++ b/scripts/soak/createSoakPlan.ts
@@ -3,7 +3,9 @@
 /** A fault of the soak, by where it strikes. */
 export type SoakFault =
   | { readonly kind: 'host'; readonly how: 'terminate' | 'kill' | 'pause' | 'reload' }
-  | { readonly kind: 'upstream'; readonly how: 'crash' | 'drain' }
+  | { readonly kind: 'allHosts'; readonly how: 'terminate' | 'kill' }
+  | { readonly kind: 'upstream'; readonly how: 'crash' | 'drain' | 'hold' }
+  | { readonly kind: 'pool'; readonly how: 'refuse' | 'fail' | 'hang' | 'break' | 'hold' }
   | {
     readonly kind: 'connection';
     readonly how: 'delay' | 'silent' | 'cutAnswers' | 'reset';
@@ -28,6 +30,14 @@
   { kind: 'host', how: 'reload' },
   { kind: 'upstream', how: 'crash' },
   { kind: 'upstream', how: 'drain' },
+  { kind: 'upstream', how: 'hold' },
+  { kind: 'allHosts', how: 'terminate' },
+  { kind: 'allHosts', how: 'kill' },
+  { kind: 'pool', how: 'refuse' },
+  { kind: 'pool', how: 'fail' },
+  { kind: 'pool', how: 'hang' },
+  { kind: 'pool', how: 'break' },
+  { kind: 'pool', how: 'hold' },
   { kind: 'connection', how: 'delay', target: 'upstream' },
   { kind: 'connection', how: 'silent', target: 'upstream' },
   { kind: 'connection', how: 'cutAnswers', target: 'upstream' },
@@ -42,6 +52,8 @@
 ];
 const MIN_DURATION_MS = 300;
 const DURATION_SPREAD_MS = 2_500;
+/** Faults of the store last longer, so that leases lapse meanwhile. */
+const STORE_FACTOR = 3;
 const MEAN_GAP_MS = 600;
 const PICKS = 1_000;
 
@@ -60,7 +72,8 @@
     if (fault !== undefined) {
       planned.push({
         atMs,
-        durationMs: MIN_DURATION_MS + random.getFraction() * DURATION_SPREAD_MS,
+        durationMs: (MIN_DURATION_MS + random.getFraction() * DURATION_SPREAD_MS)
+          * (fault.kind === 'store' ? STORE_FACTOR : 1),
         pick: Math.floor(random.getFraction() * PICKS),
         fault,
       });
--- a/scripts/soak/findViolations.test.ts
+++ b/scripts/soak/findViolations.test.ts
@@ -2,8 +2,9 @@
 import { describe, it } from 'node:test';
 import { SOAK_ACCOUNT } from './createSoakManifest.ts';
 import { EVENT_COUNT, findViolations } from './findViolations.ts';
+import type { RepeatBounds } from './RepeatBounds.ts';
 import {
-  REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
+  ARRIVAL_KIND, REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
 } from './SoakRecord.ts';
 
 const EVENTS = Array.from({ length: EVENT_COUNT }, (_, index) => `id: ${index + 1}\ndata: x\n\n`);
@@ -12,6 +13,7 @@
   requestId: 'r',
   kind: REQUEST_KIND.once,
   hostIndex: 0,
+  isRetry: false,
   sentAtMs: 0,
   deadlineMs: 1_000,
   endedAtMs: 10,
@@ -20,6 +22,7 @@
   isWhole: true,
   body: 'answer to r',
 };
+const BOUNDS: RepeatBounds = { ratio: 0, slack: 0, windowMs: 100 };
 const RUN: RunRecord = {
   requestId: 'r',
   kind: REQUEST_KIND.once,
@@ -32,9 +35,13 @@
 
 function check(caller: Partial<CallerRecord>, runs: readonly RunRecord[] = [RUN]): string[] {
   const record: SoakRecord = {
-    callers: [{ ...CALLER, ...caller }], runs: [...runs], hostSpans: [], calmSinceMs: Infinity,
+    callers: [{ ...CALLER, ...caller }],
+    runs: [...runs],
+    arrivals: [],
+    hostSpans: [],
+    calmSinceMs: Infinity,
   };
-  return findViolations(record, 10_000).map(({ promise }) => promise);
+  return findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise);
 }
 
 describe('findViolations', () => {
@@ -70,13 +77,33 @@
     });
   });
 
+  it('finds that a service gets more repeats than it may', () => {
+    const arrival = {
+      service: REQUEST_KIND.once,
+      kind: ARRIVAL_KIND.whole,
+      requestId: 'r',
+      unit: 'r',
+      upstreamId: 'u',
+      atMs: 5,
+    };
+    const record: SoakRecord = {
+      callers: [CALLER],
+      runs: [RUN],
+      arrivals: [arrival, { ...arrival, atMs: 6 }],
+      hostSpans: [],
+      calmSinceMs: Infinity,
+    };
+    deepEqual(findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise), ['repeats']);
+    deepEqual(findViolations(record, 10_000, { ...BOUNDS, slack: 1 }), []);
+  });
+
   it('finds that service does not come back after the last fault', () => {
     const callers = [{
       ...CALLER, sentAtMs: 20_000, endedAtMs: 20_001, status: 503,
     }];
     const record: SoakRecord = {
-      callers, runs: [], hostSpans: [], calmSinceMs: 10_000,
+      callers, runs: [], arrivals: [], hostSpans: [], calmSinceMs: 10_000,
     };
-    deepEqual(findViolations(record, 30_000).map(({ promise }) => promise), ['recovered']);
+    deepEqual(findViolations(record, 30_000, BOUNDS).map(({ promise }) => promise), ['recovered']);
   });
 });
--- a/scripts/soak/findViolations.ts
+++ b/scripts/soak/findViolations.ts
@@ -1,3 +1,5 @@
+import { countRepeats } from './countRepeats.ts';
+import type { RepeatBounds } from './RepeatBounds.ts';
 import {
   REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
 } from './SoakRecord.ts';
@@ -6,7 +8,7 @@
 /** A promise that was not kept. */
 export interface Violation {
   readonly promise: 'atMostOnce' | 'notRun' | 'wholeAnswer' | 'inOrder' | 'ended' | 'asked'
-    | 'inputs' | 'account' | 'recovered';
+    | 'inputs' | 'account' | 'recovered' | 'repeats';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -97,14 +99,27 @@
   }];
 }
 
+function findRepeatFaults({ arrivals, callers }: SoakRecord, bounds: RepeatBounds): Violation[] {
+  return countRepeats(arrivals, callers, bounds)
+    .filter(({ worst }) => worst !== null && worst.repeatCount > worst.allowed)
+    .map(({ service, worst }) => ({
+      promise: 'repeats', requestId: '', detail: `${service}: ${JSON.stringify(worst)}`,
+    }));
+}
+
 /**
  * Checks the promises from what callers and upstreams have seen.
  *
  * @param record - what they have seen
  * @param nowMs - the time of the check
+ * @param bounds - how much may arrive more than once
  * @returns each promise that was not kept
  */
-export function findViolations(record: SoakRecord, nowMs: number): Violation[] {
+export function findViolations(
+  record: SoakRecord,
+  nowMs: number,
+  bounds: RepeatBounds,
+): Violation[] {
   const runs = new Map<string, RunRecord[]>();
   record.runs.forEach((run) => {
     runs.set(run.requestId, [...runs.get(run.requestId) ?? [], run]);
@@ -114,5 +129,6 @@
     ...record.callers.flatMap(findAnswerFaults),
     ...findEndFaults(record, nowMs),
     ...findRecoveryFault(record),
+    ...findRepeatFaults(record, bounds),
   ];
 }
--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -53,6 +53,8 @@
 
   #largestHostCount = 1;
 
+  #confirmedAtMs: number | null = null;
+
   /**
    * @param clock - dates what upstreams say of how long they are cold
    */
@@ -75,6 +77,18 @@
     return this.#largestHostCount;
   }
 
+  /** How long ago the store last confirmed what stands here; null before its first answer. */
+  get ageMs(): number | null {
+    return this.#confirmedAtMs === null
+      ? null
+      : this.#clock.getMonotonicMs() - this.#confirmedAtMs;
+  }
+
+  /** Notes that the store has just told everything there is to know. */
+  noteConfirmed(): void {
+    this.#confirmedAtMs = this.#clock.getMonotonicMs();
+  }
+
   /** @param listener - called after each change that took effect */
   onChange(listener: (change: DirectoryChange) => void): void {
     this.#listeners.push(listener);
--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -92,6 +92,7 @@
       try {
         // eslint-disable-next-line no-await-in-loop -- each wait goes on from the one before
         const hasChanged = await this.#step();
+        this.#parts.directory.noteConfirmed();
         this.#noteContact();
         this.#backoff.reset();
         if (hasChanged) {
--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -28,6 +28,7 @@
   onTimeMs: 5_000,
   remainingMs: 9_000,
   excludedIds: [],
+  isPlacedAgain: false,
 };
 const POLL_MS = 5;
 
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -57,11 +57,13 @@
   group: PlacementGroup,
   elapsedMs: number,
   standingResults: readonly StandingResult[],
+  isAskedAgain: boolean,
 ): PlacementRequest {
   return {
     ...demand,
     domains: group.domains,
     standingResults,
+    isPlacedAgain: demand.isPlacedAgain || isAskedAgain,
     onTimeMs: demand.onTimeMs - elapsedMs,
     remainingMs: demand.remainingMs - elapsedMs,
   };
@@ -115,6 +117,7 @@
     let cancelCurrent = (): void => {};
     let placer: HostEntry | null = null;
     let standing: readonly StandingResult[] = [];
+    let isAskedAgain = false;
     const attempt = async (group: PlacementGroup): Promise<FinalPlacementResult> => {
       const chosen = this.#chooser.choose(group);
       placer = chosen;
@@ -122,7 +125,7 @@
         return { kind: 'refused', reason: REFUSAL.unreachable, retryAfterMs: 0 };
       }
       const elapsedMs = this.#options.clock.getMonotonicMs() - startedAtMs;
-      const request = createRequest(demand, group, elapsedMs, standing);
+      const request = createRequest(demand, group, elapsedMs, standing, isAskedAgain);
       const controller = new AbortController();
       try {
         const result = await (chosen === null
@@ -142,6 +145,8 @@
           return { kind: 'refused', reason: REFUSAL.unreachable, retryAfterMs: 0 };
         }
         this.#watch.noteFailure(chosen, String(error));
+        // The host that was asked may have sent pieces, and may go on.
+        isAskedAgain = true;
       }
       return isCancelled
         ? { kind: 'refused', reason: REFUSAL.unreachable, retryAfterMs: 0 }
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -9,6 +9,8 @@
   handle: string | null;
   /** Upstream that keeps the result. */
   makerId: UpstreamId | null;
+  /** How often it was sent, as far as is known; before its request was placed again, once. */
+  sendCount: number;
 }
 
 /** A stage of one request. */
@@ -77,7 +79,11 @@
       resultBytes: stage.resultBytes,
       height: heights[index] ?? 1,
       pieces: Array.from({ length: request.pieceCounts[index] ?? 1 }, (_, pieceIndex) => ({
-        index: pieceIndex, state: 'waiting', handle: null, makerId: null,
+        index: pieceIndex,
+        state: 'waiting',
+        handle: null,
+        makerId: null,
+        sendCount: request.isPlacedAgain ? 1 : 0,
       })),
     })),
     onTimeAtMs: nowMs + request.onTimeMs,
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -34,6 +34,8 @@
   readonly remainingMs: number;
   /** Engines that have failed it before. */
   readonly excludedIds: readonly UpstreamId[];
+  /** Whether it was placed before, so that its pieces may have been sent already. */
+  readonly isPlacedAgain: boolean;
 }
 
 /** A generation on its way to the host that places for a group of failure domains. */
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -60,7 +60,22 @@
     }, RUN_DELAY_MS);
   }
 
+  /** A line for the pieces of a call that were sent before. */
+  #logRepeats(call: StageCall): void {
+    const repeated = call.pieces.filter(({ piece }) => piece.sendCount > 1);
+    if (repeated.length > 0) {
+      this.#logger.info({
+        event: 'piecesRepeated',
+        poolId: call.poolId,
+        makerId: call.makerId,
+        pieces: repeated.map(({ job, stage, piece }) => (
+          `${job.request.requestId}-${stage.index}-${piece.index}`)),
+      }, 'sent pieces once more');
+    }
+  }
+
   #send(call: StageCall): void {
+    this.#logRepeats(call);
     this.#caller.run(call).then((outcome) => {
       const level = outcome.kind === 'answered' ? 'debug' : 'info';
       this.#logger[level]({
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -344,6 +344,7 @@
     const expectedMs = limits.callMs + limits.pieceMs * pieces.length;
     pieces.forEach(({ piece }) => {
       piece.state = 'running';
+      piece.sendCount += 1;
       piece.makerId = maker.id;
     });
     maker.callCount += 1;
--- a/src/placement/planBatches.test.ts
+++ b/src/placement/planBatches.test.ts
@@ -35,6 +35,7 @@
     onTimeMs: 1_000,
     remainingMs: 5_000,
     excludedIds: [],
+    isPlacedAgain: false,
   }, 0, null, () => {});
 }
 
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -6,6 +6,7 @@
 import type { PlacementNote } from '../placement/PlacementRequest.ts';
 import { EventSplitter, type StreamEvent } from './EventSplitter.ts';
 import type { RelayContext, RelayTerms } from './RelayContext.ts';
+import { REPEAT_REASON, type RepeatReason } from './RepeatDecision.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
 import type { AnswerHead } from './UpstreamProtocol.ts';
 
@@ -59,6 +60,11 @@
 
   #refusedCount = 0;
 
+  /** Attempts handed to a connection, whatever became of them. */
+  #sendCount = 0;
+
+  #repeatDecidedAtMs = 0;
+
   /** Whether the next repeat is taken out of the budget already. */
   #isRepeatPaid = false;
 
@@ -85,7 +91,8 @@
 
   /** Starts relaying. */
   start(): void {
-    this.#context.shares.getRetryBudget(this.#terms.poolId).noteOffered();
+    this.#context.shares.noteOffered(this.#terms.poolId);
+    this.#log('accepted', { poolId: this.#terms.poolId });
     this.#exchange.onGone(() => this.#finish('caller-gone'));
     this.#deadlineTimer = setTimeout(
       () => this.#giveUp(STATUS.timeout, 'timeout', null),
@@ -118,6 +125,7 @@
       onTimeMs: route.targetLatencyMs - waitedMs,
       remainingMs: this.#getRemainingMs(),
       excludedIds: [...this.#excluded],
+      isPlacedAgain: this.#placement !== null,
     });
     this.#placement = placement;
     placement.result.then((result) => this.#takePlacement(placement, result))
@@ -165,7 +173,7 @@
     this.#head = null;
     this.#errorChunks = [];
     this.#splitter = new EventSplitter();
-    this.#log('sent', { upstreamId: placed.upstreamId, inputCount: placed.inputs.length });
+    this.#noteSend(placed);
     this.#running = sendAttempt(
       this.#context.connections.get(`http://${address}`),
       this.#context.protocol,
@@ -298,11 +306,10 @@
   #placeElsewhere(detail: string): void {
     this.#refusedCount += 1;
     this.#log('placedAgain', { detail });
-    if (this.#refusedCount > MAX_REFUSED_SENDS || !this.#takeRetry()) {
+    if (this.#refusedCount > MAX_REFUSED_SENDS || !this.#tryRepeat(REPEAT_REASON.notRun)) {
       this.#giveUp(STATUS.unavailable, 'engines-full', SHORT_RETRY_AFTER_MS);
       return;
     }
-    this.#context.metrics.noteRepeat('generation', 'not-run');
     this.#place();
   }
 
@@ -311,21 +318,36 @@
     const { route } = this.#terms;
     const mayRunAgain = route.isResumable
       && this.#runCount < route.maxAttempts
-      && (this.#isRepeatPaid || this.#takeRetry());
+      && (this.#isRepeatPaid || this.#tryRepeat(REPEAT_REASON.broken));
     this.#isRepeatPaid = false;
     this.#log(mayRunAgain ? 'resumed' : 'brokenOff', { detail, lastEventId: this.#lastEventId });
     if (mayRunAgain) {
-      this.#context.metrics.noteRepeat('generation', 'broken');
       this.#place();
     } else {
       this.#giveUp(STATUS.badGateway, 'engine-broke-off', null);
     }
   }
 
-  #takeRetry(): boolean {
-    return this.#context.shares.getRetryBudget(this.#terms.poolId).tryRetry({
-      isRepeatable: true, remainingMs: this.#getRemainingMs(), medianMs: 0,
+  #tryRepeat(reason: RepeatReason): boolean {
+    this.#repeatDecidedAtMs = this.#context.clock.getMonotonicMs();
+    return this.#getRemainingMs() >= 0 && this.#context.shares.tryRepeat({
+      requestId: this.#exchange.request.profile.id,
+      poolId: this.#terms.poolId,
+      kind: 'generation',
+      reason,
+    });
+  }
+
+  #noteSend(placed: Placed): void {
+    const nowMs = this.#context.clock.getMonotonicMs();
+    this.#log('sent', {
+      upstreamId: placed.upstreamId,
+      inputCount: placed.inputs.length,
+      poolId: this.#terms.poolId,
+      sendIndex: this.#sendCount,
+      decidedAgoMs: this.#sendCount === 0 ? null : Math.round(nowMs - this.#repeatDecidedAtMs),
     });
+    this.#sendCount += 1;
   }
 
   #giveUp(status: number, reason: string, retryAfterMs: number | null): void {
@@ -381,7 +403,7 @@
 
   /** Without a repeat in the budget the silent engine is still the better hope. */
   #leaveSilent(silenceMs: number): void {
-    if (this.#running === null || !this.#takeRetry()) {
+    if (this.#running === null || !this.#tryRepeat(REPEAT_REASON.silent)) {
       return;
     }
     this.#isRepeatPaid = true;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -110,7 +110,9 @@
       connections: adapters.connections,
       placements: this.#client,
       book: new UpstreamBook(clock, settings.failureDomain),
-      shares: new HostShares(clock, directory, settings.sharedBounds),
+      shares: new HostShares({
+        clock, directory, bounds: settings.sharedBounds, logger, metrics: this.#metrics,
+      }),
       pacer: new ColdPacer(clock),
       logger,
       metrics: this.#metrics,
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -1,6 +1,9 @@
 import { createServer, type Server } from 'node:http';
-import { Counter, Histogram, Registry } from 'prom-client';
+import {
+  Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 import { parseAddress } from '../ingress/parseAddress.ts';
+import type { RepeatDecision } from './RepeatDecision.ts';
 
 /** Upper bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 3, 5, 8, 20];
@@ -32,8 +35,15 @@
 
   readonly #repeats = new Counter({
     name: 'parsleylift_relay_repeats_total',
-    help: 'Attempts beyond the first of a request, by what led to them',
-    labelNames: ['kind', 'cause'],
+    help: 'Sends beyond the first of a request, asked for, by pool and reason',
+    labelNames: ['pool', 'kind', 'reason', 'outcome'],
+    registers: [this.#registry],
+  });
+
+  readonly #repeatsLeft = new Gauge({
+    name: 'parsleylift_repeats_left',
+    help: 'Sends beyond the first that a pool could get from this host now',
+    labelNames: ['pool'],
     registers: [this.#registry],
   });
 
@@ -57,11 +67,16 @@
   }
 
   /**
-   * @param kind - what is relayed
-   * @param cause - why another attempt is made; one of a few codes
+   * @param decision - a repeat that was asked for, and whether it was allowed
    */
-  noteRepeat(kind: RelayKind, cause: string): void {
-    this.#repeats.inc({ kind, cause });
+  noteRepeat({
+    poolId, kind, reason, isAllowed, availableAfter,
+  }: RepeatDecision): void {
+    const outcome = isAllowed ? 'allowed' : 'denied';
+    this.#repeats.inc({
+      pool: poolId, kind, reason, outcome,
+    });
+    this.#repeatsLeft.set({ pool: poolId }, availableAfter);
   }
 
   /** @param reason - why a request was refused */
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -4,6 +4,7 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { UpstreamId } from '../lib/ids.ts';
 import type { RelayContext, RelayTerms } from './RelayContext.ts';
+import { REPEAT_REASON, type RepeatReason } from './RepeatDecision.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
 import type { AnswerHead } from './UpstreamProtocol.ts';
 
@@ -64,6 +65,11 @@
 
   #refusedCount = 0;
 
+  /** Attempts handed to a connection, whatever became of them. */
+  #sendCount = 0;
+
+  #repeatDecidedAtMs = 0;
+
   #isOver = false;
 
   #lastFailure: { head: AnswerHead; body: Buffer } | null = null;
@@ -81,7 +87,8 @@
 
   /** Starts relaying. */
   start(): void {
-    this.#context.shares.getRetryBudget(this.#terms.poolId).noteOffered();
+    this.#context.shares.noteOffered(this.#terms.poolId);
+    this.#log('accepted', { poolId: this.#terms.poolId });
     this.#exchange.onGone(() => this.#finish('caller-gone'));
     this.#after(this.#getRemainingMs(), () => this.#timeOut());
     this.#send();
@@ -117,7 +124,7 @@
     this.#open.add(attempt);
     this.#runCount += 1;
     book.noteSent(id);
-    this.#log('sent', { upstreamId: id });
+    this.#noteSend(id);
     attempt.running = sendAttempt(
       this.#context.connections.get(url),
       this.#context.protocol,
@@ -146,8 +153,7 @@
 
   /** Asks a second upstream while the first one is silent. */
   #hedge(): void {
-    if (!this.#isOver && this.#open.size === 1 && this.#mayRunAgain()) {
-      this.#context.metrics.noteRepeat('whole', 'silent');
+    if (!this.#isOver && this.#open.size === 1 && this.#mayRunAgain(REPEAT_REASON.silent)) {
       this.#log('hedged');
       this.#send();
     }
@@ -170,7 +176,7 @@
         return;
       case 'broken':
         this.#log('broken', { upstreamId: attempt.upstreamId, detail: end.detail });
-        this.#runAgain();
+        this.#runAgain(REPEAT_REASON.broken);
         return;
       default:
         throw exhaustiveSwitchError(end);
@@ -180,7 +186,7 @@
   #takeAnswer(attempt: OpenAttempt): void {
     const { head } = attempt;
     if (head === null) {
-      this.#runAgain();
+      this.#runAgain(REPEAT_REASON.broken);
       return;
     }
     if (head.isNotRun) {
@@ -193,7 +199,7 @@
     if (head.status >= STATUS.error && this.#isRepeatable) {
       this.#lastFailure = { head, body };
       this.#log('failed', { upstreamId: attempt.upstreamId, status: head.status });
-      this.#runAgain();
+      this.#runAgain(REPEAT_REASON.failed);
       return;
     }
     this.#answer(head, body);
@@ -202,12 +208,7 @@
   /** Goes on after an attempt that did not run. */
   #sendElsewhere(): void {
     this.#refusedCount += 1;
-    const mayRepeat = this.#refusedCount <= MAX_REFUSED_SENDS
-      && this.#context.shares.getRetryBudget(this.#terms.poolId).tryRetry({
-        isRepeatable: true, remainingMs: this.#getRemainingMs(), medianMs: 0,
-      });
-    if (mayRepeat) {
-      this.#context.metrics.noteRepeat('whole', 'not-run');
+    if (this.#refusedCount <= MAX_REFUSED_SENDS && this.#tryRepeat(REPEAT_REASON.notRun)) {
       this.#send();
     } else if (this.#open.size === 0) {
       this.#giveUp(STATUS.unavailable, 'upstreams-full');
@@ -215,20 +216,39 @@
   }
 
   /** Goes on after an attempt that ran or may have run. */
-  #runAgain(): void {
-    if (this.#mayRunAgain()) {
-      this.#context.metrics.noteRepeat('whole', 'failed');
+  #runAgain(reason: RepeatReason): void {
+    if (this.#mayRunAgain(reason)) {
       this.#send();
     } else if (this.#open.size === 0) {
       this.#giveUp(STATUS.badGateway, 'upstream-failed');
     }
   }
 
-  #mayRunAgain(): boolean {
+  #mayRunAgain(reason: RepeatReason): boolean {
     return this.#runCount < this.#terms.route.maxAttempts
-      && this.#context.shares.getRetryBudget(this.#terms.poolId).tryRetry({
-        isRepeatable: this.#isRepeatable, remainingMs: this.#getRemainingMs(), medianMs: 0,
-      });
+      && this.#isRepeatable
+      && this.#tryRepeat(reason);
+  }
+
+  #tryRepeat(reason: RepeatReason): boolean {
+    this.#repeatDecidedAtMs = this.#context.clock.getMonotonicMs();
+    return this.#getRemainingMs() >= 0 && this.#context.shares.tryRepeat({
+      requestId: this.#exchange.request.profile.id,
+      poolId: this.#terms.poolId,
+      kind: 'whole',
+      reason,
+    });
+  }
+
+  #noteSend(upstreamId: UpstreamId): void {
+    const nowMs = this.#context.clock.getMonotonicMs();
+    this.#log('sent', {
+      upstreamId,
+      poolId: this.#terms.poolId,
+      sendIndex: this.#sendCount,
+      decidedAgoMs: this.#sendCount === 0 ? null : Math.round(nowMs - this.#repeatDecidedAtMs),
+    });
+    this.#sendCount += 1;
   }
 
   #answer(head: AnswerHead, body: Buffer): void {
