--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -3,15 +3,18 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { SoakRun } from './soak/SoakRun.ts';
+import { SOAK_PROFILE } from './soak/createSoakPlan.ts';
 import { formatRepeats } from './soak/formatRepeats.ts';
 
 /*
  * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H] [--rate R] [--retries C]
- * [--slack B]`: real entry hosts as processes on loopback under faults from outside. Counts what
- * arrives at each service more than once. Exits 1 when a promise was not kept, and names the seed.
+ * [--slack B] [--profile all|repeats] [--faults S]`: real entry hosts as processes on loopback
+ * under faults from outside. Counts what arrives at each service more than once. Exits 1 when a
+ * promise was not kept, and names the seed.
  */
 const MS_PER_MINUTE = 60_000;
-const FAULT_MS = 12_000;
+const FAULT_S = 12;
+const MS_PER_SECOND = 1_000;
 const RETRY_RATIO = 0.2;
 const RETRY_WINDOW_MS = 10_000;
 const CALM_MS = 9_000;
@@ -26,6 +29,10 @@
   hosts: { type: 'number', default: 4, describe: 'entry hosts, a process each' },
   rate: { type: 'number', default: 10, describe: 'requests a second for each host' },
   retries: { type: 'number', default: 2, describe: 'times that callers come back at once' },
+  profile: {
+    choices: Object.values(SOAK_PROFILE), default: SOAK_PROFILE.all, describe: 'faults drawn',
+  },
+  faults: { type: 'number', default: FAULT_S, describe: 'seconds in which faults begin' },
   slack: { type: 'number', default: 50, describe: 'repeats in a window at any load' },
 }).strict().parse();
 
@@ -43,7 +50,8 @@
     requestsPerSecond: options.rate,
     callerRetries: options.retries,
     bounds: { ratio: RETRY_RATIO, slack: options.slack, windowMs: RETRY_WINDOW_MS },
-    faultMs: FAULT_MS,
+    profile: options.profile,
+    faultMs: options.faults * MS_PER_SECOND,
     calmMs: CALM_MS,
     folder,
     network: FIRST_NETWORK + (process.pid % NETWORK_COUNT),
--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
 import type { RepeatBounds } from './RepeatBounds.ts';
+import { SOAK_PROFILE } from './createSoakPlan.ts';
 import { SoakRun } from './SoakRun.ts';
 
 /** Seeds that ever failed, each with its cause; they are run again here. */
@@ -24,6 +25,7 @@
         requestsPerSecond: 10,
         callerRetries: 1,
         bounds: BOUNDS,
+        profile: SOAK_PROFILE.all,
         faultMs: 4_000,
         calmMs: 7_500,
         folder,
--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -12,7 +12,7 @@
 import { SoakUpstream } from './SoakUpstream.ts';
 import { countRepeats, type RepeatReport } from './countRepeats.ts';
 import { SOAK_POOLS } from './createSoakManifest.ts';
-import { createSoakPlan } from './createSoakPlan.ts';
+import { createSoakPlan, type SoakProfile } from './createSoakPlan.ts';
 import { findViolations, type Violation } from './findViolations.ts';
 
 /** What a run of the soak is made from. */
@@ -24,6 +24,7 @@
   /** How often a refused or failed request comes back at once, from a part of the callers. */
   readonly callerRetries: number;
   readonly bounds: RepeatBounds;
+  readonly profile: SoakProfile;
   /** Span in which faults begin. */
   readonly faultMs: number;
   /** Span after the last fault in which service has to be back. */
@@ -109,9 +110,11 @@
       const intervalMs = MS_PER_SECOND / this.#options.requestsPerSecond;
       timer = setInterval(() => this.#sendRequests(caller), intervalMs);
       await sleep(1_000);
-      const { faultMs, calmMs, bounds } = this.#options;
+      const {
+        faultMs, calmMs, bounds, profile,
+      } = this.#options;
       const startMs = performance.now();
-      const plan = createSoakPlan(new SeededRandomSource(this.#options.seed), faultMs);
+      const plan = createSoakPlan(new SeededRandomSource(this.#options.seed), faultMs, profile);
       await Promise.all(plan.map(async (planned) => {
         await sleep(Math.max(0, startMs + planned.atMs - performance.now()));
         await this.#striker.strike(planned);
--- a/scripts/soak/createSoakPlan.ts
+++ b/scripts/soak/createSoakPlan.ts
@@ -50,30 +50,77 @@
   { kind: 'store', how: 'forget' },
   { kind: 'manifest' },
 ];
+/** Faults that make hosts send again, and those that make them forget that they did. */
+const REPEAT_FAULTS: readonly SoakFault[] = [
+  { kind: 'pool', how: 'refuse' },
+  { kind: 'pool', how: 'fail' },
+  { kind: 'pool', how: 'break' },
+  { kind: 'pool', how: 'hang' },
+  { kind: 'pool', how: 'hold' },
+  { kind: 'upstream', how: 'hold' },
+  { kind: 'upstream', how: 'crash' },
+  { kind: 'connection', how: 'reset', target: 'upstream' },
+  { kind: 'allHosts', how: 'terminate' },
+  { kind: 'allHosts', how: 'kill' },
+  { kind: 'host', how: 'kill' },
+  { kind: 'host', how: 'pause' },
+  { kind: 'store', how: 'down' },
+  { kind: 'store', how: 'slow' },
+  { kind: 'connection', how: 'silent', target: 'store' },
+];
+
+/** Which faults are drawn: all kinds, or those that repeats come from. */
+export const SOAK_PROFILE = { all: 'all', repeats: 'repeats' } as const;
+
+/** A member of {@link SOAK_PROFILE}. */
+export type SoakProfile = typeof SOAK_PROFILE[keyof typeof SOAK_PROFILE];
+
+const PROFILE_FAULTS: Readonly<Record<SoakProfile, readonly SoakFault[]>> = {
+  all: FAULTS, repeats: REPEAT_FAULTS,
+};
+
 const MIN_DURATION_MS = 300;
 const DURATION_SPREAD_MS = 2_500;
-/** Faults of the store last longer, so that leases lapse meanwhile. */
+/** Faults of the store last longer, so that leases lapse meanwhile; those of pools, for repeats. */
 const STORE_FACTOR = 3;
+const POOL_FACTOR = 2;
 const MEAN_GAP_MS = 600;
 const PICKS = 1_000;
 
+function getDurationFactor({ kind }: SoakFault): number {
+  switch (kind) {
+    case 'store':
+      return STORE_FACTOR;
+    case 'pool':
+      return POOL_FACTOR;
+    default:
+      return 1;
+  }
+}
+
 /**
  * Draws faults that come in series and overlap.
  *
  * @param random - the seed's randomness
  * @param lengthMs - span in which faults begin
+ * @param profile - which faults are drawn
  * @returns the faults in the order of their times
  */
-export function createSoakPlan(random: RandomSource, lengthMs: number): PlannedFault[] {
+export function createSoakPlan(
+  random: RandomSource,
+  lengthMs: number,
+  profile: SoakProfile,
+): PlannedFault[] {
+  const faults = PROFILE_FAULTS[profile];
   const planned: PlannedFault[] = [];
   let atMs = 0;
   while (atMs < lengthMs) {
-    const fault = FAULTS[Math.floor(random.getFraction() * FAULTS.length)];
+    const fault = faults[Math.floor(random.getFraction() * faults.length)];
     if (fault !== undefined) {
       planned.push({
         atMs,
         durationMs: (MIN_DURATION_MS + random.getFraction() * DURATION_SPREAD_MS)
-          * (fault.kind === 'store' ? STORE_FACTOR : 1),
+          * getDurationFactor(fault),
         pick: Math.floor(random.getFraction() * PICKS),
         fault,
       });
--- /dev/null
+++ b/src/placement/pieceRepeats.test.ts
@@ -0,0 +1,72 @@
+import { ok } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { PlacementTestBed } from '../../test/support/PlacementTestBed.ts';
+import type { RouteStage } from '../directory/ServingConfiguration.ts';
+import { toId, type PoolId } from '../lib/ids.ts';
+import type { StageCall } from './StageCall.ts';
+
+const STAGE: RouteStage = { poolId: toId<PoolId>('first'), after: [], resultBytes: 1_000 };
+/** The users' bound: repeats in a window as a part of what is asked for, and at any load. */
+const RATIO = 0.2;
+const SLACK = 52;
+const WINDOW_MS = 10_000;
+const STEP_MS = 20;
+const REQUEST_EVERY_MS = 200;
+
+interface Send {
+  readonly atMs: number;
+  readonly isRepeat: boolean;
+}
+
+/** Lets requests come for a while to upstreams that end each call in the same way. */
+function collectSends(
+  lengthMs: number,
+  end: (bed: PlacementTestBed, call: StageCall) => void,
+): Send[] {
+  const bed = new PlacementTestBed({ first: { makers: 4 } });
+  const seen = new Set<string>();
+  const sends: Send[] = [];
+  for (let nowMs = 0; nowMs < lengthMs; nowMs += STEP_MS) {
+    bed.clock.advance(STEP_MS);
+    if (nowMs % REQUEST_EVERY_MS === 0) {
+      bed.place({ requestId: `r${nowMs}`, stages: [STAGE], pieceCounts: [3] });
+    }
+    bed.desk.run();
+    bed.takeCalls().forEach((call) => {
+      call.items.forEach(({ requestId, pieceIndex }) => {
+        const unit = `${requestId} ${pieceIndex}`;
+        sends.push({ atMs: nowMs, isRepeat: seen.has(unit) });
+        seen.add(unit);
+      });
+      end(bed, call);
+    });
+  }
+  return sends;
+}
+
+function findExcess(sends: readonly Send[]): string | null {
+  const excess = sends.map(({ atMs }) => {
+    const within = sends.filter((send) => send.atMs > atMs - WINDOW_MS && send.atMs <= atMs);
+    const repeatCount = within.filter(({ isRepeat }) => isRepeat).length;
+    return { repeatCount, allowed: RATIO * (within.length - repeatCount) + SLACK };
+  }).find(({ repeatCount, allowed }) => repeatCount > allowed);
+  return excess === undefined ? null : `${excess.repeatCount} repeats, ${excess.allowed} allowed`;
+}
+
+describe('pieces of stages', () => {
+  it('are not sent again beyond the bound on repeats while their upstreams refuse them', () => {
+    const sends = collectSends(15_000, (bed, call) => {
+      bed.desk.finishCall(call, { kind: 'notRun' });
+    });
+    const excess = findExcess(sends);
+    ok(excess === null, excess ?? '');
+  });
+
+  it('are not sent again beyond the bound on repeats while their upstreams lack room', () => {
+    const sends = collectSends(15_000, (bed, call) => {
+      bed.answer(call, call.items.map(() => ({ kind: 'failure', failure: 'noRoom' })));
+    });
+    const excess = findExcess(sends);
+    ok(excess === null, excess ?? '');
+  });
+});
