Divide common bounds by a host count that outlives the process

Cause: each host's share of the slack is the slack over the most hosts that its own process has seen registered. A process that starts while the entries of the others are missing (their leases lapsed while the store was away; all hosts lost power; the store is lost again right after the first reading) divides by one, and so do all that start with it. The cold share had the same divisor.

Not seen in a real-process run: the soak's hosts always saw each other within milliseconds.

Why this works: the largest number of hosts stands in the store without a lease, written under its revision by the host that is registered for longest, and comes with the same reading as the configuration, without which a host serves nothing.

--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -14,6 +14,13 @@
   readonly coldUntilMs: number;
 }
 
+/** The largest number of hosts that the store keeps a record of. */
+export interface RecordedHostCount {
+  readonly count: number;
+  /** Revision of the record; 0 when there is none. */
+  readonly revision: number;
+}
+
 function getChangeKey(change: DirectoryChange): string {
   switch (change.kind) {
     case 'configuration':
@@ -29,6 +36,8 @@
       return `host ${change.entry.id}`;
     case 'hostGone':
       return `host ${change.hostId}`;
+    case 'hostCount':
+      return 'hostCount';
     default:
       throw exhaustiveSwitchError(change);
   }
@@ -53,6 +62,8 @@
 
   #largestHostCount = 1;
 
+  #recordedHostCount: RecordedHostCount = { count: 0, revision: 0 };
+
   #confirmedAtMs: number | null = null;
 
   /**
@@ -72,9 +83,17 @@
     return this.#hosts;
   }
 
-  /** Most hosts that ever held a lease at a time; a safe divisor for shares of a common bound. */
+  /**
+   * Most hosts that ever held a lease at a time, seen by this process or recorded in the store; the
+   * divisor for shares of a common bound.
+   */
   get largestHostCount(): number {
-    return this.#largestHostCount;
+    return Math.max(this.#largestHostCount, this.#recordedHostCount.count);
+  }
+
+  /** What the store keeps of that, for the processes that start later. */
+  get recordedHostCount(): RecordedHostCount {
+    return this.#recordedHostCount;
   }
 
   /** How long ago the store last confirmed what stands here; null before its first answer. */
@@ -186,6 +205,9 @@
         return true;
       case 'hostGone':
         return this.#hosts.delete(change.hostId);
+      case 'hostCount':
+        this.#recordedHostCount = { count: change.count, revision: change.revision };
+        return true;
       default:
         throw exhaustiveSwitchError(change);
     }
--- a/src/directory/DirectoryChange.ts
+++ b/src/directory/DirectoryChange.ts
@@ -11,4 +11,6 @@
   | { readonly kind: 'domainDrained'; readonly failureDomain: string }
   | { readonly kind: 'domainRestored'; readonly failureDomain: string }
   | { readonly kind: 'host'; readonly entry: KnownHost }
-  | { readonly kind: 'hostGone'; readonly hostId: HostId };
+  | { readonly kind: 'hostGone'; readonly hostId: HostId }
+  /** Most hosts that were ever registered at a time, as the store keeps it. */
+  | { readonly kind: 'hostCount'; readonly count: number; readonly revision: number };
--- a/src/directory/DirectoryStore.ts
+++ b/src/directory/DirectoryStore.ts
@@ -56,4 +56,11 @@
    * @returns whether the lease still stands
    */
   writeHost(entry: HostEntry, leaseId: number): Promise<RenewResult>;
+  /**
+   * Records how many hosts there were, unless another host has done so meanwhile.
+   *
+   * @param count - the number of hosts
+   * @param knownRevision - the revision of the record that it replaces; 0 for none
+   */
+  recordHostCount(count: number, knownRevision: number): Promise<void>;
 }
--- /dev/null
+++ b/src/directory/HostCountKeeper.ts
@@ -0,0 +1,75 @@
+import type { Logger } from 'pino';
+import type { HostId } from '../lib/ids.ts';
+import type { Directory } from './Directory.ts';
+import type { DirectoryStore } from './DirectoryStore.ts';
+
+/** What the keeper is made of. */
+export interface HostCountKeeperParts {
+  readonly hostId: HostId;
+  readonly directory: Directory;
+  readonly store: DirectoryStore;
+  readonly logger: Logger;
+}
+
+/** Hosts that start together are recorded together, with one write. */
+const SETTLE_MS = 1_000;
+
+/**
+ * Keeps the largest number of hosts in the store, so that a process which starts while the entries
+ * of the others are missing doesn't take a larger share of common bounds than it has. The host that
+ * is registered for longest writes it.
+ */
+export class HostCountKeeper {
+  readonly #parts: HostCountKeeperParts;
+
+  #timer: NodeJS.Timeout | null = null;
+
+  #isClosed = false;
+
+  /**
+   * @param parts - see {@link HostCountKeeperParts}
+   */
+  constructor(parts: HostCountKeeperParts) {
+    this.#parts = parts;
+    parts.directory.onChange(() => this.#schedule());
+  }
+
+  /** Ends what runs in the background. */
+  close(): void {
+    this.#isClosed = true;
+    clearTimeout(this.#timer ?? undefined);
+  }
+
+  #isDue(): boolean {
+    const { directory, hostId } = this.#parts;
+    const own = directory.hosts.get(hostId);
+    return !this.#isClosed
+      && own !== undefined
+      && directory.largestHostCount > directory.recordedHostCount.count
+      && [...directory.hosts.values()]
+        .every(({ registeredRevision }) => registeredRevision >= own.registeredRevision);
+  }
+
+  #schedule(): void {
+    if (this.#timer === null && this.#isDue()) {
+      this.#timer = setTimeout(() => this.#record(), SETTLE_MS);
+    }
+  }
+
+  #record(): void {
+    const { directory, store, logger } = this.#parts;
+    const count = directory.largestHostCount;
+    const { revision } = directory.recordedHostCount;
+    const write = this.#isDue() ? store.recordHostCount(count, revision) : Promise.resolve();
+    write
+      .then(() => logger.info({ event: 'hostCountRecorded', count }, 'recorded the host count'))
+      .catch((error: unknown) => logger.info(
+        { event: 'hostCountNotRecorded', count, error: String(error) },
+        'the host count is not recorded; trying again',
+      ))
+      .finally(() => {
+        this.#timer = null;
+        this.#schedule();
+      });
+  }
+}
--- /dev/null
+++ b/src/relay/HostShares.test.ts
@@ -0,0 +1,91 @@
+import { ok } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { pino } from 'pino';
+import { Directory } from '../directory/Directory.ts';
+import { toId, type HostId, type PoolId } from '../lib/ids.ts';
+import { ManualClock } from '../time/ManualClock.ts';
+import { HostShares } from './HostShares.ts';
+import { REPEAT_REASON } from './RepeatDecision.ts';
+import { RelayMetrics } from './RelayMetrics.ts';
+
+const POOL_ID = toId<PoolId>('pool');
+const SLACK = 52;
+const RATIO = 0.2;
+const WINDOW_MS = 10_000;
+const STEP_MS = 100;
+
+/** A host process with all that it knows. */
+class TestHost {
+  readonly directory: Directory;
+
+  readonly shares: HostShares;
+
+  constructor(clock: ManualClock) {
+    this.directory = new Directory(clock);
+    this.shares = new HostShares({
+      clock,
+      directory: this.directory,
+      bounds: {
+        retryRatio: RATIO,
+        retrySlack: SLACK,
+        retryWindowMs: WINDOW_MS,
+        coldOvershoot: 1,
+        coldSlack: 1,
+      },
+      logger: pino({ level: 'silent' }),
+      metrics: new RelayMetrics(),
+    });
+  }
+
+  /** Lets the host see entries of hosts. */
+  see(...names: string[]): this {
+    names.forEach((name, index) => this.directory.apply({
+      kind: 'host',
+      entry: {
+        id: toId<HostId>(name),
+        failureDomain: 'a',
+        peerAddress: `${name}:1`,
+        processorCores: 1,
+        linkMbps: 1,
+        registeredRevision: index,
+      },
+    }));
+    return this;
+  }
+
+  /** @returns how many repeats the host sends now */
+  spend(): number {
+    let count = 0;
+    while (this.shares.tryRepeat({
+      requestId: 'r', poolId: POOL_ID, kind: 'whole', reason: REPEAT_REASON.notRun,
+    })) {
+      count += 1;
+    }
+    return count;
+  }
+}
+
+const NAMES = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+/** Lets hosts spend what they can for a while, and sums up. */
+function spendFor(clock: ManualClock, hosts: readonly TestHost[], durationMs: number): number {
+  let sum = 0;
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+    clock.advance(STEP_MS);
+    sum += hosts.reduce((count, host) => count + host.spend(), 0);
+  }
+  return sum;
+}
+
+describe('HostShares', () => {
+  it('gives hosts that start while no other is registered no share of their own', () => {
+    const clock = new ManualClock();
+    const hosts = NAMES.map((name) => new TestHost(clock).see(name));
+    hosts.forEach(({ directory }) => directory.apply({
+      kind: 'hostCount', count: NAMES.length, revision: 1,
+    }));
+    clock.advance(WINDOW_MS * 2);
+    const sum = spendFor(clock, hosts, WINDOW_MS);
+    ok(sum <= SLACK, `${sum} repeats`);
+  });
+});
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import { Directory } from '../directory/Directory.ts';
 import { DirectoryFollower } from '../directory/DirectoryFollower.ts';
+import { HostCountKeeper } from '../directory/HostCountKeeper.ts';
 import { HostRegistration } from '../directory/HostRegistration.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
 import { IngressServer } from '../ingress/IngressServer.ts';
@@ -49,6 +50,8 @@
 
   readonly #registration: HostRegistration;
 
+  readonly #hostCountKeeper: HostCountKeeper;
+
   readonly #service: PlacementService;
 
   readonly #client: PlacementClient;
@@ -93,6 +96,9 @@
       processorCores: settings.processorCores,
       linkMbps: settings.linkMbps,
     }, logger);
+    this.#hostCountKeeper = new HostCountKeeper({
+      hostId: settings.hostId, directory, store: adapters.store, logger,
+    });
     this.#service = new PlacementService(clock, directory, adapters.stageCaller, logger);
     this.#peerServer = new PlacementServer(this.#service.desk);
     this.#client = new PlacementClient({
@@ -201,6 +207,7 @@
     this.#readiness.close();
     this.#metrics.close();
     this.#follower.stop();
+    this.#hostCountKeeper.close();
     this.#client.close();
     this.#service.close();
     await this.#peerServer.close();
--- a/test/support/MemoryDirectoryStore.ts
+++ b/test/support/MemoryDirectoryStore.ts
@@ -1,3 +1,4 @@
+import type { HostEntry } from '../../src/directory/HostEntry.ts';
 import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
 import type {
   DirectorySnapshot, DirectoryStore, FollowResult, RenewResult,
@@ -34,7 +35,14 @@
     return undefined;
   }
 
-  async writeHost(): Promise<RenewResult> {
+  async writeHost(entry: HostEntry): Promise<RenewResult> {
+    this.changes.push({
+      kind: 'host', entry: { ...entry, registeredRevision: this.changes.length },
+    });
     return 'renewed';
   }
+
+  async recordHostCount(count: number): Promise<void> {
+    this.changes.push({ kind: 'hostCount', count, revision: this.changes.length });
+  }
 }
