Bound repeats by when they are sent, not by when they are decided on

Cause: a repeat took its token when it was decided on, and then waited: for a usable upstream (whole requests), for stages, an engine and the cold pace (generations). What was paid for over many seconds left within one, beside what was paid for then. The buckets of all hosts allowed exactly the bound, so that nothing was left for that, nor for what is held up on the way.

RepeatWindow counts sends in a sliding span 1.2 times the window; a repeat that is decided on counts until it is sent, withdrawn or given up, and is checked once more when it leaves. Three quarters of the slack are shared out, for hosts that join while others are out of touch. A process uses its share one span after it stands in the directory: what its predecessor sent is past then, and the others have made room.

The buckets' retries with time-based refill stay for the product's own pools (RetryBudget). What both relays do about repeats stands once (RequestRepeats); the silence timer and the demand of a placement are split off GenerationRelay.

RelayTestBed: a window of 1 ms, so that its host uses its share at once; no check is changed by it.

--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -4,9 +4,13 @@
 import type { UpstreamId } from '../lib/ids.ts';
 import type { FinalPlacementResult, RunningPlacement } from '../placement/PlacementClient.ts';
 import type { PlacementNote } from '../placement/PlacementRequest.ts';
+import type { RepeatPermit } from '../retries/RepeatWindow.ts';
+import { createPlacementDemand } from './createPlacementDemand.ts';
 import { EventSplitter, type StreamEvent } from './EventSplitter.ts';
 import type { RelayContext, RelayTerms } from './RelayContext.ts';
 import { REPEAT_REASON, type RepeatReason } from './RepeatDecision.ts';
+import { RequestRepeats } from './RequestRepeats.ts';
+import { SilenceWatch } from './SilenceWatch.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
 import type { AnswerHead } from './UpstreamProtocol.ts';
 
@@ -40,6 +44,10 @@
 
   readonly #arrivedAtMs: number;
 
+  readonly #repeats: RequestRepeats;
+
+  readonly #silence = new SilenceWatch((silenceMs) => this.#leaveSilent(silenceMs));
+
   #placement: RunningPlacement | null = null;
 
   /** The engine that the placement chose. */
@@ -60,20 +68,13 @@
 
   #refusedCount = 0;
 
-  /** Attempts handed to a connection, whatever became of them. */
-  #sendCount = 0;
-
-  #repeatDecidedAtMs = 0;
-
-  /** Whether the next repeat is taken out of the budget already. */
-  #isRepeatPaid = false;
+  /** Leave for the next send, where that is a repeat; null before it is asked for. */
+  #permit: RepeatPermit | null = null;
 
   #isOver = false;
 
   #deadlineTimer: NodeJS.Timeout | null = null;
 
-  #silenceTimer: NodeJS.Timeout | null = null;
-
   #pauseTimer: NodeJS.Timeout | null = null;
 
   /**
@@ -87,6 +88,13 @@
     this.#exchange = exchange;
     this.#lastEventId = exchange.request.profile.lastEventId;
     this.#arrivedAtMs = exchange.request.arrivedAtMs;
+    this.#repeats = new RequestRepeats({
+      clock: context.clock,
+      shares: context.shares,
+      requestId: exchange.request.profile.id,
+      poolId: terms.poolId,
+      kind: 'generation',
+    });
   }
 
   /** Starts relaying. */
@@ -109,24 +117,13 @@
     if (this.#isOver) {
       return;
     }
-    const { profile } = this.#exchange.request;
-    const { route } = this.#terms;
-    const waitedMs = this.#context.clock.getMonotonicMs() - this.#arrivedAtMs;
-    const placement = this.#context.placements.place({
-      requestId: profile.id,
-      poolId: this.#terms.poolId,
-      stages: route.stages,
-      pieceCounts: profile.pieceCounts,
-      pieceKey: profile.pieceKey ?? '',
-      parts: profile.generation?.parts ?? [],
-      promptTokens: profile.generation?.promptTokens ?? 0,
-      maxOutputTokens: profile.generation?.maxOutputTokens ?? 0,
-      priority: this.#terms.priority,
-      onTimeMs: route.targetLatencyMs - waitedMs,
+    const placement = this.#context.placements.place(createPlacementDemand(this.#terms, {
+      profile: this.#exchange.request.profile,
+      waitedMs: this.#context.clock.getMonotonicMs() - this.#arrivedAtMs,
       remainingMs: this.#getRemainingMs(),
       excludedIds: [...this.#excluded],
       isPlacedAgain: this.#placement !== null,
-    });
+    }));
     this.#placement = placement;
     placement.result.then((result) => this.#takePlacement(placement, result))
       .catch((error: unknown) => {
@@ -169,11 +166,18 @@
   }
 
   #send(placed: Placed, address: string): void {
+    if (this.#permit?.trySend() === false) {
+      this.#giveUp(STATUS.unavailable, 'repeats-spent', SHORT_RETRY_AFTER_MS);
+      return;
+    }
+    this.#permit = null;
     this.#runCount += 1;
     this.#head = null;
     this.#errorChunks = [];
     this.#splitter = new EventSplitter();
-    this.#noteSend(placed);
+    this.#log('sent', {
+      ...this.#repeats.noteSend(placed.upstreamId), inputCount: placed.inputs.length,
+    });
     this.#running = sendAttempt(
       this.#context.connections.get(`http://${address}`),
       this.#context.protocol,
@@ -236,7 +240,7 @@
 
   #endAttempt(upstreamId: UpstreamId, end: AttemptEnd): void {
     this.#running = null;
-    this.#clearSilence();
+    this.#silence.stop();
     if (this.#isOver) {
       return;
     }
@@ -306,7 +310,7 @@
   #placeElsewhere(detail: string): void {
     this.#refusedCount += 1;
     this.#log('placedAgain', { detail });
-    if (this.#refusedCount > MAX_REFUSED_SENDS || !this.#tryRepeat(REPEAT_REASON.notRun)) {
+    if (this.#refusedCount > MAX_REFUSED_SENDS || !this.#mayRepeat(REPEAT_REASON.notRun)) {
       this.#giveUp(STATUS.unavailable, 'engines-full', SHORT_RETRY_AFTER_MS);
       return;
     }
@@ -318,8 +322,7 @@
     const { route } = this.#terms;
     const mayRunAgain = route.isResumable
       && this.#runCount < route.maxAttempts
-      && (this.#isRepeatPaid || this.#tryRepeat(REPEAT_REASON.broken));
-    this.#isRepeatPaid = false;
+      && this.#mayRepeat(REPEAT_REASON.broken);
     this.#log(mayRunAgain ? 'resumed' : 'brokenOff', { detail, lastEventId: this.#lastEventId });
     if (mayRunAgain) {
       this.#place();
@@ -328,26 +331,11 @@
     }
   }
 
-  #tryRepeat(reason: RepeatReason): boolean {
-    this.#repeatDecidedAtMs = this.#context.clock.getMonotonicMs();
-    return this.#getRemainingMs() >= 0 && this.#context.shares.tryRepeat({
-      requestId: this.#exchange.request.profile.id,
-      poolId: this.#terms.poolId,
-      kind: 'generation',
-      reason,
-    });
-  }
-
-  #noteSend(placed: Placed): void {
-    const nowMs = this.#context.clock.getMonotonicMs();
-    this.#log('sent', {
-      upstreamId: placed.upstreamId,
-      inputCount: placed.inputs.length,
-      poolId: this.#terms.poolId,
-      sendIndex: this.#sendCount,
-      decidedAgoMs: this.#sendCount === 0 ? null : Math.round(nowMs - this.#repeatDecidedAtMs),
-    });
-    this.#sendCount += 1;
+  #mayRepeat(reason: RepeatReason): boolean {
+    if (this.#getRemainingMs() >= 0) {
+      this.#permit ??= this.#repeats.tryReserve(reason);
+    }
+    return this.#permit !== null;
   }
 
   #giveUp(status: number, reason: string, retryAfterMs: number | null): void {
@@ -370,9 +358,10 @@
       return;
     }
     this.#isOver = true;
-    this.#clearSilence();
+    this.#silence.stop();
     clearTimeout(this.#deadlineTimer ?? undefined);
     clearTimeout(this.#pauseTimer ?? undefined);
+    this.#repeats.release();
     this.#placement?.cancel();
     if (this.#running !== null) {
       this.#running.abort(outcome);
@@ -395,26 +384,20 @@
 
   /** A silent engine is left for another one, where the stream may go on there. */
   #watchSilence(silenceMs: number): void {
-    this.#clearSilence();
+    this.#silence.stop();
     if (this.#terms.route.isResumable && this.#runCount < this.#terms.route.maxAttempts) {
-      this.#silenceTimer = setTimeout(() => this.#leaveSilent(silenceMs), silenceMs);
+      this.#silence.start(silenceMs);
     }
   }
 
   /** Without a repeat in the budget the silent engine is still the better hope. */
   #leaveSilent(silenceMs: number): void {
-    if (this.#running === null || !this.#tryRepeat(REPEAT_REASON.silent)) {
+    if (this.#running === null || !this.#mayRepeat(REPEAT_REASON.silent)) {
       return;
     }
-    this.#isRepeatPaid = true;
     this.#running.abort(`silent for ${Math.round(silenceMs)} ms`);
   }
 
-  #clearSilence(): void {
-    clearTimeout(this.#silenceTimer ?? undefined);
-    this.#silenceTimer = null;
-  }
-
   #log(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
     this.#context.logger.info({
       event: 'relay',
--- a/src/relay/HostShares.test.ts
+++ b/src/relay/HostShares.test.ts
@@ -20,10 +20,11 @@
 
   readonly shares: HostShares;
 
-  constructor(clock: ManualClock) {
+  constructor(clock: ManualClock, name: string) {
     this.directory = new Directory(clock);
     this.shares = new HostShares({
       clock,
+      hostId: toId<HostId>(name),
       directory: this.directory,
       bounds: {
         retryRatio: RATIO,
@@ -58,7 +59,7 @@
     let count = 0;
     while (this.shares.tryRepeat({
       requestId: 'r', poolId: POOL_ID, kind: 'whole', reason: REPEAT_REASON.notRun,
-    })) {
+    })?.trySend() === true) {
       count += 1;
     }
     return count;
@@ -67,6 +68,10 @@
 
 const NAMES = ['a', 'b', 'c', 'd', 'e', 'f'];
 
+function createFleet(clock: ManualClock): TestHost[] {
+  return NAMES.map((name) => new TestHost(clock, name).see(...NAMES));
+}
+
 /** Lets hosts spend what they can for a while, and sums up. */
 function spendFor(clock: ManualClock, hosts: readonly TestHost[], durationMs: number): number {
   let sum = 0;
@@ -78,9 +83,17 @@
 }
 
 describe('HostShares', () => {
+  it('shares the slack out among all hosts', () => {
+    const clock = new ManualClock();
+    const hosts = createFleet(clock);
+    clock.advance(WINDOW_MS * 2);
+    const sum = spendFor(clock, hosts, WINDOW_MS);
+    ok(sum > SLACK / 2 && sum <= SLACK, `${sum} repeats`);
+  });
+
   it('gives hosts that start while no other is registered no share of their own', () => {
     const clock = new ManualClock();
-    const hosts = NAMES.map((name) => new TestHost(clock).see(name));
+    const hosts = NAMES.map((name) => new TestHost(clock, name).see(name));
     hosts.forEach(({ directory }) => directory.apply({
       kind: 'hostCount', count: NAMES.length, revision: 1,
     }));
@@ -88,4 +101,28 @@
     const sum = spendFor(clock, hosts, WINDOW_MS);
     ok(sum <= SLACK, `${sum} repeats`);
   });
+
+  it('gives no new allowance to processes that start again within a window', () => {
+    const clock = new ManualClock();
+    const before = createFleet(clock);
+    clock.advance(WINDOW_MS * 2);
+    let sum = spendFor(clock, before, 1_000);
+    for (let restart = 0; restart < 8; restart += 1) {
+      sum += spendFor(clock, createFleet(clock), 1_000);
+    }
+    ok(sum <= SLACK, `${sum} repeats`);
+  });
+
+  it('keeps the bound while hosts are added and some have not heard of them', () => {
+    const clock = new ManualClock();
+    const hosts = createFleet(clock);
+    clock.advance(WINDOW_MS * 2);
+    const added = ['g', 'h', 'i', 'j'];
+    const all = [...NAMES, ...added];
+    hosts.slice(2).forEach((host) => host.see(...all));
+    const joined = added.map((name) => new TestHost(clock, name).see(...all));
+    clock.advance(WINDOW_MS * 2);
+    const sum = spendFor(clock, [...hosts, ...joined], WINDOW_MS);
+    ok(sum > SLACK / 2 && sum <= SLACK, `${sum} repeats`);
+  });
 });
--- a/src/relay/HostShares.ts
+++ b/src/relay/HostShares.ts
@@ -1,10 +1,11 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
-import type { PoolId } from '../lib/ids.ts';
-import { RetryBudget } from '../retries/RetryBudget.ts';
+import type { HostId, PoolId } from '../lib/ids.ts';
+import type { RepeatPermit } from '../retries/RepeatWindow.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
 import type { RepeatAsk } from './RepeatDecision.ts';
+import { RepeatShares } from './RepeatShares.ts';
 
 /** Bounds that hold for all entry hosts together. */
 export interface SharedBounds {
@@ -19,13 +20,10 @@
   readonly coldSlack: number;
 }
 
-const MS_PER_SECOND = 1_000;
-/** Part of a window's fixed allowance that may be used at one moment; the rest comes with time. */
-const BURST_PART = 0.5;
-
 /** What the shares are made of. */
 export interface HostSharesParts {
   readonly clock: Clock;
+  readonly hostId: HostId;
   /** Knows how many hosts there are. */
   readonly directory: Directory;
   /** The bounds in all. */
@@ -35,69 +33,57 @@
   readonly metrics: RelayMetrics;
 }
 
+/**
+ * Part of the slack that the hosts share out. The rest is for hosts that join while others are out
+ * of touch and still divide by fewer.
+ */
+const SHARED_PART = 0.75;
+/**
+ * How long after this host is seen by all, in windows, it uses its share of the slack. What the
+ * process of before has sent is past by then, and the others have made room for a new host.
+ */
+const SETTLE_WINDOWS = 1.2;
+
 /** This host's parts of the bounds that all hosts share. */
 export class HostShares {
   readonly #parts: HostSharesParts;
 
-  readonly #budgets = new Map<PoolId, RetryBudget>();
+  /** Requests and generations that are sent again. */
+  readonly #requests: RepeatShares;
 
-  #budgetHostCount = 0;
+  /** When this host first stood in the directory; null before. */
+  #seenAtMs: number | null = null;
 
   /**
    * @param parts - see {@link HostSharesParts}
    */
   constructor(parts: HostSharesParts) {
     this.#parts = parts;
+    this.#requests = this.#createShares();
+    parts.directory.onChange((change) => {
+      if (change.kind === 'host' && change.entry.id === parts.hostId) {
+        this.#seenAtMs ??= parts.clock.getMonotonicMs();
+      }
+    });
   }
 
   /** @param poolId - a pool that is asked for a request for the first time */
   noteOffered(poolId: PoolId): void {
-    this.#getBudget(poolId).noteOffered();
+    this.#requests.get(poolId).noteFirsts();
   }
 
   /**
-   * Takes a repeat out of this host's part of a pool's budget.
+   * Takes a repeat out of this host's share.
    *
    * @param ask - what is to be sent once more
-   * @returns whether it may be sent
+   * @returns leave to send it; null when the share is used up
    */
-  tryRepeat(ask: RepeatAsk): boolean {
-    const budget = this.#getBudget(ask.poolId);
-    const availableBefore = budget.available;
-    const isAllowed = budget.tryRetry({ isRepeatable: true, remainingMs: 0, medianMs: 0 });
-    const { logger, metrics, directory } = this.#parts;
-    const decision = {
-      ...ask,
-      isAllowed,
-      availableBefore,
-      availableAfter: budget.available,
-      hostCount: directory.largestHostCount,
-      directoryAgeMs: directory.ageMs,
-    };
-    metrics.noteRepeat(decision);
-    logger.info({ event: 'repeat', ...decision }, 'decided on a repeat');
-    return isAllowed;
-  }
-
-  #getBudget(poolId: PoolId): RetryBudget {
-    const hostCount = this.#parts.directory.largestHostCount;
-    if (hostCount !== this.#budgetHostCount) {
-      this.#budgetHostCount = hostCount;
-      this.#budgets.clear();
-    }
-    const known = this.#budgets.get(poolId);
-    if (known !== undefined) {
-      return known;
-    }
-    const { bounds, clock } = this.#parts;
-    const slack = bounds.retrySlack / hostCount;
-    const budget = new RetryBudget({ getNowMs: () => clock.getMonotonicMs() }, {
-      ratio: bounds.retryRatio,
-      burst: Math.max(1, slack * BURST_PART),
-      floorPerSecond: (slack * (1 - BURST_PART) * MS_PER_SECOND) / bounds.retryWindowMs,
-    });
-    this.#budgets.set(poolId, budget);
-    return budget;
+  tryRepeat(ask: RepeatAsk): RepeatPermit | null {
+    const window = this.#requests.get(ask.poolId);
+    const leftBefore = window.left;
+    const permit = window.tryReserve();
+    this.#noteDecision(ask, permit !== null, leftBefore, window.left);
+    return permit;
   }
 
   /**
@@ -113,4 +99,42 @@
     const allowed = perSecond * bounds.coldOvershoot + bounds.coldSlack;
     return Math.max(1, Math.floor(allowed / directory.largestHostCount));
   }
+
+  #createShares(): RepeatShares {
+    const { bounds, clock } = this.#parts;
+    return new RepeatShares({
+      clock,
+      windowMs: bounds.retryWindowMs,
+      ratio: bounds.retryRatio,
+      getFixedAllowance: () => this.#getFixedAllowance(),
+    });
+  }
+
+  #getFixedAllowance(): number {
+    const { bounds, clock, directory } = this.#parts;
+    const settledAtMs = (this.#seenAtMs ?? Infinity) + bounds.retryWindowMs * SETTLE_WINDOWS;
+    return clock.getMonotonicMs() < settledAtMs
+      ? 0
+      : (bounds.retrySlack * SHARED_PART) / directory.largestHostCount;
+  }
+
+  #noteDecision(
+    ask: RepeatAsk,
+    isAllowed: boolean,
+    leftBefore: number,
+    leftAfter: number,
+  ): void {
+    const { logger, metrics, directory } = this.#parts;
+    const decision = {
+      ...ask,
+      isAllowed,
+      leftBefore,
+      leftAfter,
+      fixedAllowance: Number(this.#getFixedAllowance().toFixed(2)),
+      hostCount: directory.largestHostCount,
+      directoryAgeMs: directory.ageMs === null ? null : Math.round(directory.ageMs),
+    };
+    metrics.noteRepeat(decision);
+    logger.info({ event: 'repeat', ...decision }, 'decided on a repeat');
+  }
 }
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -96,6 +96,14 @@
       processorCores: settings.processorCores,
       linkMbps: settings.linkMbps,
     }, logger);
+    const shares = new HostShares({
+      clock,
+      hostId: settings.hostId,
+      directory,
+      bounds: settings.sharedBounds,
+      logger,
+      metrics: this.#metrics,
+    });
     this.#hostCountKeeper = new HostCountKeeper({
       hostId: settings.hostId, directory, store: adapters.store, logger,
     });
@@ -116,9 +124,7 @@
       connections: adapters.connections,
       placements: this.#client,
       book: new UpstreamBook(clock, settings.failureDomain),
-      shares: new HostShares({
-        clock, directory, bounds: settings.sharedBounds, logger, metrics: this.#metrics,
-      }),
+      shares,
       pacer: new ColdPacer(clock),
       logger,
       metrics: this.#metrics,
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -43,7 +43,7 @@
   readonly #repeatsLeft = new Gauge({
     name: 'parsleylift_repeats_left',
     help: 'Sends beyond the first that a pool could get from this host now',
-    labelNames: ['pool'],
+    labelNames: ['pool', 'kind'],
     registers: [this.#registry],
   });
 
@@ -70,13 +70,13 @@
    * @param decision - a repeat that was asked for, and whether it was allowed
    */
   noteRepeat({
-    poolId, kind, reason, isAllowed, availableAfter,
+    poolId, kind, reason, isAllowed, leftAfter,
   }: RepeatDecision): void {
     const outcome = isAllowed ? 'allowed' : 'denied';
     this.#repeats.inc({
       pool: poolId, kind, reason, outcome,
     });
-    this.#repeatsLeft.set({ pool: poolId }, availableAfter);
+    this.#repeatsLeft.set({ pool: poolId, kind }, leftAfter);
   }
 
   /** @param reason - why a request was refused */
--- a/src/relay/RepeatDecision.ts
+++ b/src/relay/RepeatDecision.ts
@@ -31,8 +31,10 @@
 export interface RepeatDecision extends RepeatAsk {
   readonly isAllowed: boolean;
   /** Repeats that the pool could get from this host before and after. */
-  readonly availableBefore: number;
-  readonly availableAfter: number;
+  readonly leftBefore: number;
+  readonly leftAfter: number;
+  /** This host's part of the slack; 0 while its process is too young to use it. */
+  readonly fixedAllowance: number;
   /** Hosts by which the common bound was divided. */
   readonly hostCount: number;
   /** How long ago the store confirmed what this host knows; null for never. */
--- /dev/null
+++ b/src/relay/RepeatShares.ts
@@ -0,0 +1,30 @@
+import type { PoolId } from '../lib/ids.ts';
+import { RepeatWindow, type RepeatWindowOptions } from '../retries/RepeatWindow.ts';
+
+/** This host's part of the bounds on repeats, for each pool by itself. */
+export class RepeatShares {
+  readonly #options: RepeatWindowOptions;
+
+  readonly #windows = new Map<PoolId, RepeatWindow>();
+
+  /**
+   * @param options - of the window of each pool
+   */
+  constructor(options: RepeatWindowOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param poolId - a pool
+   * @returns its window
+   */
+  get(poolId: PoolId): RepeatWindow {
+    const known = this.#windows.get(poolId);
+    if (known !== undefined) {
+      return known;
+    }
+    const window = new RepeatWindow(this.#options);
+    this.#windows.set(poolId, window);
+    return window;
+  }
+}
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -3,8 +3,10 @@
 import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { UpstreamId } from '../lib/ids.ts';
+import type { RepeatPermit } from '../retries/RepeatWindow.ts';
 import type { RelayContext, RelayTerms } from './RelayContext.ts';
 import { REPEAT_REASON, type RepeatReason } from './RepeatDecision.ts';
+import { RequestRepeats } from './RequestRepeats.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
 import type { AnswerHead } from './UpstreamProtocol.ts';
 
@@ -60,16 +62,13 @@
 
   readonly #timers = new Set<NodeJS.Timeout>();
 
+  readonly #repeats: RequestRepeats;
+
   /** Attempts that ran or may have run. */
   #runCount = 0;
 
   #refusedCount = 0;
 
-  /** Attempts handed to a connection, whatever became of them. */
-  #sendCount = 0;
-
-  #repeatDecidedAtMs = 0;
-
   #isOver = false;
 
   #lastFailure: { head: AnswerHead; body: Buffer } | null = null;
@@ -83,6 +82,13 @@
     this.#context = context;
     this.#terms = terms;
     this.#exchange = exchange;
+    this.#repeats = new RequestRepeats({
+      clock: context.clock,
+      shares: context.shares,
+      requestId: exchange.request.profile.id,
+      poolId: terms.poolId,
+      kind: 'whole',
+    });
   }
 
   /** Starts relaying. */
@@ -91,7 +97,7 @@
     this.#log('accepted', { poolId: this.#terms.poolId });
     this.#exchange.onGone(() => this.#finish('caller-gone'));
     this.#after(this.#getRemainingMs(), () => this.#timeOut());
-    this.#send();
+    this.#send(null);
   }
 
   get #isRepeatable(): boolean {
@@ -102,7 +108,8 @@
     return this.#terms.deadlineAtMs - this.#context.clock.getMonotonicMs();
   }
 
-  #send(): void {
+  /** @param permit - leave to send it once more; null for the first time */
+  #send(permit: RepeatPermit | null): void {
     if (this.#isOver) {
       return;
     }
@@ -112,7 +119,11 @@
     const patienceMs = this.#terms.route.targetLatencyMs * PATIENCE_PART;
     const upstream = book.choose(untried.length > 0 ? untried : usable, patienceMs);
     if (upstream === null) {
-      this.#after(NO_UPSTREAM_PAUSE_MS, () => this.#send());
+      this.#after(NO_UPSTREAM_PAUSE_MS, () => this.#send(permit));
+      return;
+    }
+    if (permit?.trySend() === false) {
+      this.#giveUpWithoutRepeat();
       return;
     }
     const { id, address } = upstream.entry;
@@ -124,7 +135,7 @@
     this.#open.add(attempt);
     this.#runCount += 1;
     book.noteSent(id);
-    this.#noteSend(id);
+    this.#log('sent', { ...this.#repeats.noteSend(id) });
     attempt.running = sendAttempt(
       this.#context.connections.get(url),
       this.#context.protocol,
@@ -153,9 +164,12 @@
 
   /** Asks a second upstream while the first one is silent. */
   #hedge(): void {
-    if (!this.#isOver && this.#open.size === 1 && this.#mayRunAgain(REPEAT_REASON.silent)) {
+    const permit = !this.#isOver && this.#open.size === 1
+      ? this.#tryRunAgain(REPEAT_REASON.silent)
+      : null;
+    if (permit !== null) {
       this.#log('hedged');
-      this.#send();
+      this.#send(permit);
     }
   }
 
@@ -208,8 +222,11 @@
   /** Goes on after an attempt that did not run. */
   #sendElsewhere(): void {
     this.#refusedCount += 1;
-    if (this.#refusedCount <= MAX_REFUSED_SENDS && this.#tryRepeat(REPEAT_REASON.notRun)) {
-      this.#send();
+    const permit = this.#refusedCount <= MAX_REFUSED_SENDS
+      ? this.#tryRepeat(REPEAT_REASON.notRun)
+      : null;
+    if (permit !== null) {
+      this.#send(permit);
     } else if (this.#open.size === 0) {
       this.#giveUp(STATUS.unavailable, 'upstreams-full');
     }
@@ -217,38 +234,29 @@
 
   /** Goes on after an attempt that ran or may have run. */
   #runAgain(reason: RepeatReason): void {
-    if (this.#mayRunAgain(reason)) {
-      this.#send();
+    const permit = this.#tryRunAgain(reason);
+    if (permit !== null) {
+      this.#send(permit);
     } else if (this.#open.size === 0) {
       this.#giveUp(STATUS.badGateway, 'upstream-failed');
     }
   }
 
-  #mayRunAgain(reason: RepeatReason): boolean {
-    return this.#runCount < this.#terms.route.maxAttempts
-      && this.#isRepeatable
-      && this.#tryRepeat(reason);
+  #tryRunAgain(reason: RepeatReason): RepeatPermit | null {
+    const mayRun = this.#isRepeatable && this.#runCount < this.#terms.route.maxAttempts;
+    return mayRun ? this.#tryRepeat(reason) : null;
   }
 
-  #tryRepeat(reason: RepeatReason): boolean {
-    this.#repeatDecidedAtMs = this.#context.clock.getMonotonicMs();
-    return this.#getRemainingMs() >= 0 && this.#context.shares.tryRepeat({
-      requestId: this.#exchange.request.profile.id,
-      poolId: this.#terms.poolId,
-      kind: 'whole',
-      reason,
-    });
+  #tryRepeat(reason: RepeatReason): RepeatPermit | null {
+    return this.#getRemainingMs() < 0 ? null : this.#repeats.tryReserve(reason);
   }
 
-  #noteSend(upstreamId: UpstreamId): void {
-    const nowMs = this.#context.clock.getMonotonicMs();
-    this.#log('sent', {
-      upstreamId,
-      poolId: this.#terms.poolId,
-      sendIndex: this.#sendCount,
-      decidedAgoMs: this.#sendCount === 0 ? null : Math.round(nowMs - this.#repeatDecidedAtMs),
-    });
-    this.#sendCount += 1;
+  /** While a repeat waited for an upstream, what may be sent again has shrunk. */
+  #giveUpWithoutRepeat(): void {
+    this.#log('repeatWithdrawn');
+    if (this.#open.size === 0) {
+      this.#giveUp(STATUS.unavailable, 'repeats-spent');
+    }
   }
 
   #answer(head: AnswerHead, body: Buffer): void {
@@ -291,6 +299,7 @@
     }
     this.#isOver = true;
     this.#timers.forEach((timer) => clearTimeout(timer));
+    this.#repeats.release();
     this.#open.forEach((attempt) => attempt.running?.abort(outcome));
     const elapsedMs = this.#context.clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs;
     this.#context.metrics.noteEnd('whole', outcome, elapsedMs);
--- /dev/null
+++ b/src/retries/RepeatWindow.test.ts
@@ -0,0 +1,95 @@
+import { equal, ok } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { SeededRandomSource } from '../lib/SeededRandomSource.ts';
+import { ManualClock } from '../time/ManualClock.ts';
+import { RepeatWindow, type RepeatPermit } from './RepeatWindow.ts';
+
+const WINDOW_MS = 10_000;
+
+function createWindow(clock: ManualClock, fixedAllowance: number, ratio = 0.2): RepeatWindow {
+  return new RepeatWindow({
+    clock, windowMs: WINDOW_MS, ratio, getFixedAllowance: () => fixedAllowance,
+  });
+}
+
+function countWithin(timesMs: readonly number[], endMs: number): number {
+  return timesMs.filter((timeMs) => timeMs > endMs - WINDOW_MS && timeMs <= endMs).length;
+}
+
+describe('RepeatWindow', () => {
+  it('does not let repeats that waited for an upstream leave beside new ones', () => {
+    const clock = new ManualClock();
+    const window = createWindow(clock, 4);
+    const waiting = Array.from({ length: 4 }, () => window.tryReserve());
+    clock.advance(WINDOW_MS * 5);
+    equal(window.tryReserve(), null);
+    waiting.forEach((permit) => equal(permit?.trySend(), true));
+    equal(window.tryReserve(), null);
+    clock.advance(WINDOW_MS);
+    equal(window.tryReserve(), null, 'what is held up on the way still counts');
+    clock.advance(WINDOW_MS);
+    equal(window.left, 4);
+  });
+
+  it('earns a part of what is sent for the first time, for one window', () => {
+    const clock = new ManualClock();
+    const window = createWindow(clock, 0);
+    equal(window.tryReserve(), null);
+    window.noteFirsts(10);
+    equal(window.left, 2);
+    clock.advance(WINDOW_MS);
+    equal(window.left, 0);
+  });
+
+  it('withdraws a repeat when the allowance has shrunk while it waited', () => {
+    const clock = new ManualClock();
+    const window = createWindow(clock, 0);
+    window.noteFirsts(5);
+    const permit = window.tryReserve();
+    clock.advance(WINDOW_MS);
+    equal(permit?.trySend(), false);
+    equal(permit?.trySend(), false, 'it is used up');
+  });
+
+  it('takes back what is not used, once', () => {
+    const window = createWindow(new ManualClock(), 1);
+    const permit = window.tryReserve();
+    equal(window.left, 0);
+    permit?.release();
+    permit?.release();
+    equal(window.left, 1);
+  });
+
+  it('keeps every window under the bound, however long repeats wait', () => {
+    const clock = new ManualClock();
+    const random = new SeededRandomSource(7);
+    const window = createWindow(clock, 6);
+    const firstsMs: number[] = [];
+    const sentMs: number[] = [];
+    let waiting: RepeatPermit[] = [];
+    for (let step = 0; step < 20_000; step += 1) {
+      clock.advance(10);
+      const nowMs = clock.getMonotonicMs();
+      if (random.getFraction() < 0.05) {
+        window.noteFirsts();
+        firstsMs.push(nowMs);
+      }
+      const permit = random.getFraction() < 0.3 ? window.tryReserve() : null;
+      if (permit !== null) {
+        waiting.push(permit);
+      }
+      if (random.getFraction() < 0.005) {
+        waiting.forEach((each) => {
+          if (each.trySend()) {
+            sentMs.push(nowMs);
+          }
+        });
+        waiting = [];
+      }
+    }
+    ok(sentMs.length > 100, `${sentMs.length} repeats`);
+    const excess = sentMs.find((endMs) => (
+      countWithin(sentMs, endMs) > 6 + 0.2 * countWithin(firstsMs, endMs)));
+    equal(excess, undefined);
+  });
+});
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -18,6 +18,8 @@
 /** The pool of all upstreams of the test bed. */
 const POOL_ID = toId<PoolId>('pool');
 
+const HOST_ID = toId<HostId>('host');
+
 /** How an upstream of the test bed answers one request. */
 export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
@@ -98,13 +100,24 @@
         },
       },
     });
+    this.#store.changes.push({
+      kind: 'host',
+      entry: {
+        id: HOST_ID,
+        failureDomain: 'a',
+        peerAddress: '127.0.0.1:1',
+        processorCores: 1,
+        linkMbps: 1_000,
+        registeredRevision: 1,
+      },
+    });
     const [caller, ready, peer, metrics] = await Promise.all(
       Array.from({ length: 4 }, () => getFreePort()),
     );
     this.url = `http://127.0.0.1:${caller}`;
     this.readinessUrl = `http://127.0.0.1:${ready}/ready`;
     this.#host = new RelayHost({
-      hostId: toId<HostId>('host'),
+      hostId: HOST_ID,
       failureDomain: 'a',
       processorCores: 1,
       linkMbps: 1_000,
@@ -116,7 +129,12 @@
       storeAddress: '',
       storeWaitMs: 1_000,
       sharedBounds: {
-        retryRatio: 0.2, retrySlack, retryWindowMs: 10_000, coldOvershoot: 1, coldSlack: 1,
+        retryRatio: 0.2,
+        retrySlack,
+        // A host uses its share of the slack a window after it is seen.
+        retryWindowMs: 1,
+        coldOvershoot: 1,
+        coldSlack: 1,
       },
       graceMs: 1_000,
     }, {
