Bound the pieces of stages that are sent again

The users' own count names no service; whether it takes stage calls in is open.

Cause: pieces that were refused, lost or left without room went back into the queue and were sent again, every 60 ms if need be, without asking any budget; a generation that was placed again had all its pieces made again. The budgets stood in the relays, and this resending is below them.

Why this works: a placing host sends pieces again from a RepeatWindow of its own for each pool: the ratio of the pieces it sends for the first time, and its share of the slack. A piece without leave waits as others do. Pieces of a request that was placed before, by whoever, count as repeats, which the demand says. A call that got no connection has sent nothing (new outcome 'notSent').

PlacementClient.place was one long closure; PlacementCourse is it, a step a method. selectMakers and createStageItem are split off StageScheduler. The soak's caller no longer queues requests behind 16 connections, which it counted as the hosts' time.

--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -12,6 +12,7 @@
 import type { PlacementResult } from '../../src/placement/PlacementRequest.ts';
 import { orderGroups } from '../../src/placement/orderGroups.ts';
 import { ManualClock } from '../../src/time/ManualClock.ts';
+import { UNLIMITED_REPEATS } from '../../test/support/UNLIMITED_REPEATS.ts';
 import { EventQueue } from '../load/EventQueue.ts';
 import { EngineModel } from './EngineModel.ts';
 import type { PlacementDeployment, RequestClass } from './PlacementDeployment.ts';
@@ -266,6 +267,7 @@
       clock: this.#clock,
       directory: this.#directory,
       logger: pino({ level: 'silent' }),
+      repeats: UNLIMITED_REPEATS,
       sendCall: (call) => {
         const maker = this.#makers.get(call.makerId);
         call.items.forEach((item) => this.#noteUsed(item.inputs));
--- a/scripts/soak/SoakCaller.ts
+++ b/scripts/soak/SoakCaller.ts
@@ -31,7 +31,7 @@
 
 /** Sends requests over kept connections and writes down what comes back. */
 export class SoakCaller {
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: 16 });
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: Infinity });
 
   readonly #records: CallerRecord[];
 
--- a/src/placement/MakerTable.ts
+++ b/src/placement/MakerTable.ts
@@ -30,6 +30,8 @@
 /** Pause after a failed call; doubles with each further one. */
 const MIN_AVOID_MS = 300;
 const MAX_AVOID_MS = 3_000;
+/** Pause after a call that found no place or no space. */
+const NO_ROOM_PAUSE_MS = 60;
 /** Weight of the newest call in an upstream's slowness. */
 const SLOWNESS_GAIN = 0.4;
 
@@ -62,6 +64,16 @@
     return maker;
   }
 
+  /**
+   * Lets an upstream be for a while that has no place for a call or no space for its results.
+   *
+   * @param id - the upstream
+   * @param nowMs - the time of the step
+   */
+  noteNoRoom(id: UpstreamId, nowMs: number): void {
+    this.get(id).avoidUntilMs = nowMs + NO_ROOM_PAUSE_MS;
+  }
+
   /** @param id - an upstream that is gone, with its results */
   forget(id: UpstreamId): void {
     this.#makers.delete(id);
--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { pino } from 'pino';
 import { PlacementTestBed, ENGINE_POOL_ID } from '../../test/support/PlacementTestBed.ts';
+import { UNLIMITED_REPEATS } from '../../test/support/UNLIMITED_REPEATS.ts';
 import { getFreePort } from '../../test/support/getFreePort.ts';
 import { Directory } from '../directory/Directory.ts';
 import type { RouteStage } from '../directory/ServingConfiguration.ts';
@@ -151,6 +152,7 @@
       clock,
       directory: new Directory(clock),
       logger: pino({ level: 'silent' }),
+      repeats: UNLIMITED_REPEATS,
       sendCall: () => {},
       sendFree: () => {},
       requestRun: () => {},
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -7,6 +7,7 @@
 import { chooseEngine } from './chooseEngine.ts';
 import { EngineTable, getCachedTokens } from './EngineTable.ts';
 import { getGroupUpstreams } from './getGroupUpstreams.ts';
+import type { PieceRepeats } from './PieceRepeats.ts';
 import {
   createPlacementJob, getLastStages, isStageDone, type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
@@ -21,6 +22,8 @@
   readonly clock: Clock;
   readonly directory: Directory;
   readonly logger: Logger;
+  /** Bounds how often pieces are sent again. */
+  readonly repeats: PieceRepeats;
   /** @param call - to be sent now; its end comes back through `finishCall` */
   readonly sendCall: (call: StageCall) => void;
   /** Frees results at the upstream that keeps them; the end comes back through `noteFreed`. */
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -1,5 +1,9 @@
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
 import type { PlacementRequest, PlacementResult } from './PlacementRequest.ts';
+import type { PieceFailure } from './StageCall.ts';
+
+/** Why a piece is sent again: how its call or its request ended, or what became of its result. */
+export type PieceRepeatReason = 'placedAgain' | 'notRun' | 'broken' | 'resultGone' | PieceFailure;
 
 /** A piece of a stage. */
 export interface JobPiece {
@@ -9,8 +13,10 @@
   handle: string | null;
   /** Upstream that keeps the result. */
   makerId: UpstreamId | null;
-  /** How often it was sent, as far as is known; before its request was placed again, once. */
+  /** How often it was sent, as far as is known; once if its request was placed before. */
   sendCount: number;
+  /** Why it is to be sent again; null before its first send has ended. */
+  repeatReason: PieceRepeatReason | null;
 }
 
 /** A stage of one request. */
@@ -84,6 +90,7 @@
         handle: null,
         makerId: null,
         sendCount: request.isPlacedAgain ? 1 : 0,
+        repeatReason: request.isPlacedAgain ? 'placedAgain' : null,
       })),
     })),
     onTimeAtMs: nowMs + request.onTimeMs,
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
 import type { Clock } from '../time/Clock.ts';
+import type { PieceRepeats } from './PieceRepeats.ts';
 import { PlacementDesk } from './PlacementDesk.ts';
 import type { StageCall } from './StageCall.ts';
 import type { StageCaller } from './StageCaller.ts';
@@ -10,12 +11,27 @@
 /** Events that come within this time are answered by one run. */
 const RUN_DELAY_MS = 3;
 
+/** What the service is made of. */
+export interface PlacementServiceParts {
+  readonly clock: Clock;
+  /** What is known of upstreams. */
+  readonly directory: Directory;
+  /** Sends the calls. */
+  readonly caller: StageCaller;
+  /** Bounds how often pieces are sent again. */
+  readonly repeats: PieceRepeats;
+  /** Gets the decisions. */
+  readonly logger: Logger;
+}
+
 /** Runs a placement desk: sends its calls and wakes it. */
 export class PlacementService {
   readonly #caller: StageCaller;
 
   readonly #logger: Logger;
 
+  readonly #repeats: PieceRepeats;
+
   readonly #timer: NodeJS.Timeout;
 
   #pendingRun: NodeJS.Timeout | null = null;
@@ -24,18 +40,19 @@
   readonly desk: PlacementDesk;
 
   /**
-   * @param clock - the time
-   * @param directory - what is known of upstreams
-   * @param caller - sends the calls
-   * @param logger - gets the decisions
+   * @param parts - see {@link PlacementServiceParts}
    */
-  constructor(clock: Clock, directory: Directory, caller: StageCaller, logger: Logger) {
+  constructor({
+    clock, directory, caller, repeats, logger,
+  }: PlacementServiceParts) {
     this.#caller = caller;
     this.#logger = logger;
+    this.#repeats = repeats;
     this.desk = new PlacementDesk({
       clock,
       directory,
       logger,
+      repeats,
       sendCall: (call) => this.#send(call),
       sendFree: (_makerId, address, handles) => this.#free(address, handles),
       requestRun: () => this.#requestRun(),
@@ -68,8 +85,14 @@
         event: 'piecesRepeated',
         poolId: call.poolId,
         makerId: call.makerId,
-        pieces: repeated.map(({ job, stage, piece }) => (
-          `${job.request.requestId}-${stage.index}-${piece.index}`)),
+        left: this.#repeats.getLeft(call.poolId),
+        pieces: repeated.map(({ job, stage, piece }) => ({
+          requestId: job.request.requestId,
+          stageIndex: stage.index,
+          pieceIndex: piece.index,
+          reason: piece.repeatReason,
+          sendCount: piece.sendCount,
+        })),
       }, 'sent pieces once more');
     }
   }
--- a/src/placement/StageCall.ts
+++ b/src/placement/StageCall.ts
@@ -50,6 +50,8 @@
 /** What became of a call. */
 export type StageOutcome =
   | { readonly kind: 'answered'; readonly pieces: readonly PieceOutcome[] }
+  /** No byte of it was handed to a connection. */
+  | { readonly kind: 'notSent'; readonly detail: string }
   /** The upstream was full or is another one now. */
   | { readonly kind: 'notRun' }
   /** It may have run; there is no usable answer. */
--- a/src/placement/StageResults.ts
+++ b/src/placement/StageResults.ts
@@ -77,7 +77,7 @@
       }];
     }));
     this.#parts.makers.noteGone(results.map(({ handle }) => handle));
-    job.stages.forEach((stage) => stage.pieces.forEach(resetPiece));
+    job.stages.forEach((stage) => stage.pieces.forEach((piece) => resetPiece(piece, null)));
     return results;
   }
 
@@ -94,7 +94,7 @@
         stage.pieces
           .filter((piece) => piece.state === 'done'
             && (piece.handle === null || !this.#parts.makers.isHeld(piece.handle)))
-          .forEach(resetPiece);
+          .forEach((piece) => resetPiece(piece, 'resultGone'));
       }
     });
   }
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -10,21 +10,26 @@
   isStageDone, isStageOpen, type PlacementJob,
 } from './PlacementJob.ts';
 import {
-  compareGroups, planBatches, type BusyMaker, type PieceGroup, type PlannedPiece,
+  compareGroups, planBatches, type PieceGroup, type PlannedPiece,
 } from './planBatches.ts';
 import {
-  PIECE_FAILURE, type PieceOutcome, type StageCall, type StageItem, type StageOutcome,
+  PIECE_FAILURE, type PieceOutcome, type StageCall, type StageOutcome,
 } from './StageCall.ts';
+import type { PieceRepeats } from './PieceRepeats.ts';
 import type { StandingResult } from './PlacementRequest.ts';
+import { createStageItem } from './createStageItem.ts';
 import { StageForecast } from './StageForecast.ts';
 import { StageResults } from './StageResults.ts';
 import { resetPiece } from './resetPiece.ts';
+import { getBusyMakers, getIdleMakers } from './selectMakers.ts';
 import { getInputBytes } from './stageBytes.ts';
 
 /** What the scheduler needs from outside. */
 export interface StageSchedulerOptions {
   readonly clock: Clock;
   readonly directory: Directory;
+  /** Bounds how often pieces are sent again. */
+  readonly repeats: PieceRepeats;
   /** @param call - to be sent now; its end comes back through `finishCall` */
   readonly sendCall: (call: StageCall) => void;
   /** Frees results at the upstream that keeps them; the end comes back through `noteFreed`. */
@@ -35,34 +40,16 @@
 const TIMEOUT_FACTOR = 3;
 /** Time a call may take in any case. */
 const MIN_TIMEOUT_MS = 1_000;
-/** Pause before an upstream that was full or without room is asked again. */
-const NO_ROOM_PAUSE_MS = 60;
 /** Part of the room that is planned with, since results are only about as large as declared. */
 const ROOM_PART = 0.95;
-/** Upstreams slower than this multiple of the fastest one are used when nothing better is idle. */
-const SLOW_FACTOR = 2;
-
-interface UsableMaker {
-  readonly upstream: KnownUpstream;
-  readonly maker: MakerRecord;
-}
 
 /** A group that gains or loses a failure domain stays the same one; its first one names it. */
 function getGroupKey({ request }: PlacementJob): string {
   return request.domains[0] ?? '';
 }
 
-function createItem({ job, stage, piece }: PlannedPiece, nowMs: number): StageItem {
-  const inputs = stage.after.flatMap((index) => job.stages[index]?.pieces ?? [])
-    .flatMap((needed) => (needed.handle === null ? [] : [needed.handle]));
-  return {
-    requestId: job.request.requestId,
-    stageIndex: stage.index,
-    pieceIndex: piece.index,
-    remainingMs: Math.max(1, Math.floor(job.deadlineAtMs - nowMs)),
-    key: stage.after.length === 0 ? job.request.pieceKey : null,
-    inputs,
-  };
+function isNoRoom(outcome: PieceOutcome): boolean {
+  return outcome.kind === 'failure' && outcome.failure === PIECE_FAILURE.noRoom;
 }
 
 function getTimeoutMs(expectedMs: number, maker: MakerRecord): number {
@@ -204,15 +191,25 @@
         call.pieces.forEach((planned, index) => {
           this.#finishPiece(call, planned, outcome.pieces[index], nowMs);
         });
+        if (outcome.pieces.some(isNoRoom)) {
+          this.#makers.noteNoRoom(call.makerId, nowMs);
+        }
+        break;
+      case 'notSent':
+        this.#makers.noteFailure(call.makerId, nowMs);
+        call.pieces.forEach(({ piece }) => {
+          piece.sendCount -= 1;
+          resetPiece(piece, null);
+        });
         break;
       case 'notRun':
-        maker.avoidUntilMs = nowMs + NO_ROOM_PAUSE_MS;
-        call.pieces.forEach(({ piece }) => resetPiece(piece));
+        this.#makers.noteNoRoom(call.makerId, nowMs);
+        call.pieces.forEach(({ piece }) => resetPiece(piece, 'notRun'));
         break;
       case 'broken':
         this.#makers.noteFailure(call.makerId, nowMs);
         this.#holdUnknown(call, getResultBytes(call.pieces), nowMs + this.#getResultTtlMs(call));
-        call.pieces.forEach(({ piece }) => resetPiece(piece));
+        call.pieces.forEach(({ piece }) => resetPiece(piece, 'broken'));
         break;
       default:
         throw exhaustiveSwitchError(outcome);
@@ -268,7 +265,8 @@
   ): void {
     const usable = group.getUsable(pool.id)
       .map((upstream) => ({ upstream, maker: this.#makers.get(upstream.entry.id) }));
-    const idle = this.#getIdleMakers(usable, limits);
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const idle = getIdleMakers(usable, limits, nowMs);
     if (idle.length === 0) {
       return;
     }
@@ -282,7 +280,7 @@
       maxPieces: limits.maxPieces,
       freeBytes: getFreeBytes(maker, limits),
     }));
-    planBatches(groups, spaces, this.#getBusyMakers(usable, limits)).forEach((batch) => {
+    planBatches(groups, spaces, getBusyMakers(usable, limits, nowMs)).forEach((batch) => {
       const found = idle.find(({ maker }) => maker.id === batch.makerId);
       if (found !== undefined) {
         this.#send(found.upstream, found.maker, limits, batch.pieces);
@@ -292,10 +290,18 @@
 
   #getPieceGroups(group: GroupJobs, chooser: DomainChooser, pool: ServingPool): PieceGroup[] {
     const nowMs = this.#options.clock.getMonotonicMs();
+    let repeatsLeft = this.#options.repeats.getLeft(pool.id);
+    const takeRepeat = (): boolean => {
+      repeatsLeft -= 1;
+      return repeatsLeft >= 0;
+    };
     return [...group.jobs].flatMap((job) => job.stages
       .filter((stage) => stage.poolId === pool.id && isStageOpen(job, stage))
       .map((stage) => ({
-        job, stage, pieces: stage.pieces.filter((piece) => piece.state === 'waiting'),
+        job,
+        stage,
+        pieces: stage.pieces.filter((piece) => piece.state === 'waiting'
+          && (piece.sendCount === 0 || takeRepeat())),
       }))
       .filter(({ pieces }) => pieces.length > 0)
       .map(({ stage, pieces }) => {
@@ -313,27 +319,6 @@
       }));
   }
 
-  #getBusyMakers(usable: readonly UsableMaker[], limits: BatchLimits): BusyMaker[] {
-    const nowMs = this.#options.clock.getMonotonicMs();
-    return usable
-      .filter(({ maker }) => maker.callCount >= limits.callSlots && maker.avoidUntilMs <= nowMs)
-      .map(({ upstream, maker }) => ({
-        failureDomain: upstream.entry.failureDomain,
-        freeInMs: Math.max(0, maker.busyUntilMs - nowMs),
-      }));
-  }
-
-  #getIdleMakers(usable: readonly UsableMaker[], limits: BatchLimits): UsableMaker[] {
-    const nowMs = this.#options.clock.getMonotonicMs();
-    const good = usable.filter(({ maker }) => maker.avoidUntilMs <= nowMs);
-    const fastest = Math.min(...good.map(({ maker }) => maker.slowness));
-    const idle = good.filter(({ maker }) => maker.callCount < limits.callSlots);
-    const brisk = idle.filter(({ maker }) => maker.slowness <= fastest * SLOW_FACTOR);
-    return (brisk.length > 0 ? brisk : idle)
-      .sort((left, right) => left.maker.heldBytes - right.maker.heldBytes
-        || left.maker.slowness - right.maker.slowness);
-  }
-
   #send(
     upstream: KnownUpstream,
     maker: MakerRecord,
@@ -342,6 +327,9 @@
   ): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     const expectedMs = limits.callMs + limits.pieceMs * pieces.length;
+    const repeatCount = pieces.filter(({ piece }) => piece.sendCount > 0).length;
+    const firstCount = pieces.length - repeatCount;
+    this.#options.repeats.noteSent(upstream.entry.poolId, firstCount, repeatCount);
     pieces.forEach(({ piece }) => {
       piece.state = 'running';
       piece.sendCount += 1;
@@ -354,7 +342,7 @@
       poolId: upstream.entry.poolId,
       makerId: maker.id,
       address: upstream.entry.address,
-      items: pieces.map((planned) => createItem(planned, nowMs)),
+      items: pieces.map((planned) => createStageItem(planned, nowMs)),
       pieces,
       startedAtMs: nowMs,
       expectedMs,
@@ -386,15 +374,13 @@
       }
       return;
     }
-    resetPiece(piece);
     const failure = outcome?.failure ?? PIECE_FAILURE.failed;
+    resetPiece(piece, failure);
     if (failure === PIECE_FAILURE.inputGone) {
       stage.after.forEach((index) => job.stages[index]?.pieces.forEach((needed) => {
         this.#results.freePiece(needed);
       }));
       this.reopenLapsed(job);
-    } else if (failure === PIECE_FAILURE.noRoom) {
-      this.#makers.get(call.makerId).avoidUntilMs = nowMs + NO_ROOM_PAUSE_MS;
     }
   }
 
--- a/src/placement/pieceRepeats.test.ts
+++ b/src/placement/pieceRepeats.test.ts
@@ -1,8 +1,13 @@
 import { ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { pino } from 'pino';
 import { PlacementTestBed } from '../../test/support/PlacementTestBed.ts';
+import type { Directory } from '../directory/Directory.ts';
 import type { RouteStage } from '../directory/ServingConfiguration.ts';
-import { toId, type PoolId } from '../lib/ids.ts';
+import { toId, type HostId, type PoolId } from '../lib/ids.ts';
+import { HostShares } from '../relay/HostShares.ts';
+import { RelayMetrics } from '../relay/RelayMetrics.ts';
+import type { ManualClock } from '../time/ManualClock.ts';
 import type { StageCall } from './StageCall.ts';
 
 const STAGE: RouteStage = { poolId: toId<PoolId>('first'), after: [], resultBytes: 1_000 };
@@ -13,6 +18,23 @@
 const STEP_MS = 20;
 const REQUEST_EVERY_MS = 200;
 
+function createShares(clock: ManualClock, directory: Directory): HostShares {
+  return new HostShares({
+    clock,
+    hostId: toId<HostId>('host'),
+    directory,
+    bounds: {
+      retryRatio: RATIO,
+      retrySlack: SLACK,
+      retryWindowMs: WINDOW_MS,
+      coldOvershoot: 1,
+      coldSlack: 1,
+    },
+    logger: pino({ level: 'silent' }),
+    metrics: new RelayMetrics(),
+  });
+}
+
 interface Send {
   readonly atMs: number;
   readonly isRepeat: boolean;
@@ -23,7 +45,7 @@
   lengthMs: number,
   end: (bed: PlacementTestBed, call: StageCall) => void,
 ): Send[] {
-  const bed = new PlacementTestBed({ first: { makers: 4 } });
+  const bed = new PlacementTestBed({ first: { makers: 4 } }, 1, createShares);
   const seen = new Set<string>();
   const sends: Send[] = [];
   for (let nowMs = 0; nowMs < lengthMs; nowMs += STEP_MS) {
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -2,7 +2,7 @@
 import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { UpstreamId } from '../lib/ids.ts';
-import type { FinalPlacementResult, RunningPlacement } from '../placement/PlacementClient.ts';
+import type { FinalPlacementResult, RunningPlacement } from '../placement/PlacementCourse.ts';
 import type { PlacementNote } from '../placement/PlacementRequest.ts';
 import type { RepeatPermit } from '../retries/RepeatWindow.ts';
 import { createPlacementDemand } from './createPlacementDemand.ts';
--- a/src/relay/HostShares.ts
+++ b/src/relay/HostShares.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
 import type { HostId, PoolId } from '../lib/ids.ts';
+import type { PieceRepeats } from '../placement/PieceRepeats.ts';
 import type { RepeatPermit } from '../retries/RepeatWindow.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
@@ -45,12 +46,15 @@
 const SETTLE_WINDOWS = 1.2;
 
 /** This host's parts of the bounds that all hosts share. */
-export class HostShares {
+export class HostShares implements PieceRepeats {
   readonly #parts: HostSharesParts;
 
   /** Requests and generations that are sent again. */
   readonly #requests: RepeatShares;
 
+  /** Pieces that are sent again for requests which this host places. */
+  readonly #pieces: RepeatShares;
+
   /** When this host first stood in the directory; null before. */
   #seenAtMs: number | null = null;
 
@@ -60,6 +64,7 @@
   constructor(parts: HostSharesParts) {
     this.#parts = parts;
     this.#requests = this.#createShares();
+    this.#pieces = this.#createShares();
     parts.directory.onChange((change) => {
       if (change.kind === 'host' && change.entry.id === parts.hostId) {
         this.#seenAtMs ??= parts.clock.getMonotonicMs();
@@ -86,6 +91,18 @@
     return permit;
   }
 
+  /** @inheritdoc */
+  noteSent(poolId: PoolId, firstCount: number, repeatCount: number): void {
+    const window = this.#pieces.get(poolId);
+    window.noteFirsts(firstCount);
+    window.tryReserve(repeatCount)?.trySend();
+  }
+
+  /** @inheritdoc */
+  getLeft(poolId: PoolId): number {
+    return this.#pieces.get(poolId).left;
+  }
+
   /**
    * @param poolId - a pool
    * @returns requests a second that one of its upstreams may get from this host; 0 for no bound
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -107,7 +107,9 @@
     this.#hostCountKeeper = new HostCountKeeper({
       hostId: settings.hostId, directory, store: adapters.store, logger,
     });
-    this.#service = new PlacementService(clock, directory, adapters.stageCaller, logger);
+    this.#service = new PlacementService({
+      clock, directory, caller: adapters.stageCaller, repeats: shares, logger,
+    });
     this.#peerServer = new PlacementServer(this.#service.desk);
     this.#client = new PlacementClient({
       clock,
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -4,10 +4,12 @@
   REPETITION, type BatchLimits, type ServingPool, type ServingRoute,
 } from '../../src/directory/ServingConfiguration.ts';
 import { toId, type PoolId, type UpstreamId } from '../../src/lib/ids.ts';
+import type { PieceRepeats } from '../../src/placement/PieceRepeats.ts';
 import { PlacementDesk } from '../../src/placement/PlacementDesk.ts';
 import type { PlacementRequest, PlacementResult } from '../../src/placement/PlacementRequest.ts';
 import type { PieceOutcome, StageCall } from '../../src/placement/StageCall.ts';
 import { ManualClock } from '../../src/time/ManualClock.ts';
+import { UNLIMITED_REPEATS } from './UNLIMITED_REPEATS.ts';
 
 /** The pool of model engines in every test bed. */
 export const ENGINE_POOL_ID = toId<PoolId>('engines');
@@ -55,15 +57,19 @@
   /**
    * @param stagePools - upstreams and figures of each pool of stages, by its name
    * @param engineCount - how many model engines there are
+   * @param createRepeats - makes what bounds how often pieces are sent again
    */
   constructor(
     stagePools: Readonly<Record<string, { makers: number; batch?: Partial<BatchLimits> }>>,
     engineCount = 1,
+    createRepeats: (clock: ManualClock, directory: Directory) => PieceRepeats = (
+      () => UNLIMITED_REPEATS),
   ) {
     this.desk = new PlacementDesk({
       clock: this.clock,
       directory: this.directory,
       logger: pino({ level: 'silent' }),
+      repeats: createRepeats(this.clock, this.directory),
       sendCall: (call) => this.calls.push(call),
       sendFree: (_makerId, _address, handles) => this.freed.push(...handles),
       requestRun: () => this.desk.run(),
