Keep the results of a request that its engine did not take

What callers saw: requests refused as too late that had their results already.

Cause: an engine that had begun to leave, could not be reached or refused a request made the placing host free all its results, and every piece was made again.

The host that placed keeps the results until the request is placed again ('notTaken', 'unreachable'); an engine that lacks an input (409), or that broke off, still has everything made anew. Two tests; the first is red before (pieces are sent again), as the desk of the commit before drops the request.

--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -40,6 +40,42 @@
     });
   });
 
+  it('keeps the results of a request that its engine did not take', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1 } }, 2);
+    bed.place({ requestId: 'r', stages: [FIRST], pieceCounts: [2] });
+    bed.takeCalls().forEach((call) => bed.complete(call));
+    const placed = bed.results.get('r');
+    ok(placed?.kind === 'placed');
+    bed.desk.note({ requestId: 'r', upstreamId: placed.upstreamId, kind: 'unreachable' });
+    bed.place({
+      requestId: 'r',
+      stages: [FIRST],
+      pieceCounts: [2],
+      excludedIds: [placed.upstreamId],
+      isPlacedAgain: true,
+    });
+    deepEqual(bed.takeCalls(), []);
+    deepEqual(bed.freed, []);
+    const again = bed.results.get('r');
+    ok(again?.kind === 'placed');
+    deepEqual(again.inputs, placed.inputs);
+    equal(again.upstreamId === placed.upstreamId, false);
+  });
+
+  it('makes everything again for a request whose engine has broken off', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1 } }, 2);
+    bed.place({ requestId: 'r', stages: [FIRST], pieceCounts: [2] });
+    bed.takeCalls().forEach((call) => bed.complete(call));
+    const placed = bed.results.get('r');
+    ok(placed?.kind === 'placed');
+    bed.desk.note({ requestId: 'r', upstreamId: placed.upstreamId, kind: 'failed' });
+    bed.place({
+      requestId: 'r', stages: [FIRST], pieceCounts: [2], isPlacedAgain: true,
+    });
+    equal(bed.takeCalls().flatMap(({ items }) => items).length, 2);
+    equal(bed.freed.length, 2);
+  });
+
   it('keeps the order of requests when their group loses a failure domain', () => {
     const bed = new PlacementTestBed({ first: { makers: 2, batch: { maxPieces: 4 } } });
     bed.place({ requestId: 'running', stages: [FIRST], pieceCounts: [8] });
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -13,6 +13,7 @@
 } from './PlacementJob.ts';
 import {
   REFUSAL, type PlacementNote, type PlacementRequest, type PlacementResult, type Refusal,
+  type StandingResult,
 } from './PlacementRequest.ts';
 import type { StageCall, StageOutcome } from './StageCall.ts';
 import { StageScheduler, type StageSchedulerOptions } from './StageScheduler.ts';
@@ -99,14 +100,19 @@
       return () => {};
     }
     const nowMs = this.#options.clock.getMonotonicMs();
-    this.#drop(request.requestId);
+    const standingResults = [...request.standingResults, ...this.#takeBack(request.requestId)];
     const onTimeMs = request.onTimeMs - this.#startMs;
     const preferredDomain = this.#getPreferredDomain(request);
-    const job = createPlacementJob({ ...request, onTimeMs }, nowMs, preferredDomain, answer);
+    const job = createPlacementJob(
+      { ...request, onTimeMs, standingResults },
+      nowMs,
+      preferredDomain,
+      answer,
+    );
     const expectedMs = this.#scheduler.getExpectedMs(job);
     const allowedMs = request.remainingMs * (expectedMs > onTimeMs ? LATE_PART : 1);
-    // What another host has had made already is not thrown away.
-    if (expectedMs > allowedMs && request.standingResults.length === 0) {
+    // What has been made already is not thrown away.
+    if (expectedMs > allowedMs && standingResults.length === 0) {
       this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - allowedMs, expectedMs);
       return () => {};
     }
@@ -136,8 +142,11 @@
           this.#options.requestRun();
         }
         return;
-      case 'failed':
+      case 'notTaken':
       case 'unreachable':
+        this.#noteNotTaken(note, isCurrent ? job : null);
+        return;
+      case 'failed':
         this.#engines.noteFailure(note.upstreamId, this.#options.clock.getMonotonicMs());
         break;
       case 'ended':
@@ -313,6 +322,32 @@
     });
   }
 
+  /** The request is placed again in a moment; until then its results stand. */
+  #noteNotTaken({ kind, upstreamId, requestId }: PlacementNote, job: PlacementJob | null): void {
+    if (kind === 'unreachable') {
+      this.#engines.noteFailure(upstreamId, this.#options.clock.getMonotonicMs());
+    }
+    this.#engines.noteEnded(upstreamId, requestId);
+    if (job !== null) {
+      job.engineId = null;
+    }
+    this.#options.requestRun();
+  }
+
+  /** @returns what stands of a request that was placed here before and is placed again */
+  #takeBack(requestId: string): StandingResult[] {
+    const job = this.#jobs.get(requestId);
+    if (job === undefined || job.state !== 'placed') {
+      this.#drop(requestId);
+      return [];
+    }
+    this.#jobs.delete(requestId);
+    if (job.engineId !== null) {
+      this.#engines.noteEnded(job.engineId, requestId);
+    }
+    return this.#scheduler.handOver(job);
+  }
+
   #drop(requestId: string): void {
     const job = this.#jobs.get(requestId);
     if (job === undefined) {
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -86,7 +86,8 @@
   readonly upstreamId: UpstreamId;
   /**
    * `started`: the engine has read the prompt and fetched its inputs; `ended`: it is done;
-   * `failed`: the engine broke off; `unreachable`: it could not be reached.
+   * `failed`: the engine broke off; `unreachable`: it could not be reached; `notTaken`: it did not
+   * take the request. After the last two the request is placed again, and its results stand.
    */
-  readonly kind: 'started' | 'ended' | 'failed' | 'unreachable';
+  readonly kind: 'started' | 'ended' | 'failed' | 'unreachable' | 'notTaken';
 }
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -26,7 +26,7 @@
 const SHORT_RETRY_AFTER_MS = 200;
 
 const STATUS = {
-  ok: 200, multipleChoices: 300, badGateway: 502, unavailable: 503, timeout: 504,
+  ok: 200, multipleChoices: 300, inputGone: 409, badGateway: 502, unavailable: 503, timeout: 504,
 } as const;
 
 /**
@@ -157,8 +157,7 @@
     // The engine may have begun to leave, or its failure domain, while the request waited.
     if (upstream === undefined || !this.#context.directory.isUsable(placed.upstreamId)) {
       this.#excluded.add(placed.upstreamId);
-      this.#note('ended');
-      this.#placeElsewhere('engine-left');
+      this.#placeElsewhere('notTaken', 'engine-left');
       return;
     }
     pacer.noteSend(placed.upstreamId);
@@ -251,8 +250,7 @@
       case 'notSent':
         this.#runCount -= 1;
         this.#excluded.add(upstreamId);
-        this.#note('unreachable');
-        this.#placeElsewhere(end.detail);
+        this.#placeElsewhere('unreachable', end.detail);
         return;
       case 'broken':
         this.#excluded.add(upstreamId);
@@ -268,11 +266,12 @@
     const head = this.#head;
     if (head !== null && head.isNotRun) {
       this.#runCount -= 1;
-      this.#note('ended');
       if (head.status === STATUS.unavailable || head.isWrongUpstream) {
         this.#excluded.add(upstreamId);
       }
-      this.#placeElsewhere(`status ${head.status}`);
+      // Without one of its inputs the request has to be made from its first stage on.
+      const note = head.status === STATUS.inputGone ? 'ended' : 'notTaken';
+      this.#placeElsewhere(note, `status ${head.status}`);
       return;
     }
     if (head === null || (head.status < STATUS.multipleChoices && this.#splitter.hasPart)) {
@@ -306,14 +305,21 @@
     this.#finish('engine-failed', { status });
   }
 
-  /** Goes on after an attempt that did not run. */
-  #placeElsewhere(detail: string): void {
+  /**
+   * Goes on after an attempt that did not run.
+   *
+   * @param note - what the placing host is told
+   * @param detail - what was seen
+   */
+  #placeElsewhere(note: 'notTaken' | 'unreachable' | 'ended', detail: string): void {
     this.#refusedCount += 1;
     this.#log('placedAgain', { detail });
     if (this.#refusedCount > MAX_REFUSED_SENDS || !this.#mayRepeat(REPEAT_REASON.notRun)) {
+      this.#note(note === 'unreachable' ? 'failed' : 'ended');
       this.#giveUp(STATUS.unavailable, 'engines-full', SHORT_RETRY_AFTER_MS);
       return;
     }
+    this.#note(note);
     this.#place();
   }
 
