Wait longer before an upstream without room is asked again

What callers saw: requests refused as too late while pieces waited for leave to be sent again.

Cause: an upstream that had no place or no space was asked again every 60 ms.

The pause doubles from 60 to 480 ms while the upstream goes on to refuse.

--- a/src/placement/MakerTable.ts
+++ b/src/placement/MakerTable.ts
@@ -15,6 +15,8 @@
   slowness: number;
   /** Failures in a row. */
   failureCount: number;
+  /** Calls in a row for which it had no place or no space. */
+  noRoomCount: number;
   /** No call before this time. */
   avoidUntilMs: number;
 }
@@ -30,8 +32,9 @@
 /** Pause after a failed call; doubles with each further one. */
 const MIN_AVOID_MS = 300;
 const MAX_AVOID_MS = 3_000;
-/** Pause after a call that found no place or no space. */
-const NO_ROOM_PAUSE_MS = 60;
+/** Pause after a call that found no place or no space; doubles with each further one. */
+const MIN_NO_ROOM_PAUSE_MS = 60;
+const MAX_NO_ROOM_PAUSE_MS = 480;
 /** Weight of the newest call in an upstream's slowness. */
 const SLOWNESS_GAIN = 0.4;
 
@@ -58,6 +61,7 @@
       heldBytes: 0,
       slowness: 1,
       failureCount: 0,
+      noRoomCount: 0,
       avoidUntilMs: 0,
     };
     this.#makers.set(id, maker);
@@ -71,7 +75,10 @@
    * @param nowMs - the time of the step
    */
   noteNoRoom(id: UpstreamId, nowMs: number): void {
-    this.get(id).avoidUntilMs = nowMs + NO_ROOM_PAUSE_MS;
+    const maker = this.get(id);
+    const pauseMs = Math.min(MAX_NO_ROOM_PAUSE_MS, MIN_NO_ROOM_PAUSE_MS * 2 ** maker.noRoomCount);
+    maker.noRoomCount += 1;
+    maker.avoidUntilMs = nowMs + pauseMs;
   }
 
   /** @param id - an upstream that is gone, with its results */
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -193,6 +193,8 @@
         });
         if (outcome.pieces.some(isNoRoom)) {
           this.#makers.noteNoRoom(call.makerId, nowMs);
+        } else {
+          maker.noRoomCount = 0;
         }
         break;
       case 'notSent':
