--- a/src/directory/HostCountKeeper.ts
+++ b/src/directory/HostCountKeeper.ts
@@ -24,6 +24,8 @@
 
   #timer: NodeJS.Timeout | null = null;
 
+  #isWriting = false;
+
   #isClosed = false;
 
   /**
@@ -51,7 +53,7 @@
   }
 
   #schedule(): void {
-    if (this.#timer === null && this.#isDue()) {
+    if (this.#timer === null && !this.#isWriting && this.#isDue()) {
       this.#timer = setTimeout(() => this.#record(), SETTLE_MS);
     }
   }
@@ -60,15 +62,19 @@
     const { directory, store, logger } = this.#parts;
     const count = directory.largestHostCount;
     const { revision } = directory.recordedHostCount;
-    const write = this.#isDue() ? store.recordHostCount(count, revision) : Promise.resolve();
-    write
+    this.#timer = null;
+    if (!this.#isDue()) {
+      return;
+    }
+    this.#isWriting = true;
+    store.recordHostCount(count, revision)
       .then(() => logger.info({ event: 'hostCountRecorded', count }, 'recorded the host count'))
       .catch((error: unknown) => logger.info(
         { event: 'hostCountNotRecorded', count, error: String(error) },
         'the host count is not recorded; trying again',
       ))
       .finally(() => {
-        this.#timer = null;
+        this.#isWriting = false;
         this.#schedule();
       });
   }
