Pass over an upstream that says it is another one

Cause: 421 counted as a good answer of an idle upstream, so that each request went there first and needed a repeat to get elsewhere.

The test, red before: asked 10 times by 10 requests, at most 5 allowed.

--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -15,6 +15,8 @@
 import type { AnswerHead } from './UpstreamProtocol.ts';
 
 type Placed = Extract<FinalPlacementResult, { kind: 'placed' }>;
+/** How a request is spoken of that its engine has not run. */
+type NotRunNote = Extract<PlacementNote['kind'], 'notTaken' | 'unreachable' | 'ended'>;
 
 /** Silence, in multiples of the longest pause, after which a stream goes on elsewhere. */
 const SILENCE_FACTOR = 4;
@@ -29,6 +31,15 @@
   ok: 200, multipleChoices: 300, inputGone: 409, badGateway: 502, unavailable: 503, timeout: 504,
 } as const;
 
+/** What the placing host is told of a request that its engine refused. */
+function getRefusalNote({ status, isWrongUpstream }: AnswerHead): NotRunNote {
+  if (isWrongUpstream) {
+    return 'unreachable';
+  }
+  // Without one of its inputs the request has to be made from its first stage on.
+  return status === STATUS.inputGone ? 'ended' : 'notTaken';
+}
+
 /**
  * Relays one generation: has it placed, sends it to the engine, passes its events on as they come,
  * and lets a resumable stream go on at another engine when its own breaks off.
@@ -269,9 +280,7 @@
       if (head.status === STATUS.unavailable || head.isWrongUpstream) {
         this.#excluded.add(upstreamId);
       }
-      // Without one of its inputs the request has to be made from its first stage on.
-      const note = head.status === STATUS.inputGone ? 'ended' : 'notTaken';
-      this.#placeElsewhere(note, `status ${head.status}`);
+      this.#placeElsewhere(getRefusalNote(head), `status ${head.status}`);
       return;
     }
     if (head === null || (head.status < STATUS.multipleChoices && this.#splitter.hasPart)) {
@@ -311,7 +320,7 @@
    * @param note - what the placing host is told
    * @param detail - what was seen
    */
-  #placeElsewhere(note: 'notTaken' | 'unreachable' | 'ended', detail: string): void {
+  #placeElsewhere(note: NotRunNote, detail: string): void {
     this.#refusedCount += 1;
     this.#log('placedAgain', { detail });
     if (this.#refusedCount > MAX_REFUSED_SENDS || !this.#mayRepeat(REPEAT_REASON.notRun)) {
--- a/src/relay/RelayHost.test.ts
+++ b/src/relay/RelayHost.test.ts
@@ -1,4 +1,6 @@
-import { deepEqual, equal, rejects } from 'node:assert/strict';
+import {
+  deepEqual, equal, ok, rejects,
+} from 'node:assert/strict';
 import { request as sendRequest, type IncomingMessage } from 'node:http';
 import { afterEach, describe, it } from 'node:test';
 import { RelayTestBed, type UpstreamHandler } from '../../test/support/RelayTestBed.ts';
@@ -82,6 +84,20 @@
     equal(runCount, 2);
   });
 
+  it('passes over an upstream that says it is another one', async () => {
+    let askedCount = 0;
+    const sayOther: UpstreamHandler = (_request, response) => {
+      askedCount += 1;
+      response.writeHead(421, { 'x-not-executed': '1' }).end();
+    };
+    await startBed(sayOther, (_request, response) => response.end('ran'));
+    for (let index = 0; index < 10; index += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one after the other
+      await send('/safe/');
+    }
+    ok(askedCount <= 5, `asked ${askedCount} times`);
+  });
+
   it('gives no length to an answer that came without one, so that a cut one shows', async () => {
     await startBed((request, response) => {
       const id = request.headers['x-request-id'] ?? '';
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -42,7 +42,8 @@
   if (isOver) {
     return 'dropped';
   }
-  if (end.kind !== 'complete' || attempt.head === null) {
+  // An address that another upstream has now would refuse everything, and look idle.
+  if (end.kind !== 'complete' || attempt.head === null || attempt.head.isWrongUpstream) {
     return 'broken';
   }
   return attempt.head.status >= STATUS.error ? 'failed' : 'good';
