Don't leave an entry behind when an upstream of the soak drains and crashes at once

A drain that was under way went on to end the upstream's next start and removed the entry of the one before, so that one entry stayed in the store for ever.

The soak now prints beside each service's arrivals how many repeats the hosts' logs tell of.

--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -5,6 +5,7 @@
 import { SoakRun } from './soak/SoakRun.ts';
 import { SOAK_PROFILE } from './soak/createSoakPlan.ts';
 import { formatRepeats } from './soak/formatRepeats.ts';
+import { readLoggedRepeats } from './soak/readLoggedRepeats.ts';
 
 /*
  * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H] [--rate R] [--retries C]
@@ -60,7 +61,9 @@
   const violations = await run.run();
   console.log(`seed ${seed}: ${run.servedCount} of ${run.requestCount} served, `
     + `${violations.length} violations; logs in ${folder}`);
-  run.getRepeats().forEach((report) => console.log(`  ${formatRepeats(report)}`));
+  const logged = readLoggedRepeats(folder);
+  run.getRepeats().forEach((report) => (
+    console.log(`  ${formatRepeats(report, logged.get(report.service) ?? 0)}`)));
   violations.forEach((violation) => console.log(`  ${JSON.stringify(violation)}`));
   if (violations.length > 0) {
     failedSeeds.push(seed);
--- a/scripts/soak/SoakStriker.ts
+++ b/scripts/soak/SoakStriker.ts
@@ -168,13 +168,17 @@
       await holdBack(placed.proxy, durationMs);
       return;
     }
-    const key = `${STORE_KEYS.upstreamPrefix}${placed.upstream.id}`;
+    const { id } = placed.upstream;
     if (how === 'drain') {
       this.register(placed, 'draining');
       await sleep(DRAIN_MS);
     }
+    if (placed.upstream.id !== id) {
+      // It has crashed meanwhile, and its entry is gone already.
+      return;
+    }
     placed.upstream.crash();
-    store.remove(key);
+    store.remove(`${STORE_KEYS.upstreamPrefix}${id}`);
     this.register(placed, 'ready');
   }
 
