--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -2,7 +2,8 @@
 import { join } from 'node:path';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import { SoakRun } from './soak/SoakRun.ts';
+import { SoakRun, type SoakRunOptions } from './soak/SoakRun.ts';
+import { REGRESSION_RUNS } from './soak/REGRESSION_RUNS.ts';
 import { SOAK_PROFILE } from './soak/createSoakPlan.ts';
 import { formatRepeats } from './soak/formatRepeats.ts';
 import { readLoggedRepeats } from './soak/readLoggedRepeats.ts';
@@ -11,18 +12,36 @@
  * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H] [--rate R] [--retries C]
  * [--slack B] [--profile all|repeats] [--faults S]`: real entry hosts as processes on loopback
  * under faults from outside. Counts what arrives at each service more than once. Exits 1 when a
- * promise was not kept, and names the seed.
+ * promise was not kept, and names the seed. `npm run soak -- --regressions` runs every seed that
+ * ever failed, each as it was run then.
  */
 const MS_PER_MINUTE = 60_000;
-const FAULT_S = 12;
 const MS_PER_SECOND = 1_000;
+const FAULT_S = 12;
+const CALM_MS = 9_000;
 const RETRY_RATIO = 0.2;
 const RETRY_WINDOW_MS = 10_000;
-const CALM_MS = 9_000;
 /** Loopback networks 127.64 to 127.191 are free of what else may listen there. */
 const FIRST_NETWORK = 64;
 const NETWORK_COUNT = 128;
 
+type PlannedRun = Omit<SoakRunOptions, 'folder' | 'network'>;
+
+/** @returns whether all promises were kept */
+async function runOne(planned: PlannedRun): Promise<boolean> {
+  const folder = join(tmpdir(), `parsleylift-soak-${process.pid}-${planned.seed}`);
+  const network = FIRST_NETWORK + (process.pid % NETWORK_COUNT);
+  const run = new SoakRun({ ...planned, folder, network });
+  const violations = await run.run();
+  console.log(`seed ${planned.seed}: ${run.servedCount} of ${run.requestCount} served, `
+    + `${violations.length} violations; logs in ${folder}`);
+  const logged = readLoggedRepeats(folder);
+  run.getRepeats().forEach((report) => (
+    console.log(`  ${formatRepeats(report, logged.get(report.service) ?? 0)}`)));
+  violations.forEach((violation) => console.log(`  ${JSON.stringify(violation)}`));
+  return violations.length === 0;
+}
+
 const options = await yargs(hideBin(process.argv)).options({
   seeds: { type: 'number', default: 1, describe: 'how many seeds, one after the other' },
   seed: { type: 'number', default: 1, describe: 'the first seed' },
@@ -35,18 +54,13 @@
   },
   faults: { type: 'number', default: FAULT_S, describe: 'seconds in which faults begin' },
   slack: { type: 'number', default: 50, describe: 'repeats in a window at any load' },
+  regressions: { type: 'boolean', default: false, describe: 'run every seed that ever failed' },
 }).strict().parse();
 
-const startMs = performance.now();
-const failedSeeds: number[] = [];
-let { seed } = options;
-while (
-  seed < options.seed + options.seeds
-  && performance.now() - startMs < options.minutes * MS_PER_MINUTE
-) {
-  const folder = join(tmpdir(), `parsleylift-soak-${process.pid}-${seed}`);
-  const run = new SoakRun({
-    seed,
+const runs: readonly PlannedRun[] = options.regressions
+  ? REGRESSION_RUNS
+  : Array.from({ length: options.seeds }, (_, index) => ({
+    seed: options.seed + index,
     hostCount: options.hosts,
     requestsPerSecond: options.rate,
     callerRetries: options.retries,
@@ -54,21 +68,15 @@
     profile: options.profile,
     faultMs: options.faults * MS_PER_SECOND,
     calmMs: CALM_MS,
-    folder,
-    network: FIRST_NETWORK + (process.pid % NETWORK_COUNT),
-  });
+  }));
+const endMs = performance.now() + options.minutes * MS_PER_MINUTE;
+const failedSeeds: number[] = [];
+for (let index = 0; index < runs.length && performance.now() < endMs; index += 1) {
+  const planned = runs[index];
   // eslint-disable-next-line no-await-in-loop -- one seed after the other, on one machine
-  const violations = await run.run();
-  console.log(`seed ${seed}: ${run.servedCount} of ${run.requestCount} served, `
-    + `${violations.length} violations; logs in ${folder}`);
-  const logged = readLoggedRepeats(folder);
-  run.getRepeats().forEach((report) => (
-    console.log(`  ${formatRepeats(report, logged.get(report.service) ?? 0)}`)));
-  violations.forEach((violation) => console.log(`  ${JSON.stringify(violation)}`));
-  if (violations.length > 0) {
-    failedSeeds.push(seed);
+  if (planned !== undefined && !await runOne(planned)) {
+    failedSeeds.push(planned.seed);
   }
-  seed += 1;
 }
 const isClean = failedSeeds.length === 0;
 console.log(isClean ? 'no promise was broken' : `failed seeds: ${failedSeeds.join(' ')}`);
