Count a repeat until its upstream is known to have read it

What callers saw: nothing of their own; a service that they ask for gets more repeats within a window than it may.

Cause: the bound is on arrivals, and hosts counted sends. A pool that stands still for seconds (a frozen engine, a stopped process) reads what was sent meanwhile in one moment, given-up requests too, and the hosts go on spending at the same time. A span that is a fifth longer than the window covers 2 s of that, not 5.

A repeat now counts while it waits here, while it is under way, and for one window after its upstream has next answered anything: by then it has read what was sent before. What is never answered lapses after three windows. A pool that is silent gets its share of repeats once, and no more until it speaks.

--- a/scripts/soak/REGRESSION_RUNS.ts
+++ b/scripts/soak/REGRESSION_RUNS.ts
@@ -1,4 +1,4 @@
-import { SOAK_PROFILE } from './createSoakPlan.ts';
+import { SOAK_PROFILE, type PlannedFault } from './createSoakPlan.ts';
 import type { SoakRunOptions } from './SoakRun.ts';
 
 /** A run that broke a promise once. */
@@ -28,7 +28,29 @@
 const QUEUE = 'ended: requests waited in the queue of the soak\'s own caller';
 const ENTRY = 'recovered: the soak left the entry of an upstream behind that had started again';
 
-/** Every seed that ever failed, with what it was run with. */
+const HELD_UP = 'repeats: those held up on the way arrived beside those of the next window';
+
+/**
+ * A pool stands still, and then refuses: what was sent to it meanwhile arrives together.
+ *
+ * @param atMs - when it stands still
+ * @param holdMs - for how long
+ * @param refuseMs - how long it refuses after that
+ * @returns the faults
+ */
+function createHeldUpPlan(atMs: number, holdMs: number, refuseMs: number): PlannedFault[] {
+  const pick = 0;
+  return [
+    {
+      atMs, durationMs: holdMs, pick, fault: { kind: 'pool', how: 'hold' },
+    },
+    {
+      atMs: atMs + holdMs, durationMs: refuseMs, pick, fault: { kind: 'pool', how: 'refuse' },
+    },
+  ];
+}
+
+/** Every run that ever failed, with what it was run with. */
 export const REGRESSION_RUNS: readonly RegressionRun[] = [
   {
     ...SIX_HOSTS,
@@ -41,6 +63,25 @@
     cause: PIECES,
     isShort: true,
   },
+  {
+    ...SIX_HOSTS,
+    seed: 1,
+    hostCount: 3,
+    requestsPerSecond: 10,
+    callerRetries: 0,
+    bounds: { ratio: RATIO, slack: 12, windowMs: 2_000 },
+    plan: createHeldUpPlan(3_000, 1_500, 3_500),
+    calmMs: 7_500,
+    cause: HELD_UP,
+    isShort: true,
+  },
+  {
+    ...SIX_HOSTS,
+    seed: 1,
+    callerRetries: 0,
+    plan: createHeldUpPlan(12_000, 4_000, 13_000),
+    cause: HELD_UP,
+  },
   { ...SIX_HOSTS, seed: 600, cause: PIECES },
   { ...EIGHT_HOSTS, seed: 700, cause: PIECES },
   { ...EIGHT_HOSTS, seed: 702, cause: PIECES },
--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -23,7 +23,8 @@
 
 describe('SoakRun', () => {
   [MIXED_RUN, ...REGRESSION_RUNS.filter(({ isShort }) => isShort)].forEach((options) => {
-    it(`keeps the promises under ${options.profile} faults of seed ${options.seed}`, async () => {
+    const faults = options.plan === undefined ? `seed ${options.seed}` : 'a plan';
+    it(`keeps the promises under the ${options.profile} faults of ${faults}`, async () => {
       const folder = mkdtempSync(join(tmpdir(), 'parsleylift-soak-'));
       const run = new SoakRun({ ...options, folder, network: NETWORK });
       deepEqual(await run.run(), []);
--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -12,7 +12,7 @@
 import { SoakUpstream } from './SoakUpstream.ts';
 import { countRepeats, type RepeatReport } from './countRepeats.ts';
 import { SOAK_POOLS } from './createSoakManifest.ts';
-import { createSoakPlan, type SoakProfile } from './createSoakPlan.ts';
+import { createSoakPlan, type PlannedFault, type SoakProfile } from './createSoakPlan.ts';
 import { findViolations, type Violation } from './findViolations.ts';
 
 /** What a run of the soak is made from. */
@@ -25,6 +25,8 @@
   readonly callerRetries: number;
   readonly bounds: RepeatBounds;
   readonly profile: SoakProfile;
+  /** Faults in place of those that the seed draws. */
+  readonly plan?: readonly PlannedFault[];
   /** Span in which faults begin. */
   readonly faultMs: number;
   /** Span after the last fault in which service has to be back. */
@@ -114,7 +116,8 @@
         faultMs, calmMs, bounds, profile,
       } = this.#options;
       const startMs = performance.now();
-      const plan = createSoakPlan(new SeededRandomSource(this.#options.seed), faultMs, profile);
+      const plan = this.#options.plan
+        ?? createSoakPlan(new SeededRandomSource(this.#options.seed), faultMs, profile);
       await Promise.all(plan.map(async (planned) => {
         await sleep(Math.max(0, startMs + planned.atMs - performance.now()));
         await this.#striker.strike(planned);
--- a/src/placement/PieceRepeats.ts
+++ b/src/placement/PieceRepeats.ts
@@ -1,13 +1,21 @@
-import type { PoolId } from '../lib/ids.ts';
+import type { PoolId, UpstreamId } from '../lib/ids.ts';
 
 /** Bounds how often a placing host sends pieces of stages again. */
 export interface PieceRepeats {
   /**
-   * @param poolId - whose upstreams get pieces now
+   * @param poolId - a pool of stages
+   * @param upstreamId - the upstream that gets pieces now
    * @param firstCount - pieces that are sent for the first time
    * @param repeatCount - pieces that were sent before
    */
-  noteSent(poolId: PoolId, firstCount: number, repeatCount: number): void;
+  noteSent(
+    poolId: PoolId, upstreamId: UpstreamId, firstCount: number, repeatCount: number,
+  ): void;
+  /**
+   * @param poolId - a pool of stages
+   * @param upstreamId - an upstream that has answered; the pieces sent to it have arrived
+   */
+  noteAnswered(poolId: PoolId, upstreamId: UpstreamId): void;
   /**
    * @param poolId - a pool of stages
    * @returns how many of its pieces may be sent again now
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -187,6 +187,7 @@
     maker.promisedBytes = Math.max(0, maker.promisedBytes - getResultBytes(call.pieces));
     switch (outcome.kind) {
       case 'answered':
+        this.#options.repeats.noteAnswered(call.poolId, call.makerId);
         this.#makers.noteSuccess(call.makerId, nowMs - call.startedAtMs, call.expectedMs);
         call.pieces.forEach((planned, index) => {
           this.#finishPiece(call, planned, outcome.pieces[index], nowMs);
@@ -205,6 +206,7 @@
         });
         break;
       case 'notRun':
+        this.#options.repeats.noteAnswered(call.poolId, call.makerId);
         this.#makers.noteNoRoom(call.makerId, nowMs);
         call.pieces.forEach(({ piece }) => resetPiece(piece, 'notRun'));
         break;
@@ -331,7 +333,7 @@
     const expectedMs = limits.callMs + limits.pieceMs * pieces.length;
     const repeatCount = pieces.filter(({ piece }) => piece.sendCount > 0).length;
     const firstCount = pieces.length - repeatCount;
-    this.#options.repeats.noteSent(upstream.entry.poolId, firstCount, repeatCount);
+    this.#options.repeats.noteSent(upstream.entry.poolId, maker.id, firstCount, repeatCount);
     pieces.forEach(({ piece }) => {
       piece.state = 'running';
       piece.sendCount += 1;
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -176,7 +176,7 @@
   }
 
   #send(placed: Placed, address: string): void {
-    if (this.#permit?.trySend() === false) {
+    if (this.#permit?.trySend(placed.upstreamId) === false) {
       this.#giveUp(STATUS.unavailable, 'repeats-spent', SHORT_RETRY_AFTER_MS);
       return;
     }
@@ -203,6 +203,7 @@
       {
         onHead: (head) => {
           this.#head = head;
+          this.#context.shares.noteAnswered(this.#terms.poolId, placed.upstreamId);
         },
         onData: (chunk) => this.#takeData(chunk),
         onEnd: (end) => this.#endAttempt(placed.upstreamId, end),
--- a/src/relay/HostShares.test.ts
+++ b/src/relay/HostShares.test.ts
@@ -2,13 +2,16 @@
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
 import { Directory } from '../directory/Directory.ts';
-import { toId, type HostId, type PoolId } from '../lib/ids.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../lib/ids.ts';
 import { ManualClock } from '../time/ManualClock.ts';
 import { HostShares } from './HostShares.ts';
 import { REPEAT_REASON } from './RepeatDecision.ts';
 import { RelayMetrics } from './RelayMetrics.ts';
 
 const POOL_ID = toId<PoolId>('pool');
+const UPSTREAM_ID = toId<UpstreamId>('u');
 const SLACK = 52;
 const RATIO = 0.2;
 const WINDOW_MS = 10_000;
@@ -59,7 +62,8 @@
     let count = 0;
     while (this.shares.tryRepeat({
       requestId: 'r', poolId: POOL_ID, kind: 'whole', reason: REPEAT_REASON.notRun,
-    })?.trySend() === true) {
+    })?.trySend(UPSTREAM_ID) === true) {
+      this.shares.noteAnswered(POOL_ID, UPSTREAM_ID);
       count += 1;
     }
     return count;
--- a/src/relay/HostShares.ts
+++ b/src/relay/HostShares.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
-import type { HostId, PoolId } from '../lib/ids.ts';
+import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
 import type { PieceRepeats } from '../placement/PieceRepeats.ts';
 import type { RepeatPermit } from '../retries/RepeatWindow.ts';
 import type { Clock } from '../time/Clock.ts';
@@ -92,10 +92,23 @@
   }
 
   /** @inheritdoc */
-  noteSent(poolId: PoolId, firstCount: number, repeatCount: number): void {
+  noteSent(
+    poolId: PoolId,
+    upstreamId: UpstreamId,
+    firstCount: number,
+    repeatCount: number,
+  ): void {
     const window = this.#pieces.get(poolId);
     window.noteFirsts(firstCount);
-    window.tryReserve(repeatCount)?.trySend();
+    if (repeatCount > 0) {
+      window.tryReserve(repeatCount)?.trySend(upstreamId);
+    }
+  }
+
+  /** @inheritdoc */
+  noteAnswered(poolId: PoolId, upstreamId: UpstreamId): void {
+    this.#requests.get(poolId).noteAnswered(upstreamId);
+    this.#pieces.get(poolId).noteAnswered(upstreamId);
   }
 
   /** @inheritdoc */
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -123,11 +123,11 @@
       this.#after(NO_UPSTREAM_PAUSE_MS, () => this.#send(permit));
       return;
     }
-    if (permit?.trySend() === false) {
+    const { id, address } = upstream.entry;
+    if (permit?.trySend(id) === false) {
       this.#giveUpWithoutRepeat();
       return;
     }
-    const { id, address } = upstream.entry;
     const url = `http://${address}`;
     const attempt: OpenAttempt = {
       upstreamId: id, url, running: null, head: null, chunks: [],
@@ -153,6 +153,7 @@
         onHead: (head) => {
           attempt.head = head;
           book.noteAnswer(id, head.load);
+          this.#context.shares.noteAnswered(this.#terms.poolId, id);
         },
         onData: (chunk) => attempt.chunks.push(chunk),
         onEnd: (end) => this.#endAttempt(attempt, end),
--- a/src/retries/RepeatWindow.test.ts
+++ b/src/retries/RepeatWindow.test.ts
@@ -1,10 +1,12 @@
 import { equal, ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { toId, type UpstreamId } from '../lib/ids.ts';
 import { SeededRandomSource } from '../lib/SeededRandomSource.ts';
 import { ManualClock } from '../time/ManualClock.ts';
 import { RepeatWindow, type RepeatPermit } from './RepeatWindow.ts';
 
 const WINDOW_MS = 10_000;
+const ID = toId<UpstreamId>('u');
 
 function createWindow(clock: ManualClock, fixedAllowance: number, ratio = 0.2): RepeatWindow {
   return new RepeatWindow({
@@ -23,14 +25,38 @@
     const waiting = Array.from({ length: 4 }, () => window.tryReserve());
     clock.advance(WINDOW_MS * 5);
     equal(window.tryReserve(), null);
-    waiting.forEach((permit) => equal(permit?.trySend(), true));
+    waiting.forEach((permit) => equal(permit?.trySend(ID), true));
     equal(window.tryReserve(), null);
+    window.noteAnswered(ID);
     clock.advance(WINDOW_MS);
-    equal(window.tryReserve(), null, 'what is held up on the way still counts');
-    clock.advance(WINDOW_MS);
     equal(window.left, 4);
   });
 
+  it('does not add to repeats that an upstream which stands still has not read yet', () => {
+    const clock = new ManualClock();
+    const window = createWindow(clock, 4);
+    Array.from({ length: 4 }, () => window.tryReserve()?.trySend(ID));
+    clock.advance(WINDOW_MS * 2);
+    equal(window.tryReserve(), null, 'they may all arrive now');
+    window.noteAnswered(toId<UpstreamId>('other'));
+    equal(window.tryReserve(), null);
+    window.noteAnswered(ID);
+    clock.advance(WINDOW_MS - 1);
+    equal(window.tryReserve(), null, 'they have arrived within this window');
+    clock.advance(1);
+    equal(window.left, 4);
+  });
+
+  it('forgets repeats that were never answered after three windows', () => {
+    const clock = new ManualClock();
+    const window = createWindow(clock, 1);
+    equal(window.tryReserve()?.trySend(ID), true);
+    clock.advance(WINDOW_MS * 3 - 1);
+    equal(window.left, 0);
+    clock.advance(1);
+    equal(window.left, 1);
+  });
+
   it('earns a part of what is sent for the first time, for one window', () => {
     const clock = new ManualClock();
     const window = createWindow(clock, 0);
@@ -47,8 +73,8 @@
     window.noteFirsts(5);
     const permit = window.tryReserve();
     clock.advance(WINDOW_MS);
-    equal(permit?.trySend(), false);
-    equal(permit?.trySend(), false, 'it is used up');
+    equal(permit?.trySend(ID), false);
+    equal(permit?.trySend(ID), false, 'it is used up');
   });
 
   it('takes back what is not used, once', () => {
@@ -80,8 +106,9 @@
       }
       if (random.getFraction() < 0.005) {
         waiting.forEach((each) => {
-          if (each.trySend()) {
+          if (each.trySend(ID)) {
             sentMs.push(nowMs);
+            window.noteAnswered(ID);
           }
         });
         waiting = [];
--- a/src/retries/RepeatWindow.ts
+++ b/src/retries/RepeatWindow.ts
@@ -1,3 +1,4 @@
+import type { UpstreamId } from '../lib/ids.ts';
 import type { Clock } from '../time/Clock.ts';
 import { SlidingCount } from './SlidingCount.ts';
 
@@ -12,38 +13,42 @@
   readonly getFixedAllowance: () => number;
 }
 
-/** Leave to send something once more, which counts from when it is asked for until it is sent. */
+/** Leave to send something once more, which counts from when it is asked for. */
 export interface RepeatPermit {
   /**
    * Counts the repeat as sent now.
    *
+   * @param upstreamId - where it is sent
    * @returns whether it may still be sent; the allowance may have shrunk while it waited
    */
-  trySend(): boolean;
+  trySend(upstreamId: UpstreamId): boolean;
   /** Gives the leave back unused; without effect once it was used. */
   release(): void;
 }
 
-/**
- * Repeats count for this multiple of the window, so that those of two windows which arrive
- * together, because some were held up on the way, are still within the bound.
- */
-const SPAN_FACTOR = 1.2;
+/** Windows after which a repeat that no answer has followed can't arrive any more. */
+const LAPSE_WINDOWS = 3;
 
 /**
- * Bounds the repeats of one pool in every window by the time at which they are sent. Those that are
- * decided on and still wait for an upstream count as well, however long they wait.
+ * Bounds the repeats of one pool in every window by the time at which they arrive. One that is
+ * decided on counts while it waits for an upstream, however long; one that is sent counts until a
+ * window after its upstream has answered something, since a process that stands still reads all
+ * that waits for it when it goes on.
  *
- * Load pattern: an upstream that refuses or fails for seconds while requests keep coming. Each of
- * them asks for several repeats, which would be a multiple of the traffic; those that waited for an
- * upstream to come back would be sent together, beside new ones.
+ * Load pattern: an upstream that refuses, fails or stands still for seconds while requests keep
+ * coming. Each of them asks for several repeats, which would be a multiple of the traffic; those
+ * that waited, here or before the upstream, would arrive together, beside new ones.
  */
 export class RepeatWindow {
   readonly #options: RepeatWindowOptions;
 
   readonly #firsts: SlidingCount;
 
-  readonly #sent: SlidingCount;
+  /** Repeats that have arrived, by when that was known. */
+  readonly #arrived: SlidingCount;
+
+  /** Repeats that were sent to upstreams which have not answered anything since. */
+  readonly #underWay = new Map<UpstreamId, SlidingCount>();
 
   #reservedCount = 0;
 
@@ -53,12 +58,12 @@
   constructor(options: RepeatWindowOptions) {
     this.#options = options;
     this.#firsts = new SlidingCount(options.clock, options.windowMs);
-    this.#sent = new SlidingCount(options.clock, options.windowMs * SPAN_FACTOR);
+    this.#arrived = new SlidingCount(options.clock, options.windowMs);
   }
 
   /** Repeats that may be asked for now. */
   get left(): number {
-    return Math.max(0, Math.floor(this.#getAllowance() - this.#sent.total - this.#reservedCount));
+    return Math.max(0, Math.floor(this.#getAllowance() - this.#sentCount - this.#reservedCount));
   }
 
   /** @param count - what is sent for the first time now */
@@ -66,6 +71,15 @@
     this.#firsts.add(count);
   }
 
+  /** @param upstreamId - an upstream that has answered; what was sent to it has arrived */
+  noteAnswered(upstreamId: UpstreamId): void {
+    const count = this.#underWay.get(upstreamId)?.total ?? 0;
+    this.#underWay.delete(upstreamId);
+    if (count > 0) {
+      this.#arrived.add(count);
+    }
+  }
+
   /**
    * @param count - repeats that belong together
    * @returns leave to send them; null when they are too many
@@ -83,18 +97,34 @@
       return wasOpen;
     };
     return {
-      trySend: () => close() && this.#trySend(count),
+      trySend: (upstreamId) => close() && this.#trySend(upstreamId, count),
       release: () => {
         close();
       },
     };
   }
 
-  #trySend(count: number): boolean {
-    if (this.#sent.total + count > this.#getAllowance()) {
+  /** Repeats that have arrived within the window, or may still arrive. */
+  get #sentCount(): number {
+    let count = this.#arrived.total;
+    this.#underWay.forEach((sent, upstreamId) => {
+      if (sent.total === 0) {
+        this.#underWay.delete(upstreamId);
+      }
+      count += sent.total;
+    });
+    return count;
+  }
+
+  #trySend(upstreamId: UpstreamId, count: number): boolean {
+    if (this.#sentCount + count > this.#getAllowance()) {
       return false;
     }
-    this.#sent.add(count);
+    const { clock, windowMs } = this.#options;
+    const sent = this.#underWay.get(upstreamId)
+      ?? new SlidingCount(clock, windowMs * LAPSE_WINDOWS);
+    sent.add(count);
+    this.#underWay.set(upstreamId, sent);
     return true;
   }
 
