Tell the next placing host that pieces were sent before

The hosts' lines told of 64 sends, the upstreams of 198: the difference led to the cause.

Cause: pieces that were sent, refused and then handed over by a leaving host counted as sent for the first time at each host that took them over.

A hand-over says whether pieces without a result were sent; what follows then counts as repeats. The test is red before.

--- a/src/placement/PlacementCourse.ts
+++ b/src/placement/PlacementCourse.ts
@@ -141,6 +141,7 @@
       const result = await this.#question.result;
       if (result.kind === 'handedOver') {
         this.#standing = result.results;
+        this.#isAskedAgain ||= result.wereSent;
         peers.noteLeaving(placer);
         return null;
       }
--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -76,6 +76,23 @@
     equal(bed.freed.length, 2);
   });
 
+  it('tells with a hand-over whether pieces were sent before', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1, batch: { maxPieces: 1 } } });
+    ['sent', 'waiting'].forEach((requestId) => {
+      bed.place({ requestId, stages: [FIRST], pieceCounts: [1] });
+    });
+    const [call] = bed.takeCalls();
+    ok(call);
+    bed.desk.startHandingOver();
+    bed.desk.finishCall(call, { kind: 'notRun' });
+    bed.desk.run();
+    const wereSent = ['sent', 'waiting'].map((requestId) => {
+      const result = bed.results.get(requestId);
+      return result?.kind === 'handedOver' && result.wereSent;
+    });
+    deepEqual(wereSent, [true, false]);
+  });
+
   it('keeps the order of requests when their group loses a failure domain', () => {
     const bed = new PlacementTestBed({ first: { makers: 2, batch: { maxPieces: 4 } } });
     bed.place({ requestId: 'running', stages: [FIRST], pieceCounts: [8] });
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -45,6 +45,12 @@
 /** Shortest time after which a refused caller is asked back. */
 const MIN_RETRY_AFTER_MS = 100;
 
+/** Whether pieces that are still to be made were sent before. */
+function hasSentPieces({ stages }: PlacementJob): boolean {
+  return stages.some(({ pieces }) => (
+    pieces.some(({ sendCount, state }) => sendCount > 0 && state !== 'done')));
+}
+
 function getHandles(stage: JobStage): string[] {
   return stage.pieces.flatMap((piece) => (piece.handle === null ? [] : [piece.handle]));
 }
@@ -96,7 +102,8 @@
    */
   place(request: PlacementRequest, answer: (result: PlacementResult) => void): () => void {
     if (this.#isHandingOver) {
-      answer({ kind: 'handedOver', results: request.standingResults });
+      const { standingResults: results, isPlacedAgain: wereSent } = request;
+      answer({ kind: 'handedOver', results, wereSent });
       return () => {};
     }
     const nowMs = this.#options.clock.getMonotonicMs();
@@ -208,11 +215,12 @@
         && !job.stages.some(({ pieces }) => pieces.some(({ state }) => state === 'running'));
       if (isMoving) {
         this.#jobs.delete(requestId);
+        const wereSent = hasSentPieces(job);
         const results = this.#scheduler.handOver(job);
         this.#options.logger.info({
           event: 'placementHandedOver', requestId, resultCount: results.length,
         }, 'handed a request over to the next placing host');
-        job.answer({ kind: 'handedOver', results });
+        job.answer({ kind: 'handedOver', results, wereSent });
       }
     });
     this.#scheduler.flushFrees();
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -77,6 +77,8 @@
     /** The host that placed is leaving; the next one goes on from these results. */
     readonly kind: 'handedOver';
     readonly results: readonly StandingResult[];
+    /** Whether pieces without a result were sent before. */
+    readonly wereSent: boolean;
   };
 
 /** What an entry host tells of a request that was placed. */
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -130,6 +130,11 @@
     }, (result) => this.results.set(request.requestId, result));
   }
 
+  /** @param name - of a model engine that comes now */
+  addEngine(name: string): void {
+    this.#addUpstream(ENGINE_POOL_ID, name, 'a');
+  }
+
   /** @returns the calls that were sent since the last time */
   takeCalls(): StageCall[] {
     return this.calls.splice(0);
@@ -174,19 +179,23 @@
 
   #addUpstreams(poolId: PoolId, count: number): void {
     Array.from({ length: count }, (_, index) => index).forEach((index) => {
-      this.directory.apply({
-        kind: 'upstream',
-        entry: {
-          id: toId<UpstreamId>(`${poolId}-${index}`),
-          poolId,
-          address: `${poolId}:${index}`,
-          failureDomain: 'abc'[index % 3] ?? 'a',
-          isDraining: false,
-          slots: 1,
-          coldRemainingMs: 0,
-          startedAtMs: null,
-        },
-      });
+      this.#addUpstream(poolId, `${poolId}-${index}`, 'abc'[index % 3] ?? 'a');
+    });
+  }
+
+  #addUpstream(poolId: PoolId, name: string, failureDomain: string): void {
+    this.directory.apply({
+      kind: 'upstream',
+      entry: {
+        id: toId<UpstreamId>(name),
+        poolId,
+        address: `${name}:1`,
+        failureDomain,
+        isDraining: false,
+        slots: 1,
+        coldRemainingMs: 0,
+        startedAtMs: null,
+      },
     });
   }
 }
