Place no request whose results went with their upstream while it waited

Cause: when an upstream of a stage goes while a request waits for an engine, its pieces are opened again, and the request went on waiting for the engine; with no handle left, none was missing.

A request is placed when its last stages are done. The test is red before.

--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -76,6 +76,21 @@
     equal(bed.freed.length, 2);
   });
 
+  it('places no request whose results went with their upstream while it waited', () => {
+    const bed = new PlacementTestBed({ first: { makers: 2 } }, 0);
+    bed.place({ requestId: 'r', stages: [FIRST], pieceCounts: [1] });
+    const [call] = bed.takeCalls();
+    ok(call);
+    bed.complete(call);
+    bed.directory.apply({ kind: 'upstreamGone', upstreamId: call.makerId });
+    bed.addEngine('late');
+    bed.desk.run();
+    equal(bed.results.get('r'), undefined);
+    bed.takeCalls().forEach((again) => bed.complete(again));
+    const result = bed.results.get('r');
+    equal(result?.kind === 'placed' && result.inputs.length, 1);
+  });
+
   it('tells with a hand-over whether pieces were sent before', () => {
     const bed = new PlacementTestBed({ first: { makers: 1, batch: { maxPieces: 1 } } });
     ['sent', 'waiting'].forEach((requestId) => {
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -232,7 +232,8 @@
     const nowMs = clock.getMonotonicMs();
     const lastStages = getLastStages(job);
     const inputs = lastStages.flatMap(getHandles);
-    if (!this.#scheduler.areHeld(inputs)) {
+    // A result may have gone with its upstream while the request waited for an engine.
+    if (!lastStages.every(isStageDone) || !this.#scheduler.areHeld(inputs)) {
       job.state = 'inStages';
       this.#scheduler.reopenLapsed(job);
       return;
