Take an upstream's own word that it leaves, or wants nothing for a while

What callers saw: requests that went to an upstream after it had said in an answer that it leaves, and to upstreams that had asked for a pause with 503 and Retry-After; where all of a pool did so, callers waited until their deadline.

Cause: the host read neither header. Only the store's entries closed an upstream, and a request that waited for a connection was sent whatever had become known meanwhile.

Change: both are typed facts of the directory (UpstreamClosures), beside what the store says: leaving is of one process (id and start) and nothing read earlier or later takes it back; a back-off only grows. Attempts and stage calls ask once more when a connection is free for them. Generations name the closed engines to the placing host, and an engine that closed before the send costs no repeat. A pool that opens too late is refused at once, with the time of the first opening and of those who wait; what waits is let go by this host's share of the slots.

--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -5,6 +5,7 @@
 import type { DirectorySnapshot } from './DirectoryStore.ts';
 import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
+import { UpstreamClosures } from './UpstreamClosures.ts';
 import type { UpstreamEntry } from './UpstreamEntry.ts';
 
 /** An upstream as this host knows it. */
@@ -38,6 +39,10 @@
       return `host ${change.hostId}`;
     case 'hostCount':
       return 'hostCount';
+    case 'upstreamLeaving':
+      return `leaving ${change.lifetime.id}`;
+    case 'upstreamBackOff':
+      return `backOff ${change.upstreamId}`;
     default:
       throw exhaustiveSwitchError(change);
   }
@@ -56,6 +61,8 @@
 
   readonly #drainedDomains = new Set<string>();
 
+  readonly #closures: UpstreamClosures;
+
   readonly #listeners: ((change: DirectoryChange) => void)[] = [];
 
   #configuration: ServingConfiguration | null = null;
@@ -67,10 +74,11 @@
   #confirmedAtMs: number | null = null;
 
   /**
-   * @param clock - dates what upstreams say of how long they are cold
+   * @param clock - dates what upstreams say of themselves
    */
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.#closures = new UpstreamClosures(clock);
   }
 
   /** The version in force; null before the first one is known. */
@@ -130,16 +138,64 @@
     return upstream !== undefined && this.#isOpen(upstream);
   }
 
+  /**
+   * @param upstreamId - the upstream
+   * @returns whether it has asked this host to send nothing at all for a while
+   */
+  isBackingOff(upstreamId: UpstreamId): boolean {
+    return this.#closures.getBackOffMs(upstreamId) > 0;
+  }
+
+  /**
+   * @param upstreamId - the upstream
+   * @returns whether that time has ended a moment ago
+   */
+  isReopening(upstreamId: UpstreamId): boolean {
+    return this.#closures.isReopening(upstreamId);
+  }
+
   /**
    * @param poolId - the pool
-   * @returns its upstreams that may get new work
+   * @returns its upstreams that may get new work from this host
    */
   getUsable(poolId: PoolId): KnownUpstream[] {
+    return this.getListed(poolId).filter((upstream) => this.#isOpen(upstream));
+  }
+
+  /**
+   * @param poolId - the pool
+   * @returns its upstreams that the store lists as open; the same for all hosts
+   */
+  getListed(poolId: PoolId): KnownUpstream[] {
     return [...this.#upstreams.values()]
-      .filter((upstream) => upstream.entry.poolId === poolId && this.#isOpen(upstream));
+      .filter((upstream) => upstream.entry.poolId === poolId && this.#isListed(upstream));
+  }
+
+  /**
+   * @param poolId - the pool
+   * @returns its upstreams that this host keeps away from though the store lists them as open
+   */
+  getClosedIds(poolId: PoolId): UpstreamId[] {
+    return this.getListed(poolId)
+      .filter((upstream) => !this.#isOpen(upstream))
+      .map(({ entry }) => entry.id);
+  }
+
+  /**
+   * Tells when a pool that has no usable upstream gets one, as far as upstreams themselves say.
+   *
+   * @param poolId - the pool
+   * @returns time until the first of its upstreams ends its back-off; 0 when one is usable now;
+   * null when none is known to become usable
+   */
+  getOpensInMs(poolId: PoolId): number | null {
+    const waitsMs = this.getListed(poolId)
+      .filter(({ entry }) => !this.#closures.isLeaving(entry))
+      .map(({ entry }) => this.#closures.getBackOffMs(entry.id));
+    return waitsMs.length === 0 ? null : Math.min(...waitsMs);
   }
 
-  /** @param change - what the store says */
+  /** @param change - what the store says, or an upstream itself */
   apply(change: DirectoryChange): void {
     if (change.kind === 'upstream' && this.#isRestart(change.entry)) {
       // The process of before is gone with all that it kept, though its id goes on.
@@ -178,8 +234,14 @@
     return known !== null && startedAtMs !== null && startedAtMs !== known;
   }
 
+  #isListed({ entry }: KnownUpstream): boolean {
+    return !entry.isDraining && !this.#drainedDomains.has(entry.failureDomain);
+  }
+
   #isOpen(upstream: KnownUpstream): boolean {
-    return !upstream.entry.isDraining && !this.#drainedDomains.has(upstream.entry.failureDomain);
+    return this.#isListed(upstream)
+      && !this.#closures.isLeaving(upstream.entry)
+      && !this.isBackingOff(upstream.entry.id);
   }
 
   #update(change: DirectoryChange): boolean {
@@ -208,6 +270,10 @@
       case 'hostCount':
         this.#recordedHostCount = { count: change.count, revision: change.revision };
         return true;
+      case 'upstreamLeaving':
+        return this.#closures.noteLeaving(change.lifetime);
+      case 'upstreamBackOff':
+        return this.#closures.noteBackOff(change.upstreamId, change.durationMs);
       default:
         throw exhaustiveSwitchError(change);
     }
--- a/src/placement/PlacementGroup.ts
+++ b/src/placement/PlacementGroup.ts
@@ -20,7 +20,7 @@
 
 interface DomainCounts {
   readonly domains: readonly string[];
-  /** Usable upstreams of each pool, in the order of the pools. */
+  /** Listed upstreams of each pool, in the order of the pools; all hosts see the same groups. */
   readonly counts: readonly number[];
 }
 
@@ -37,7 +37,7 @@
 function getDomainCounts(directory: Directory, poolIds: readonly PoolId[]): DomainCounts[] {
   const byDomain = new Map<string, number[]>();
   poolIds.forEach((poolId, index) => {
-    directory.getUsable(poolId).forEach(({ entry }) => {
+    directory.getListed(poolId).forEach(({ entry }) => {
       const counts = byDomain.get(entry.failureDomain) ?? poolIds.map(() => 0);
       counts[index] = (counts[index] ?? 0) + 1;
       byDomain.set(entry.failureDomain, counts);
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -1,5 +1,6 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
+import type { UpstreamNotices } from '../directory/UpstreamNotices.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { PieceRepeats } from './PieceRepeats.ts';
 import { PlacementDesk } from './PlacementDesk.ts';
@@ -18,6 +19,8 @@
   readonly directory: Directory;
   /** Sends the calls. */
   readonly caller: StageCaller;
+  /** Takes in what the upstreams say of themselves. */
+  readonly notices: UpstreamNotices;
   /** Bounds how often pieces are sent again. */
   readonly repeats: PieceRepeats;
   /** Gets the decisions. */
@@ -32,6 +35,10 @@
 
   readonly #repeats: PieceRepeats;
 
+  readonly #directory: Directory;
+
+  readonly #notices: UpstreamNotices;
+
   readonly #timer: NodeJS.Timeout;
 
   #pendingRun: NodeJS.Timeout | null = null;
@@ -43,8 +50,10 @@
    * @param parts - see {@link PlacementServiceParts}
    */
   constructor({
-    clock, directory, caller, repeats, logger,
+    clock, directory, caller, notices, repeats, logger,
   }: PlacementServiceParts) {
+    this.#directory = directory;
+    this.#notices = notices;
     this.#caller = caller;
     this.#logger = logger;
     this.#repeats = repeats;
@@ -99,7 +108,11 @@
 
   #send(call: StageCall): void {
     this.#logRepeats(call);
-    this.#caller.run(call).then((outcome) => {
+    const mayStart = (): boolean => this.#directory.isUsable(call.makerId);
+    this.#caller.run(call, mayStart).then(({ outcome, notice, status }) => {
+      this.#notices.take({ id: call.makerId, startedAtMs: call.makerStartedAtMs }, notice, {
+        requestId: call.items[0]?.requestId ?? '', status: status ?? 0,
+      });
       const level = outcome.kind === 'answered' ? 'debug' : 'info';
       this.#logger[level]({
         event: 'stageCallEnded',
--- a/src/placement/StageCall.ts
+++ b/src/placement/StageCall.ts
@@ -1,3 +1,4 @@
+import type { UpstreamNotice } from '../directory/UpstreamNotice.ts';
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
 import type { PlannedPiece } from './planBatches.ts';
 
@@ -17,6 +18,8 @@
 export interface StageCall {
   readonly poolId: PoolId;
   readonly makerId: UpstreamId;
+  /** Start of the upstream's process, as it was known; null when it was not. */
+  readonly makerStartedAtMs: number | null;
   /** IP address and port of the upstream. */
   readonly address: string;
   readonly items: readonly StageItem[];
@@ -47,6 +50,14 @@
   | { readonly kind: 'result'; readonly handle: string }
   | { readonly kind: 'failure'; readonly failure: PieceFailure };
 
+/** What became of a call, and what the upstream said of itself. */
+export interface StageReply {
+  readonly outcome: StageOutcome;
+  readonly notice: UpstreamNotice;
+  /** HTTP status of its answer; null when there was none. */
+  readonly status: number | null;
+}
+
 /** What became of a call. */
 export type StageOutcome =
   | { readonly kind: 'answered'; readonly pieces: readonly PieceOutcome[] }
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -345,6 +345,7 @@
     this.#options.sendCall({
       poolId: upstream.entry.poolId,
       makerId: maker.id,
+      makerStartedAtMs: upstream.entry.startedAtMs,
       address: upstream.entry.address,
       items: pieces.map((planned) => createStageItem(planned, nowMs)),
       pieces,
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -1,3 +1,4 @@
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
 import type { CallerExchange } from '../ingress/CallerExchange.ts';
 import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
@@ -128,11 +129,19 @@
     if (this.#isOver) {
       return;
     }
+    const { directory } = this.#context;
+    const { poolId } = this.#terms;
+    const opensInMs = directory.getOpensInMs(poolId) ?? 0;
+    if (opensInMs > 0) {
+      this.#waitUntilOpen(opensInMs);
+      return;
+    }
     const placement = this.#context.placements.place(createPlacementDemand(this.#terms, {
       profile: this.#exchange.request.profile,
       waitedMs: this.#context.clock.getMonotonicMs() - this.#arrivedAtMs,
       remainingMs: this.#getRemainingMs(),
-      excludedIds: [...this.#excluded],
+      // The placing host does not know what upstreams have told this one.
+      excludedIds: [...new Set([...this.#excluded, ...directory.getClosedIds(poolId)])],
       isPlacedAgain: this.#placement !== null,
     }));
     this.#placement = placement;
@@ -143,6 +152,16 @@
       });
   }
 
+  /** All engines want nothing from this host for a while. */
+  #waitUntilOpen(opensInMs: number): void {
+    if (opensInMs >= this.#getRemainingMs()) {
+      this.#giveUp(STATUS.unavailable, 'upstreams-closed', opensInMs);
+      return;
+    }
+    this.#log('waitsForOpening', { opensInMs: Math.round(opensInMs) });
+    this.#pauseTimer = setTimeout(() => this.#place(), opensInMs);
+  }
+
   #takePlacement(placement: RunningPlacement, result: FinalPlacementResult): void {
     if (result.kind === 'placed' && this.#isOver) {
       placement.note('ended', result.upstreamId);
@@ -167,15 +186,14 @@
     const upstream = this.#context.directory.getUpstream(placed.upstreamId);
     // The engine may have begun to leave, or its failure domain, while the request waited.
     if (upstream === undefined || !this.#context.directory.isUsable(placed.upstreamId)) {
-      this.#excluded.add(placed.upstreamId);
-      this.#placeElsewhere('notTaken', 'engine-left');
+      this.#placeUnsent(placed.upstreamId);
       return;
     }
     pacer.noteSend(placed.upstreamId);
-    this.#send(placed, upstream.entry.address);
+    this.#send(placed, upstream.entry);
   }
 
-  #send(placed: Placed, address: string): void {
+  #send(placed: Placed, engine: UpstreamEntry): void {
     if (this.#permit?.trySend(placed.upstreamId) === false) {
       this.#giveUp(STATUS.unavailable, 'repeats-spent', SHORT_RETRY_AFTER_MS);
       return;
@@ -189,7 +207,7 @@
       ...this.#repeats.noteSend(placed.upstreamId), inputCount: placed.inputs.length,
     });
     this.#running = sendAttempt(
-      this.#context.connections.get(`http://${address}`),
+      this.#context.connections.get(`http://${engine.address}`),
       this.#context.protocol,
       this.#exchange.request,
       {
@@ -201,8 +219,12 @@
         lastEventId: this.#lastEventId,
       },
       {
+        mayStart: () => this.#context.directory.isUsable(placed.upstreamId),
         onHead: (head) => {
           this.#head = head;
+          this.#context.notices.take(engine, head.notice, {
+            requestId: this.#exchange.request.profile.id, status: head.status,
+          });
           this.#context.shares.noteAnswered(this.#terms.poolId, placed.upstreamId);
         },
         onData: (chunk) => this.#takeData(chunk),
@@ -315,6 +337,20 @@
     this.#finish('engine-failed', { status });
   }
 
+  /** Nothing was sent, so that it takes no repeat. */
+  #placeUnsent(upstreamId: UpstreamId): void {
+    this.#excluded.add(upstreamId);
+    this.#refusedCount += 1;
+    this.#log('placedAgain', { detail: 'engine-left', upstreamId });
+    if (this.#refusedCount > MAX_REFUSED_SENDS) {
+      this.#note('ended');
+      this.#giveUp(STATUS.unavailable, 'engines-left', SHORT_RETRY_AFTER_MS);
+      return;
+    }
+    this.#note('notTaken');
+    this.#place();
+  }
+
   /**
    * Goes on after an attempt that did not run.
    *
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
 import type { ServingRoute } from '../directory/ServingConfiguration.ts';
+import type { UpstreamNotices } from '../directory/UpstreamNotices.ts';
 import type { PoolId } from '../lib/ids.ts';
 import type { PlacementClient } from '../placement/PlacementClient.ts';
 import type { Clock } from '../time/Clock.ts';
@@ -18,6 +19,7 @@
   readonly protocol: UpstreamProtocol;
   readonly connections: UpstreamConnections;
   readonly placements: PlacementClient;
+  readonly notices: UpstreamNotices;
   readonly book: UpstreamBook;
   readonly shares: HostShares;
   readonly pacer: ColdPacer;
--- a/src/relay/RelayHost.test.ts
+++ b/src/relay/RelayHost.test.ts
@@ -1,36 +1,19 @@
 import {
   deepEqual, equal, ok, rejects,
 } from 'node:assert/strict';
-import { request as sendRequest, type IncomingMessage } from 'node:http';
+import { request as sendRequest } from 'node:http';
 import { afterEach, describe, it } from 'node:test';
-import { RelayTestBed, type UpstreamHandler } from '../../test/support/RelayTestBed.ts';
+import {
+  RelayTestBed, type BedAnswer, type UpstreamHandler,
+} from '../../test/support/RelayTestBed.ts';
 
 let bed: RelayTestBed | null = null;
 
-/** Sends with a chosen Host header, which `fetch` does not allow. */
-function send(
-  path: string,
-  headers: Readonly<Record<string, string>> = {},
-): Promise<{ status: number; text: string; headers: IncomingMessage['headers'] }> {
-  return new Promise((resolve, reject) => {
-    const request = sendRequest(`${bed?.url}${path}`, {
-      agent: false,
-      headers: {
-        host: 'a.example', 'x-request-id': 'r1', authorization: 'Bearer key', ...headers,
-      },
-    }, (response) => {
-      let text = '';
-      response.on('data', (chunk: Buffer) => {
-        text += chunk.toString();
-      });
-      response.on('end', () => resolve({
-        status: response.statusCode ?? 0, text, headers: response.headers,
-      }));
-      response.on('error', reject);
-    });
-    request.on('error', reject);
-    request.end();
-  });
+function send(path: string, headers?: Readonly<Record<string, string>>): Promise<BedAnswer> {
+  if (bed === null) {
+    throw new Error('no test bed is started');
+  }
+  return bed.send(path, headers);
 }
 
 async function startBed(...handlers: UpstreamHandler[]): Promise<RelayTestBed> {
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -4,6 +4,7 @@
 import { HostCountKeeper } from '../directory/HostCountKeeper.ts';
 import { HostRegistration } from '../directory/HostRegistration.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
+import { UpstreamNotices } from '../directory/UpstreamNotices.ts';
 import { IngressServer } from '../ingress/IngressServer.ts';
 import { ReadinessServer } from '../ingress/ReadinessServer.ts';
 import { PlacementClient } from '../placement/PlacementClient.ts';
@@ -107,8 +108,9 @@
     this.#hostCountKeeper = new HostCountKeeper({
       hostId: settings.hostId, directory, store: adapters.store, logger,
     });
+    const notices = new UpstreamNotices(directory, logger);
     this.#service = new PlacementService({
-      clock, directory, caller: adapters.stageCaller, repeats: shares, logger,
+      clock, directory, caller: adapters.stageCaller, notices, repeats: shares, logger,
     });
     this.#peerServer = new PlacementServer(this.#service.desk);
     this.#client = new PlacementClient({
@@ -125,6 +127,7 @@
       protocol: adapters.protocol,
       connections: adapters.connections,
       placements: this.#client,
+      notices,
       book: new UpstreamBook(clock, settings.failureDomain),
       shares,
       pacer: new ColdPacer(clock),
--- a/src/relay/UpstreamBook.ts
+++ b/src/relay/UpstreamBook.ts
@@ -1,5 +1,5 @@
 import type { KnownUpstream } from '../directory/Directory.ts';
-import type { UpstreamId } from '../lib/ids.ts';
+import type { PoolId, UpstreamId } from '../lib/ids.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { ReportedLoad } from './UpstreamProtocol.ts';
 
@@ -35,6 +35,8 @@
 
   readonly #notes = new Map<UpstreamId, UpstreamNotes>();
 
+  readonly #waitingCounts = new Map<PoolId, number>();
+
   /**
    * @param clock - dates what was seen
    * @param failureDomain - this host's own; upstreams there are preferred
@@ -72,6 +74,30 @@
     return (best as { upstream: KnownUpstream } | null)?.upstream ?? null;
   }
 
+  /**
+   * @param id - an upstream
+   * @returns attempts that it has from this host
+   */
+  getOpenCount(id: UpstreamId): number {
+    return this.#get(id).openCount;
+  }
+
+  /**
+   * @param poolId - a pool
+   * @returns requests of this host that wait for one of its upstreams to open
+   */
+  getWaitingCount(poolId: PoolId): number {
+    return this.#waitingCounts.get(poolId) ?? 0;
+  }
+
+  /**
+   * @param poolId - a pool
+   * @param change - 1 for a request that begins to wait, -1 for one that ends
+   */
+  noteWaiting(poolId: PoolId, change: 1 | -1): void {
+    this.#waitingCounts.set(poolId, this.getWaitingCount(poolId) + change);
+  }
+
   /** @param id - an upstream that gets a request now */
   noteSent(id: UpstreamId): void {
     const notes = this.#get(id);
--- a/src/relay/UpstreamProtocol.ts
+++ b/src/relay/UpstreamProtocol.ts
@@ -1,3 +1,4 @@
+import type { UpstreamNotice } from '../directory/UpstreamNotice.ts';
 import type { CallerRequest, RequestProfile } from '../ingress/CallerRequest.ts';
 import type { UpstreamId } from '../lib/ids.ts';
 
@@ -37,6 +38,7 @@
   /** Whether it says where its body ends; otherwise that ends with the connection. */
   readonly isFramed: boolean;
   readonly load: ReportedLoad | null;
+  readonly notice: UpstreamNotice;
 }
 
 /** How requests and answers are written down; an adapter's part. */
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -1,3 +1,4 @@
+import type { KnownUpstream } from '../directory/Directory.ts';
 import { REPETITION } from '../directory/ServingConfiguration.ts';
 import type { CallerExchange } from '../ingress/CallerExchange.ts';
 import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
@@ -6,6 +7,7 @@
 import type { RepeatPermit } from '../retries/RepeatWindow.ts';
 import type { RelayContext, RelayTerms } from './RelayContext.ts';
 import { REPEAT_REASON, type RepeatReason } from './RepeatDecision.ts';
+import { getHostShare, getReturnMs } from './getReturnMs.ts';
 import { RequestRepeats } from './RequestRepeats.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
 import type { AnswerHead } from './UpstreamProtocol.ts';
@@ -70,6 +72,9 @@
 
   #refusedCount = 0;
 
+  /** Whether it waits for an upstream to open. */
+  #isWaiting = false;
+
   #isOver = false;
 
   #lastFailure: { head: AnswerHead; body: Buffer } | null = null;
@@ -114,15 +119,16 @@
     if (this.#isOver) {
       return;
     }
-    const { directory, book } = this.#context;
-    const usable = directory.getUsable(this.#terms.poolId);
+    const { book } = this.#context;
+    const usable = this.#getCandidates();
     const untried = usable.filter(({ entry }) => !this.#tried.has(entry.id));
     const patienceMs = this.#terms.route.targetLatencyMs * PATIENCE_PART;
     const upstream = book.choose(untried.length > 0 ? untried : usable, patienceMs);
     if (upstream === null) {
-      this.#after(NO_UPSTREAM_PAUSE_MS, () => this.#send(permit));
+      this.#waitForUpstream(permit);
       return;
     }
+    this.#noteWaiting(false);
     const { id, address } = upstream.entry;
     if (permit?.trySend(id) === false) {
       this.#giveUpWithoutRepeat();
@@ -150,8 +156,12 @@
         lastEventId: null,
       },
       {
+        mayStart: () => this.#context.directory.isUsable(id),
         onHead: (head) => {
           attempt.head = head;
+          this.#context.notices.take(upstream.entry, head.notice, {
+            requestId: this.#exchange.request.profile.id, status: head.status,
+          });
           book.noteAnswer(id, head.load);
           this.#context.shares.noteAnswered(this.#terms.poolId, id);
         },
@@ -164,6 +174,48 @@
     }
   }
 
+  /** An upstream that ends its back-off gets this host's share of its slots for a while. */
+  #getCandidates(): KnownUpstream[] {
+    const { directory, book } = this.#context;
+    return directory.getUsable(this.#terms.poolId).filter(({ entry }) => (
+      !directory.isReopening(entry.id)
+      || book.getOpenCount(entry.id) < getHostShare(entry.slots, directory.largestHostCount)));
+  }
+
+  /** Waits while an upstream is likely to come in time; otherwise the caller is told at once. */
+  #waitForUpstream(permit: RepeatPermit | null): void {
+    const { directory, book, clock } = this.#context;
+    const { poolId, route } = this.#terms;
+    const opensInMs = directory.getOpensInMs(poolId);
+    const waitedMs = clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs;
+    const isHopeless = opensInMs === null
+      ? waitedMs >= route.targetLatencyMs
+      : opensInMs >= this.#getRemainingMs();
+    if (isHopeless && this.#open.size > 0) {
+      return;
+    }
+    if (isHopeless) {
+      this.#giveUp(STATUS.unavailable, 'no-upstream-open', getReturnMs({
+        opensInMs: opensInMs ?? RETRY_AFTER_MS,
+        waitingCount: book.getWaitingCount(poolId),
+        slots: directory.getListed(poolId).reduce((sum, { entry }) => sum + entry.slots, 0),
+        hostCount: directory.largestHostCount,
+        targetLatencyMs: route.targetLatencyMs,
+      }));
+      return;
+    }
+    this.#noteWaiting(true);
+    this.#after(NO_UPSTREAM_PAUSE_MS, () => this.#send(permit));
+  }
+
+  #noteWaiting(isWaiting: boolean): void {
+    if (this.#isWaiting !== isWaiting) {
+      this.#isWaiting = isWaiting;
+      this.#context.book.noteWaiting(this.#terms.poolId, isWaiting ? 1 : -1);
+      this.#log(isWaiting ? 'waitsForUpstream' : 'foundUpstream');
+    }
+  }
+
   /** Asks a second upstream while the first one is silent. */
   #hedge(): void {
     const permit = !this.#isOver && this.#open.size === 1
@@ -282,7 +334,7 @@
     this.#giveUp(STATUS.timeout, 'timeout');
   }
 
-  #giveUp(status: number, reason: string): void {
+  #giveUp(status: number, reason: string, returnMs = RETRY_AFTER_MS): void {
     if (this.#lastFailure !== null) {
       this.#answer(this.#lastFailure.head, this.#lastFailure.body);
       return;
@@ -290,15 +342,16 @@
     // Only what certainly has not run is answered so; what may have run is a failed exchange.
     const hasRun = this.#runCount > 0;
     const finalStatus = status === STATUS.unavailable && hasRun ? STATUS.badGateway : status;
-    const retryAfterMs = hasRun ? null : RETRY_AFTER_MS;
+    const retryAfterMs = hasRun ? null : returnMs;
     this.#exchange.answer(createErrorAnswer(finalStatus, reason, retryAfterMs));
-    this.#finish(reason, { status: finalStatus });
+    this.#finish(reason, { status: finalStatus, retryAfterMs });
   }
 
   #finish(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
     if (this.#isOver) {
       return;
     }
+    this.#noteWaiting(false);
     this.#isOver = true;
     this.#timers.forEach((timer) => clearTimeout(timer));
     this.#repeats.release();
--- a/src/relay/sendAttempt.test.ts
+++ b/src/relay/sendAttempt.test.ts
@@ -48,7 +48,10 @@
   return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-async function runAttempt(url: string): Promise<{ end: AttemptEnd; text: string }> {
+async function runAttempt(
+  url: string,
+  mayStart = (): boolean => true,
+): Promise<{ end: AttemptEnd; text: string }> {
   const chunks: Buffer[] = [];
   const end = await new Promise<AttemptEnd>((resolve) => {
     const pool = connections?.get(url);
@@ -61,6 +64,7 @@
         inputs: [],
         lastEventId: null,
       }, {
+        mayStart,
         onHead: () => {},
         onData: (chunk) => chunks.push(chunk),
         onEnd: resolve,
@@ -116,6 +120,16 @@
     deepEqual(await runAttempt(url), { end: { kind: 'complete' }, text: 'ok' });
   });
 
+  it('sends nothing to an upstream that closes while the attempt waits', async () => {
+    let askedCount = 0;
+    const url = await startUpstream(() => {
+      askedCount += 1;
+    });
+    const { end } = await runAttempt(url, () => false);
+    equal(end.kind, 'notSent');
+    equal(askedCount, 0);
+  });
+
   it('says that nothing was sent when no connection comes about', async () => {
     const url = await startUpstream(() => {});
     await new Promise<void>((resolve) => {
--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -11,8 +11,10 @@
   /** It may have run; what came back, if anything, is no whole answer. */
   | { readonly kind: 'broken'; readonly detail: string };
 
-/** Gets the parts of an answer as they come. */
+/** Decides on an attempt's bytes at the last moment, and gets the parts of its answer. */
 export interface AnswerReceiver {
+  /** @returns whether the upstream may still get it; asked when a connection is free for it */
+  mayStart(): boolean;
   /** @param head - the answer's head, once */
   onHead(head: AnswerHead): void;
   /** @param chunk - bytes of the body */
@@ -80,8 +82,15 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (this.#abortReason !== null || this.#isSent) {
-      controller.abort(new Error(this.#abortReason ?? 'the request was handed over before'));
+    if (this.#isSent) {
+      controller.abort(new Error('the request was handed over before'));
+      return;
+    }
+    if (!this.#receiver.mayStart()) {
+      this.#abortReason ??= 'the upstream has closed while the attempt waited for a connection';
+    }
+    if (this.#abortReason !== null) {
+      controller.abort(new Error(this.#abortReason));
       return;
     }
     this.#isSent = true;
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -1,5 +1,5 @@
 import {
-  createServer, type IncomingMessage, type Server, type ServerResponse,
+  createServer, request as sendRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { pino } from 'pino';
@@ -20,6 +20,13 @@
 
 const HOST_ID = toId<HostId>('host');
 
+/** What a caller got. */
+export interface BedAnswer {
+  readonly status: number;
+  readonly text: string;
+  readonly headers: IncomingMessage['headers'];
+}
+
 /** How an upstream of the test bed answers one request. */
 export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
@@ -147,15 +154,31 @@
   }
 
   /**
+   * Sends with a chosen Host header, which `fetch` does not allow, on a connection of its own.
+   *
    * @param path - the path
    * @param headers - what differs from a request with a good key
-   * @returns the answer
+   * @returns the whole answer
    */
-  request(path: string, headers: Readonly<Record<string, string>> = {}): Promise<Response> {
-    return fetch(`${this.url}${path}`, {
-      headers: {
-        host: 'a.example', 'x-request-id': 'r1', authorization: 'Bearer key', ...headers,
-      },
+  send(path: string, headers: Readonly<Record<string, string>> = {}): Promise<BedAnswer> {
+    return new Promise((resolve, reject) => {
+      const request = sendRequest(`${this.url}${path}`, {
+        agent: false,
+        headers: {
+          host: 'a.example', 'x-request-id': 'r1', authorization: 'Bearer key', ...headers,
+        },
+      }, (response) => {
+        let text = '';
+        response.on('data', (chunk: Buffer) => {
+          text += chunk.toString();
+        });
+        response.on('end', () => resolve({
+          status: response.statusCode ?? 0, text, headers: response.headers,
+        }));
+        response.on('error', reject);
+      });
+      request.on('error', reject);
+      request.end();
     });
   }
 
