Place on other failure domains when all engines of a group are excluded

A generation whose group has no engine left that it may use waited for one until it was refused. Now it goes to engines of the other failure domains. A pool of stages whose upstreams all want no calls counts with the time until the first one opens, so that its requests are refused at once with a time that holds; results are not freed at an upstream that wants no calls.

Evidence: three tests in PlacementDesk.test.ts; without the change the first two have no result at all (by reading, not run).

--- a/src/placement/PlacementDesk.test.ts
+++ b/src/placement/PlacementDesk.test.ts
@@ -40,6 +40,46 @@
     });
   });
 
+  it('uses the engines of other failure domains when those of its own are all excluded', () => {
+    const bed = new PlacementTestBed({ first: { makers: 3 } }, 3);
+    bed.place({ requestId: 'r', domains: ['b'], excludedIds: [toId<UpstreamId>('engines-1')] });
+    const result = bed.results.get('r');
+    ok(result?.kind === 'placed');
+    ok(['engines-0', 'engines-2'].includes(result.upstreamId));
+  });
+
+  it('refuses at once when the upstreams of a stage want no calls until it is too late', () => {
+    const bed = new PlacementTestBed({ first: { makers: 2 } });
+    ['first-0', 'first-1'].forEach((name, index) => bed.directory.apply({
+      kind: 'upstreamBackOff',
+      upstreamId: toId<UpstreamId>(name),
+      durationMs: 20_000 + index,
+      source: { requestId: 'r', status: 503 },
+    }));
+    bed.place({ requestId: 'r', stages: [FIRST], remainingMs: 6_000 });
+    const result = bed.results.get('r');
+    ok(result?.kind === 'refused');
+    ok(result.retryAfterMs > 14_000 && result.retryAfterMs < 21_000, `${result.retryAfterMs} ms`);
+    deepEqual(bed.takeCalls(), []);
+  });
+
+  it('frees no results at an upstream that wants no calls until it does again', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1 } });
+    bed.place({ requestId: 'r', stages: [FIRST], pieceCounts: [2] });
+    bed.takeCalls().forEach((call) => bed.complete(call));
+    bed.directory.apply({
+      kind: 'upstreamBackOff',
+      upstreamId: toId<UpstreamId>('first-0'),
+      durationMs: 1_000,
+      source: { requestId: 'r', status: 503 },
+    });
+    bed.desk.note({ requestId: 'r', upstreamId: toId<UpstreamId>('engines-0'), kind: 'started' });
+    deepEqual(bed.freed, []);
+    bed.clock.advance(1_000);
+    bed.desk.run();
+    equal(bed.freed.length, 2);
+  });
+
   it('keeps the results of a request that its engine did not take', () => {
     const bed = new PlacementTestBed({ first: { makers: 1 } }, 2);
     bed.place({ requestId: 'r', stages: [FIRST], pieceCounts: [2] });
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -239,8 +239,8 @@
       return;
     }
     const bounds = directory.configuration?.pools.get(request.poolId)?.engine;
-    const candidates = getGroupUpstreams(directory, request.poolId, request.domains)
-      .filter(({ entry }) => !request.excludedIds.includes(entry.id))
+    const { poolId, domains, excludedIds } = request;
+    const candidates = getGroupUpstreams(directory, poolId, domains, excludedIds)
       .map(({ entry }) => ({
         engine: this.#engines.get(entry.id), failureDomain: entry.failureDomain,
       }))
--- a/src/placement/StageForecast.ts
+++ b/src/placement/StageForecast.ts
@@ -82,7 +82,9 @@
       const makerCount = group.getUsable(poolId).length;
       const fullCallMs = limits.callMs + limits.pieceMs * limits.maxPieces;
       const perCall = limits.maxPieces * makerCount * limits.callSlots;
-      return makerCount === 0 ? 0 : ((waitingCounts.get(poolId) ?? 0) / perCall) * fullCallMs;
+      return makerCount === 0
+        ? this.#directory.getOpensInMs(poolId) ?? 0
+        : ((waitingCounts.get(poolId) ?? 0) / perCall) * fullCallMs;
     });
   }
 
--- a/src/placement/StageResults.ts
+++ b/src/placement/StageResults.ts
@@ -131,14 +131,18 @@
     piece.handle = null;
   }
 
-  /** Frees what nobody needs. */
+  /** Frees what nobody needs, where its upstream wants to hear of it now. */
   flushFrees(): void {
+    const { directory, sendFree } = this.#parts;
     this.#toFree.forEach((handles, makerId) => {
-      const upstream = this.#parts.directory.getUpstream(makerId);
+      if (directory.isBackingOff(makerId)) {
+        return;
+      }
+      this.#toFree.delete(makerId);
+      const upstream = directory.getUpstream(makerId);
       if (upstream !== undefined) {
-        this.#parts.sendFree(makerId, upstream.entry.address, handles);
+        sendFree(makerId, upstream.entry.address, handles);
       }
     });
-    this.#toFree.clear();
   }
 }
