Soak: upstreams that say that they leave or want a pause, and what still reaches them

Faults 'leave' (every answer says so, the store goes on to list the upstream as open) and 'backOff' (503 with Retry-After), drawn by the profile 'closures'; 'all' draws what it drew, so that its seeds stay the same. Two promises more, measured where requests arrive, with the figure that came nearest to each bound printed; both are planted in findViolations.test.ts and turn it red. Pieces are left out: the host that sends them is not the one that took the request.

--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -1,5 +1,6 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { SoakRun, type SoakRunOptions } from './soak/SoakRun.ts';
@@ -10,13 +11,15 @@
 
 /*
  * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H] [--rate R] [--retries C]
- * [--slack B] [--profile all|repeats] [--faults S]`: real entry hosts as processes on loopback
- * under faults from outside. Counts what arrives at each service more than once. Exits 1 when a
- * promise was not kept, and names the seed. `npm run soak -- --regressions` runs every seed that
- * ever failed, each as it was run then.
+ * [--slack B] [--profile all|repeats|closures] [--faults S]`: real entry hosts as processes on
+ * loopback under faults from outside. Counts what arrives at each service more than once, and what
+ * reaches upstreams that have said that they close. Exits 1 when a promise was not kept, and names
+ * the seed. `npm run soak -- --regressions` runs every seed that ever failed, each as it was run
+ * then.
  */
 const MS_PER_MINUTE = 60_000;
 const MS_PER_SECOND = 1_000;
+const NS_PER_MS = 1_000_000;
 const FAULT_S = 12;
 const CALM_MS = 9_000;
 const RETRY_RATIO = 0.2;
@@ -32,12 +35,18 @@
   const folder = join(tmpdir(), `parsleylift-soak-${process.pid}-${planned.seed}`);
   const network = FIRST_NETWORK + (process.pid % NETWORK_COUNT);
   const run = new SoakRun({ ...planned, folder, network });
+  const stalls = monitorEventLoopDelay();
+  stalls.enable();
   const violations = await run.run();
+  stalls.disable();
   console.log(`seed ${planned.seed}: ${run.servedCount} of ${run.requestCount} served, `
     + `${violations.length} violations; logs in ${folder}`);
   const logged = readLoggedRepeats(folder);
   run.getRepeats().forEach((report) => (
     console.log(`  ${formatRepeats(report, logged.get(report.service) ?? 0)}`)));
+  console.log(`  closures: ${JSON.stringify(run.getClosures())}`);
+  // Upstreams and callers live in this process: what it reads late looks late on the way.
+  console.log(`  longest stall of the soak itself: ${Math.round(stalls.max / NS_PER_MS)} ms`);
   violations.forEach((violation) => console.log(`  ${JSON.stringify(violation)}`));
   return violations.length === 0;
 }
--- a/scripts/soak/SoakRecord.ts
+++ b/scripts/soak/SoakRecord.ts
@@ -63,6 +63,24 @@
   readonly atMs: number;
 }
 
+/** What an upstream said of itself in an answer. */
+export interface NoticeRecord {
+  readonly kind: 'leaving' | 'backOff';
+  readonly upstreamId: string;
+  /** The request that it answered; tells which host was told. */
+  readonly requestId: string;
+  readonly atMs: number;
+  /** End of the back-off; infinite for one that leaves. */
+  readonly untilMs: number;
+}
+
+/** Spans in which what is sent to an upstream arrives late or not at all. */
+export interface LinkSpan {
+  readonly upstreamId: string;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** Spans in which a host did not run: killed, stopped or paused. */
 export interface HostSpan {
   readonly hostIndex: number;
@@ -75,7 +93,9 @@
   readonly callers: CallerRecord[];
   readonly runs: RunRecord[];
   readonly arrivals: ArrivalRecord[];
+  readonly notices: NoticeRecord[];
   readonly hostSpans: HostSpan[];
+  readonly linkSpans: LinkSpan[];
   /** When the last fault was over; requests sent a while later have to be served. */
   calmSinceMs: number;
 }
--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -13,6 +13,7 @@
 import { countRepeats, type RepeatReport } from './countRepeats.ts';
 import { SOAK_POOLS } from './createSoakManifest.ts';
 import { createSoakPlan, type PlannedFault, type SoakProfile } from './createSoakPlan.ts';
+import { measureClosures, type ClosureReport } from './measureClosures.ts';
 import { findViolations, type Violation } from './findViolations.ts';
 
 /** What a run of the soak is made from. */
@@ -61,7 +62,13 @@
   readonly #retryRandom: SeededRandomSource;
 
   readonly #record: SoakRecord = {
-    callers: [], runs: [], arrivals: [], hostSpans: [], calmSinceMs: Infinity,
+    callers: [],
+    runs: [],
+    arrivals: [],
+    notices: [],
+    hostSpans: [],
+    linkSpans: [],
+    calmSinceMs: Infinity,
   };
 
   readonly #store = new StoreStandin();
@@ -77,6 +84,7 @@
     storeProxies: this.#storeProxies,
     upstreams: this.#upstreams,
     hosts: this.#hosts,
+    onLinkSpan: (span) => this.#record.linkSpans.push(span),
   });
 
   /**
@@ -103,6 +111,11 @@
     return countRepeats(this.#record.arrivals, this.#record.callers, this.#options.bounds);
   }
 
+  /** @returns how near hosts came to the bounds on upstreams that close */
+  getClosures(): ClosureReport {
+    return measureClosures(this.#record);
+  }
+
   /** @returns the promises that were not kept */
   async run(): Promise<Violation[]> {
     const caller = new SoakCaller(this.#record.callers);
@@ -162,6 +175,7 @@
     const upstream = new SoakUpstream(pool, {
       onRun: (run) => this.#record.runs.push(run),
       onArrival: (arrival) => this.#record.arrivals.push(arrival),
+      onNotice: (notice) => this.#record.notices.push(notice),
     });
     await upstream.listen();
     const proxy = new SoakProxy(upstream.port);
--- a/scripts/soak/SoakStriker.ts
+++ b/scripts/soak/SoakStriker.ts
@@ -1,10 +1,12 @@
+import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { STORE_KEYS } from '../../platform/WIRE.ts';
 import { exhaustiveSwitchError } from '../../src/lib/exhaustiveSwitchError.ts';
 import type { StoreFault, StoreStandin } from '../../standins/store/StoreStandin.ts';
 import type { SoakHost } from './SoakHost.ts';
-import type { SoakProxy } from './SoakProxy.ts';
-import type { SoakUpstream } from './SoakUpstream.ts';
+import type { ProxyFault, SoakProxy } from './SoakProxy.ts';
+import type { LinkSpan } from './SoakRecord.ts';
+import type { SoakUpstream, UpstreamFault } from './SoakUpstream.ts';
 import { createSoakManifest } from './createSoakManifest.ts';
 import type { PlannedFault, SoakFault } from './createSoakPlan.ts';
 
@@ -22,6 +24,7 @@
   readonly storeProxies: readonly SoakProxy[];
   readonly upstreams: readonly PlacedUpstream[];
   readonly hosts: readonly SoakHost[];
+  readonly onLinkSpan: (span: LinkSpan) => void;
 }
 
 const SLOW_MS = 400;
@@ -43,11 +46,8 @@
   }
 }
 
-async function holdBack(proxy: SoakProxy, durationMs: number): Promise<void> {
-  const held = proxy;
-  held.fault = 'hold';
-  await sleep(durationMs);
-  held.fault = 'none';
+function setFault(upstreams: readonly SoakUpstream[], fault: UpstreamFault): void {
+  upstreams.forEach((upstream) => Object.assign(upstream, { fault }));
 }
 
 /** Carries out the faults of a soak. */
@@ -165,7 +165,13 @@
       return;
     }
     if (how === 'hold') {
-      await holdBack(placed.proxy, durationMs);
+      await this.#harmLink(placed, 'hold', durationMs);
+      return;
+    }
+    if (how === 'backOff') {
+      setFault([placed.upstream], how);
+      await sleep(durationMs);
+      setFault([placed.upstream], 'none');
       return;
     }
     const { id } = placed.upstream;
@@ -173,6 +179,12 @@
       this.register(placed, 'draining');
       await sleep(DRAIN_MS);
     }
+    if (how === 'leave') {
+      // The store goes on to list it as open.
+      setFault([placed.upstream], how);
+      await sleep(durationMs);
+      setFault([placed.upstream], 'none');
+    }
     if (placed.upstream.id !== id) {
       // It has crashed meanwhile, and its entry is gone already.
       return;
@@ -191,13 +203,26 @@
     const kind = upstreams[pick % upstreams.length]?.upstream.kind;
     const pool = upstreams.filter(({ upstream }) => upstream.kind === kind);
     if (how === 'hold') {
-      await Promise.all(pool.map(({ proxy }) => holdBack(proxy, durationMs)));
+      await Promise.all(pool.map((placed) => this.#harmLink(placed, how, durationMs)));
       return;
     }
     const members = pool.map(({ upstream }) => upstream);
-    members.forEach((upstream) => Object.assign(upstream, { fault: how }));
+    setFault(members, how);
     await sleep(durationMs);
-    members.forEach((upstream) => Object.assign(upstream, { fault: 'none' }));
+    setFault(members, 'none');
+  }
+
+  async #harmLink(
+    { upstream, proxy }: PlacedUpstream,
+    fault: ProxyFault,
+    durationMs: number,
+  ): Promise<void> {
+    const harmed = proxy;
+    const fromMs = performance.now();
+    harmed.fault = fault;
+    await sleep(durationMs);
+    harmed.fault = 'none';
+    this.#targets.onLinkSpan({ upstreamId: upstream.id, fromMs, untilMs: performance.now() });
   }
 
   async #strikeConnection(
@@ -206,13 +231,16 @@
     durationMs: number,
   ): Promise<void> {
     const { storeProxies, upstreams } = this.#targets;
-    const proxy = target === 'store'
-      ? storeProxies[pick % storeProxies.length]
-      : upstreams[pick % upstreams.length]?.proxy;
+    const placed = upstreams[pick % upstreams.length];
+    const proxy = target === 'store' ? storeProxies[pick % storeProxies.length] : placed?.proxy;
     if (how === 'reset' || proxy === undefined) {
       proxy?.reset();
       return;
     }
+    if (target === 'upstream' && placed !== undefined) {
+      await this.#harmLink(placed, how, durationMs);
+      return;
+    }
     proxy.fault = how;
     await sleep(durationMs);
     proxy.fault = 'none';
--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -8,8 +8,8 @@
 import { HEADERS, UPSTREAM_PATHS } from '../../platform/WIRE.ts';
 import { EVENT_COUNT } from './findViolations.ts';
 import {
-  ARRIVAL_KIND, REQUEST_KIND, type ArrivalKind, type ArrivalRecord, type RequestKind,
-  type RunRecord,
+  ARRIVAL_KIND, REQUEST_KIND, type ArrivalKind, type ArrivalRecord, type NoticeRecord,
+  type RequestKind, type RunRecord,
 } from './SoakRecord.ts';
 
 const LOOPBACK = '127.0.0.1';
@@ -19,11 +19,14 @@
 const MISDIRECTED = 421;
 const UNAVAILABLE = 503;
 const FAILED = 500;
+/** How long an upstream that asks for a back-off wants nothing. */
+const BACK_OFF_MS = 1_500;
+const MS_PER_SECOND = 1_000;
 /** Requests at the same time beyond which an upstream refuses. */
 const CAPACITY = 12;
 
 /** How an upstream misbehaves. */
-export type UpstreamFault = 'none' | 'refuse' | 'fail' | 'hang' | 'break';
+export type UpstreamFault = 'none' | 'refuse' | 'fail' | 'hang' | 'break' | 'leave' | 'backOff';
 
 interface StageItem {
   readonly id: string;
@@ -48,6 +51,7 @@
 export interface SoakUpstreamEvents {
   readonly onRun: (run: RunRecord) => void;
   readonly onArrival: (arrival: ArrivalRecord) => void;
+  readonly onNotice: (notice: NoticeRecord) => void;
 }
 
 /** An upstream of the soak: a plain service, a model engine or one that makes stage results. */
@@ -115,8 +119,17 @@
     const requestId = getHeader(request, HEADERS.requestId) ?? '';
     response.setHeader('X-Request-Id', requestId);
     this.#noteArrivals(requestId, body, request);
+    if (this.fault === 'leave') {
+      response.setHeader(HEADERS.leaving, '1');
+      this.#noteNotice('leaving', requestId, Infinity);
+    }
     if ((getHeader(request, HEADERS.expectedUpstream) ?? this.id) !== this.id) {
       response.writeHead(MISDIRECTED, { 'X-Not-Executed': '1' }).end();
+    } else if (this.fault === 'backOff') {
+      this.#noteNotice('backOff', requestId, performance.now() + BACK_OFF_MS);
+      response.writeHead(UNAVAILABLE, {
+        'X-Not-Executed': '1', 'Retry-After': String(BACK_OFF_MS / MS_PER_SECOND),
+      }).end();
     } else if (this.fault === 'refuse' || this.#openCount >= CAPACITY) {
       response.writeHead(UNAVAILABLE, { 'X-Not-Executed': '1' }).end();
     } else if (this.fault === 'break') {
@@ -144,6 +157,12 @@
     }
   }
 
+  #noteNotice(kind: NoticeRecord['kind'], requestId: string, untilMs: number): void {
+    this.#events.onNotice({
+      kind, upstreamId: this.id, requestId, atMs: performance.now(), untilMs,
+    });
+  }
+
   #runStage(body: string, response: ServerResponse): void {
     if (this.fault === 'hang') {
       return;
--- a/scripts/soak/createSoakPlan.ts
+++ b/scripts/soak/createSoakPlan.ts
@@ -4,8 +4,11 @@
 export type SoakFault =
   | { readonly kind: 'host'; readonly how: 'terminate' | 'kill' | 'pause' | 'reload' }
   | { readonly kind: 'allHosts'; readonly how: 'terminate' | 'kill' }
-  | { readonly kind: 'upstream'; readonly how: 'crash' | 'drain' | 'hold' }
-  | { readonly kind: 'pool'; readonly how: 'refuse' | 'fail' | 'hang' | 'break' | 'hold' }
+  | { readonly kind: 'upstream'; readonly how: 'crash' | 'drain' | 'hold' | 'leave' | 'backOff' }
+  | {
+    readonly kind: 'pool';
+    readonly how: 'refuse' | 'fail' | 'hang' | 'break' | 'hold' | 'backOff';
+  }
   | {
     readonly kind: 'connection';
     readonly how: 'delay' | 'silent' | 'cutAnswers' | 'reset';
@@ -69,14 +72,36 @@
   { kind: 'connection', how: 'silent', target: 'store' },
 ];
 
-/** Which faults are drawn: all kinds, or those that repeats come from. */
-export const SOAK_PROFILE = { all: 'all', repeats: 'repeats' } as const;
+/** Upstreams that say of themselves that they close, among faults that make hosts forget it. */
+const CLOSURE_FAULTS: readonly SoakFault[] = [
+  { kind: 'upstream', how: 'leave' },
+  { kind: 'upstream', how: 'leave' },
+  { kind: 'upstream', how: 'backOff' },
+  { kind: 'upstream', how: 'backOff' },
+  { kind: 'pool', how: 'backOff' },
+  { kind: 'upstream', how: 'crash' },
+  { kind: 'upstream', how: 'drain' },
+  { kind: 'pool', how: 'hang' },
+  { kind: 'connection', how: 'reset', target: 'upstream' },
+  { kind: 'connection', how: 'silent', target: 'store' },
+  { kind: 'store', how: 'down' },
+  { kind: 'store', how: 'forget' },
+  { kind: 'host', how: 'kill' },
+  { kind: 'manifest' },
+];
+
+/**
+ * Which faults are drawn. `all` holds those that it had at first, so that its seeds draw the same
+ * faults for good; `repeats` those that repeats come from; `closures` upstreams that say that they
+ * leave or want a pause.
+ */
+export const SOAK_PROFILE = { all: 'all', repeats: 'repeats', closures: 'closures' } as const;
 
 /** A member of {@link SOAK_PROFILE}. */
 export type SoakProfile = typeof SOAK_PROFILE[keyof typeof SOAK_PROFILE];
 
 const PROFILE_FAULTS: Readonly<Record<SoakProfile, readonly SoakFault[]>> = {
-  all: FAULTS, repeats: REPEAT_FAULTS,
+  all: FAULTS, repeats: REPEAT_FAULTS, closures: CLOSURE_FAULTS,
 };
 
 const MIN_DURATION_MS = 300;
@@ -84,11 +109,15 @@
 /** Faults of the store last longer, so that leases lapse meanwhile; those of pools, for repeats. */
 const STORE_FACTOR = 3;
 const POOL_FACTOR = 2;
+/** An upstream goes on for longer than its drain may take after it has said that it leaves. */
+const LEAVING_FACTOR = 3;
 const MEAN_GAP_MS = 600;
 const PICKS = 1_000;
 
-function getDurationFactor({ kind }: SoakFault): number {
-  switch (kind) {
+function getDurationFactor(fault: SoakFault): number {
+  switch (fault.kind) {
+    case 'upstream':
+      return fault.how === 'leave' ? LEAVING_FACTOR : 1;
     case 'store':
       return STORE_FACTOR;
     case 'pool':
--- a/scripts/soak/findViolations.test.ts
+++ b/scripts/soak/findViolations.test.ts
@@ -38,7 +38,9 @@
     callers: [{ ...CALLER, ...caller }],
     runs: [...runs],
     arrivals: [],
+    notices: [],
     hostSpans: [],
+    linkSpans: [],
     calmSinceMs: Infinity,
   };
   return findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise);
@@ -90,7 +92,9 @@
       callers: [CALLER],
       runs: [RUN],
       arrivals: [arrival, { ...arrival, atMs: 6 }],
+      notices: [],
       hostSpans: [],
+      linkSpans: [],
       calmSinceMs: Infinity,
     };
     deepEqual(findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise), ['repeats']);
@@ -102,8 +106,63 @@
       ...CALLER, sentAtMs: 20_000, endedAtMs: 20_001, status: 503,
     }];
     const record: SoakRecord = {
-      callers, runs: [], arrivals: [], hostSpans: [], calmSinceMs: 10_000,
+      callers,
+      runs: [],
+      arrivals: [],
+      notices: [],
+      hostSpans: [],
+      linkSpans: [],
+      calmSinceMs: 10_000,
     };
     deepEqual(findViolations(record, 30_000, BOUNDS).map(({ promise }) => promise), ['recovered']);
   });
+
+  /** Arrivals of one host at an upstream that has told it at 1,000 ms that it closes. */
+  function checkClosure(
+    kind: 'leaving' | 'backOff',
+    timesMs: readonly number[],
+    spans: Partial<Pick<SoakRecord, 'hostSpans' | 'linkSpans'>> = {},
+  ): string[] {
+    const told: CallerRecord = { ...CALLER, requestId: 'told', kind: REQUEST_KIND.repeatable };
+    const record: SoakRecord = {
+      callers: [told, ...timesMs.map((sentAtMs, index) => ({
+        ...told, requestId: `r${index}`, sentAtMs, endedAtMs: sentAtMs + 10,
+      }))].map((caller) => ({ ...caller, body: `answer to ${caller.requestId}` })),
+      runs: [],
+      arrivals: timesMs.map((atMs, index) => ({
+        service: REQUEST_KIND.repeatable,
+        kind: ARRIVAL_KIND.whole,
+        requestId: `r${index}`,
+        unit: `r${index}`,
+        upstreamId: 'u',
+        atMs: atMs + 5,
+      })),
+      notices: [{
+        kind,
+        upstreamId: 'u',
+        requestId: 'told',
+        atMs: 1_000,
+        untilMs: kind === 'leaving' ? Infinity : 5_000,
+      }],
+      hostSpans: [],
+      linkSpans: [],
+      calmSinceMs: Infinity,
+      ...spans,
+    };
+    return findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise);
+  }
+
+  it('finds requests that reach an upstream after it has said that it leaves', () => {
+    deepEqual(checkClosure('leaving', [1_100, 2_900]), []);
+    deepEqual(checkClosure('leaving', [1_100, 3_100]), ['leaving']);
+    const hostSpans = [{ hostIndex: 0, fromMs: 1_500, untilMs: 1_600 }];
+    deepEqual(checkClosure('leaving', [3_100], { hostSpans }), []);
+  });
+
+  it('finds more than two requests that reach an upstream in its back-off', () => {
+    deepEqual(checkClosure('backOff', [1_100, 1_200, 1_300, 2_000, 4_900, 5_100]), []);
+    deepEqual(checkClosure('backOff', [2_000, 3_000, 4_900]), ['backOff']);
+    const linkSpans = [{ upstreamId: 'u', fromMs: 900, untilMs: 1_100 }];
+    deepEqual(checkClosure('backOff', [2_000, 3_000, 4_900], { linkSpans }), []);
+  });
 });
--- a/scripts/soak/findViolations.ts
+++ b/scripts/soak/findViolations.ts
@@ -1,4 +1,5 @@
 import { countRepeats } from './countRepeats.ts';
+import { measureClosures } from './measureClosures.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
 import {
   REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
@@ -8,7 +9,7 @@
 /** A promise that was not kept. */
 export interface Violation {
   readonly promise: 'atMostOnce' | 'notRun' | 'wholeAnswer' | 'inOrder' | 'ended' | 'asked'
-    | 'inputs' | 'account' | 'recovered' | 'repeats';
+    | 'inputs' | 'account' | 'recovered' | 'repeats' | 'leaving' | 'backOff';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -23,6 +24,11 @@
 /** Part of the requests after that which has to be served. */
 const RECOVERED_PART = 0.95;
 
+/** How long after an upstream has said that it leaves a host's callers may still reach it. */
+const DRAIN_MS = 2_000;
+/** Requests that may still reach an upstream in a back-off, after its first half second. */
+const MAX_BACK_OFF_ARRIVALS = 2;
+
 /** Events of a whole stream: numbered from 1, the last one says so. */
 export const EVENT_COUNT = 12;
 
@@ -107,6 +113,20 @@
     }));
 }
 
+function findClosureFaults(record: SoakRecord): Violation[] {
+  const { latestAfterLeaving, mostInBackOff } = measureClosures(record);
+  const found: Violation[] = [];
+  if (latestAfterLeaving !== null && latestAfterLeaving.value > DRAIN_MS) {
+    found.push({
+      promise: 'leaving', requestId: '', detail: JSON.stringify(latestAfterLeaving),
+    });
+  }
+  if (mostInBackOff !== null && mostInBackOff.value > MAX_BACK_OFF_ARRIVALS) {
+    found.push({ promise: 'backOff', requestId: '', detail: JSON.stringify(mostInBackOff) });
+  }
+  return found;
+}
+
 /**
  * Checks the promises from what callers and upstreams have seen.
  *
@@ -130,5 +150,6 @@
     ...findEndFaults(record, nowMs),
     ...findRecoveryFault(record),
     ...findRepeatFaults(record, bounds),
+    ...findClosureFaults(record),
   ];
 }
--- /dev/null
+++ b/scripts/soak/measureClosures.ts
@@ -0,0 +1,97 @@
+import {
+  ARRIVAL_KIND, type ArrivalRecord, type NoticeRecord, type SoakRecord,
+} from './SoakRecord.ts';
+
+/** One figure, and where it was measured. */
+export interface ClosureFigure {
+  readonly value: number;
+  readonly upstreamId: string;
+  readonly hostIndex: number;
+  readonly requestId: string;
+}
+
+/** How near hosts came to the bounds on upstreams that say that they close. */
+export interface ClosureReport {
+  /** Notices that reached a host whose requests the upstream could still get. */
+  readonly leavingCount: number;
+  readonly backOffCount: number;
+  /** Longest time from the notice to the sending by the caller of a request that came after all. */
+  readonly latestAfterLeaving: ClosureFigure | null;
+  /** Most arrivals from one host between half a second after the notice and its end. */
+  readonly mostInBackOff: ClosureFigure | null;
+}
+
+/** Time in which what is under way when a back-off begins may still arrive. */
+const BACK_OFF_SLACK_MS = 500;
+
+interface HostNotice extends NoticeRecord {
+  readonly hostIndex: number;
+}
+
+function getLarger(left: ClosureFigure | null, right: ClosureFigure): ClosureFigure {
+  return left === null || right.value > left.value ? right : left;
+}
+
+/** The first notice of each kind that a host got from an upstream, and each further back-off. */
+function getHostNotices(
+  { notices }: SoakRecord,
+  hosts: ReadonlyMap<string, number>,
+  kind: NoticeRecord['kind'],
+): HostNotice[] {
+  return notices.flatMap((notice) => {
+    const hostIndex = hosts.get(notice.requestId);
+    return notice.kind === kind && hostIndex !== undefined ? [{ ...notice, hostIndex }] : [];
+  });
+}
+
+/** A host that has ended or stood still meanwhile, or a harmed link, excuses an arrival. */
+function isExcused(record: SoakRecord, notice: HostNotice, arrivedAtMs: number): boolean {
+  const isWithin = (span: { readonly fromMs: number; readonly untilMs: number }): boolean => (
+    span.fromMs <= arrivedAtMs && span.untilMs >= notice.atMs);
+  return record.hostSpans.some((span) => span.hostIndex === notice.hostIndex && isWithin(span))
+    || record.linkSpans.some((span) => span.upstreamId === notice.upstreamId && isWithin(span));
+}
+
+/**
+ * Measures what reached upstreams after they had said that they close, from the host that was told.
+ * Pieces are left out, since the host that sends them is not the one that took the request.
+ *
+ * @param record - what callers and upstreams have seen
+ * @returns the largest figures
+ */
+export function measureClosures(record: SoakRecord): ClosureReport {
+  const hosts = new Map(record.callers.map(({ requestId, hostIndex }) => [requestId, hostIndex]));
+  const sentAtMs = new Map(record.callers.map((caller) => [caller.requestId, caller.sentAtMs]));
+  const leaving = getHostNotices(record, hosts, 'leaving');
+  const backOffs = getHostNotices(record, hosts, 'backOff');
+  const getArrivals = (notice: HostNotice): ArrivalRecord[] => record.arrivals.filter((arrival) => (
+    arrival.kind !== ARRIVAL_KIND.piece
+    && arrival.upstreamId === notice.upstreamId
+    && hosts.get(arrival.requestId) === notice.hostIndex
+    && arrival.atMs > notice.atMs
+    && arrival.atMs < notice.untilMs
+    && !isExcused(record, notice, arrival.atMs)));
+  let latestAfterLeaving: ClosureFigure | null = null;
+  leaving.forEach((notice) => getArrivals(notice).forEach(({ requestId }) => {
+    latestAfterLeaving = getLarger(latestAfterLeaving, {
+      value: (sentAtMs.get(requestId) ?? 0) - notice.atMs,
+      upstreamId: notice.upstreamId,
+      hostIndex: notice.hostIndex,
+      requestId,
+    });
+  }));
+  let mostInBackOff: ClosureFigure | null = null;
+  backOffs.forEach((notice) => {
+    const late = getArrivals(notice)
+      .filter(({ atMs }) => atMs > notice.atMs + BACK_OFF_SLACK_MS);
+    mostInBackOff = getLarger(mostInBackOff, {
+      value: late.length,
+      upstreamId: notice.upstreamId,
+      hostIndex: notice.hostIndex,
+      requestId: notice.requestId,
+    });
+  });
+  return {
+    leavingCount: leaving.length, backOffCount: backOffs.length, latestAfterLeaving, mostInBackOff,
+  };
+}
