Wake a host only while something waits to be placed

A host that had nothing to do woke up 60 times a second: 50 for the placing desk, 10 to notice that it stood still. On the users' platform each wake-up and system call is charged, on hundreds of hosts at once.

The tick runs while the desk has waiting requests; a standstill is looked for every 300 ms. Test: PlacementService.test.ts, red on the code before (1 of 2).

--- /dev/null
+++ b/src/placement/PlacementService.test.ts
@@ -0,0 +1,77 @@
+import { deepEqual, equal } from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { pino } from 'pino';
+import { UNLIMITED_REPEATS } from '../../test/support/UNLIMITED_REPEATS.ts';
+import { Directory } from '../directory/Directory.ts';
+import { UpstreamNotices } from '../directory/UpstreamNotices.ts';
+import { toId, type PoolId } from '../lib/ids.ts';
+import { SystemClock } from '../time/SystemClock.ts';
+import type { PlacementResult } from './PlacementRequest.ts';
+import { PlacementService } from './PlacementService.ts';
+
+let service: PlacementService | null = null;
+
+function createService(): PlacementService {
+  const clock = new SystemClock();
+  const directory = new Directory(clock);
+  const logger = pino({ level: 'silent' });
+  service = new PlacementService({
+    clock,
+    directory,
+    caller: {
+      run: () => new Promise(() => {}),
+      free: async () => {},
+    },
+    notices: new UpstreamNotices(directory, logger),
+    repeats: UNLIMITED_REPEATS,
+    logger,
+  });
+  return service;
+}
+
+function countTimers(): number {
+  return process.getActiveResourcesInfo().filter((name) => name === 'Timeout').length;
+}
+
+/** Places a request for which there is no engine. */
+function place({ desk }: PlacementService, remainingMs: number): Promise<PlacementResult> {
+  return new Promise((resolve) => {
+    desk.place({
+      requestId: 'r',
+      poolId: toId<PoolId>('engines'),
+      stages: [],
+      pieceCounts: [],
+      pieceKey: 'k',
+      parts: [],
+      promptTokens: 10,
+      maxOutputTokens: 10,
+      priority: 0,
+      onTimeMs: remainingMs,
+      remainingMs,
+      excludedIds: [],
+      isPlacedAgain: false,
+      domains: [],
+      standingResults: [],
+    }, resolve);
+  });
+}
+
+describe('PlacementService', () => {
+  afterEach(() => service?.close());
+
+  it('does not wake a host that has nothing to place', async () => {
+    const before = countTimers();
+    const created = createService();
+    equal(countTimers(), before);
+    await place(created, 60);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 60);
+    });
+    equal(countTimers(), before);
+  });
+
+  it('refuses what waits when its time is up, though nothing else happens', async () => {
+    const result = await place(createService(), 60);
+    deepEqual(result.kind, 'refused');
+  });
+});
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -39,7 +39,8 @@
 
   readonly #notices: UpstreamNotices;
 
-  readonly #timer: NodeJS.Timeout;
+  /** Null while nothing waits, so that an idle host is not woken. */
+  #timer: NodeJS.Timeout | null = null;
 
   #pendingRun: NodeJS.Timeout | null = null;
 
@@ -66,26 +67,32 @@
       sendFree: (_makerId, address, handles) => this.#free(address, handles),
       requestRun: () => this.#requestRun(),
     });
-    this.#timer = setInterval(() => {
-      if (this.desk.waitingCount > 0) {
-        this.desk.run();
-      }
-    }, TICK_MS);
   }
 
   /** Ends the ticks. */
   close(): void {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer ?? undefined);
     clearTimeout(this.#pendingRun ?? undefined);
   }
 
   #requestRun(): void {
     this.#pendingRun ??= setTimeout(() => {
       this.#pendingRun = null;
-      this.desk.run();
+      this.#run();
     }, RUN_DELAY_MS);
   }
 
+  /** Lets the desk do what is due, and comes back while something waits for its time. */
+  #run(): void {
+    this.desk.run();
+    if (this.desk.waitingCount > 0) {
+      this.#timer ??= setTimeout(() => {
+        this.#timer = null;
+        this.#run();
+      }, TICK_MS);
+    }
+  }
+
   /** A line for the pieces of a call that were sent before. */
   #logRepeats(call: StageCall): void {
     const repeated = call.pieces.filter(({ piece }) => piece.sendCount > 1);
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -27,8 +27,8 @@
   idleTimeoutMs: 15_000,
 };
 /** The loop is looked after this often, and has stood still when a look is this late. */
-const PAUSE_CHECK_MS = 100;
-const PAUSE_MS = 700;
+const PAUSE_CHECK_MS = 300;
+const PAUSE_MS = 900;
 /** Time after the signal to leave in which requests are still taken, until the balancer knows. */
 const TAKE_UNTIL_MS = 3_000;
 /** Time kept at the end of the grace for breaking off what is left. */
