Follow the directory from a reader in the failure domain instead of the store

Cause: every host followed the store itself.

Change: two hosts of a failure domain (rendezvous hashing, no election) follow the store in short waits and keep its newest answers in a log; the others wait for changes at one of them. A host reads the store itself, at once, when its reader is silent, has lost the store, or lacks a revision, and passes that reader over for five seconds. Revisions only grow.

Not measured yet.

--- a/scripts/soak/SoakHost.ts
+++ b/scripts/soak/SoakHost.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { ChildProgram } from '../fleet/ChildProgram.ts';
+import { DRAIN_MS } from './findViolations.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
 import type { HostSpan } from './SoakRecord.ts';
 
@@ -129,6 +130,8 @@
       limits: { cpu_share: 1, cores: 1, link_mbps: 1_000 },
       bounds: {
         contact_ms: 3_000,
+        config_apply_ms: DRAIN_MS,
+        drain_ms: DRAIN_MS,
         retry_budget_ratio: bounds.ratio,
         budget_slack: bounds.slack,
         retry_window_s: bounds.windowMs / MS_PER_SECOND,
--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -111,9 +111,14 @@
       : this.#clock.getMonotonicMs() - this.#confirmedAtMs;
   }
 
-  /** Notes that the store has just told everything there is to know. */
-  noteConfirmed(): void {
-    this.#confirmedAtMs = this.#clock.getMonotonicMs();
+  /**
+   * Notes that the store has told everything there was to know.
+   *
+   * @param agoMs - how long ago
+   */
+  noteConfirmed(agoMs = 0): void {
+    const atMs = this.#clock.getMonotonicMs() - agoMs;
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs ?? -Infinity, atMs);
   }
 
   /** @param listener - called after each change that took effect */
--- a/src/directory/DirectoryFollower.test.ts
+++ b/src/directory/DirectoryFollower.test.ts
@@ -72,9 +72,11 @@
   const store = new ScriptedStore();
   store.changes.push(...known);
   store.script.push(...script);
-  const directory = new Directory(new ManualClock());
+  const clock = new ManualClock();
+  const directory = new Directory(clock);
   const pausesMs: number[] = [];
   const follower = new DirectoryFollower({
+    clock,
     store,
     directory,
     logger: pino({ level: 'silent' }),
@@ -89,7 +91,9 @@
 }
 
 function createChanges(...changes: DirectoryChange[]): FollowResult {
-  return { kind: 'changes', changes, revision: 9 };
+  return {
+    kind: 'changes', changes, revision: 9, payload: JSON.stringify(changes),
+  };
 }
 
 describe('DirectoryFollower', () => {
--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -2,13 +2,24 @@
 import type { Logger } from 'pino';
 import { Backoff } from '../configuration/Backoff.ts';
 import type { RandomSource } from '../lib/RandomSource.ts';
+import type { Clock } from '../time/Clock.ts';
+import { ChangeLog } from './ChangeLog.ts';
 import type { Directory } from './Directory.ts';
+import type { DirectoryChange } from './DirectoryChange.ts';
+import type { DirectoryPeers } from './DirectoryPeers.ts';
+import type { DirectoryReaders } from './DirectoryReaders.ts';
+import type { KnownHost } from './HostEntry.ts';
 import type { DirectoryStore } from './DirectoryStore.ts';
 
 /** How the directory is kept up to date. */
 export interface DirectoryFollowerOptions {
   /** How long one wait for changes lasts; a silent connection goes unnoticed for so long. */
   readonly waitMs: number;
+  /**
+   * How long one wait lasts where hosts follow one another: at a reader, and at those that follow
+   * it. Null where every host follows the store.
+   */
+  readonly relayWaitMs: number | null;
   /**
    * Pause after changes for each host there is, so that those which come together cost one call:
    * every change costs a call of every host.
@@ -25,6 +36,7 @@
 /** Defaults of {@link DirectoryFollowerOptions}. */
 export const DEFAULT_DIRECTORY_FOLLOWER_OPTIONS: DirectoryFollowerOptions = {
   waitMs: 2_000,
+  relayWaitMs: null,
   settlePerHostMs: 10,
   maxSettleMs: 800,
   minPauseMs: 50,
@@ -33,6 +45,7 @@
 
 /** What a follower is made of. */
 export interface DirectoryFollowerParts {
+  readonly clock: Clock;
   /** What is followed. */
   readonly store: DirectoryStore;
   /** What is kept up to date. */
@@ -41,11 +54,24 @@
   readonly logger: Logger;
   /** For the jitter of pauses. */
   readonly random: RandomSource;
+  /** Which hosts read the store for others; left out where every host follows it. */
+  readonly readers?: DirectoryReaders;
+  /** Asks other hosts; left out with them. */
+  readonly peers?: DirectoryPeers;
   /** Waits; replaced in tests. */
   readonly pause?: (durationMs: number) => Promise<void>;
 }
 
-/** Reads the store once and then follows its changes, for as long as the process runs. */
+/** Pause of a reader after changes: there are few readers, and others wait for what it reads. */
+const READER_SETTLE_MS = 200;
+/** A reader whose store is silent for longer than a wait and this has lost it. */
+const FRESH_SLACK_MS = 600;
+
+/**
+ * Reads the store once and then follows its changes, for as long as the process runs. In a large
+ * fleet most hosts follow a reader in their failure domain instead, and turn to the store whenever
+ * that reader is silent, has lost the store, or lacks a revision.
+ */
 export class DirectoryFollower {
   readonly #parts: DirectoryFollowerParts;
 
@@ -55,8 +81,17 @@
 
   readonly #pause: (durationMs: number) => Promise<void>;
 
+  /** What others may follow. */
+  readonly changeLog = new ChangeLog();
+
   #revision: number | null = null;
 
+  /** When the store itself answered last; null before. */
+  #storeAnsweredAtMs: number | null = null;
+
+  /** Whether the next step asks the store for what a reader did not give. */
+  #mustCatchUp = false;
+
   #isStopped = false;
 
   #hasContact = true;
@@ -86,20 +121,29 @@
     return this.#hasContact;
   }
 
+  /** How old what this host has from the store is; null when others should not follow it. */
+  get freshAgeMs(): number | null {
+    const { relayWaitMs } = this.#options;
+    if (this.#storeAnsweredAtMs === null || relayWaitMs === null) {
+      return null;
+    }
+    const ageMs = this.#parts.clock.getMonotonicMs() - this.#storeAnsweredAtMs;
+    return ageMs <= relayWaitMs + FRESH_SLACK_MS ? ageMs : null;
+  }
+
   /** Follows until stopped. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
       try {
         // eslint-disable-next-line no-await-in-loop -- each wait goes on from the one before
-        const hasChanged = await this.#step();
-        this.#parts.directory.noteConfirmed();
-        this.#noteContact();
-        this.#backoff.reset();
-        if (hasChanged) {
+        const settleMs = await this.#step();
+        if (settleMs > 0) {
           // eslint-disable-next-line no-await-in-loop -- the pause is the point
-          await this.#pause(this.#getSettleMs());
+          await this.#pause(settleMs);
         }
       } catch (error) {
+        // A reader may still have the store when this host has lost it.
+        this.#mustCatchUp = false;
         this.#noteLoss(error);
         // eslint-disable-next-line no-await-in-loop -- the pause is the point
         await this.#pause(this.#backoff.getNextDelayMs());
@@ -110,6 +154,7 @@
   /** Ends the loop after the call that is out. */
   stop(): void {
     this.#isStopped = true;
+    this.changeLog.close();
   }
 
   /** Reads everything anew at the next step; for a process that has stood still. */
@@ -119,29 +164,52 @@
 
   #getSettleMs(): number {
     const { settlePerHostMs, maxSettleMs } = this.#options;
-    return Math.min(maxSettleMs, settlePerHostMs * this.#parts.directory.hosts.size);
+    return this.#isReader
+      ? READER_SETTLE_MS
+      : Math.min(maxSettleMs, settlePerHostMs * this.#parts.directory.hosts.size);
+  }
+
+  get #isReader(): boolean {
+    return this.#options.relayWaitMs !== null && this.#parts.readers?.isReader === true;
   }
 
-  /** @returns whether the store had changes */
-  async #step(): Promise<boolean> {
+  /** @returns how long changes should settle before the next step */
+  async #step(): Promise<number> {
     if (this.#revision === null) {
-      const snapshot = await this.#parts.store.readAll();
-      this.#parts.directory.applySnapshot(snapshot);
-      this.#revision = snapshot.revision;
-      this.#hasRead = true;
-      this.#parts.logger.info({
-        event: 'directoryRead',
-        revision: snapshot.revision,
-        entryCount: snapshot.changes.length,
-        version: this.#parts.directory.configuration?.version ?? null,
-      }, 'read the whole directory');
-      return false;
+      await this.#readAll();
+      return 0;
     }
-    const startRevision = this.#revision;
-    const { store, directory } = this.#parts;
-    const result = await store.follow(startRevision, this.#options.waitMs);
+    const { readers, peers } = this.#parts;
+    const { relayWaitMs } = this.#options;
+    const reader = relayWaitMs === null || this.#mustCatchUp ? null : readers?.choose() ?? null;
+    if (reader === null || peers === undefined || relayWaitMs === null) {
+      return this.#followStore(this.#revision);
+    }
+    await this.#followReader(peers, reader, this.#revision, relayWaitMs);
+    return 0;
+  }
+
+  async #readAll(): Promise<void> {
+    const snapshot = await this.#parts.store.readAll();
+    this.#parts.directory.applySnapshot(snapshot);
+    this.#revision = snapshot.revision;
+    this.changeLog.reset(snapshot.revision);
+    this.#hasRead = true;
+    this.#noteStoreAnswer();
+    this.#parts.logger.info({
+      event: 'directoryRead',
+      revision: snapshot.revision,
+      entryCount: snapshot.changes.length,
+      version: this.#parts.directory.configuration?.version ?? null,
+    }, 'read the whole directory');
+  }
+
+  async #followStore(startRevision: number): Promise<number> {
+    const { store } = this.#parts;
+    const result = await store.follow(startRevision, this.#getStoreWaitMs());
+    this.#mustCatchUp = false;
     if (this.#revision !== startRevision) {
-      return false;
+      return 0;
     }
     if (result.kind === 'historyLost') {
       this.#parts.logger.warn(
@@ -149,11 +217,59 @@
         'the store has dropped the history that follows this revision; reading everything',
       );
       this.#revision = null;
-      return false;
+      return 0;
+    }
+    const hasChanges = result.changes.length > 0;
+    this.#apply(result.changes, result.revision);
+    this.changeLog.append(startRevision, result.revision, hasChanges ? result.payload : null);
+    this.#noteStoreAnswer();
+    return hasChanges ? this.#getSettleMs() : 0;
+  }
+
+  #getStoreWaitMs(): number {
+    if (this.#mustCatchUp) {
+      return 0;
+    }
+    const { waitMs, relayWaitMs } = this.#options;
+    return this.#isReader ? Math.min(waitMs, relayWaitMs ?? waitMs) : waitMs;
+  }
+
+  async #followReader(
+    peers: DirectoryPeers,
+    reader: KnownHost,
+    startRevision: number,
+    waitMs: number,
+  ): Promise<void> {
+    const { store, directory, readers } = this.#parts;
+    try {
+      const answer = await peers.follow(reader, startRevision, waitMs);
+      if (this.#revision !== startRevision) {
+        return;
+      }
+      if (answer.kind === 'gap') {
+        this.#mustCatchUp = true;
+        return;
+      }
+      const changes = answer.payloads.flatMap((payload) => store.decodeChanges(payload));
+      this.#apply(changes, answer.revision);
+      directory.noteConfirmed(answer.ageMs);
+    } catch (error) {
+      readers?.noteFailure(reader, String(error));
+      this.#mustCatchUp = true;
     }
-    result.changes.forEach((change) => directory.apply(change));
-    this.#revision = result.revision;
-    return result.changes.length > 0;
+  }
+
+  /** Revisions only grow, whoever tells of them. */
+  #apply(changes: readonly DirectoryChange[], revision: number): void {
+    changes.forEach((change) => this.#parts.directory.apply(change));
+    this.#revision = Math.max(this.#revision ?? 0, revision);
+  }
+
+  #noteStoreAnswer(): void {
+    this.#storeAnsweredAtMs = this.#parts.clock.getMonotonicMs();
+    this.#parts.directory.noteConfirmed();
+    this.#noteContact();
+    this.#backoff.reset();
   }
 
   #noteContact(): void {
--- /dev/null
+++ b/src/directory/DirectoryReaders.ts
@@ -0,0 +1,102 @@
+import type { Logger } from 'pino';
+import type { HostId } from '../lib/ids.ts';
+import { getRendezvousScore } from '../membership/getRendezvousScore.ts';
+import type { Clock } from '../time/Clock.ts';
+import type { Directory } from './Directory.ts';
+import type { KnownHost } from './HostEntry.ts';
+
+/** What the choice of readers is made from. */
+export interface DirectoryReadersParts {
+  readonly clock: Clock;
+  readonly hostId: HostId;
+  readonly failureDomain: string;
+  readonly directory: Directory;
+  /** Gets a line when this host turns to another source. */
+  readonly logger: Logger;
+}
+
+/** Hosts of a failure domain that read the store for the others. */
+const READERS_PER_DOMAIN = 2;
+/** A failure domain of fewer hosts gains too little. */
+const MIN_DOMAIN_HOSTS = 4;
+/** How long a reader that failed is passed over. */
+const AVOID_MS = 5_000;
+
+/**
+ * Says which hosts of a failure domain follow the store, and whom each of the others follows.
+ *
+ * Load pattern: hundreds of hosts. Where each follows the store itself, every change costs a call
+ * of every host, and calls grow with the square of the fleet. All hosts with the same view choose
+ * the same readers; where views differ there are a few more of them.
+ */
+export class DirectoryReaders {
+  readonly #parts: DirectoryReadersParts;
+
+  readonly #avoidedUntilMs = new Map<HostId, number>();
+
+  #source: HostId | null = null;
+
+  /**
+   * @param parts - see {@link DirectoryReadersParts}
+   */
+  constructor(parts: DirectoryReadersParts) {
+    this.#parts = parts;
+  }
+
+  /** Whether other hosts may follow this one. */
+  get isReader(): boolean {
+    return this.#getReaders().some(({ id }) => id === this.#parts.hostId);
+  }
+
+  /** @returns the host to follow; null for the store itself */
+  choose(): KnownHost | null {
+    const { hostId, clock } = this.#parts;
+    const nowMs = clock.getMonotonicMs();
+    const readers = this.#getReaders();
+    const chosen = readers.some(({ id }) => id === hostId)
+      ? null
+      : readers
+        .filter(({ id }) => (this.#avoidedUntilMs.get(id) ?? -Infinity) <= nowMs)
+        .map((host) => ({ host, score: getRendezvousScore(hostId, host.id) }))
+        .sort((left, right) => right.score - left.score)[0]?.host ?? null;
+    this.#noteSource(chosen?.id ?? null);
+    return chosen;
+  }
+
+  /**
+   * @param host - a reader that gave no usable answer
+   * @param detail - what was seen
+   */
+  noteFailure(host: KnownHost, detail: string): void {
+    this.#avoidedUntilMs.set(host.id, this.#parts.clock.getMonotonicMs() + AVOID_MS);
+    this.#parts.logger.info(
+      { event: 'directoryReaderLost', reader: host.id, detail },
+      'a reader of the directory gives no answer; reading the store',
+    );
+  }
+
+  #noteSource(source: HostId | null): void {
+    if (source !== this.#source) {
+      this.#parts.logger.info({
+        event: 'directorySourceChanged',
+        source: source ?? 'store',
+        before: this.#source ?? 'store',
+      }, 'the directory is followed from another source');
+      this.#source = source;
+    }
+  }
+
+  #getReaders(): KnownHost[] {
+    const { directory, failureDomain, hostId } = this.#parts;
+    const near = [...directory.hosts.values()]
+      .filter((host) => host.failureDomain === failureDomain);
+    if (near.length < MIN_DOMAIN_HOSTS || !directory.hosts.has(hostId)) {
+      return [];
+    }
+    return near
+      .map((host) => ({ host, score: getRendezvousScore(failureDomain, host.id) }))
+      .sort((left, right) => right.score - left.score)
+      .slice(0, READERS_PER_DOMAIN)
+      .map(({ host }) => host);
+  }
+}
--- a/src/directory/DirectoryStore.ts
+++ b/src/directory/DirectoryStore.ts
@@ -14,6 +14,8 @@
     readonly kind: 'changes';
     readonly changes: readonly DirectoryChange[];
     readonly revision: number;
+    /** The changes as the store gave them, for `decodeChanges` at another host. */
+    readonly payload: string;
   }
   /** The store no longer has the history that was asked for. */
   | { readonly kind: 'historyLost' };
@@ -36,6 +38,11 @@
    * @returns the changes; none when the wait ran out
    */
   follow(revision: number, waitMs: number): Promise<FollowResult>;
+  /**
+   * @param payload - changes that another host got from the store
+   * @returns the changes
+   */
+  decodeChanges(payload: string): readonly DirectoryChange[];
   /**
    * @param ttlMs - how long the lease lasts without renewal
    * @returns the lease's id
--- /dev/null
+++ b/src/directory/HttpDirectoryPeers.ts
@@ -0,0 +1,33 @@
+import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import { DIRECTORY_PATH, type DirectoryPeers, type PeerChanges } from './DirectoryPeers.ts';
+import type { KnownHost } from './HostEntry.ts';
+
+/** Time that a reader has for its answer, beyond what it waits by intent. */
+const ANSWER_TIMEOUT_MS = 400;
+const STATUS_OK = 200;
+
+/** Asks readers over HTTP on their peer port. */
+export class HttpDirectoryPeers implements DirectoryPeers {
+  readonly #connections: UpstreamConnections;
+
+  /**
+   * @param connections - connections to peers
+   */
+  constructor(connections: UpstreamConnections) {
+    this.#connections = connections;
+  }
+
+  /** @inheritdoc */
+  async follow(reader: KnownHost, revision: number, waitMs: number): Promise<PeerChanges> {
+    const response = await this.#connections.get(`http://${reader.peerAddress}`).request({
+      method: 'GET',
+      path: `${DIRECTORY_PATH}?after=${revision}&waitMs=${waitMs}`,
+      signal: AbortSignal.timeout(waitMs + ANSWER_TIMEOUT_MS),
+    });
+    if (response.statusCode !== STATUS_OK) {
+      await response.body.dump();
+      throw new Error(`host ${reader.id} answered ${response.statusCode}`);
+    }
+    return await response.body.json() as PeerChanges;
+  }
+}
--- /dev/null
+++ b/src/directory/relayedDirectory.test.ts
@@ -0,0 +1,179 @@
+import { deepEqual, equal } from 'node:assert/strict';
+import fastify from 'fastify';
+import { describe, it } from 'node:test';
+import { pino } from 'pino';
+import { MemoryDirectoryStore } from '../../test/support/MemoryDirectoryStore.ts';
+import { SeededRandomSource } from '../lib/SeededRandomSource.ts';
+import { toId, type HostId } from '../lib/ids.ts';
+import { ManualClock } from '../time/ManualClock.ts';
+import { Directory } from './Directory.ts';
+import type { DirectoryChange } from './DirectoryChange.ts';
+import { DirectoryFollower } from './DirectoryFollower.ts';
+import { DIRECTORY_PATH, type PeerChanges } from './DirectoryPeers.ts';
+import { DirectoryReaders } from './DirectoryReaders.ts';
+import type { FollowResult } from './DirectoryStore.ts';
+import { registerDirectoryRoutes } from './registerDirectoryRoutes.ts';
+
+const RELAY_WAIT_MS = 1_000;
+const HOST_NAMES = ['h0', 'h1', 'h2', 'h3', 'h4', 'h5'];
+
+function createHost(name: string): DirectoryChange {
+  return {
+    kind: 'host',
+    entry: {
+      id: toId<HostId>(name),
+      failureDomain: 'a',
+      peerAddress: `${name}:1`,
+      processorCores: 1,
+      linkMbps: 1,
+      registeredRevision: 1,
+    },
+  };
+}
+
+const HOSTS = HOST_NAMES.map(createHost);
+const DRAINED: DirectoryChange = { kind: 'domainDrained', failureDomain: 'x' };
+
+/** A store that counts what it is asked. */
+class CountingStore extends MemoryDirectoryStore {
+  readonly waitsMs: number[] = [];
+
+  override async follow(revision: number, waitMs = 0): Promise<FollowResult> {
+    this.waitsMs.push(waitMs);
+    const changes = this.changes.slice(revision);
+    return {
+      kind: 'changes', changes, revision: this.changes.length, payload: JSON.stringify(changes),
+    };
+  }
+}
+
+interface Fixture {
+  readonly clock: ManualClock;
+  readonly store: CountingStore;
+  readonly directory: Directory;
+  readonly follower: DirectoryFollower;
+}
+
+/** A follower whose readers answer as a script says; it ends with the script. */
+function createFollower(
+  name: string,
+  script: (PeerChanges | Error)[],
+  clock = new ManualClock(),
+): Fixture {
+  const store = new CountingStore();
+  store.changes.push(...HOSTS);
+  const directory = new Directory(clock);
+  const logger = pino({ level: 'silent' });
+  const follower: DirectoryFollower = new DirectoryFollower({
+    clock,
+    store,
+    directory,
+    logger,
+    random: new SeededRandomSource(1),
+    readers: new DirectoryReaders({
+      clock, hostId: toId<HostId>(name), failureDomain: 'a', directory, logger,
+    }),
+    peers: {
+      follow: async () => {
+        const next = script.shift();
+        if (script.length === 0) {
+          follower.stop();
+        }
+        if (next === undefined || next instanceof Error) {
+          throw next ?? new Error('the script is at its end');
+        }
+        return next;
+      },
+    },
+    pause: async () => {},
+  }, { relayWaitMs: RELAY_WAIT_MS });
+  return {
+    clock, store, directory, follower,
+  };
+}
+
+function isReader(name: string): boolean {
+  const directory = new Directory(new ManualClock());
+  HOSTS.forEach((change) => directory.apply(change));
+  return new DirectoryReaders({
+    clock: new ManualClock(),
+    hostId: toId<HostId>(name),
+    failureDomain: 'a',
+    directory,
+    logger: pino({ level: 'silent' }),
+  }).isReader;
+}
+
+const FOLLOWER = HOST_NAMES.find((name) => !isReader(name)) ?? '';
+const READER = HOST_NAMES.find(isReader) ?? '';
+const NOTHING: PeerChanges = {
+  kind: 'changes', revision: 0, payloads: [], ageMs: 5,
+};
+
+describe('a directory that is followed from another host', () => {
+  it('asks the store nothing while its reader answers', async () => {
+    const { store, directory, follower } = createFollower(FOLLOWER, [
+      NOTHING,
+      {
+        kind: 'changes', revision: 8, payloads: [JSON.stringify([DRAINED])], ageMs: 0,
+      },
+      NOTHING,
+    ]);
+    await follower.run();
+    deepEqual(store.waitsMs, []);
+    directory.apply({
+      kind: 'upstream',
+      entry: {
+        id: toId('u'),
+        poolId: toId('p'),
+        address: 'u:1',
+        failureDomain: 'x',
+        isDraining: false,
+        slots: 1,
+        coldRemainingMs: 0,
+        startedAtMs: 1,
+      },
+    });
+    equal(directory.isUsable(toId('u')), false);
+  });
+
+  it('reads the store at once, without a wait, when its reader gives no answer', async () => {
+    const { store, follower } = createFollower(FOLLOWER, [new Error('silent'), NOTHING]);
+    await follower.run();
+    deepEqual(store.waitsMs, [0]);
+  });
+
+  it('reads the store at once when its reader lacks its revision', async () => {
+    const { store, follower } = createFollower(FOLLOWER, [{ kind: 'gap', ageMs: 1 }, NOTHING]);
+    await follower.run();
+    deepEqual(store.waitsMs, [0]);
+  });
+
+  it('is given on by a reader only while the store has answered it a moment ago', async () => {
+    const clock = new ManualClock();
+    const { follower, store } = createFollower(READER, [], clock);
+    store.follow = async () => {
+      follower.stop();
+      return {
+        kind: 'changes', changes: [DRAINED], revision: 7, payload: JSON.stringify([DRAINED]),
+      };
+    };
+    await follower.run();
+    const server = fastify();
+    registerDirectoryRoutes(server, follower);
+    const ask = async (after: number): Promise<{ status: number; body: unknown }> => {
+      const { statusCode, body } = await server.inject(`${DIRECTORY_PATH}?after=${after}&waitMs=0`);
+      return { status: statusCode, body: JSON.parse(body) };
+    };
+    deepEqual(await ask(6), {
+      status: 200,
+      body: {
+        kind: 'changes', revision: 7, payloads: [JSON.stringify([DRAINED])], ageMs: 0,
+      },
+    });
+    equal((await ask(-1)).status, 400);
+    clock.advance(RELAY_WAIT_MS + 601);
+    equal((await ask(6)).status, 503);
+    await server.close();
+  });
+});
--- a/src/placement/PlacementServer.ts
+++ b/src/placement/PeerServer.ts
@@ -6,8 +6,8 @@
 
 const STATUS_UNAVAILABLE = 503;
 
-/** Lets the other entry hosts use this host's placement desk. */
-export class PlacementServer {
+/** Serves the other entry hosts: lets them use this host's placement desk, and what is added. */
+export class PeerServer {
   readonly #desk: PlacementDesk;
 
   readonly #server: FastifyInstance;
@@ -41,6 +41,11 @@
     });
   }
 
+  /** @param register - adds routes, before the server listens */
+  addRoutes(register: (server: FastifyInstance) => void): void {
+    register(this.#server);
+  }
+
   /**
    * @param address - IP address and port for peers
    * @returns when it listens
--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -12,7 +12,7 @@
 import { PlacementClient } from './PlacementClient.ts';
 import { PlacementDesk } from './PlacementDesk.ts';
 import type { PlacementDemand } from './PlacementRequest.ts';
-import { PlacementServer } from './PlacementServer.ts';
+import { PeerServer } from './PeerServer.ts';
 
 const FIRST: RouteStage = { poolId: toId<PoolId>('first'), after: [], resultBytes: 1 };
 const SECOND: RouteStage = { poolId: toId<PoolId>('second'), after: [0], resultBytes: 1 };
@@ -61,7 +61,7 @@
 
   readonly client: PlacementClient;
 
-  readonly #servers: PlacementServer[] = [];
+  readonly #servers: PeerServer[] = [];
 
   constructor() {
     this.client = new PlacementClient({
@@ -82,7 +82,7 @@
 
   async addDesk(name: string, registeredRevision: number, desk: PlacementDesk): Promise<void> {
     const peerAddress = `127.0.0.1:${await getFreePort()}`;
-    const server = new PlacementServer(desk);
+    const server = new PeerServer(desk);
     await server.listen(peerAddress);
     this.#servers.push(server);
     this.own.directory.apply({
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -1,14 +1,17 @@
 import type { Logger } from 'pino';
 import { Directory } from '../directory/Directory.ts';
 import { DirectoryFollower } from '../directory/DirectoryFollower.ts';
+import { DirectoryReaders } from '../directory/DirectoryReaders.ts';
 import { HostCountKeeper } from '../directory/HostCountKeeper.ts';
 import { HostRegistration } from '../directory/HostRegistration.ts';
+import { HttpDirectoryPeers } from '../directory/HttpDirectoryPeers.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
+import { registerDirectoryRoutes } from '../directory/registerDirectoryRoutes.ts';
 import { UpstreamNotices } from '../directory/UpstreamNotices.ts';
 import { IngressServer } from '../ingress/IngressServer.ts';
 import { ReadinessServer } from '../ingress/ReadinessServer.ts';
 import { PlacementClient } from '../placement/PlacementClient.ts';
-import { PlacementServer } from '../placement/PlacementServer.ts';
+import { PeerServer } from '../placement/PeerServer.ts';
 import { PlacementService } from '../placement/PlacementService.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
@@ -57,7 +60,7 @@
 
   readonly #client: PlacementClient;
 
-  readonly #peerServer: PlacementServer;
+  readonly #peerServer: PeerServer;
 
   readonly #relays: RelayManager;
 
@@ -88,8 +91,20 @@
     const directory = new Directory(clock);
     this.#directory = directory;
     this.#follower = new DirectoryFollower({
-      store: adapters.store, directory, logger, random: new SystemRandomSource(),
-    }, { waitMs: settings.storeWaitMs });
+      clock,
+      store: adapters.store,
+      directory,
+      logger,
+      random: new SystemRandomSource(),
+      readers: new DirectoryReaders({
+        clock,
+        hostId: settings.hostId,
+        failureDomain: settings.failureDomain,
+        directory,
+        logger,
+      }),
+      peers: new HttpDirectoryPeers(adapters.connections),
+    }, { waitMs: settings.storeWaitMs, relayWaitMs: settings.relayWaitMs });
     this.#registration = new HostRegistration(adapters.store, {
       id: settings.hostId,
       failureDomain: settings.failureDomain,
@@ -112,7 +127,8 @@
     this.#service = new PlacementService({
       clock, directory, caller: adapters.stageCaller, notices, repeats: shares, logger,
     });
-    this.#peerServer = new PlacementServer(this.#service.desk);
+    this.#peerServer = new PeerServer(this.#service.desk);
+    this.#peerServer.addRoutes((server) => registerDirectoryRoutes(server, this.#follower));
     this.#client = new PlacementClient({
       clock,
       hostId: settings.hostId,
--- a/test/support/MemoryDirectoryStore.ts
+++ b/test/support/MemoryDirectoryStore.ts
@@ -18,11 +18,19 @@
     await new Promise((resolve) => {
       setTimeout(resolve, FOLLOW_PAUSE_MS);
     });
+    const changes = this.changes.slice(revision);
     return {
-      kind: 'changes', changes: this.changes.slice(revision), revision: this.changes.length,
+      kind: 'changes',
+      changes,
+      revision: this.changes.length,
+      payload: JSON.stringify(changes),
     };
   }
 
+  decodeChanges(payload: string): readonly DirectoryChange[] {
+    return JSON.parse(payload) as DirectoryChange[];
+  }
+
   async createLease(): Promise<number> {
     return 1;
   }
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -135,6 +135,7 @@
       metricsAddress: `127.0.0.1:${metrics}`,
       storeAddress: '',
       storeWaitMs: 1_000,
+      relayWaitMs: null,
       sharedBounds: {
         retryRatio: 0.2,
         retrySlack,
