Let one in 24 hosts read the store, with longer waits, and substitutes stand in

On five failure domains of five hosts ten readers with waits of a second cost what they save.

Now one reader for each 24 hosts of a failure domain, which waits two waits of its followers and lets changes settle for half of one; when it fails, the next in the same order stands in, as all that lost it find. A reader's answer waits no longer than what it knows is fresh. After failed calls a host pauses up to a second (0.3 s before): refused calls cost as well.

--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -40,9 +40,17 @@
   settlePerHostMs: 10,
   maxSettleMs: 800,
   minPauseMs: 50,
-  maxPauseMs: 300,
+  maxPauseMs: 1_000,
 };
 
+/** How new what a host has from the store is. */
+export interface DirectoryFreshness {
+  /** How long ago the store answered. */
+  readonly ageMs: number;
+  /** How much longer others may follow, if the store does not answer again. */
+  readonly lapsesInMs: number;
+}
+
 /** What a follower is made of. */
 export interface DirectoryFollowerParts {
   readonly clock: Clock;
@@ -62,10 +70,12 @@
   readonly pause?: (durationMs: number) => Promise<void>;
 }
 
-/** Pause of a reader after changes: there are few readers, and others wait for what it reads. */
-const READER_SETTLE_MS = 200;
-/** A reader whose store is silent for longer than a wait and this has lost it. */
-const FRESH_SLACK_MS = 600;
+/** Wait of a reader at the store, in waits of those that follow it. */
+const READER_WAIT_FACTOR = 2;
+/** Pause of a reader after changes, in waits of those that follow it. */
+const READER_SETTLE_PART = 0.5;
+/** A reader has lost the store that is silent for longer than a wait, a pause and this. */
+const FRESH_SLACK_MS = 400;
 
 /**
  * Reads the store once and then follows its changes, for as long as the process runs. In a large
@@ -121,14 +131,15 @@
     return this.#hasContact;
   }
 
-  /** How old what this host has from the store is; null when others should not follow it. */
-  get freshAgeMs(): number | null {
+  /** How others may follow this host now; null when it has lost the store, or never follows it. */
+  get freshness(): DirectoryFreshness | null {
     const { relayWaitMs } = this.#options;
     if (this.#storeAnsweredAtMs === null || relayWaitMs === null) {
       return null;
     }
     const ageMs = this.#parts.clock.getMonotonicMs() - this.#storeAnsweredAtMs;
-    return ageMs <= relayWaitMs + FRESH_SLACK_MS ? ageMs : null;
+    const maxAgeMs = relayWaitMs * (READER_WAIT_FACTOR + READER_SETTLE_PART) + FRESH_SLACK_MS;
+    return ageMs <= maxAgeMs ? { ageMs, lapsesInMs: maxAgeMs - ageMs } : null;
   }
 
   /** Follows until stopped. */
@@ -163,9 +174,9 @@
   }
 
   #getSettleMs(): number {
-    const { settlePerHostMs, maxSettleMs } = this.#options;
-    return this.#isReader
-      ? READER_SETTLE_MS
+    const { settlePerHostMs, maxSettleMs, relayWaitMs } = this.#options;
+    return this.#isReader && relayWaitMs !== null
+      ? relayWaitMs * READER_SETTLE_PART
       : Math.min(maxSettleMs, settlePerHostMs * this.#parts.directory.hosts.size);
   }
 
@@ -231,7 +242,9 @@
       return 0;
     }
     const { waitMs, relayWaitMs } = this.#options;
-    return this.#isReader ? Math.min(waitMs, relayWaitMs ?? waitMs) : waitMs;
+    return this.#isReader && relayWaitMs !== null
+      ? Math.min(waitMs, relayWaitMs * READER_WAIT_FACTOR)
+      : waitMs;
   }
 
   async #followReader(
--- a/src/directory/DirectoryReaders.ts
+++ b/src/directory/DirectoryReaders.ts
@@ -15,13 +15,22 @@
   readonly logger: Logger;
 }
 
-/** Hosts of a failure domain that read the store for the others. */
-const READERS_PER_DOMAIN = 2;
+/** Hosts of a failure domain for each of which one reads the store. */
+const HOSTS_PER_READER = 24;
+/** Hosts that stand in for readers that failed, before every host reads the store itself. */
+const SUBSTITUTE_COUNT = 2;
 /** A failure domain of fewer hosts gains too little. */
 const MIN_DOMAIN_HOSTS = 4;
 /** How long a reader that failed is passed over. */
 const AVOID_MS = 5_000;
 
+function orderByScore(key: string, hosts: readonly KnownHost[]): KnownHost[] {
+  return hosts
+    .map((host) => ({ host, score: getRendezvousScore(key, host.id) }))
+    .sort((left, right) => right.score - left.score)
+    .map(({ host }) => host);
+}
+
 /**
  * Says which hosts of a failure domain follow the store, and whom each of the others follows.
  *
@@ -50,15 +59,11 @@
 
   /** @returns the host to follow; null for the store itself */
   choose(): KnownHost | null {
-    const { hostId, clock } = this.#parts;
-    const nowMs = clock.getMonotonicMs();
+    const { hostId } = this.#parts;
     const readers = this.#getReaders();
     const chosen = readers.some(({ id }) => id === hostId)
       ? null
-      : readers
-        .filter(({ id }) => (this.#avoidedUntilMs.get(id) ?? -Infinity) <= nowMs)
-        .map((host) => ({ host, score: getRendezvousScore(hostId, host.id) }))
-        .sort((left, right) => right.score - left.score)[0]?.host ?? null;
+      : orderByScore(hostId, readers)[0] ?? null;
     this.#noteSource(chosen?.id ?? null);
     return chosen;
   }
@@ -87,16 +92,19 @@
   }
 
   #getReaders(): KnownHost[] {
-    const { directory, failureDomain, hostId } = this.#parts;
+    const {
+      clock, directory, failureDomain, hostId,
+    } = this.#parts;
+    const nowMs = clock.getMonotonicMs();
     const near = [...directory.hosts.values()]
       .filter((host) => host.failureDomain === failureDomain);
     if (near.length < MIN_DOMAIN_HOSTS || !directory.hosts.has(hostId)) {
       return [];
     }
-    return near
-      .map((host) => ({ host, score: getRendezvousScore(failureDomain, host.id) }))
-      .sort((left, right) => right.score - left.score)
-      .slice(0, READERS_PER_DOMAIN)
-      .map(({ host }) => host);
+    const readerCount = Math.ceil(near.length / HOSTS_PER_READER);
+    return orderByScore(failureDomain, near)
+      .slice(0, readerCount + SUBSTITUTE_COUNT)
+      .filter(({ id }) => (this.#avoidedUntilMs.get(id) ?? -Infinity) <= nowMs)
+      .slice(0, readerCount);
   }
 }
--- a/src/directory/registerDirectoryRoutes.ts
+++ b/src/directory/registerDirectoryRoutes.ts
@@ -27,13 +27,14 @@
     { schema: { querystring: QUERY_SCHEMA } },
     async (request, reply): Promise<PeerChanges | { detail: string }> => {
       const { after, waitMs } = request.query;
-      await follower.changeLog.waitBeyond(after, waitMs);
-      const { freshAgeMs } = follower;
-      if (freshAgeMs === null) {
+      const lapsesInMs = follower.freshness?.lapsesInMs ?? 0;
+      await follower.changeLog.waitBeyond(after, Math.min(waitMs, lapsesInMs));
+      const { freshness } = follower;
+      if (freshness === null) {
         reply.code(STATUS_UNAVAILABLE);
         return { detail: 'this host does not follow the store, or has lost it' };
       }
-      return { ...follower.changeLog.getSince(after), ageMs: freshAgeMs };
+      return { ...follower.changeLog.getSince(after), ageMs: freshness.ageMs };
     },
   );
 }
