Log what upstreams say of themselves by name, and explain a request that found none open

Lines upstreamLeaving and upstreamBackOff in place of directoryChanged for both; poolClosed holds the closed upstreams and the time of the first opening, and is the deciding line of a refusal for that reason. Test in explainFromLogs.test.ts.

--- a/src/explain/explainFromLogs.test.ts
+++ b/src/explain/explainFromLogs.test.ts
@@ -51,6 +51,15 @@
     equal(found.decidingLine, broken);
   });
 
+  it('names the closed upstreams for a request that found none open', () => {
+    const closed = relay('a.log', 2, 'poolClosed', { closedIds: ['i-1'], opensInMs: 9_000 });
+    const notice = createLine('a.log', 0, { event: 'upstreamBackOff', upstreamId: 'i-1' });
+    const found = explainFromLogs('r', [notice, closed, relay('a.log', 3, 'no-upstream-open')]);
+    equal(found.outcome, 'no-upstream-open');
+    equal(found.decidingLine, closed);
+    ok(found.lines.includes(notice));
+  });
+
   it('shows what changed around a request, and nothing of other times and requests', () => {
     const near = createLine('c.log', 900, { event: 'placerLost', hostId: 'h' });
     const found = explainFromLogs('r', [
--- a/src/explain/explainFromLogs.ts
+++ b/src/explain/explainFromLogs.ts
@@ -19,7 +19,8 @@
 /** Changes of what hosts believe; shown when they fall into a request's time. */
 export const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
   'started', 'stopping', 'stopped', 'paused', 'storeLost', 'storeRegained', 'configurationInForce',
-  'placerChosen', 'placerLost', 'stageCallEnded',
+  'placerChosen', 'placerLost', 'stageCallEnded', 'upstreamLeaving', 'upstreamBackOff',
+  'directorySourceChanged', 'directoryReaderLost',
 ]);
 
 /** Outcomes of `relay` lines that end a request, and what each means. */
@@ -32,6 +33,9 @@
   unreachable: 'No host that places could be reached.',
   'engines-full': 'Engines refused it, or could not be reached, too often.',
   'upstreams-full': 'Upstreams refused it, or could not be reached, too often.',
+  'no-upstream-open': 'All upstreams of its pool wanted no requests until after its time.',
+  'engines-left': 'The engines that were chosen for it left before it was sent, too often.',
+  'repeats-spent': 'It had not run, and the share of repeats was used up.',
   'engine-failed': 'The engine answered with a failure, which was passed on.',
   'engine-broke-off': 'The engine broke its answer off, and the request may not run again.',
   'upstream-failed': 'The upstream broke off or failed, and the request may not run again.',
@@ -59,6 +63,9 @@
       return findLast(lines, (line) => getOutcome(line) === 'brokenOff') ?? end;
     case 'upstream-failed':
       return findLast(lines, (line) => ['broken', 'failed'].includes(getOutcome(line))) ?? end;
+    case 'no-upstream-open':
+      return findLast(lines, (line) => getOutcome(line) === 'poolClosed') ?? end;
+    case 'engines-left':
     case 'engines-full':
     case 'upstreams-full':
       return findLast(lines, (line) => (
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -154,11 +154,14 @@
 
   /** All engines want nothing from this host for a while. */
   #waitUntilOpen(opensInMs: number): void {
+    const { poolId } = this.#terms;
+    const closedIds = this.#context.directory.getClosedIds(poolId);
     if (opensInMs >= this.#getRemainingMs()) {
-      this.#giveUp(STATUS.unavailable, 'upstreams-closed', opensInMs);
+      this.#log('poolClosed', { poolId, opensInMs, closedIds });
+      this.#giveUp(STATUS.unavailable, 'no-upstream-open', opensInMs);
       return;
     }
-    this.#log('waitsForOpening', { opensInMs: Math.round(opensInMs) });
+    this.#log('waitsForUpstream', { poolId, opensInMs, closedIds });
     this.#pauseTimer = setTimeout(() => this.#place(), opensInMs);
   }
 
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -247,6 +247,11 @@
         this.#logger.info({
           event: 'configurationInForce', version: change.configuration.version,
         }, 'a configuration is in force');
+      } else if (change.kind === 'upstreamLeaving' || change.kind === 'upstreamBackOff') {
+        this.#logger.info(
+          { event: change.kind, ...change },
+          'an upstream has said that it closes; nothing new goes there from this host',
+        );
       } else {
         this.#logger.info({ event: 'directoryChanged', change }, 'the directory has changed');
       }
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -195,6 +195,9 @@
       return;
     }
     if (isHopeless) {
+      this.#log('poolClosed', {
+        poolId, opensInMs, closedIds: directory.getClosedIds(poolId),
+      });
       this.#giveUp(STATUS.unavailable, 'no-upstream-open', getReturnMs({
         opensInMs: opensInMs ?? RETRY_AFTER_MS,
         waitingCount: book.getWaitingCount(poolId),
