--- a/scripts/buildPlatform.ts
+++ b/scripts/buildPlatform.ts
@@ -1,7 +1,5 @@
 import { spawnSync } from 'node:child_process';
-import {
-  existsSync, mkdirSync, readFileSync, rmSync,
-} from 'node:fs';
+import { mkdirSync, readFileSync, rmSync } from 'node:fs';
 import { build, type BuildOptions } from 'esbuild';
 
 /*
