Ask the store again at once when a wait there was silent, and model a fleet of followers

Cause: a wait at the silent store ended when its time was nearly up; then came a pause of up to 1.5 s, and a reader that might be silent too.

--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -16,8 +16,8 @@
   /** How long one wait for changes lasts; a silent connection goes unnoticed for so long. */
   readonly waitMs: number;
   /**
-   * How long one wait lasts where hosts follow one another: at a reader, and at those that follow
-   * it. Null where every host follows the store.
+   * Unit of the waits where hosts follow one another, a quarter of the time in which a change has
+   * to be in force. Null where every host follows the store.
    */
   readonly relayWaitMs: number | null;
   /**
@@ -70,9 +70,9 @@
   readonly pause?: (durationMs: number) => Promise<void>;
 }
 
-/** Wait of a reader at the store, in waits of those that follow it. */
+/** Wait of a reader at the store, in relay waits. */
 const READER_WAIT_FACTOR = 2;
-/** Pause of a reader after changes, in waits of those that follow it. */
+/** Pause of a reader after changes, in relay waits. */
 const READER_SETTLE_PART = 0.5;
 /** A reader has lost the store that is silent for longer than a wait, a pause and this. */
 const FRESH_SLACK_MS = 400;
@@ -145,6 +145,7 @@
   /** Follows until stopped. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
+      const startedAtMs = this.#parts.clock.getMonotonicMs();
       try {
         // eslint-disable-next-line no-await-in-loop -- each wait goes on from the one before
         const settleMs = await this.#step();
@@ -153,11 +154,12 @@
           await this.#pause(settleMs);
         }
       } catch (error) {
-        // A reader may still have the store when this host has lost it.
-        this.#mustCatchUp = false;
+        // What a silent wait missed is asked for at once. When the store does not give it either, a
+        // reader may still have it.
+        this.#mustCatchUp = !this.#mustCatchUp;
         this.#noteLoss(error);
         // eslint-disable-next-line no-await-in-loop -- the pause is the point
-        await this.#pause(this.#backoff.getNextDelayMs());
+        await this.#pause(this.#getFailurePauseMs(startedAtMs));
       }
     }
   }
@@ -173,6 +175,12 @@
     this.#revision = null;
   }
 
+  /** A call that failed late has been the pause already; what it missed is asked for at once. */
+  #getFailurePauseMs(startedAtMs: number): number {
+    const elapsedMs = this.#parts.clock.getMonotonicMs() - startedAtMs;
+    return Math.max(this.#options.minPauseMs, this.#backoff.getNextDelayMs() - elapsedMs);
+  }
+
   #getSettleMs(): number {
     const { settlePerHostMs, maxSettleMs, relayWaitMs } = this.#options;
     return this.#isReader && relayWaitMs !== null
--- a/src/relay/RelayHostOptions.ts
+++ b/src/relay/RelayHostOptions.ts
@@ -26,7 +26,7 @@
   readonly storeAddress: string;
   /** How long one wait for changes in the store lasts. */
   readonly storeWaitMs: number;
-  /** How long it lasts where hosts follow one another; null where each follows the store. */
+  /** Unit of the waits where hosts follow one another; null where each follows the store. */
   readonly relayWaitMs: number | null;
   readonly sharedBounds: SharedBounds;
   /** Time from the signal to leave to the end of the process. */
