--- a/src/directory/DirectoryFollower.test.ts
+++ b/src/directory/DirectoryFollower.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
 import { MemoryDirectoryStore } from '../../test/support/MemoryDirectoryStore.ts';
+import { createHostChange } from '../../test/support/createHostChange.ts';
 import { SeededRandomSource } from '../lib/SeededRandomSource.ts';
-import { toId, type HostId } from '../lib/ids.ts';
 import { ManualClock } from '../time/ManualClock.ts';
 import { Directory } from './Directory.ts';
 import type { DirectoryChange } from './DirectoryChange.ts';
@@ -26,20 +26,6 @@
     },
   },
 };
-function createHost(name: string): DirectoryChange {
-  return {
-    kind: 'host',
-    entry: {
-      id: toId<HostId>(name),
-      failureDomain: 'a',
-      peerAddress: name,
-      processorCores: 1,
-      linkMbps: 1,
-      registeredRevision: 1,
-    },
-  };
-}
-
 const DRAINED: DirectoryChange = { kind: 'domainDrained', failureDomain: 'a' };
 
 /** A store whose waits end as a test says. */
@@ -100,7 +86,7 @@
 
 describe('DirectoryFollower', () => {
   it('lets changes settle, longer with more hosts, and asks on at once after none', async () => {
-    const hosts = [createHost('one'), createHost('two')];
+    const hosts = [createHostChange('one'), createHostChange('two')];
     const { pausesMs } = await follow(hosts, [
       createChanges(DRAINED), createChanges(), createChanges(CONFIGURATION), createChanges(),
     ]);
--- a/src/directory/DirectoryReaders.test.ts
+++ b/src/directory/DirectoryReaders.test.ts
@@ -1,6 +1,7 @@
 import { equal, ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
+import { createHostChange } from '../../test/support/createHostChange.ts';
 import { toId, type HostId } from '../lib/ids.ts';
 import { ManualClock } from '../time/ManualClock.ts';
 import { Directory } from './Directory.ts';
@@ -25,17 +26,9 @@
   clock = new ManualClock(),
 ): DirectoryReaders {
   const directory = new Directory(clock);
-  hosts.forEach(({ name, failureDomain }, index) => directory.apply({
-    kind: 'host',
-    entry: {
-      id: toId<HostId>(name),
-      failureDomain,
-      peerAddress: `${name}:1`,
-      processorCores: 1,
-      linkMbps: 1,
-      registeredRevision: index,
-    },
-  }));
+  hosts.forEach(({ name, failureDomain }, index) => directory.apply(
+    createHostChange(name, { failureDomain, registeredRevision: index }),
+  ));
   return new DirectoryReaders({
     clock,
     hostId: toId<HostId>(own.name),
--- a/src/directory/relayedDirectory.test.ts
+++ b/src/directory/relayedDirectory.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
 import { MemoryDirectoryStore } from '../../test/support/MemoryDirectoryStore.ts';
+import { createHostChange } from '../../test/support/createHostChange.ts';
 import { SeededRandomSource } from '../lib/SeededRandomSource.ts';
 import { toId, type HostId } from '../lib/ids.ts';
 import { ManualClock } from '../time/ManualClock.ts';
@@ -17,21 +18,7 @@
 const RELAY_WAIT_MS = 1_000;
 const HOST_NAMES = ['h0', 'h1', 'h2', 'h3', 'h4', 'h5'];
 
-function createHost(name: string): DirectoryChange {
-  return {
-    kind: 'host',
-    entry: {
-      id: toId<HostId>(name),
-      failureDomain: 'a',
-      peerAddress: `${name}:1`,
-      processorCores: 1,
-      linkMbps: 1,
-      registeredRevision: 1,
-    },
-  };
-}
-
-const HOSTS = HOST_NAMES.map(createHost);
+const HOSTS = HOST_NAMES.map((name) => createHostChange(name));
 const DRAINED: DirectoryChange = { kind: 'domainDrained', failureDomain: 'x' };
 
 /** A store that counts what it is asked. */
--- a/src/relay/HostShares.test.ts
+++ b/src/relay/HostShares.test.ts
@@ -1,6 +1,7 @@
 import { ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
+import { createHostChange } from '../../test/support/createHostChange.ts';
 import { Directory } from '../directory/Directory.ts';
 import {
   toId, type HostId, type PoolId, type UpstreamId,
@@ -43,17 +44,9 @@
 
   /** Lets the host see entries of hosts. */
   see(...names: string[]): this {
-    names.forEach((name, index) => this.directory.apply({
-      kind: 'host',
-      entry: {
-        id: toId<HostId>(name),
-        failureDomain: 'a',
-        peerAddress: `${name}:1`,
-        processorCores: 1,
-        linkMbps: 1,
-        registeredRevision: index,
-      },
-    }));
+    names.forEach((name, index) => this.directory.apply(
+      createHostChange(name, { registeredRevision: index }),
+    ));
     return this;
   }
 
--- /dev/null
+++ b/test/support/createHostChange.ts
@@ -0,0 +1,26 @@
+import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
+import type { KnownHost } from '../../src/directory/HostEntry.ts';
+import { toId, type HostId } from '../../src/lib/ids.ts';
+
+/**
+ * @param name - the host's id
+ * @param differences - from a host of failure domain `a` with one core
+ * @returns the change by which the store tells of it
+ */
+export function createHostChange(
+  name: string,
+  differences: Partial<KnownHost> = {},
+): Extract<DirectoryChange, { kind: 'host' }> {
+  return {
+    kind: 'host',
+    entry: {
+      id: toId<HostId>(name),
+      failureDomain: 'a',
+      peerAddress: `${name}:1`,
+      processorCores: 1,
+      linkMbps: 1,
+      registeredRevision: 1,
+      ...differences,
+    },
+  };
+}
