--- a/scripts/soak/findViolations.test.ts
+++ b/scripts/soak/findViolations.test.ts
@@ -1,7 +1,7 @@
 import { deepEqual } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { SOAK_ACCOUNT } from './createSoakManifest.ts';
-import { EVENT_COUNT, findViolations } from './findViolations.ts';
+import { DRAIN_MS, EVENT_COUNT, findViolations } from './findViolations.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
 import {
   ARRIVAL_KIND, REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
@@ -153,10 +153,10 @@
   }
 
   it('finds requests that reach an upstream after it has said that it leaves', () => {
-    deepEqual(checkClosure('leaving', [1_100, 2_900]), []);
-    deepEqual(checkClosure('leaving', [1_100, 3_100]), ['leaving']);
+    deepEqual(checkClosure('leaving', [1_100, 1_000 + DRAIN_MS]), []);
+    deepEqual(checkClosure('leaving', [1_100, 1_001 + DRAIN_MS]), ['leaving']);
     const hostSpans = [{ hostIndex: 0, fromMs: 1_500, untilMs: 1_600 }];
-    deepEqual(checkClosure('leaving', [3_100], { hostSpans }), []);
+    deepEqual(checkClosure('leaving', [1_001 + DRAIN_MS], { hostSpans }), []);
   });
 
   it('finds more than two requests that reach an upstream in its back-off', () => {
--- a/scripts/soak/findViolations.ts
+++ b/scripts/soak/findViolations.ts
@@ -24,7 +24,10 @@
 /** Part of the requests after that which has to be served. */
 const RECOVERED_PART = 0.95;
 
-/** How long after an upstream has said that it leaves a host's callers may still reach it. */
+/**
+ * How long after an upstream has said that it leaves a host's callers may still reach it; the hosts
+ * are told the same in their settings.
+ */
 export const DRAIN_MS = 2_400;
 /** Requests that may still reach an upstream in a back-off, after its first half second. */
 const MAX_BACK_OFF_ARRIVALS = 2;
