Reproduce requests that end their upstreams without limit, in the soak

The soak's upstreams end 20 ms after they begin a request with the body 'crash', break all connections and are back after 1 s under another id; callers send one of each kind every 0.7 s, to the hosts in turn. Counted at the upstreams: arrivals later than contact_ms after the third end, from hosts in touch; three allowed.

So nothing is remembered, at one host either, and hosts add repeats of their own.

--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -11,11 +11,11 @@
 
 /*
  * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H] [--rate R] [--retries C]
- * [--slack B] [--profile all|repeats|closures] [--faults S]`: real entry hosts as processes on
- * loopback under faults from outside. Counts what arrives at each service more than once, and what
- * reaches upstreams that have said that they close. Exits 1 when a promise was not kept, and names
- * the seed. `npm run soak -- --regressions` runs every seed that ever failed, each as it was run
- * then.
+ * [--slack B] [--profile all|repeats|closures] [--faults S] [--crashing]`: real entry hosts as
+ * processes on loopback under faults from outside. Counts what arrives at each service more than
+ * once, what reaches upstreams that have said that they close, and how many of them a request ends.
+ * Exits 1 when a promise was not kept, and names the seed. `npm run soak -- --regressions` runs
+ * every seed that ever failed, each as it was run then.
  */
 const MS_PER_MINUTE = 60_000;
 const MS_PER_SECOND = 1_000;
@@ -44,6 +44,8 @@
   const logged = readLoggedRepeats(folder);
   run.getRepeats().forEach((report) => (
     console.log(`  ${formatRepeats(report, logged.get(report.service) ?? 0)}`)));
+  run.getCrashes().forEach(({ lateArrivals, ...report }) => (
+    console.log(`  crashes: ${JSON.stringify({ ...report, late: lateArrivals.length })}`)));
   console.log(`  closures: ${JSON.stringify(run.getClosures())}`);
   // Upstreams and callers live in this process: what it reads late looks late on the way.
   console.log(`  longest stall of the soak itself: ${Math.round(stalls.max / NS_PER_MS)} ms`);
@@ -63,6 +65,9 @@
   },
   faults: { type: 'number', default: FAULT_S, describe: 'seconds in which faults begin' },
   slack: { type: 'number', default: 50, describe: 'repeats in a window at any load' },
+  crashing: {
+    type: 'boolean', default: false, describe: 'requests come that end the upstreams',
+  },
   regressions: { type: 'boolean', default: false, describe: 'run every seed that ever failed' },
 }).strict().parse();
 
@@ -75,6 +80,7 @@
     callerRetries: options.retries,
     bounds: { ratio: RETRY_RATIO, slack: options.slack, windowMs: RETRY_WINDOW_MS },
     profile: options.profile,
+    isCrashing: options.crashing,
     faultMs: options.faults * MS_PER_SECOND,
     calmMs: CALM_MS,
   }));
--- a/scripts/soak/REGRESSION_RUNS.ts
+++ b/scripts/soak/REGRESSION_RUNS.ts
@@ -19,6 +19,7 @@
   profile: SOAK_PROFILE.repeats,
   faultMs: 25_000,
   calmMs: 9_000,
+  isCrashing: false,
   isShort: false,
 } as const;
 const EIGHT_HOSTS = {
--- a/scripts/soak/SoakCaller.ts
+++ b/scripts/soak/SoakCaller.ts
@@ -4,6 +4,18 @@
 import { REQUEST_KIND, type CallerRecord, type RequestKind } from './SoakRecord.ts';
 import { SOAK_HOST_NAME, SOAK_KEY } from './createSoakManifest.ts';
 
+/** A host that gets a request. */
+export interface SoakTarget {
+  readonly index: number;
+  readonly address: { readonly host: string; readonly port: number };
+}
+
+/** What is asked for. */
+export interface SoakDemand {
+  readonly kind: RequestKind;
+  readonly body: string;
+}
+
 const DEADLINE_MS: Readonly<Record<RequestKind, number>> = {
   [REQUEST_KIND.repeatable]: 2_000, [REQUEST_KIND.once]: 2_000, [REQUEST_KIND.stream]: 5_000,
 };
@@ -13,10 +25,7 @@
   /** How often it is sent again at most, each time at once. */
   readonly retriesLeft: number;
   /** @returns the host that gets it next */
-  readonly choose: () => {
-    readonly index: number;
-    readonly address: { readonly host: string; readonly port: number };
-  };
+  readonly choose: () => SoakTarget;
 }
 
 const STATUS_OK = 200;
@@ -43,31 +52,30 @@
   }
 
   /**
-   * @param hostIndex - the host
-   * @param address - where it listens
-   * @param kind - what to ask for
+   * @param target - the host
+   * @param demand - what to ask for
    * @param retry - how it comes back; null for never
    * @param isRetry - whether it has come back
    */
   send(
-    hostIndex: number,
-    address: { readonly host: string; readonly port: number },
-    kind: RequestKind,
+    target: SoakTarget,
+    demand: SoakDemand,
     retry: SoakRetry | null = null,
     isRetry = false,
   ): void {
     const record: CallerRecord = {
       requestId: randomUUID(),
-      kind,
-      hostIndex,
+      kind: demand.kind,
+      body: demand.body,
+      hostIndex: target.index,
       isRetry,
       sentAtMs: performance.now(),
-      deadlineMs: DEADLINE_MS[kind],
+      deadlineMs: DEADLINE_MS[demand.kind],
       endedAtMs: null,
       status: null,
       isSigned: false,
       isWhole: false,
-      body: '',
+      answerText: '',
     };
     this.#records.push(record);
     const end = (): void => {
@@ -77,10 +85,10 @@
       }
     };
     const request = sendRequest({
-      ...address,
+      ...target.address,
       agent: this.#agent,
       method: 'POST',
-      path: `/${kind}/x`,
+      path: `/${demand.kind}/x`,
       headers: {
         Host: SOAK_HOST_NAME,
         Authorization: `Bearer ${SOAK_KEY}`,
@@ -97,7 +105,7 @@
       record.isSigned = response.headers['x-response-signature'] !== undefined;
       response.setEncoding('utf8');
       response.on('data', (text: string) => {
-        record.body += text;
+        record.answerText += text;
       });
       response.on('end', () => {
         record.isWhole = response.complete;
@@ -108,16 +116,15 @@
     });
     request.on('error', end);
     request.on('close', end);
-    request.end('body');
+    request.end(demand.body);
   }
 
   #sendAgain(record: CallerRecord, retry: SoakRetry | null): void {
     if (retry === null || retry.retriesLeft === 0 || this.#isClosed || !isWorthRetrying(record)) {
       return;
     }
-    const { index, address } = retry.choose();
     const rest = { ...retry, retriesLeft: retry.retriesLeft - 1 };
-    this.send(index, address, record.kind, rest, true);
+    this.send(retry.choose(), record, rest, true);
   }
 
   /** Ends all connections; nothing is sent again. */
--- a/scripts/soak/SoakHost.ts
+++ b/scripts/soak/SoakHost.ts
@@ -4,6 +4,7 @@
 import { performance } from 'node:perf_hooks';
 import { ChildProgram } from '../fleet/ChildProgram.ts';
 import { DRAIN_MS } from './findViolations.ts';
+import { CONTACT_MS } from './measureCrashes.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
 import type { HostSpan } from './SoakRecord.ts';
 
@@ -129,7 +130,7 @@
       listen: { front: `${ip}:${PORTS.callers}`, ready: `${ip}:${PORTS.readiness}` },
       limits: { cpu_share: 1, cores: 1, link_mbps: 1_000 },
       bounds: {
-        contact_ms: 3_000,
+        contact_ms: CONTACT_MS,
         config_apply_ms: DRAIN_MS,
         drain_ms: DRAIN_MS,
         retry_budget_ratio: bounds.ratio,
--- a/scripts/soak/SoakRecord.ts
+++ b/scripts/soak/SoakRecord.ts
@@ -15,6 +15,8 @@
 export interface CallerRecord {
   readonly requestId: string;
   readonly kind: RequestKind;
+  /** Two requests of a kind with the same body are the same request, come again. */
+  readonly body: string;
   readonly hostIndex: number;
   /** Whether it came at once after a refusal or a failure. */
   readonly isRetry: boolean;
@@ -28,7 +30,7 @@
   isSigned: boolean;
   /** Whether the answer's end was seen. */
   isWhole: boolean;
-  body: string;
+  answerText: string;
 }
 
 /** One run of a request, or of a piece, at an upstream. */
@@ -74,6 +76,13 @@
   readonly untilMs: number;
 }
 
+/** The end of an upstream under a request that ends whatever runs it. */
+export interface CrashRecord {
+  readonly requestId: string;
+  readonly upstreamId: string;
+  readonly atMs: number;
+}
+
 /** Spans in which what is sent to an upstream arrives late or not at all. */
 export interface LinkSpan {
   readonly upstreamId: string;
@@ -88,14 +97,23 @@
   readonly untilMs: number;
 }
 
+/** Spans in which the store did not answer some host as it should. */
+export interface StoreSpan {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** All that callers and upstreams have seen. */
 export interface SoakRecord {
   readonly callers: CallerRecord[];
   readonly runs: RunRecord[];
   readonly arrivals: ArrivalRecord[];
   readonly notices: NoticeRecord[];
+  readonly crashes: CrashRecord[];
   readonly hostSpans: HostSpan[];
   readonly linkSpans: LinkSpan[];
+  /** Spans in which the store was harmed for some host. */
+  readonly storeSpans: StoreSpan[];
   /** When the last fault was over; requests sent a while later have to be served. */
   calmSinceMs: number;
 }
--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -17,19 +17,30 @@
   callerRetries: 1,
   bounds: { ratio: 0.2, slack: 50, windowMs: 10_000 },
   profile: SOAK_PROFILE.all,
+  isCrashing: false,
   faultMs: 4_000,
   calmMs: 7_500,
 };
 
+/** Calm but for requests that end whatever runs them, for long enough to know them. */
+const CRASHING_RUN: Omit<SoakRunOptions, 'folder' | 'network'> = {
+  ...MIXED_RUN, plan: [], isCrashing: true, calmMs: 11_000,
+};
+
+async function checkRun(options: Omit<SoakRunOptions, 'folder' | 'network'>): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), 'parsleylift-soak-'));
+  const run = new SoakRun({ ...options, folder, network: NETWORK });
+  deepEqual(await run.run(), []);
+  ok(run.servedCount > 0);
+  rmSync(folder, { recursive: true });
+}
+
 describe('SoakRun', () => {
+  it('sends no request on and on that ends its upstreams', () => checkRun(CRASHING_RUN));
+
   [MIXED_RUN, ...REGRESSION_RUNS.filter(({ isShort }) => isShort)].forEach((options) => {
     const faults = options.plan === undefined ? `seed ${options.seed}` : 'a plan';
-    it(`keeps the promises under the ${options.profile} faults of ${faults}`, async () => {
-      const folder = mkdtempSync(join(tmpdir(), 'parsleylift-soak-'));
-      const run = new SoakRun({ ...options, folder, network: NETWORK });
-      deepEqual(await run.run(), []);
-      ok(run.servedCount > 0);
-      rmSync(folder, { recursive: true });
-    });
+    it(`keeps the promises under the ${options.profile} faults of ${faults}`, () => (
+      checkRun(options)));
   });
 });
--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -4,16 +4,17 @@
 import { SeededRandomSource } from '../../src/lib/SeededRandomSource.ts';
 import { StoreStandin } from '../../standins/store/StoreStandin.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
-import { SoakCaller } from './SoakCaller.ts';
+import { SoakCaller, type SoakTarget } from './SoakCaller.ts';
 import { SoakHost } from './SoakHost.ts';
 import { SoakProxy } from './SoakProxy.ts';
 import { REQUEST_KIND, type SoakRecord } from './SoakRecord.ts';
 import { SoakStriker, type PlacedUpstream } from './SoakStriker.ts';
-import { SoakUpstream } from './SoakUpstream.ts';
+import { CRASHING_BODY, SoakUpstream } from './SoakUpstream.ts';
 import { countRepeats, type RepeatReport } from './countRepeats.ts';
 import { SOAK_POOLS } from './createSoakManifest.ts';
 import { createSoakPlan, type PlannedFault, type SoakProfile } from './createSoakPlan.ts';
 import { measureClosures, type ClosureReport } from './measureClosures.ts';
+import { measureCrashes, type CrashReport } from './measureCrashes.ts';
 import { findViolations, type Violation } from './findViolations.ts';
 
 /** What a run of the soak is made from. */
@@ -26,6 +27,8 @@
   readonly callerRetries: number;
   readonly bounds: RepeatBounds;
   readonly profile: SoakProfile;
+  /** Whether requests come again and again that end the upstreams which run them. */
+  readonly isCrashing: boolean;
   /** Faults in place of those that the seed draws. */
   readonly plan?: readonly PlannedFault[];
   /** Span in which faults begin. */
@@ -42,6 +45,9 @@
 const UPSTREAMS_PER_POOL = 3;
 const MS_PER_SECOND = 1_000;
 const KINDS = Object.values(REQUEST_KIND);
+const USUAL_BODY = 'body';
+/** Pause between two sends of a request that ends upstreams. */
+const CRASHING_EVERY_MS = 700;
 /** Part of the callers that come back at once. */
 const RETRYING_PART = 0.5;
 /** Time for the last requests to end, and how often that is looked at. */
@@ -66,8 +72,10 @@
     runs: [],
     arrivals: [],
     notices: [],
+    crashes: [],
     hostSpans: [],
     linkSpans: [],
+    storeSpans: [],
     calmSinceMs: Infinity,
   };
 
@@ -85,8 +93,11 @@
     upstreams: this.#upstreams,
     hosts: this.#hosts,
     onLinkSpan: (span) => this.#record.linkSpans.push(span),
+    onStoreSpan: (span) => this.#record.storeSpans.push(span),
   });
 
+  #crashingCount = 0;
+
   /**
    * @param options - see {@link SoakRunOptions}
    */
@@ -111,6 +122,11 @@
     return countRepeats(this.#record.arrivals, this.#record.callers, this.#options.bounds);
   }
 
+  /** @returns what became of the requests that end upstreams */
+  getCrashes(): CrashReport[] {
+    return measureCrashes(this.#record);
+  }
+
   /** @returns how near hosts came to the bounds on upstreams that close */
   getClosures(): ClosureReport {
     return measureClosures(this.#record);
@@ -119,11 +135,14 @@
   /** @returns the promises that were not kept */
   async run(): Promise<Violation[]> {
     const caller = new SoakCaller(this.#record.callers);
-    let timer: NodeJS.Timeout | null = null;
+    const timers: NodeJS.Timeout[] = [];
     try {
       await this.#start();
       const intervalMs = MS_PER_SECOND / this.#options.requestsPerSecond;
-      timer = setInterval(() => this.#sendRequests(caller), intervalMs);
+      timers.push(setInterval(() => this.#sendRequests(caller), intervalMs));
+      if (this.#options.isCrashing) {
+        timers.push(setInterval(() => this.#sendCrashing(caller), CRASHING_EVERY_MS));
+      }
       await sleep(1_000);
       const {
         faultMs, calmMs, bounds, profile,
@@ -137,11 +156,11 @@
       }));
       this.#record.calmSinceMs = performance.now();
       await sleep(calmMs);
-      clearInterval(timer);
+      timers.forEach((timer) => clearInterval(timer));
       await this.#waitForEnds(performance.now() + END_MS);
       return findViolations(this.#record, performance.now(), bounds);
     } finally {
-      clearInterval(timer ?? undefined);
+      timers.forEach((timer) => clearInterval(timer));
       caller.close();
       await this.#close();
     }
@@ -176,6 +195,10 @@
       onRun: (run) => this.#record.runs.push(run),
       onArrival: (arrival) => this.#record.arrivals.push(arrival),
       onNotice: (notice) => this.#record.notices.push(notice),
+      onCrash: (crash) => {
+        this.#record.crashes.push(crash);
+        this.#striker.bringBack(crash.upstreamId);
+      },
     });
     await upstream.listen();
     const proxy = new SoakProxy(upstream.port);
@@ -206,14 +229,25 @@
       const pick = Math.floor(this.#random.getFraction() * KINDS.length);
       const kind = KINDS[pick] ?? REQUEST_KIND.once;
       const isRetrying = this.#random.getFraction() < RETRYING_PART;
-      caller.send(index, host.callerAddress, kind, isRetrying ? {
+      caller.send({ index, address: host.callerAddress }, { kind, body: USUAL_BODY }, isRetrying ? {
         retriesLeft: this.#options.callerRetries,
         choose: () => this.#chooseHost(),
       } : null);
     });
   }
 
-  #chooseHost(): { index: number; address: SoakHost['callerAddress'] } {
+  /** One request of each kind, the next host each time. */
+  #sendCrashing(caller: SoakCaller): void {
+    const index = this.#crashingCount % this.#hosts.length;
+    const host = this.#hosts[index];
+    this.#crashingCount += 1;
+    if (host !== undefined) {
+      const target = { index, address: host.callerAddress };
+      KINDS.forEach((kind) => caller.send(target, { kind, body: CRASHING_BODY }));
+    }
+  }
+
+  #chooseHost(): SoakTarget {
     const index = Math.floor(this.#retryRandom.getFraction() * this.#hosts.length);
     const host = this.#hosts[index];
     if (host === undefined) {
--- a/scripts/soak/SoakStriker.ts
+++ b/scripts/soak/SoakStriker.ts
@@ -5,7 +5,7 @@
 import type { StoreFault, StoreStandin } from '../../standins/store/StoreStandin.ts';
 import type { SoakHost } from './SoakHost.ts';
 import type { ProxyFault, SoakProxy } from './SoakProxy.ts';
-import type { LinkSpan } from './SoakRecord.ts';
+import type { LinkSpan, StoreSpan } from './SoakRecord.ts';
 import type { SoakUpstream, UpstreamFault } from './SoakUpstream.ts';
 import { createSoakManifest } from './createSoakManifest.ts';
 import type { PlannedFault, SoakFault } from './createSoakPlan.ts';
@@ -25,10 +25,13 @@
   readonly upstreams: readonly PlacedUpstream[];
   readonly hosts: readonly SoakHost[];
   readonly onLinkSpan: (span: LinkSpan) => void;
+  readonly onStoreSpan: (span: StoreSpan) => void;
 }
 
 const SLOW_MS = 400;
 const DRAIN_MS = 1_500;
+/** How long an upstream is away that a request has ended. */
+const DOWN_MS = 1_000;
 /** Pause between two hosts that are ended one after the other. */
 const SERIES_GAP_MS = 300;
 
@@ -87,6 +90,22 @@
     this.#version += 1;
   }
 
+  /**
+   * Lets an upstream that has ended start again after a while.
+   *
+   * @param upstreamId - the start that has ended
+   */
+  async bringBack(upstreamId: string): Promise<void> {
+    const placed = this.#targets.upstreams.find(({ upstream }) => upstream.id === upstreamId);
+    await sleep(DOWN_MS);
+    // It may have been ended and started by a fault meanwhile.
+    if (placed !== undefined && placed.upstream.id === upstreamId) {
+      placed.upstream.restart();
+      this.#targets.store.remove(`${STORE_KEYS.upstreamPrefix}${upstreamId}`);
+      this.register(placed, 'ready');
+    }
+  }
+
   /**
    * @param planned - a fault that is due
    * @returns when it is over
@@ -241,9 +260,11 @@
       await this.#harmLink(placed, how, durationMs);
       return;
     }
+    const fromMs = performance.now();
     proxy.fault = how;
     await sleep(durationMs);
     proxy.fault = 'none';
+    this.#targets.onStoreSpan({ fromMs, untilMs: performance.now() });
   }
 
   async #strikeStore(
@@ -254,8 +275,10 @@
     if (how === 'forget') {
       store.state.dropHistory();
     }
+    const fromMs = performance.now();
     store.fault = getStoreFault(how);
     await sleep(durationMs);
     store.fault = { kind: 'none' };
+    this.#targets.onStoreSpan({ fromMs, untilMs: performance.now() });
   }
 }
--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -8,8 +8,8 @@
 import { HEADERS, UPSTREAM_PATHS } from '../../platform/WIRE.ts';
 import { EVENT_COUNT } from './findViolations.ts';
 import {
-  ARRIVAL_KIND, REQUEST_KIND, type ArrivalKind, type ArrivalRecord, type NoticeRecord,
-  type RequestKind, type RunRecord,
+  ARRIVAL_KIND, REQUEST_KIND, type ArrivalKind, type ArrivalRecord, type CrashRecord,
+  type NoticeRecord, type RequestKind, type RunRecord,
 } from './SoakRecord.ts';
 
 const LOOPBACK = '127.0.0.1';
@@ -22,6 +22,10 @@
 /** How long an upstream that asks for a back-off wants nothing. */
 const BACK_OFF_MS = 1_500;
 const MS_PER_SECOND = 1_000;
+/** Body of a request that ends the upstream which begins to run it; more may follow. */
+export const CRASHING_BODY = 'crash';
+/** Time from the begin of such a run to the end of the upstream. */
+const CRASH_MS = 20;
 /** Requests at the same time beyond which an upstream refuses. */
 const CAPACITY = 12;
 
@@ -52,6 +56,8 @@
   readonly onRun: (run: RunRecord) => void;
   readonly onArrival: (arrival: ArrivalRecord) => void;
   readonly onNotice: (notice: NoticeRecord) => void;
+  /** Called when a request has ended the upstream, which stays away until `restart`. */
+  readonly onCrash: (crash: CrashRecord) => void;
 }
 
 /** An upstream of the soak: a plain service, a model engine or one that makes stage results. */
@@ -72,6 +78,9 @@
 
   #openCount = 0;
 
+  /** Whether it has ended and not started again. */
+  #isDown = false;
+
   /**
    * @param kind - what it does
    * @param events - gets each arrival and each run
@@ -82,7 +91,12 @@
     this.#server = createServer((request, response) => {
       this.#handle(request, response).catch(() => response.destroy());
     });
-    this.#restart();
+    this.#server.on('connection', (socket) => {
+      if (this.#isDown) {
+        socket.destroy();
+      }
+    });
+    this.restart();
   }
 
   /** Port on loopback. */
@@ -100,7 +114,14 @@
   /** Breaks all connections off and starts again under another id. */
   crash(): void {
     this.#server.closeAllConnections();
-    this.#restart();
+    this.restart();
+  }
+
+  /** Starts under another id. */
+  restart(): void {
+    this.#isDown = false;
+    this.id = `i-${randomUUID()}`;
+    this.startedAtMs = Date.now();
   }
 
   /** Ends it. */
@@ -109,11 +130,6 @@
     this.#server.closeAllConnections();
   }
 
-  #restart(): void {
-    this.id = `i-${randomUUID()}`;
-    this.startedAtMs = Date.now();
-  }
-
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readText(request);
     const requestId = getHeader(request, HEADERS.requestId) ?? '';
@@ -139,10 +155,23 @@
     } else if (this.kind === 'stage') {
       response.end('{}');
     } else {
-      this.#run(requestId, this.kind, request, response);
+      const isCrashing = body.startsWith(CRASHING_BODY);
+      this.#run(requestId, isCrashing, request, response);
+      if (isCrashing) {
+        setTimeout(() => this.#endUnder(requestId), CRASH_MS);
+      }
     }
   }
 
+  #endUnder(requestId: string): void {
+    if (this.#isDown) {
+      return;
+    }
+    this.#isDown = true;
+    this.#server.closeAllConnections();
+    this.#events.onCrash({ requestId, upstreamId: this.id, atMs: performance.now() });
+  }
+
   #noteArrivals(requestId: string, body: string, request: IncomingMessage): void {
     const note = (kind: ArrivalKind, id: string, unit: string): void => this.#events.onArrival({
       service: this.kind, kind, requestId: id, unit, upstreamId: this.id, atMs: performance.now(),
@@ -182,12 +211,16 @@
 
   #run(
     requestId: string,
-    kind: RequestKind,
+    isCrashing: boolean,
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
     const lastEventText = getHeader(request, HEADERS.lastEventId);
     const lastEventId = lastEventText === null ? null : Number(lastEventText);
+    const { kind } = this;
+    if (kind === 'stage') {
+      return;
+    }
     const isStream = kind === REQUEST_KIND.stream;
     this.#openCount += 1;
     response.once('close', () => {
@@ -203,7 +236,7 @@
       account: getHeader(request, HEADERS.account),
     });
     response.setHeader('X-Response-Signature', `signed-${this.id}`);
-    if (this.fault === 'hang') {
+    if (this.fault === 'hang' || isCrashing) {
       return;
     }
     if (this.fault === 'fail') {
--- a/scripts/soak/countRepeats.test.ts
+++ b/scripts/soak/countRepeats.test.ts
@@ -22,6 +22,7 @@
     isSigned: false,
     isWhole: false,
     body: '',
+    answerText: '',
   };
 }
 
--- a/scripts/soak/findViolations.test.ts
+++ b/scripts/soak/findViolations.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { SOAK_ACCOUNT } from './createSoakManifest.ts';
 import { DRAIN_MS, EVENT_COUNT, findViolations } from './findViolations.ts';
+import { CONTACT_MS } from './measureCrashes.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
 import {
   ARRIVAL_KIND, REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
@@ -20,7 +21,8 @@
   status: 200,
   isSigned: true,
   isWhole: true,
-  body: 'answer to r',
+  answerText: 'answer to r',
+  body: 'body',
 };
 const BOUNDS: RepeatBounds = { ratio: 0, slack: 0, windowMs: 100 };
 const RUN: RunRecord = {
@@ -41,6 +43,8 @@
     notices: [],
     hostSpans: [],
     linkSpans: [],
+    storeSpans: [],
+    crashes: [],
     calmSinceMs: Infinity,
   };
   return findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise);
@@ -49,8 +53,8 @@
 describe('findViolations', () => {
   it('finds nothing where all promises are kept', () => {
     deepEqual(check({}), []);
-    deepEqual(check({ kind: REQUEST_KIND.stream, body: EVENTS.join('') }), []);
-    deepEqual(check({ status: 503, isSigned: false, body: '' }, []), []);
+    deepEqual(check({ kind: REQUEST_KIND.stream, answerText: EVENTS.join('') }), []);
+    deepEqual(check({ status: 503, isSigned: false, answerText: '' }, []), []);
   });
 
   const planted: readonly [string, Partial<CallerRecord>, readonly RunRecord[], string][] = [
@@ -60,15 +64,15 @@
     ['a run for nobody', {}, [{ ...RUN, account: null }], 'account'],
     ['wrong inputs', {}, [{ ...RUN, inputFault: 'of another request' }], 'inputs'],
     ['a success without signature', { isSigned: false }, [RUN], 'wholeAnswer'],
-    ['the answer to another request', { body: 'answer to s' }, [RUN], 'wholeAnswer'],
+    ['the answer to another request', { answerText: 'answer to s' }, [RUN], 'wholeAnswer'],
     ['a request without end', { endedAtMs: null, status: null }, [RUN], 'ended'],
     [
       'a cut stream that looks whole',
-      { kind: REQUEST_KIND.stream, body: EVENTS.slice(0, 3).join('') }, [RUN], 'inOrder',
+      { kind: REQUEST_KIND.stream, answerText: EVENTS.slice(0, 3).join('') }, [RUN], 'inOrder',
     ],
     [
       'a doubled event',
-      { kind: REQUEST_KIND.stream, isWhole: false, body: `${EVENTS[0]}${EVENTS[0]}` },
+      { kind: REQUEST_KIND.stream, isWhole: false, answerText: `${EVENTS[0]}${EVENTS[0]}` },
       [RUN],
       'inOrder',
     ],
@@ -95,12 +99,65 @@
       notices: [],
       hostSpans: [],
       linkSpans: [],
+      storeSpans: [],
+      crashes: [],
       calmSinceMs: Infinity,
     };
     deepEqual(findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise), ['repeats']);
     deepEqual(findViolations(record, 10_000, { ...BOUNDS, slack: 1 }), []);
   });
 
+  /** The same request again and again; the first three end an upstream at 0, 100 and 200 ms. */
+  function checkCrashes(
+    arrivalsAtMs: readonly number[],
+    spans: Partial<Pick<SoakRecord, 'hostSpans' | 'storeSpans'>> = {},
+  ): string[] {
+    const timesMs = [0, 100, 200, ...arrivalsAtMs];
+    const callers = timesMs.map((sentAtMs, index) => ({
+      ...CALLER,
+      requestId: `r${index}`,
+      body: 'crash',
+      kind: REQUEST_KIND.repeatable,
+      status: 502,
+      sentAtMs,
+      endedAtMs: sentAtMs + 1,
+    }));
+    const record: SoakRecord = {
+      callers,
+      runs: [],
+      arrivals: timesMs.map((atMs, index) => ({
+        service: REQUEST_KIND.repeatable,
+        kind: ARRIVAL_KIND.whole,
+        requestId: `r${index}`,
+        unit: `r${index}`,
+        upstreamId: `u${index}`,
+        atMs,
+      })),
+      notices: [],
+      hostSpans: [],
+      linkSpans: [],
+      storeSpans: [],
+      crashes: [0, 1, 2].map((index) => ({
+        requestId: `r${index}`, upstreamId: `u${index}`, atMs: timesMs[index] ?? 0,
+      })),
+      calmSinceMs: Infinity,
+      ...spans,
+    };
+    return findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise);
+  }
+
+  it('finds requests that go on to reach upstreams after they have ended three', () => {
+    const dueAtMs = 200 + CONTACT_MS;
+    deepEqual(checkCrashes([300, 400, 500, 600, dueAtMs, dueAtMs, dueAtMs]), []);
+    const late = [1, 2, 3, 4].map((agoMs) => dueAtMs + agoMs);
+    deepEqual(checkCrashes(late.slice(1)), []);
+    deepEqual(checkCrashes(late), ['crashes']);
+    const span = { fromMs: 1_000, untilMs: 2_000 };
+    deepEqual(checkCrashes(late, { hostSpans: [{ hostIndex: 0, ...span }] }), []);
+    deepEqual(checkCrashes(late, { hostSpans: [{ hostIndex: 1, ...span }] }), ['crashes']);
+    deepEqual(checkCrashes(late, { storeSpans: [span] }), []);
+  });
+
   it('finds that service does not come back after the last fault', () => {
     const callers = [{
       ...CALLER, sentAtMs: 20_000, endedAtMs: 20_001, status: 503,
@@ -112,6 +169,8 @@
       notices: [],
       hostSpans: [],
       linkSpans: [],
+      storeSpans: [],
+      crashes: [],
       calmSinceMs: 10_000,
     };
     deepEqual(findViolations(record, 30_000, BOUNDS).map(({ promise }) => promise), ['recovered']);
@@ -127,7 +186,7 @@
     const record: SoakRecord = {
       callers: [told, ...timesMs.map((sentAtMs, index) => ({
         ...told, requestId: `r${index}`, sentAtMs, endedAtMs: sentAtMs + 10,
-      }))].map((caller) => ({ ...caller, body: `answer to ${caller.requestId}` })),
+      }))].map((caller) => ({ ...caller, answerText: `answer to ${caller.requestId}` })),
       runs: [],
       arrivals: timesMs.map((atMs, index) => ({
         service: REQUEST_KIND.repeatable,
@@ -146,6 +205,8 @@
       }],
       hostSpans: [],
       linkSpans: [],
+      storeSpans: [],
+      crashes: [],
       calmSinceMs: Infinity,
       ...spans,
     };
--- a/scripts/soak/findViolations.ts
+++ b/scripts/soak/findViolations.ts
@@ -1,5 +1,6 @@
 import { countRepeats } from './countRepeats.ts';
 import { measureClosures } from './measureClosures.ts';
+import { measureCrashes } from './measureCrashes.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
 import {
   REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
@@ -9,7 +10,7 @@
 /** A promise that was not kept. */
 export interface Violation {
   readonly promise: 'atMostOnce' | 'notRun' | 'wholeAnswer' | 'inOrder' | 'ended' | 'asked'
-    | 'inputs' | 'account' | 'recovered' | 'repeats' | 'leaving' | 'backOff';
+    | 'inputs' | 'account' | 'recovered' | 'repeats' | 'leaving' | 'backOff' | 'crashes';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -32,6 +33,9 @@
 /** Requests that may still reach an upstream in a back-off, after its first half second. */
 const MAX_BACK_OFF_ARRIVALS = 2;
 
+/** Times that a request may still reach upstreams when hosts have to know that it ends them. */
+const MAX_LATE_ARRIVALS = 3;
+
 /** Events of a whole stream: numbered from 1, the last one says so. */
 export const EVENT_COUNT = 12;
 
@@ -59,8 +63,8 @@
   });
 }
 
-function findStreamFault({ body, isWhole }: CallerRecord): string | null {
-  const ids = [...body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+function findStreamFault({ answerText, isWhole }: CallerRecord): string | null {
+  const ids = [...answerText.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
   const isOrdered = ids.every((id, index) => id === index + 1);
   if (!isOrdered) {
     return `events ${ids.join(' ')}`;
@@ -80,8 +84,8 @@
     const fault = findStreamFault(caller);
     return fault === null ? [] : [{ promise: 'inOrder', requestId, detail: fault }];
   }
-  return caller.isWhole && caller.body !== `answer to ${requestId}`
-    ? [{ promise: 'wholeAnswer', requestId, detail: `got ${JSON.stringify(caller.body)}` }]
+  return caller.isWhole && caller.answerText !== `answer to ${requestId}`
+    ? [{ promise: 'wholeAnswer', requestId, detail: `got ${JSON.stringify(caller.answerText)}` }]
     : [];
 }
 
@@ -100,8 +104,12 @@
     }));
 }
 
-function findRecoveryFault({ callers, calmSinceMs }: SoakRecord): Violation[] {
-  const late = callers.filter(({ sentAtMs }) => sentAtMs >= calmSinceMs + RECOVERY_MS);
+function findRecoveryFault({ callers, crashes, calmSinceMs }: SoakRecord): Violation[] {
+  const crashing = new Set(crashes.map(({ requestId }) => (
+    callers.find((caller) => caller.requestId === requestId)?.body)));
+  // Nobody misses the answer to a request that ends upstreams.
+  const late = callers.filter(({ sentAtMs, body }) => (
+    sentAtMs >= calmSinceMs + RECOVERY_MS && !crashing.has(body)));
   const served = late.filter(({ status, isWhole }) => status === STATUS_OK && isWhole);
   return late.length === 0 || served.length >= late.length * RECOVERED_PART ? [] : [{
     promise: 'recovered', requestId: '', detail: `${served.length} of ${late.length} were served`,
@@ -130,6 +138,19 @@
   return found;
 }
 
+function findCrashFaults(record: SoakRecord): Violation[] {
+  return measureCrashes(record)
+    .filter(({ lateArrivals }) => lateArrivals.length > MAX_LATE_ARRIVALS)
+    .map(({
+      kind, body, sentCount, crashCount, lateArrivals,
+    }) => ({
+      promise: 'crashes',
+      requestId: lateArrivals[0]?.requestId ?? '',
+      detail: `${kind} "${body}": sent ${sentCount} times, ${crashCount} upstreams ended, `
+        + `${lateArrivals.length} arrivals too late`,
+    }));
+}
+
 /**
  * Checks the promises from what callers and upstreams have seen.
  *
@@ -154,5 +175,6 @@
     ...findRecoveryFault(record),
     ...findRepeatFaults(record, bounds),
     ...findClosureFaults(record),
+    ...findCrashFaults(record),
   ];
 }
