Keep requests from upstreams that would end under them

Cause: every bound on sends of the platform's host goes by a request's id, a pool or an upstream.

An upstream that breaks off is asked whether it lives; crashes are written down with the requests that were there; the third one leads to a trial, which one host of all may make; any answer clears. core/ and the relays share getFingerprint.

--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -24,7 +24,7 @@
 
 /** Calm but for requests that end whatever runs them, for long enough to know them. */
 const CRASHING_RUN: Omit<SoakRunOptions, 'folder' | 'network'> = {
-  ...MIXED_RUN, plan: [], isCrashing: true, calmMs: 11_000,
+  ...MIXED_RUN, plan: [], isCrashing: true, calmMs: 18_000,
 };
 
 async function checkRun(options: Omit<SoakRunOptions, 'folder' | 'network'>): Promise<void> {
--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -6,6 +6,7 @@
 import { performance } from 'node:perf_hooks';
 import { text as readText } from 'node:stream/consumers';
 import { HEADERS, UPSTREAM_PATHS } from '../../platform/WIRE.ts';
+import { HEALTH_PATH } from './createSoakManifest.ts';
 import { EVENT_COUNT } from './findViolations.ts';
 import {
   ARRIVAL_KIND, REQUEST_KIND, type ArrivalKind, type ArrivalRecord, type CrashRecord,
@@ -139,7 +140,10 @@
       response.setHeader(HEADERS.leaving, '1');
       this.#noteNotice('leaving', requestId, Infinity);
     }
-    if ((getHeader(request, HEADERS.expectedUpstream) ?? this.id) !== this.id) {
+    if (request.url === HEALTH_PATH) {
+      response.setHeader(HEADERS.upstreamId, this.id);
+      response.end();
+    } else if ((getHeader(request, HEADERS.expectedUpstream) ?? this.id) !== this.id) {
       response.writeHead(MISDIRECTED, { 'X-Not-Executed': '1' }).end();
     } else if (this.fault === 'backOff') {
       this.#noteNotice('backOff', requestId, performance.now() + BACK_OFF_MS);
@@ -180,7 +184,7 @@
       const { items } = JSON.parse(body) as { items: StageItem[] };
       items.forEach(({ id, stage, piece }) => (
         note(ARRIVAL_KIND.piece, id, `${id}-${stage}-${piece}`)));
-    } else if (this.kind !== 'stage') {
+    } else if (this.kind !== 'stage' && request.url !== HEALTH_PATH) {
       const isStream = this.kind === REQUEST_KIND.stream;
       note(isStream ? ARRIVAL_KIND.generation : ARRIVAL_KIND.whole, requestId, requestId);
     }
--- a/scripts/soak/createSoakManifest.ts
+++ b/scripts/soak/createSoakManifest.ts
@@ -2,6 +2,8 @@
 
 /** Name under which callers ask. */
 export const SOAK_HOST_NAME = 'soak.example';
+/** Where upstreams are asked for their health. */
+export const HEALTH_PATH = '/health';
 /** The callers' key. */
 export const SOAK_KEY = 'soak-key';
 /** The account that holds it. */
@@ -30,7 +32,7 @@
 
 function createService(name: string, fields: Readonly<Record<string, unknown>> = {}): unknown {
   return {
-    name, health_path: '/health', max_connections: 100, ...fields,
+    name, health_path: HEALTH_PATH, max_connections: 100, ...fields,
   };
 }
 
--- a/scripts/soak/findViolations.ts
+++ b/scripts/soak/findViolations.ts
@@ -107,9 +107,10 @@
 function findRecoveryFault({ callers, crashes, calmSinceMs }: SoakRecord): Violation[] {
   const crashing = new Set(crashes.map(({ requestId }) => (
     callers.find((caller) => caller.requestId === requestId)?.body)));
+  const lastFaultMs = Math.max(calmSinceMs, ...crashes.map(({ atMs }) => atMs));
   // Nobody misses the answer to a request that ends upstreams.
   const late = callers.filter(({ sentAtMs, body }) => (
-    sentAtMs >= calmSinceMs + RECOVERY_MS && !crashing.has(body)));
+    sentAtMs >= lastFaultMs + RECOVERY_MS && !crashing.has(body)));
   const served = late.filter(({ status, isWhole }) => status === STATUS_OK && isWhole);
   return late.length === 0 || served.length >= late.length * RECOVERED_PART ? [] : [{
     promise: 'recovered', requestId: '', detail: `${served.length} of ${late.length} were served`,
--- a/src/core/systems/admitRequests.ts
+++ b/src/core/systems/admitRequests.ts
@@ -6,7 +6,7 @@
 import { explain } from '../requests/explain.ts';
 import { refuseRequest } from '../requests/finishRequest.ts';
 import type { Refusal } from '../requests/Refusal.ts';
-import { getFingerprint } from '../requests/getFingerprint.ts';
+import { getFingerprint } from '../../quarantine/getFingerprint.ts';
 import { getAdmissionRefusal } from '../requests/getAdmissionRefusal.ts';
 import { getQuarantineRefusal } from '../requests/getQuarantineRefusal.ts';
 import { startRequest } from '../requests/startStage.ts';
@@ -27,7 +27,7 @@
     pipeline,
     idempotencyKey: input.idempotencyKey,
     input: input.input,
-    fingerprint: getFingerprint(input.accountId, pipeline.id, input.input),
+    fingerprint: getFingerprint([input.accountId, pipeline.id], input.input),
     arrivedAtMs: nowMs,
     deadlineAtMs: nowMs + allowedMs,
     traceparent: input.traceparent,
--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -6,7 +6,7 @@
 import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
 import { UpstreamClosures } from './UpstreamClosures.ts';
-import type { UpstreamEntry } from './UpstreamEntry.ts';
+import type { UpstreamEntry, UpstreamLifetime } from './UpstreamEntry.ts';
 
 /** An upstream as this host knows it. */
 export interface KnownUpstream {
@@ -43,6 +43,13 @@
       return `leaving ${change.lifetime.id}`;
     case 'upstreamBackOff':
       return `backOff ${change.upstreamId}`;
+    case 'crashRecorded':
+      return `crash ${change.report.crashId} ${change.hostId}`;
+    case 'requestCleared':
+      return `cleared ${change.fingerprint}`;
+    case 'requestTried':
+    case 'trialsForgotten':
+      return `trials ${change.fingerprint}`;
     default:
       throw exhaustiveSwitchError(change);
   }
@@ -151,6 +158,15 @@
     return this.#closures.getBackOffMs(upstreamId) > 0;
   }
 
+  /**
+   * @param lifetime - a start of an upstream
+   * @returns whether it is known to end as planned, or is gone
+   */
+  isLeaving(lifetime: UpstreamLifetime): boolean {
+    const entry = this.#upstreams.get(lifetime.id)?.entry;
+    return entry === undefined || entry.isDraining || this.#closures.isLeaving(lifetime);
+  }
+
   /**
    * @param upstreamId - the upstream
    * @returns whether that time has ended a moment ago
@@ -279,6 +295,12 @@
         return this.#closures.noteLeaving(change.lifetime);
       case 'upstreamBackOff':
         return this.#closures.noteBackOff(change.upstreamId, change.durationMs);
+      case 'crashRecorded':
+      case 'requestCleared':
+      case 'requestTried':
+      case 'trialsForgotten':
+        // The quarantine keeps what these say.
+        return true;
       default:
         throw exhaustiveSwitchError(change);
     }
--- a/src/directory/DirectoryChange.ts
+++ b/src/directory/DirectoryChange.ts
@@ -1,4 +1,5 @@
 import type { HostId, UpstreamId } from '../lib/ids.ts';
+import type { CrashReport } from '../quarantine/QuarantineStore.ts';
 import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
 import type { UpstreamEntry, UpstreamLifetime } from './UpstreamEntry.ts';
@@ -21,6 +22,28 @@
   | { readonly kind: 'hostGone'; readonly hostId: HostId }
   /** Most hosts that were ever registered at a time, as the store keeps it. */
   | { readonly kind: 'hostCount'; readonly count: number; readonly revision: number }
+  /** Requests that a host had at an upstream when that crashed. */
+  | {
+    readonly kind: 'crashRecorded';
+    readonly hostId: HostId;
+    readonly report: CrashReport;
+    readonly revision: number;
+  }
+  /** A request that was with crashed upstreams has been answered. */
+  | {
+    readonly kind: 'requestCleared';
+    readonly fingerprint: string;
+    readonly revision: number;
+  }
+  /** A request that was with crashed upstreams is sent once more, by one host of all. */
+  | {
+    readonly kind: 'requestTried';
+    readonly fingerprint: string;
+    readonly trialCount: number;
+    readonly revision: number;
+  }
+  /** The record of a request's trials is gone, by an answer or by an operator. */
+  | { readonly kind: 'trialsForgotten'; readonly fingerprint: string }
   /** An upstream's own word, which is as good as the store's. */
   | {
     readonly kind: 'upstreamLeaving';
--- a/src/ingress/CallerExchange.ts
+++ b/src/ingress/CallerExchange.ts
@@ -43,6 +43,11 @@
     return this.#hasAnswered;
   }
 
+  /** Whether the caller has left. */
+  get isGone(): boolean {
+    return this.#response.destroyed;
+  }
+
   /** @param listener - called when the caller leaves before its answer is complete */
   onGone(listener: () => void): void {
     this.#response.once('close', () => {
--- a/src/quarantine/getFingerprint.ts
+++ b/src/quarantine/getFingerprint.ts
@@ -1,19 +1,17 @@
 import { createHash } from 'node:crypto';
 
+/** Bytes of the digest that are kept: enough that no two requests share them by chance. */
+const DIGEST_BYTES = 16;
+
 /**
- * Names a request by what it asks, so that the same request is known again when it is sent again.
+ * Names a request by what it asks, so that it is known again when it comes again under another id.
  *
- * @param accountId - who asks
- * @param pipelineId - what is asked for
- * @param input - the body
- * @returns SHA-256 over the three, hexadecimal
+ * @param asked - who asks and for what; none holds a null character
+ * @param body - the body
+ * @returns the first bytes of SHA-256 over all of them, hexadecimal
  */
-export function getFingerprint(accountId: string, pipelineId: string, input: string): string {
-  return createHash('sha256')
-    .update(accountId)
-    .update('\0')
-    .update(pipelineId)
-    .update('\0')
-    .update(input)
-    .digest('hex');
+export function getFingerprint(asked: readonly string[], body: string | Buffer): string {
+  const hash = createHash('sha256');
+  asked.forEach((part) => hash.update(part).update('\0'));
+  return hash.update(body).digest().subarray(0, DIGEST_BYTES).toString('hex');
 }
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -12,6 +12,7 @@
 import { REPEAT_REASON, type RepeatReason } from './RepeatDecision.ts';
 import { RequestRepeats } from './RequestRepeats.ts';
 import { SilenceWatch } from './SilenceWatch.ts';
+import { TrialCheck } from './TrialCheck.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
 import type { AnswerHead } from './UpstreamProtocol.ts';
 
@@ -58,6 +59,8 @@
 
   readonly #repeats: RequestRepeats;
 
+  readonly #trialCheck: TrialCheck;
+
   readonly #silence = new SilenceWatch((silenceMs) => this.#leaveSilent(silenceMs));
 
   #placement: RunningPlacement | null = null;
@@ -67,6 +70,9 @@
 
   #running: RunningAttempt | null = null;
 
+  /** When the attempt that runs was sent. */
+  #sentAtMs = 0;
+
   #splitter = new EventSplitter();
 
   #head: AnswerHead | null = null;
@@ -100,6 +106,7 @@
     this.#exchange = exchange;
     this.#lastEventId = exchange.request.profile.lastEventId;
     this.#arrivedAtMs = exchange.request.arrivedAtMs;
+    this.#trialCheck = new TrialCheck(context.quarantine, terms.isTrial);
     this.#repeats = new RequestRepeats({
       clock: context.clock,
       shares: context.shares,
@@ -114,6 +121,10 @@
     this.#context.shares.noteOffered(this.#terms.poolId);
     this.#log('accepted', { poolId: this.#terms.poolId });
     this.#exchange.onGone(() => this.#finish('caller-gone'));
+    if (this.#exchange.isGone) {
+      this.#finish('caller-gone');
+      return;
+    }
     this.#deadlineTimer = setTimeout(
       () => this.#giveUp(STATUS.timeout, 'timeout', null),
       Math.max(0, this.#getRemainingMs()),
@@ -179,6 +190,9 @@
   }
 
   #sendWhenPaced(placed: Placed): void {
+    if (this.#isOver) {
+      return;
+    }
     const { pacer, shares } = this.#context;
     const share = shares.getColdShare(this.#terms.poolId);
     const waitMs = share === 0 ? 0 : pacer.getWaitMs(placed.upstreamId, share);
@@ -192,6 +206,14 @@
       this.#placeUnsent(placed.upstreamId);
       return;
     }
+    if (!this.#trialCheck.isPassed(placed.upstreamId)) {
+      this.#trialCheck.ask(
+        upstream.entry,
+        () => this.#sendWhenPaced(placed),
+        () => this.#placeUnsent(placed.upstreamId),
+      );
+      return;
+    }
     pacer.noteSend(placed.upstreamId);
     this.#send(placed, upstream.entry);
   }
@@ -203,6 +225,7 @@
     }
     this.#permit = null;
     this.#runCount += 1;
+    this.#sentAtMs = this.#context.clock.getMonotonicMs();
     this.#head = null;
     this.#errorChunks = [];
     this.#splitter = new EventSplitter();
@@ -231,7 +254,7 @@
           this.#context.shares.noteAnswered(this.#terms.poolId, placed.upstreamId);
         },
         onData: (chunk) => this.#takeData(chunk),
-        onEnd: (end) => this.#endAttempt(placed.upstreamId, end),
+        onEnd: (end) => this.#endAttempt(engine, end),
       },
     );
     this.#watchSilence(this.#terms.route.targetLatencyMs * FIRST_EVENT_FACTOR);
@@ -274,15 +297,19 @@
     return true;
   }
 
-  #endAttempt(upstreamId: UpstreamId, end: AttemptEnd): void {
+  #endAttempt(engine: UpstreamEntry, end: AttemptEnd): void {
+    const { id: upstreamId } = engine;
     this.#running = null;
     this.#silence.stop();
+    if (end.kind === 'broken' && !end.isAborted) {
+      this.#noteBroken(engine);
+    }
     if (this.#isOver) {
       return;
     }
     switch (end.kind) {
       case 'complete':
-        this.#takeEnd(upstreamId);
+        this.#takeEnd(engine);
         return;
       case 'notSent':
         this.#runCount -= 1;
@@ -299,21 +326,23 @@
     }
   }
 
-  #takeEnd(upstreamId: UpstreamId): void {
+  #takeEnd(engine: UpstreamEntry): void {
     const head = this.#head;
     if (head !== null && head.isNotRun) {
       this.#runCount -= 1;
       if (head.status === STATUS.unavailable || head.isWrongUpstream) {
-        this.#excluded.add(upstreamId);
+        this.#excluded.add(engine.id);
       }
       this.#placeElsewhere(getRefusalNote(head), `status ${head.status}`);
       return;
     }
     if (head === null || (head.status < STATUS.multipleChoices && this.#splitter.hasPart)) {
+      this.#noteBroken(engine);
       this.#note('failed');
       this.#resume('the stream ended within an event');
       return;
     }
+    this.#context.quarantine.noteAnswered(this.#terms.subject);
     this.#note('ended');
     if (head.status >= STATUS.multipleChoices) {
       this.#takeError(head);
@@ -326,6 +355,11 @@
     this.#finish('answered', { lastEventId: this.#lastEventId });
   }
 
+  #noteBroken(engine: UpstreamEntry): void {
+    const { subject, isTrial } = this.#terms;
+    this.#context.quarantine.noteBroken(subject, engine, { sentAtMs: this.#sentAtMs, isTrial });
+  }
+
   /** The engine's own failure is passed on as it is, unless a stream has begun. */
   #takeError(head: AnswerHead): void {
     if (this.#exchange.hasAnswered) {
@@ -342,6 +376,9 @@
 
   /** Nothing was sent, so that it takes no repeat. */
   #placeUnsent(upstreamId: UpstreamId): void {
+    if (this.#isOver) {
+      return;
+    }
     this.#excluded.add(upstreamId);
     this.#refusedCount += 1;
     this.#log('placedAgain', { detail: 'engine-left', upstreamId });
@@ -374,11 +411,14 @@
 
   /** Goes on after an attempt that ran or may have run. */
   #resume(detail: string): void {
-    const { route } = this.#terms;
+    const { route, subject } = this.#terms;
     const mayRunAgain = route.isResumable
       && this.#runCount < route.maxAttempts
+      && this.#context.quarantine.isFree(subject)
       && this.#mayRepeat(REPEAT_REASON.broken);
-    this.#log(mayRunAgain ? 'resumed' : 'brokenOff', { detail, lastEventId: this.#lastEventId });
+    this.#log(mayRunAgain ? 'resumed' : 'brokenOff', {
+      detail, lastEventId: this.#lastEventId, fingerprint: subject.fingerprint,
+    });
     if (mayRunAgain) {
       this.#place();
     } else {
@@ -417,6 +457,9 @@
     clearTimeout(this.#deadlineTimer ?? undefined);
     clearTimeout(this.#pauseTimer ?? undefined);
     this.#repeats.release();
+    if (this.#terms.isTrial && this.#runCount === 0) {
+      this.#context.quarantine.returnTrial(this.#terms.subject);
+    }
     this.#placement?.cancel();
     if (this.#running !== null) {
       this.#running.abort(outcome);
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -6,6 +6,8 @@
 import type { PlacementClient } from '../placement/PlacementClient.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import type { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
+import type { RequestSubject } from '../quarantine/RequestSubject.ts';
 import type { ColdPacer } from './ColdPacer.ts';
 import type { HostShares } from './HostShares.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
@@ -23,6 +25,7 @@
   readonly book: UpstreamBook;
   readonly shares: HostShares;
   readonly pacer: ColdPacer;
+  readonly quarantine: RequestQuarantine;
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
   readonly failureDomain: string;
@@ -32,6 +35,10 @@
 export interface RelayTerms {
   readonly route: ServingRoute;
   readonly poolId: PoolId;
+  /** What it asks, whatever its id. */
+  readonly subject: RequestSubject;
+  /** Whether it runs once, and by leave of the quarantine only. */
+  readonly isTrial: boolean;
   readonly account: string | null;
   /** Rank; 0 goes first. */
   readonly priority: number;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -13,6 +13,7 @@
 import { PlacementClient } from '../placement/PlacementClient.ts';
 import { PeerServer } from '../placement/PeerServer.ts';
 import { PlacementService } from '../placement/PlacementService.ts';
+import { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
 import { ColdPacer } from './ColdPacer.ts';
@@ -62,6 +63,8 @@
 
   readonly #peerServer: PeerServer;
 
+  readonly #quarantine: RequestQuarantine;
+
   readonly #relays: RelayManager;
 
   readonly #metrics = new RelayMetrics();
@@ -137,6 +140,16 @@
       connections: adapters.connections,
       logger,
     });
+    this.#quarantine = new RequestQuarantine({
+      clock,
+      hostId: settings.hostId,
+      directory,
+      store: adapters.store,
+      check: adapters.upstreamCheck,
+      random: new SystemRandomSource(),
+      logger,
+      onCrash: (poolId) => this.#metrics.noteCrash(poolId),
+    });
     this.#relays = new RelayManager({
       clock,
       directory,
@@ -147,6 +160,7 @@
       book: new UpstreamBook(clock, settings.failureDomain),
       shares,
       pacer: new ColdPacer(clock),
+      quarantine: this.#quarantine,
       logger,
       metrics: this.#metrics,
       failureDomain: settings.failureDomain,
@@ -235,6 +249,7 @@
     this.#metrics.close();
     this.#follower.stop();
     this.#hostCountKeeper.close();
+    this.#quarantine.close();
     this.#client.close();
     this.#service.close();
     await this.#peerServer.close();
--- a/src/relay/RelayHostOptions.ts
+++ b/src/relay/RelayHostOptions.ts
@@ -1,5 +1,7 @@
 import type { DirectoryStore } from '../directory/DirectoryStore.ts';
 import type { HostId } from '../lib/ids.ts';
+import type { QuarantineStore } from '../quarantine/QuarantineStore.ts';
+import type { UpstreamCheck } from '../quarantine/UpstreamCheck.ts';
 import type { StageCaller } from '../placement/StageCaller.ts';
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
 import type { SharedBounds } from './HostShares.ts';
@@ -35,8 +37,9 @@
 
 /** What an entry host is made of besides its settings: the adapters. */
 export interface RelayHostAdapters {
-  readonly store: DirectoryStore;
+  readonly store: DirectoryStore & QuarantineStore;
   readonly protocol: UpstreamProtocol;
   readonly stageCaller: StageCaller;
+  readonly upstreamCheck: UpstreamCheck;
   readonly connections: UpstreamConnections;
 }
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -4,8 +4,10 @@
 } from '../directory/ServingConfiguration.ts';
 import type { CallerExchange } from '../ingress/CallerExchange.ts';
 import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { PoolId } from '../lib/ids.ts';
 import { getRendezvousScore } from '../membership/getRendezvousScore.ts';
+import { RequestSubject } from '../quarantine/RequestSubject.ts';
 import { GenerationRelay } from './GenerationRelay.ts';
 import type { RelayContext, RelayTerms } from './RelayContext.ts';
 import { WholeRelay } from './WholeRelay.ts';
@@ -43,12 +45,18 @@
   route: ServingRoute,
   account: ServingAccount | null,
 ): RelayTerms {
-  const { profile, arrivedAtMs } = exchange.request;
+  const {
+    profile, arrivedAtMs, method, host, path, body,
+  } = exchange.request;
   const remainingMs = Math.min(profile.remainingMs ?? DEFAULT_REMAINING_MS, route.timeoutMs);
   return {
     route,
     poolId: choosePool(route, profile.id),
     account: account?.name ?? null,
+    subject: new RequestSubject({
+      account: account?.name ?? null, method, host, path, body,
+    }),
+    isTrial: false,
     priority: account?.priority ?? route.priority,
     deadlineAtMs: arrivedAtMs + remainingMs,
   };
@@ -92,12 +100,52 @@
       return;
     }
     const terms = getTerms(exchange, route, account);
-    const relay = route.isStream
+    if (this.#context.quarantine.isFree(terms.subject)) {
+      this.#start(exchange, terms);
+    } else {
+      this.#startWhenAdmitted(exchange, terms).catch((error: unknown) => {
+        this.#context.logger.error(
+          { event: 'admissionFailed', requestId: request.profile.id, error: String(error) },
+          'deciding on a request failed',
+        );
+        this.#refuse(exchange, STATUS.unavailable, 'quarantined', OTHER_HOST_RETRY_AFTER_MS);
+      });
+    }
+  }
+
+  #start(exchange: CallerExchange, terms: RelayTerms): void {
+    const relay = terms.route.isStream
       ? new GenerationRelay(this.#context, terms, exchange)
       : new WholeRelay(this.#context, terms, exchange);
     relay.start();
   }
 
+  /** A request that upstreams have ended under waits for the answer to another one like it. */
+  async #startWhenAdmitted(exchange: CallerExchange, terms: RelayTerms): Promise<void> {
+    const { quarantine, clock } = this.#context;
+    const remainingMs = terms.deadlineAtMs - clock.getMonotonicMs();
+    const admission = await quarantine.admit(
+      terms.subject,
+      exchange.request.profile.id,
+      Math.min(remainingMs, terms.route.targetLatencyMs),
+    );
+    switch (admission.kind) {
+      case 'free':
+        this.#start(exchange, terms);
+        return;
+      case 'trial':
+        this.#start(exchange, {
+          ...terms, isTrial: true, route: { ...terms.route, maxAttempts: 1 },
+        });
+        return;
+      case 'refused':
+        this.#refuse(exchange, STATUS.unavailable, 'quarantined', admission.retryAfterMs);
+        return;
+      default:
+        throw exhaustiveSwitchError(admission);
+    }
+  }
+
   #refuse(
     exchange: CallerExchange,
     status: number,
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -3,6 +3,7 @@
   Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import { parseAddress } from '../ingress/parseAddress.ts';
+import type { PoolId } from '../lib/ids.ts';
 import type { RepeatDecision } from './RepeatDecision.ts';
 
 /** Upper bounds of the latency histogram, in seconds. */
@@ -54,6 +55,13 @@
     registers: [this.#registry],
   });
 
+  readonly #crashes = new Counter({
+    name: 'parsleylift_upstream_crashes_total',
+    help: 'Upstreams that ended while they worked on requests of this host, by pool',
+    labelNames: ['pool'],
+    registers: [this.#registry],
+  });
+
   #server: Server | null = null;
 
   /**
@@ -66,6 +74,11 @@
     this.#latency.observe({ kind }, elapsedMs / MS_PER_SECOND);
   }
 
+  /** @param poolId - the pool of an upstream that has ended */
+  noteCrash(poolId: PoolId): void {
+    this.#crashes.inc({ pool: poolId });
+  }
+
   /**
    * @param decision - a repeat that was asked for, and whether it was allowed
    */
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -1,4 +1,5 @@
 import type { KnownUpstream } from '../directory/Directory.ts';
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
 import { REPETITION } from '../directory/ServingConfiguration.ts';
 import type { CallerExchange } from '../ingress/CallerExchange.ts';
 import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
@@ -10,12 +11,14 @@
 import { getHostShare, getReturnMs } from './getReturnMs.ts';
 import { RequestRepeats } from './RequestRepeats.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
+import { TrialCheck } from './TrialCheck.ts';
 import type { AnswerHead } from './UpstreamProtocol.ts';
 
 interface OpenAttempt {
   readonly upstreamId: UpstreamId;
   /** Base address of the upstream. */
   readonly url: string;
+  readonly sentAtMs: number;
   running: RunningAttempt | null;
   head: AnswerHead | null;
   readonly chunks: Buffer[];
@@ -67,6 +70,8 @@
 
   readonly #repeats: RequestRepeats;
 
+  readonly #trialCheck: TrialCheck;
+
   /** Attempts that ran or may have run. */
   #runCount = 0;
 
@@ -88,6 +93,7 @@
     this.#context = context;
     this.#terms = terms;
     this.#exchange = exchange;
+    this.#trialCheck = new TrialCheck(context.quarantine, terms.isTrial);
     this.#repeats = new RequestRepeats({
       clock: context.clock,
       shares: context.shares,
@@ -102,6 +108,10 @@
     this.#context.shares.noteOffered(this.#terms.poolId);
     this.#log('accepted', { poolId: this.#terms.poolId });
     this.#exchange.onGone(() => this.#finish('caller-gone'));
+    if (this.#exchange.isGone) {
+      this.#finish('caller-gone');
+      return;
+    }
     this.#after(this.#getRemainingMs(), () => this.#timeOut());
     this.#send(null);
   }
@@ -129,14 +139,36 @@
       return;
     }
     this.#noteWaiting(false);
-    const { id, address } = upstream.entry;
+    if (this.#trialCheck.isPassed(upstream.entry.id)) {
+      this.#sendTo(upstream.entry, permit);
+      return;
+    }
+    this.#tried.add(upstream.entry.id);
+    this.#trialCheck.ask(
+      upstream.entry,
+      () => this.#sendTo(upstream.entry, permit),
+      () => this.#after(NO_UPSTREAM_PAUSE_MS, () => this.#send(permit)),
+    );
+  }
+
+  #sendTo(upstream: UpstreamEntry, permit: RepeatPermit | null): void {
+    if (this.#isOver) {
+      return;
+    }
+    const { book } = this.#context;
+    const { id, address } = upstream;
     if (permit?.trySend(id) === false) {
       this.#giveUpWithoutRepeat();
       return;
     }
     const url = `http://${address}`;
     const attempt: OpenAttempt = {
-      upstreamId: id, url, running: null, head: null, chunks: [],
+      upstreamId: id,
+      url,
+      sentAtMs: this.#context.clock.getMonotonicMs(),
+      running: null,
+      head: null,
+      chunks: [],
     };
     this.#tried.add(id);
     this.#open.add(attempt);
@@ -159,14 +191,14 @@
         mayStart: () => this.#context.directory.isUsable(id),
         onHead: (head) => {
           attempt.head = head;
-          this.#context.notices.take(upstream.entry, head.notice, {
+          this.#context.notices.take(upstream, head.notice, {
             requestId: this.#exchange.request.profile.id, status: head.status,
           });
           book.noteAnswer(id, head.load);
           this.#context.shares.noteAnswered(this.#terms.poolId, id);
         },
         onData: (chunk) => attempt.chunks.push(chunk),
-        onEnd: (end) => this.#endAttempt(attempt, end),
+        onEnd: (end) => this.#endAttempt(attempt, upstream, end),
       },
     );
     if (this.#isRepeatable) {
@@ -230,9 +262,14 @@
     }
   }
 
-  #endAttempt(attempt: OpenAttempt, end: AttemptEnd): void {
+  #endAttempt(attempt: OpenAttempt, upstream: UpstreamEntry, end: AttemptEnd): void {
+    const { quarantine } = this.#context;
+    const { subject, isTrial } = this.#terms;
     this.#open.delete(attempt);
     this.#context.book.noteEnded(attempt.upstreamId, getBookEnd(attempt, end, this.#isOver));
+    if (end.kind === 'broken' && !end.isAborted) {
+      quarantine.noteBroken(subject, upstream, { sentAtMs: attempt.sentAtMs, isTrial });
+    }
     if (this.#isOver) {
       return;
     }
@@ -246,7 +283,11 @@
         this.#sendElsewhere();
         return;
       case 'broken':
-        this.#log('broken', { upstreamId: attempt.upstreamId, detail: end.detail });
+        this.#log('broken', {
+          upstreamId: attempt.upstreamId,
+          detail: end.detail,
+          fingerprint: subject.fingerprint,
+        });
         this.#runAgain(REPEAT_REASON.broken);
         return;
       default:
@@ -266,6 +307,7 @@
       this.#sendElsewhere();
       return;
     }
+    this.#context.quarantine.noteAnswered(this.#terms.subject);
     const body = Buffer.concat(attempt.chunks);
     if (head.status >= STATUS.error && this.#isRepeatable) {
       this.#lastFailure = { head, body };
@@ -300,7 +342,10 @@
   }
 
   #tryRunAgain(reason: RepeatReason): RepeatPermit | null {
-    const mayRun = this.#isRepeatable && this.#runCount < this.#terms.route.maxAttempts;
+    const { route, subject } = this.#terms;
+    const mayRun = this.#isRepeatable
+      && this.#runCount < route.maxAttempts
+      && this.#context.quarantine.isFree(subject);
     return mayRun ? this.#tryRepeat(reason) : null;
   }
 
@@ -358,6 +403,9 @@
     this.#isOver = true;
     this.#timers.forEach((timer) => clearTimeout(timer));
     this.#repeats.release();
+    if (this.#terms.isTrial && this.#runCount === 0) {
+      this.#context.quarantine.returnTrial(this.#terms.subject);
+    }
     this.#open.forEach((attempt) => attempt.running?.abort(outcome));
     const elapsedMs = this.#context.clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs;
     this.#context.metrics.noteEnd('whole', outcome, elapsedMs);
--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -9,7 +9,12 @@
   /** No byte of the request was handed to a connection. */
   | { readonly kind: 'notSent'; readonly detail: string }
   /** It may have run; what came back, if anything, is no whole answer. */
-  | { readonly kind: 'broken'; readonly detail: string };
+  | {
+    readonly kind: 'broken';
+    readonly detail: string;
+    /** Whether this host ended it; otherwise the connection broke. */
+    readonly isAborted: boolean;
+  };
 
 /** Decides on an attempt's bytes at the last moment, and gets the parts of its answer. */
 export interface AnswerReceiver {
@@ -69,7 +74,7 @@
     if (this.#controller !== null) {
       this.#controller.abort(new Error(reason));
     }
-    this.#end({ kind: this.#isSent ? 'broken' : 'notSent', detail: reason });
+    this.#endWithoutAnswer(reason);
   }
 
   pause(): void {
@@ -121,8 +126,12 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    const detail = this.#abortReason ?? error.message;
-    this.#end({ kind: this.#isSent ? 'broken' : 'notSent', detail });
+    this.#endWithoutAnswer(this.#abortReason ?? error.message);
+  }
+
+  #endWithoutAnswer(detail: string): void {
+    const isAborted = this.#abortReason !== null;
+    this.#end(this.#isSent ? { kind: 'broken', detail, isAborted } : { kind: 'notSent', detail });
   }
 
   #end(end: AttemptEnd): void {
--- /dev/null
+++ b/test/property/QuarantineFleetModel.ts
@@ -0,0 +1,307 @@
+import { pino } from 'pino';
+import { Directory } from '../../src/directory/Directory.ts';
+import type { UpstreamEntry } from '../../src/directory/UpstreamEntry.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../../src/lib/ids.ts';
+import type { RandomSource } from '../../src/lib/RandomSource.ts';
+import { RequestQuarantine } from '../../src/quarantine/RequestQuarantine.ts';
+import { RequestSubject } from '../../src/quarantine/RequestSubject.ts';
+import { QuarantineStoreModel } from './QuarantineStoreModel.ts';
+import { VirtualTime } from './VirtualTime.ts';
+
+const POOL_ID = toId<PoolId>('pool');
+const CRASH_MS = 20;
+const DOWN_MS = 1_000;
+const WORK_MS = 60;
+/** Longest time until a host has a change of the store. */
+const MAX_LAG_MS = 1_500;
+/** Time in which a host that is in touch has to know what the store says. */
+export const CONTACT_MS = 3_000;
+const PATIENCE_MS = 200;
+const REFUSED_PART = 0.9;
+/** Part of the sends that go to an upstream which is known to be up. */
+const CHOSEN_WELL_PART = 0.8;
+
+interface ModelUpstream {
+  entry: UpstreamEntry;
+  isDown: boolean;
+}
+
+interface ModelQuarantineHost {
+  readonly id: HostId;
+  directory: Directory;
+  quarantine: RequestQuarantine;
+  /** The last change that it has. */
+  revision: number;
+  /** Whether the store is out of its reach. */
+  isCut: boolean;
+  troubledAtMs: number;
+}
+
+/** What became of one send by a caller. */
+export type ModelOutcome = 'answered' | 'broken' | 'refused';
+
+/** A request that reached an upstream. */
+export interface ModelArrival {
+  readonly body: string;
+  readonly atMs: number;
+  /** Whether its host and the store were without trouble for a while. */
+  readonly isInTouch: boolean;
+}
+
+/** Hosts that share a store, upstreams that end under some requests, and troubles of both. */
+export class QuarantineFleetModel {
+  readonly time = new VirtualTime();
+
+  readonly store = new QuarantineStoreModel();
+
+  readonly arrivals: ModelArrival[] = [];
+
+  /** Times at which an upstream ended under a request, by its body. */
+  readonly crashTimesMs = new Map<string, number[]>();
+
+  readonly #random: RandomSource;
+
+  readonly #upstreams: ModelUpstream[] = [];
+
+  readonly #hosts: ModelQuarantineHost[];
+
+  #startCount = 0;
+
+  #storeTroubledAtMs = -Infinity;
+
+  /**
+   * @param random - draws lags and choices
+   * @param hostCount - how many hosts
+   * @param upstreamCount - how many upstreams
+   */
+  constructor(random: RandomSource, hostCount: number, upstreamCount: number) {
+    this.#random = random;
+    for (let index = 0; index < upstreamCount; index += 1) {
+      this.#upstreams.push({ entry: this.#createEntry(), isDown: false });
+    }
+    this.#hosts = Array.from({ length: hostCount }, (_, index) => (
+      this.#createHost(toId<HostId>(`h${index}`))));
+    this.#hosts.forEach((host) => this.#follow(host));
+  }
+
+  /** How many hosts there are. */
+  get hostCount(): number {
+    return this.#hosts.length;
+  }
+
+  /**
+   * Sends a request to a host and sees it through.
+   *
+   * @param hostIndex - the host
+   * @param body - what is asked; one that begins with `crash` ends what runs it
+   * @returns what became of it
+   */
+  async send(hostIndex: number, body: string): Promise<ModelOutcome> {
+    const host = this.#getHost(hostIndex);
+    const { quarantine } = host;
+    const subject = new RequestSubject({
+      account: 'a', method: 'POST', host: 'h', path: '/', body: Buffer.from(body),
+    });
+    const admission = quarantine.isFree(subject)
+      ? { kind: 'free' } as const
+      : await quarantine.admit(subject, 'r', PATIENCE_MS);
+    if (admission.kind === 'refused') {
+      return 'refused';
+    }
+    const isTrial = admission.kind === 'trial';
+    const upstream = this.#chooseUpstream();
+    if (isTrial && !await quarantine.isAlive(upstream.entry)) {
+      quarantine.returnTrial(subject);
+      return 'refused';
+    }
+    const { entry } = upstream;
+    const sentAtMs = this.time.nowMs;
+    const wasDown = upstream.isDown;
+    // An address where nobody listens refuses the connection, or a proxy breaks it off.
+    if (wasDown && this.#random.getFraction() < REFUSED_PART) {
+      if (isTrial) {
+        quarantine.returnTrial(subject);
+      }
+      return 'broken';
+    }
+    if (!wasDown) {
+      this.arrivals.push({ body, atMs: sentAtMs, isInTouch: this.#isInTouch(host) });
+    }
+    if (wasDown) {
+      await this.time.sleep(1);
+    } else if (body.startsWith('crash')) {
+      await this.time.sleep(CRASH_MS);
+      this.#crash(upstream, entry, body);
+    } else {
+      await this.time.sleep(WORK_MS);
+    }
+    if (upstream.entry !== entry || upstream.isDown) {
+      quarantine.noteBroken(subject, entry, {
+        sentAtMs: this.time.clock.getMonotonicMs() - (this.time.nowMs - sentAtMs), isTrial,
+      });
+      return 'broken';
+    }
+    quarantine.noteAnswered(subject);
+    return 'answered';
+  }
+
+  /**
+   * Ends upstreams at the same moment, whatever they do.
+   *
+   * @param part - how many of them
+   */
+  endUpstreams(part: number): void {
+    this.#upstreams
+      .filter(() => this.#random.getFraction() < part)
+      .forEach((upstream) => this.#crash(upstream, upstream.entry, null));
+  }
+
+  /** @param hostIndex - a host that is killed and starts again */
+  restartHost(hostIndex: number): void {
+    const host = this.#getHost(hostIndex);
+    host.quarantine.close();
+    Object.assign(host, this.#createHost(host.id));
+    host.troubledAtMs = this.time.nowMs;
+  }
+
+  /**
+   * @param hostIndex - a host that loses the store
+   * @param durationMs - for how long
+   */
+  async cutHost(hostIndex: number, durationMs: number): Promise<void> {
+    const host = this.#getHost(hostIndex);
+    host.isCut = true;
+    await this.time.sleep(durationMs);
+    host.isCut = false;
+    host.troubledAtMs = this.time.nowMs;
+  }
+
+  /** @param durationMs - how long the store is down */
+  async stopStore(durationMs: number): Promise<void> {
+    this.store.isDown = true;
+    await this.time.sleep(durationMs);
+    this.store.isDown = false;
+    this.#storeTroubledAtMs = this.time.nowMs;
+  }
+
+  #getHost(index: number): ModelQuarantineHost {
+    const host = this.#hosts[index % this.#hosts.length];
+    if (host === undefined) {
+      throw new RangeError('a fleet has at least one host');
+    }
+    return host;
+  }
+
+  #chooseUpstream(): ModelUpstream {
+    const live = this.#upstreams.filter(({ isDown }) => !isDown);
+    const isChosenWell = live.length > 0 && this.#random.getFraction() < CHOSEN_WELL_PART;
+    const from = isChosenWell ? live : this.#upstreams;
+    const chosen = from[Math.floor(this.#random.getFraction() * from.length)];
+    if (chosen === undefined) {
+      throw new RangeError('a fleet has at least one upstream');
+    }
+    return chosen;
+  }
+
+  #isInTouch(host: ModelQuarantineHost): boolean {
+    const sinceMs = this.time.nowMs - CONTACT_MS;
+    return !host.isCut && !this.store.isDown
+      && host.troubledAtMs <= sinceMs && this.#storeTroubledAtMs <= sinceMs;
+  }
+
+  #crash(upstream: ModelUpstream, entry: UpstreamEntry, body: string | null): void {
+    if (upstream.entry !== entry || upstream.isDown) {
+      return;
+    }
+    upstream.isDown = true;
+    if (body !== null) {
+      const timesMs = this.crashTimesMs.get(body) ?? [];
+      this.crashTimesMs.set(body, [...timesMs, this.time.nowMs]);
+    }
+    this.time.sleep(DOWN_MS).then(() => {
+      Object.assign(upstream, { entry: this.#createEntry(), isDown: false });
+      this.#hosts.forEach(({ directory }) => (
+        directory.apply({ kind: 'upstream', entry: upstream.entry })));
+    });
+  }
+
+  #createEntry(): UpstreamEntry {
+    this.#startCount += 1;
+    return {
+      id: toId<UpstreamId>(`u${this.#startCount}`),
+      startedAtMs: this.time.nowMs,
+      poolId: POOL_ID,
+      address: 'u:1',
+      failureDomain: 'a',
+      isDraining: false,
+      slots: 4,
+      coldRemainingMs: 0,
+    };
+  }
+
+  #createHost(id: HostId): ModelQuarantineHost {
+    const directory = new Directory(this.time.clock);
+    this.#upstreams.forEach(({ entry }) => directory.apply({ kind: 'upstream', entry }));
+    const quarantine = new RequestQuarantine({
+      clock: this.time.clock,
+      hostId: id,
+      directory,
+      store: this.#createStoreView(id),
+      check: {
+        check: async (entry) => (
+          this.#upstreams.some((upstream) => upstream.entry === entry && !upstream.isDown)
+            ? 'alive'
+            : 'ended'),
+      },
+      random: this.#random,
+      logger: pino({ level: 'silent' }),
+      schedule: (delayMs, action) => {
+        this.time.sleep(delayMs).then(action);
+      },
+    });
+    this.store.getSnapshot().forEach(({ change }) => directory.apply(change));
+    return {
+      id,
+      directory,
+      quarantine,
+      revision: this.store.history.length,
+      isCut: false,
+      troubledAtMs: -Infinity,
+    };
+  }
+
+  /** The store, as far as a host reaches it. */
+  #createStoreView(id: HostId): QuarantineStoreModel {
+    const assertReached = (): void => {
+      if (this.#hosts.find((host) => host.id === id)?.isCut === true) {
+        throw new Error('the host is cut off from the store');
+      }
+    };
+    return new Proxy(this.store, {
+      get: (target, name) => {
+        const value: unknown = Reflect.get(target, name);
+        return typeof value === 'function'
+          ? async (...args: unknown[]) => {
+            assertReached();
+            return value.apply(target, args) as unknown;
+          }
+          : value;
+      },
+    });
+  }
+
+  /** Brings the changes of the store to a host, each a while later, for as long as it lasts. */
+  async #follow(host: ModelQuarantineHost): Promise<void> {
+    for (;;) {
+      // eslint-disable-next-line no-await-in-loop -- the lag is the point
+      await this.time.sleep(this.#random.getFraction() * MAX_LAG_MS);
+      if (!host.isCut && !this.store.isDown) {
+        const news = this.store.history.slice(host.revision);
+        host.revision = this.store.history.length;
+        news.forEach(({ change }) => host.directory.apply(change));
+      }
+    }
+  }
+}
--- a/test/support/MemoryDirectoryStore.ts
+++ b/test/support/MemoryDirectoryStore.ts
@@ -1,3 +1,7 @@
+import type { HostId } from '../../src/lib/ids.ts';
+import type {
+  CrashReport, QuarantineStore, TrialRecord,
+} from '../../src/quarantine/QuarantineStore.ts';
 import type { HostEntry } from '../../src/directory/HostEntry.ts';
 import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
 import type {
@@ -7,9 +11,11 @@
 const FOLLOW_PAUSE_MS = 20;
 
 /** A store that holds what the test puts there. */
-export class MemoryDirectoryStore implements DirectoryStore {
+export class MemoryDirectoryStore implements DirectoryStore, QuarantineStore {
   readonly changes: DirectoryChange[] = [];
 
+  readonly #trialRevisions = new Map<string, number>();
+
   async readAll(): Promise<DirectorySnapshot> {
     return { changes: [...this.changes], revision: this.changes.length };
   }
@@ -50,6 +56,35 @@
     return 'renewed';
   }
 
+  async writeCrash(report: CrashReport, hostId: HostId): Promise<RenewResult> {
+    this.changes.push({
+      kind: 'crashRecorded', report, hostId, revision: this.changes.length + 1,
+    });
+    return 'renewed';
+  }
+
+  async writeCleared(fingerprint: string): Promise<RenewResult> {
+    this.#trialRevisions.delete(fingerprint);
+    this.changes.push({
+      kind: 'requestCleared', fingerprint, revision: this.changes.length + 1,
+    });
+    return 'renewed';
+  }
+
+  async writeTrials({
+    fingerprint, trialCount, knownRevision,
+  }: TrialRecord): Promise<number | null> {
+    if ((this.#trialRevisions.get(fingerprint) ?? 0) !== knownRevision) {
+      return null;
+    }
+    const revision = this.changes.length + 1;
+    this.#trialRevisions.set(fingerprint, revision);
+    this.changes.push({
+      kind: 'requestTried', fingerprint, trialCount, revision,
+    });
+    return revision;
+  }
+
   async recordHostCount(count: number): Promise<void> {
     this.changes.push({ kind: 'hostCount', count, revision: this.changes.length });
   }
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import { pino } from 'pino';
 import { PlatformStageCaller } from '../../platform/PlatformStageCaller.ts';
+import { PlatformUpstreamCheck } from '../../platform/PlatformUpstreamCheck.ts';
 import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
 import { REPETITION, type ServingRoute } from '../../src/directory/ServingConfiguration.ts';
 import {
@@ -149,6 +150,7 @@
       store: this.#store,
       protocol: new PlatformUpstreamProtocol(),
       stageCaller: new PlatformStageCaller(this.#connections),
+      upstreamCheck: new PlatformUpstreamCheck(this.#connections),
       connections: this.#connections,
     }, new SystemClock(), pino({ level: 'silent' }));
     await this.#host.start();
@@ -183,6 +185,12 @@
     });
   }
 
+  /** @param index - an upstream whose process ends; its address refuses connections */
+  endUpstream(index: number): void {
+    this.#servers[index]?.close();
+    this.#servers[index]?.closeAllConnections();
+  }
+
   /** @returns when the host has left as planned */
   async stop(): Promise<void> {
     await this.#host?.stop();
