Bound what is read of an answer that has no end

The own protocol's readers had a limit for whole answers and none for load reports, and cut a failure's body for each chunk only.

--- a/src/directory/HttpDirectoryPeers.ts
+++ b/src/directory/HttpDirectoryPeers.ts
@@ -1,4 +1,5 @@
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import { readBoundedText } from '../upstreams/readBoundedText.ts';
 import { DIRECTORY_PATH, type DirectoryPeers, type PeerChanges } from './DirectoryPeers.ts';
 import type { KnownHost } from './HostEntry.ts';
 
@@ -28,6 +29,6 @@
       await response.body.dump();
       throw new Error(`host ${reader.id} answered ${response.statusCode}`);
     }
-    return await response.body.json() as PeerChanges;
+    return JSON.parse(await readBoundedText(response.body)) as PeerChanges;
   }
 }
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -4,6 +4,7 @@
 import type { HostId } from '../lib/ids.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import { readBoundedText } from '../upstreams/readBoundedText.ts';
 import type { PlacementDesk } from './PlacementDesk.ts';
 import { PLACEMENT_PATHS } from './PLACEMENT_PATHS.ts';
 import { findPlacementGroups, type PlacementGroup } from './PlacementGroup.ts';
@@ -173,7 +174,7 @@
         await response.body.dump();
         throw new Error(`host ${placer.id} answered a placement with ${response.statusCode}`);
       }
-      return await response.body.json() as PlacementResult;
+      return JSON.parse(await readBoundedText(response.body)) as PlacementResult;
     } finally {
       release();
     }
--- a/src/platform/HttpHostListClient.ts
+++ b/src/platform/HttpHostListClient.ts
@@ -1,5 +1,6 @@
 import { Pool } from 'undici';
 import type { HostId } from '../lib/ids.ts';
+import { readBoundedText } from '../upstreams/readBoundedText.ts';
 import type { HostListEntry } from './HostListEntry.ts';
 
 const JSON_HEADERS = { 'content-type': 'application/json' };
@@ -78,7 +79,7 @@
         headers: body === null ? null : JSON_HEADERS,
         signal: AbortSignal.timeout(this.#timeoutMs),
       });
-      const answer: unknown = await response.body.json();
+      const answer: unknown = JSON.parse(await readBoundedText(response.body));
       return response.statusCode === 200 ? answer : null;
     } catch {
       return null;
--- a/src/platform/HttpKeyValueClient.ts
+++ b/src/platform/HttpKeyValueClient.ts
@@ -3,6 +3,7 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { Clock } from '../time/Clock.ts';
 import { SystemClock } from '../time/SystemClock.ts';
+import { readBoundedText } from '../upstreams/readBoundedText.ts';
 import type { CallBudget } from './CallBudget.ts';
 import type {
   CompareAndSwapCall, KeyValueAnswer, KeyValueCall, KeyValueClass, WatchCall,
@@ -207,7 +208,8 @@
       headers: body === null ? null : JSON_HEADERS,
       signal: AbortSignal.timeout(timeoutMs),
     });
-    return { statusCode: response.statusCode, body: await response.body.json() };
+    const text = await readBoundedText(response.body);
+    return { statusCode: response.statusCode, body: JSON.parse(text) as unknown };
   }
 
   static #getWatchQuery(call: WatchCall): string {
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -10,6 +10,7 @@
 import { EventSplitter, type StreamEvent } from './EventSplitter.ts';
 import type { RelayContext, RelayTerms } from './RelayContext.ts';
 import { REPEAT_REASON, type RepeatReason } from './RepeatDecision.ts';
+import { HeldAnswer } from './HeldAnswer.ts';
 import { RequestRepeats } from './RequestRepeats.ts';
 import { SilenceWatch } from './SilenceWatch.ts';
 import { TrialCheck } from './TrialCheck.ts';
@@ -26,6 +27,8 @@
 const FIRST_EVENT_FACTOR = 1.5;
 /** Sends that engines refused or that did not reach them, for one request at most. */
 const MAX_REFUSED_SENDS = 6;
+/** Events beside those of the tokens, such as the one that ends a stream. */
+const SPARE_EVENTS = 64;
 /** Retry-After where the cause is over in a moment. */
 const SHORT_RETRY_AFTER_MS = 200;
 
@@ -77,7 +80,10 @@
 
   #head: AnswerHead | null = null;
 
-  #errorChunks: Buffer[] = [];
+  /** An answer of the engine that is no stream. */
+  readonly #errorAnswer: HeldAnswer;
+
+  #eventCount = 0;
 
   #lastEventId: number | null;
 
@@ -106,6 +112,7 @@
     this.#exchange = exchange;
     this.#lastEventId = exchange.request.profile.lastEventId;
     this.#arrivedAtMs = exchange.request.arrivedAtMs;
+    this.#errorAnswer = new HeldAnswer(context.answerMemory);
     this.#trialCheck = new TrialCheck(context.quarantine, terms.isTrial);
     this.#repeats = new RequestRepeats({
       clock: context.clock,
@@ -227,7 +234,8 @@
     this.#runCount += 1;
     this.#sentAtMs = this.#context.clock.getMonotonicMs();
     this.#head = null;
-    this.#errorChunks = [];
+    this.#errorAnswer.release();
+    this.#eventCount = 0;
     this.#splitter = new EventSplitter();
     this.#log('sent', {
       ...this.#repeats.noteSend(placed.upstreamId), inputCount: placed.inputs.length,
@@ -265,16 +273,27 @@
       return;
     }
     if (this.#head.status >= STATUS.multipleChoices) {
-      this.#errorChunks.push(chunk);
+      if (!this.#errorAnswer.add(chunk)) {
+        this.#running?.abort('the answer is too large');
+      }
       return;
     }
     this.#watchSilence(this.#terms.route.gapTargetMs * SILENCE_FACTOR);
-    this.#splitter.add(chunk).every((event) => this.#passOn(event));
+    try {
+      this.#splitter.add(chunk).every((event) => this.#passOn(event));
+    } catch (error) {
+      this.#running?.abort(String(error));
+    }
   }
 
   /** @returns whether the stream goes on */
   #passOn(event: StreamEvent): boolean {
     const { id } = event;
+    this.#eventCount += 1;
+    if (this.#eventCount > this.#getMaxEventCount()) {
+      this.#running?.abort(`more than ${this.#eventCount} events`);
+      return false;
+    }
     if (id !== null && this.#lastEventId !== null) {
       if (id <= this.#lastEventId) {
         return true;
@@ -297,6 +316,13 @@
     return true;
   }
 
+  /** An event holds a token at least. */
+  #getMaxEventCount(): number {
+    const { generation } = this.#exchange.request.profile;
+    const { maxOutputTokens = 0 } = generation ?? {};
+    return maxOutputTokens === 0 ? Infinity : maxOutputTokens + SPARE_EVENTS;
+  }
+
   #endAttempt(engine: UpstreamEntry, end: AttemptEnd): void {
     const { id: upstreamId } = engine;
     this.#running = null;
@@ -366,7 +392,7 @@
       this.#giveUp(STATUS.badGateway, 'engine-failed', null);
       return;
     }
-    const body = Buffer.concat(this.#errorChunks);
+    const body = this.#errorAnswer.take();
     const { status, passedHeaders, isFramed } = head;
     this.#exchange.answer({
       status, headers: passedHeaders, body, isFramed,
@@ -453,6 +479,7 @@
       return;
     }
     this.#isOver = true;
+    this.#errorAnswer.release();
     this.#silence.stop();
     clearTimeout(this.#deadlineTimer ?? undefined);
     clearTimeout(this.#pauseTimer ?? undefined);
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -8,6 +8,7 @@
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
 import type { RequestSubject } from '../quarantine/RequestSubject.ts';
+import type { AnswerMemory } from './AnswerMemory.ts';
 import type { ColdPacer } from './ColdPacer.ts';
 import type { HostShares } from './HostShares.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
@@ -26,6 +27,7 @@
   readonly shares: HostShares;
   readonly pacer: ColdPacer;
   readonly quarantine: RequestQuarantine;
+  readonly answerMemory: AnswerMemory;
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
   readonly failureDomain: string;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -16,6 +16,7 @@
 import { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
+import { AnswerMemory } from './AnswerMemory.ts';
 import { ColdPacer } from './ColdPacer.ts';
 import { HostShares } from './HostShares.ts';
 import type { RelayHostAdapters, RelayHostSettings } from './RelayHostOptions.ts';
@@ -161,6 +162,7 @@
       shares,
       pacer: new ColdPacer(clock),
       quarantine: this.#quarantine,
+      answerMemory: new AnswerMemory(),
       logger,
       metrics: this.#metrics,
       failureDomain: settings.failureDomain,
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -9,6 +9,7 @@
 import type { RelayContext, RelayTerms } from './RelayContext.ts';
 import { REPEAT_REASON, type RepeatReason } from './RepeatDecision.ts';
 import { getHostShare, getReturnMs } from './getReturnMs.ts';
+import { HeldAnswer } from './HeldAnswer.ts';
 import { RequestRepeats } from './RequestRepeats.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
 import { TrialCheck } from './TrialCheck.ts';
@@ -21,7 +22,7 @@
   readonly sentAtMs: number;
   running: RunningAttempt | null;
   head: AnswerHead | null;
-  readonly chunks: Buffer[];
+  readonly answer: HeldAnswer;
 }
 
 /** Part of the objective after which a second upstream is asked as well. */
@@ -168,7 +169,7 @@
       sentAtMs: this.#context.clock.getMonotonicMs(),
       running: null,
       head: null,
-      chunks: [],
+      answer: new HeldAnswer(this.#context.answerMemory),
     };
     this.#tried.add(id);
     this.#open.add(attempt);
@@ -197,7 +198,11 @@
           book.noteAnswer(id, head.load);
           this.#context.shares.noteAnswered(this.#terms.poolId, id);
         },
-        onData: (chunk) => attempt.chunks.push(chunk),
+        onData: (chunk) => {
+          if (!attempt.answer.add(chunk)) {
+            attempt.running?.abort('the answer is too large');
+          }
+        },
         onEnd: (end) => this.#endAttempt(attempt, upstream, end),
       },
     );
@@ -266,6 +271,9 @@
     const { quarantine } = this.#context;
     const { subject, isTrial } = this.#terms;
     this.#open.delete(attempt);
+    if (end.kind !== 'complete' || this.#isOver) {
+      attempt.answer.release();
+    }
     this.#context.book.noteEnded(attempt.upstreamId, getBookEnd(attempt, end, this.#isOver));
     if (end.kind === 'broken' && !end.isAborted) {
       quarantine.noteBroken(subject, upstream, { sentAtMs: attempt.sentAtMs, isTrial });
@@ -302,13 +310,14 @@
       return;
     }
     if (head.isNotRun) {
+      attempt.answer.release();
       this.#runCount -= 1;
       this.#log('notRun', { upstreamId: attempt.upstreamId, status: head.status });
       this.#sendElsewhere();
       return;
     }
     this.#context.quarantine.noteAnswered(this.#terms.subject);
-    const body = Buffer.concat(attempt.chunks);
+    const body = attempt.answer.take();
     if (head.status >= STATUS.error && this.#isRepeatable) {
       this.#lastFailure = { head, body };
       this.#log('failed', { upstreamId: attempt.upstreamId, status: head.status });
--- /dev/null
+++ b/src/relay/endlessAnswers.test.ts
@@ -0,0 +1,136 @@
+import { equal, ok } from 'node:assert/strict';
+import type { Socket } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { RelayTestBed, type UpstreamHandler } from '../../test/support/RelayTestBed.ts';
+import { MAX_EXCHANGE_BYTES } from '../upstreams/createConnector.ts';
+
+/** What sockets on loopback may hold beside what a host reads. */
+const SOCKET_BYTES = 16 * 1024 * 1024;
+const REQUEST_COUNT = 6;
+const BLOCK = Buffer.alloc(64 * 1024, 'x');
+
+/** What an upstream sends first, and then again and again. */
+interface Flood {
+  readonly head: string;
+  readonly more: Buffer;
+}
+
+type FloodMaker = (requestId: string) => Flood;
+
+function createHead(requestId: string, lines: readonly string[]): string {
+  return ['HTTP/1.1 200 OK', `X-Request-Id: ${requestId}`, ...lines, '', ''].join('\r\n');
+}
+
+const CHUNKED = 'Transfer-Encoding: chunked';
+const EVENTS = 'Content-Type: text/event-stream';
+const CHUNK = Buffer.concat([Buffer.from('10000\r\n'), BLOCK, Buffer.from('\r\n')]);
+const TINY_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(4_096));
+const INFORMATIONAL = Buffer.from('HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'.repeat(512));
+
+const FLOODS: readonly (readonly [string, FloodMaker])[] = [
+  ['a status line', () => ({ head: 'HTTP/1.1 200 ', more: BLOCK })],
+  ['a head', (id) => ({
+    head: createHead(id, ['X-Endless: ']).trimEnd(), more: BLOCK,
+  })],
+  ['no HTTP at all', () => ({ head: '', more: BLOCK })],
+  ['informational answers', () => ({ head: '', more: INFORMATIONAL })],
+  ['a body by chunks', (id) => ({ head: createHead(id, [CHUNKED]), more: CHUNK })],
+  ['a body by tiny chunks', (id) => ({ head: createHead(id, [CHUNKED]), more: TINY_CHUNKS })],
+  ['a body without length', (id) => ({ head: createHead(id, ['Connection: close']), more: BLOCK })],
+  ['a trailer', (id) => ({ head: `${createHead(id, [CHUNKED])}0\r\nX-Endless: `, more: BLOCK })],
+  ['the line before a chunk', (id) => ({
+    head: `${createHead(id, [CHUNKED])}1;x=`, more: BLOCK,
+  })],
+  ['a body that says failure', (id) => ({
+    head: createHead(id, [CHUNKED]).replace('200 OK', '500 Failed'), more: CHUNK,
+  })],
+];
+
+const STREAM_FLOODS: readonly (readonly [string, FloodMaker])[] = [
+  ['an event', (id) => ({ head: createHead(id, [EVENTS, CHUNKED]), more: CHUNK })],
+  ['an event by tiny chunks', (id) => ({
+    head: createHead(id, [EVENTS, CHUNKED]), more: TINY_CHUNKS,
+  })],
+  ['events', (id) => ({
+    head: createHead(id, [EVENTS, 'Connection: close']), more: Buffer.from(': x\n\n'.repeat(8_192)),
+  })],
+];
+
+let bed: RelayTestBed | null = null;
+
+/** Sends without end, as fast as the other side reads, until that closes. */
+function flood(socket: Socket, { head, more }: Flood, onSent: (bytes: number) => void): void {
+  const send = (): void => {
+    while (!socket.destroyed && socket.write(more)) {
+      onSent(more.length);
+    }
+  };
+  socket.on('error', () => undefined);
+  socket.on('drain', send);
+  socket.write(head);
+  send();
+}
+
+interface FloodRun {
+  readonly statuses: readonly number[];
+  /** Most that one flood has sent until it was closed. */
+  readonly mostBytes: number;
+  readonly floodCount: number;
+  readonly openCount: number;
+}
+
+async function runFlood(path: string, createFlood: FloodMaker): Promise<FloodRun> {
+  const sent = new Map<Socket, number>();
+  let openCount = 0;
+  const flooding: UpstreamHandler = (request, response) => {
+    const { socket } = request;
+    openCount += 1;
+    socket.once('close', () => {
+      openCount -= 1;
+    });
+    response.detachSocket(socket);
+    flood(socket, createFlood(String(request.headers['x-request-id'])), (bytes) => {
+      sent.set(socket, (sent.get(socket) ?? 0) + bytes);
+    });
+  };
+  bed = new RelayTestBed();
+  await bed.start([flooding, (_request, response) => response.end('id: 1\ndata: fine\n\n')]);
+  const statuses: number[] = [];
+  for (let index = 0; index < REQUEST_COUNT; index += 1) {
+    // eslint-disable-next-line no-await-in-loop -- one after the other
+    const { status } = await bed.send(path, {
+      'x-request-id': `r${index}`, 'x-token-usage': '10,100', 'x-prompt-prefix': 'a:10',
+    });
+    statuses.push(status);
+  }
+  return {
+    statuses, mostBytes: Math.max(0, ...sent.values()), floodCount: sent.size, openCount,
+  };
+}
+
+function checkFlood({
+  statuses, mostBytes, floodCount, openCount,
+}: FloodRun): void {
+  ok(floodCount > 0, 'the flooding upstream was not asked');
+  ok(mostBytes <= MAX_EXCHANGE_BYTES + SOCKET_BYTES, `${mostBytes} bytes were read`);
+  equal(openCount, 0);
+  ok(statuses.every((status) => status === 200), statuses.join(' '));
+}
+
+describe('answers without end', () => {
+  afterEach(async () => {
+    await bed?.close();
+  });
+
+  FLOODS.forEach(([name, createFlood]) => {
+    it(`are broken off, and another upstream serves: ${name}`, async () => {
+      checkFlood(await runFlood('/safe/', createFlood));
+    });
+  });
+
+  STREAM_FLOODS.forEach(([name, createFlood]) => {
+    it(`are broken off in a stream, and another engine serves: ${name}`, async () => {
+      checkFlood(await runFlood('/stream/', createFlood));
+    });
+  });
+});
--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -1,4 +1,4 @@
-import type { Dispatcher, Pool } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { CallerRequest } from '../ingress/CallerRequest.ts';
 import type { AnswerHead, AttemptDetails, UpstreamProtocol } from './UpstreamProtocol.ts';
 
@@ -153,7 +153,7 @@
  * @returns the attempt
  */
 export function sendAttempt(
-  connections: Pool,
+  connections: Dispatcher,
   protocol: UpstreamProtocol,
   request: CallerRequest,
   details: AttemptDetails,
--- a/src/upstreams/AnswerReader.ts
+++ b/src/upstreams/AnswerReader.ts
@@ -34,6 +34,3 @@
    */
   end(): ReadOutcome;
 }
-
-/** Most that an upstream's answer may hold, in bytes. */
-export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
--- a/src/upstreams/AttemptExchange.ts
+++ b/src/upstreams/AttemptExchange.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici';
+import { AnswerTooLargeError } from './AnswerTooLargeError.ts';
 import type { AnswerReader, ReadOutcome } from './AnswerReader.ts';
 import type { AttemptEvidence } from './getAttemptFailure.ts';
 import { getCostMicros, parseJsonObject } from './parseJsonObject.ts';
@@ -97,7 +98,10 @@
       return;
     }
     if (this.#statusCode >= FIRST_ERROR_STATUS) {
-      this.#errorBody += chunk.toString('utf8').slice(0, MAX_ERROR_BODY_BYTES);
+      this.#errorBody += chunk.toString('utf8');
+      if (this.#errorBody.length > MAX_ERROR_BODY_BYTES) {
+        controller.abort(new AnswerTooLargeError('an error', `${MAX_ERROR_BODY_BYTES} bytes`));
+      }
       return;
     }
     const outcome = this.#reader.addChunk(chunk);
--- a/src/upstreams/EventStreamReader.ts
+++ b/src/upstreams/EventStreamReader.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { StringDecoder } from 'node:string_decoder';
 import type { AnswerReader, ReadOutcome, ReadUnusable } from './AnswerReader.ts';
-import { MAX_ANSWER_BYTES } from './AnswerReader.ts';
+import { CHUNK_OVERHEAD_BYTES, MAX_ANSWER_BYTES } from './MAX_ANSWER_BYTES.ts';
 import { getCostMicros, parseJsonObject } from './parseJsonObject.ts';
 
 const EVENT_END = '\n\n';
@@ -44,7 +44,7 @@
 
   /** @inheritdoc */
   addChunk(chunk: Buffer): ReadOutcome | null {
-    this.#sizeBytes += chunk.length;
+    this.#sizeBytes += chunk.length + CHUNK_OVERHEAD_BYTES;
     if (this.#sizeBytes > MAX_ANSWER_BYTES) {
       return this.#getUnusable('The stream is too large.');
     }
--- a/src/upstreams/LoadReader.ts
+++ b/src/upstreams/LoadReader.ts
@@ -1,5 +1,6 @@
 import type { LoadReportedInput, LoadUnavailableInput } from '../core/CoreInput.ts';
 import type { UpstreamId } from '../lib/ids.ts';
+import { readBoundedText } from './readBoundedText.ts';
 import { UpstreamConnections } from './UpstreamConnections.ts';
 
 const CONNECTIONS_PER_UPSTREAM = 1;
@@ -79,7 +80,7 @@
       const response = await this.#connections.get(url).request({
         method: 'GET', path: '/load', signal: AbortSignal.timeout(this.#timeoutMs),
       });
-      const body = await response.body.json();
+      const body: unknown = JSON.parse(await readBoundedText(response.body));
       return response.statusCode === 200 ? body : null;
     } catch {
       return null;
--- a/src/upstreams/UpstreamConnections.ts
+++ b/src/upstreams/UpstreamConnections.ts
@@ -1,4 +1,5 @@
-import { Pool } from 'undici';
+import { Pool, type Dispatcher } from 'undici';
+import { boundInformational } from './boundInformational.ts';
 import { createConnector } from './createConnector.ts';
 
 /** Bounds of the connections to one upstream. */
@@ -18,11 +19,17 @@
   keepAliveMs: 4000,
 };
 
+interface Connections {
+  readonly pool: Pool;
+  /** The pool, with bounds on what comes back. */
+  readonly dispatcher: Dispatcher;
+}
+
 /** One keep-alive connection pool for each upstream. */
 export class UpstreamConnections {
   readonly #options: UpstreamConnectionsOptions;
 
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<string, Connections>();
 
   /**
    * @param options - what differs from the defaults
@@ -35,10 +42,10 @@
    * @param url - base address of an upstream
    * @returns its connections; made at the first call
    */
-  get(url: string): Pool {
+  get(url: string): Dispatcher {
     const known = this.#pools.get(url);
     if (known !== undefined) {
-      return known;
+      return known.dispatcher;
     }
     const pool = new Pool(url, {
       connections: this.#options.maxConnections,
@@ -50,8 +57,9 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    this.#pools.set(url, pool);
-    return pool;
+    const dispatcher = pool.compose(boundInformational);
+    this.#pools.set(url, { pool, dispatcher });
+    return dispatcher;
   }
 
   /**
@@ -60,15 +68,15 @@
    * @param url - base address of the upstream
    */
   async forget(url: string): Promise<void> {
-    const pool = this.#pools.get(url);
+    const known = this.#pools.get(url);
     this.#pools.delete(url);
-    await pool?.close();
+    await known?.pool.close();
   }
 
   /** Breaks all connections. */
   async close(): Promise<void> {
     const pools = [...this.#pools.values()];
     this.#pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 }
--- a/src/upstreams/WholeAnswerReader.ts
+++ b/src/upstreams/WholeAnswerReader.ts
@@ -1,5 +1,5 @@
 import type { AnswerReader, ReadOutcome, ReadUnusable } from './AnswerReader.ts';
-import { MAX_ANSWER_BYTES } from './AnswerReader.ts';
+import { CHUNK_OVERHEAD_BYTES, MAX_ANSWER_BYTES } from './MAX_ANSWER_BYTES.ts';
 import { getCostMicros, parseJsonObject } from './parseJsonObject.ts';
 
 /** Reads the answer of a stage pool or plain service: one JSON object. */
@@ -19,7 +19,7 @@
 
   /** @inheritdoc */
   addChunk(chunk: Buffer): ReadOutcome | null {
-    this.#sizeBytes += chunk.length;
+    this.#sizeBytes += chunk.length + CHUNK_OVERHEAD_BYTES;
     if (this.#sizeBytes > MAX_ANSWER_BYTES) {
       return WholeAnswerReader.#getUnusable('The answer is too large.');
     }
--- /dev/null
+++ b/src/upstreams/readBoundedText.ts
@@ -0,0 +1,30 @@
+import type { Readable } from 'node:stream';
+import { AnswerTooLargeError } from './AnswerTooLargeError.ts';
+import { CHUNK_OVERHEAD_BYTES, MAX_ANSWER_BYTES } from './MAX_ANSWER_BYTES.ts';
+
+/**
+ * Reads a body whole. One that goes on beyond the bound is broken off, connection and all.
+ *
+ * @param body - the body, not read yet
+ * @param maxBytes - how much of it is read
+ * @returns its text, taken as UTF-8
+ * @throws AnswerTooLargeError when there is more
+ */
+export function readBoundedText(body: Readable, maxBytes = MAX_ANSWER_BYTES): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    body.on('data', (chunk: Buffer) => {
+      sizeBytes += chunk.length + CHUNK_OVERHEAD_BYTES;
+      if (sizeBytes > maxBytes) {
+        chunks.length = 0;
+        body.destroy(new AnswerTooLargeError('the body', `${maxBytes} bytes`));
+      } else {
+        chunks.push(chunk);
+      }
+    });
+    body.on('error', reject);
+    body.on('end', () => resolve(Buffer.concat(chunks).toString('utf8')));
+    body.on('close', () => reject(new Error('the body ended early')));
+  });
+}
