Don't end the process when a connection to an upstream is refused

The soak's upstreams stand behind proxies that accept every connection, so that it can't show this. createConnector.test.ts fails before (TypeError) and passes now.

--- /dev/null
+++ b/src/upstreams/createConnector.test.ts
@@ -0,0 +1,15 @@
+import { rejects } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { getFreePort } from '../../test/support/getFreePort.ts';
+import { UpstreamConnections } from './UpstreamConnections.ts';
+
+describe('createConnector', () => {
+  it('passes on that nobody listens, and the process goes on', async () => {
+    const connections = new UpstreamConnections();
+    const port = await getFreePort();
+    await rejects(connections.get(`http://127.0.0.1:${port}`).request({
+      method: 'GET', path: '/',
+    }), { code: 'ECONNREFUSED' });
+    await connections.close();
+  });
+});
--- a/src/upstreams/createConnector.ts
+++ b/src/upstreams/createConnector.ts
@@ -44,9 +44,9 @@
   const connect = buildConnector({ timeout: timeoutMs });
   return (options, callback) => {
     connect(options, (...result) => {
-      const [, socket] = result;
-      socket?.prependListener('error', renameReset);
-      if (socket !== null) {
+      const [error, socket] = result;
+      if (error === null) {
+        socket.prependListener('error', renameReset);
         boundExchanges(socket);
       }
       callback(...result);
