Show that a piece of a stage that ends its upstreams is sent on and on

The quarantine goes by requests that relays send; pieces are sent by the placing host, which puts them back and doesn't know the fingerprint.

--- a/src/placement/pieceRepeats.test.ts
+++ b/src/placement/pieceRepeats.test.ts
@@ -17,6 +17,8 @@
 const WINDOW_MS = 10_000;
 const STEP_MS = 20;
 const REQUEST_EVERY_MS = 200;
+/** Upstreams that a request may end before it has to be known, and times that it may come after. */
+const MAX_ENDED = 3 + 3;
 
 function createShares(clock: ManualClock, directory: Directory): HostShares {
   return new HostShares({
@@ -91,4 +93,27 @@
     const excess = findExcess(sends);
     ok(excess === null, excess ?? '');
   });
+
+  it('are not sent on and on where they end the upstreams that make them', () => {
+    const bed = new PlacementTestBed({ first: { makers: 8 } }, 1, createShares);
+    const ended: StageCall[] = [];
+    const isBad = (call: StageCall): boolean => (
+      call.items.some(({ requestId }) => requestId === 'bad'));
+    bed.place({
+      requestId: 'bad', stages: [STAGE], pieceCounts: [1], remainingMs: 30_000,
+    });
+    for (let nowMs = 0; nowMs < 20_000; nowMs += STEP_MS) {
+      bed.clock.advance(STEP_MS);
+      if (nowMs % REQUEST_EVERY_MS === 0) {
+        bed.place({ requestId: `r${nowMs}`, stages: [STAGE], pieceCounts: [3] });
+      }
+      bed.desk.run();
+      const calls = bed.takeCalls();
+      ended.push(...calls.filter(isBad));
+      calls.filter(isBad).forEach((call) => (
+        bed.desk.finishCall(call, { kind: 'broken', detail: 'other side closed' })));
+      calls.filter((call) => !isBad(call)).forEach((call) => bed.complete(call));
+    }
+    ok(ended.length <= MAX_ENDED, `${ended.length} upstreams ended`);
+  });
 });
