--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -27,6 +27,14 @@
   ...MIXED_RUN, plan: [], isCrashing: true, calmMs: 18_000,
 };
 
+/** All callers send the same bodies all the time, and nine upstreams end by themselves. */
+const ENDING_RUN: Omit<SoakRunOptions, 'folder' | 'network'> = {
+  ...MIXED_RUN,
+  plan: Array.from({ length: 9 }, (_, index) => ({
+    atMs: 600 * index, durationMs: 0, pick: index, fault: { kind: 'upstream', how: 'crash' },
+  })),
+};
+
 async function checkRun(options: Omit<SoakRunOptions, 'folder' | 'network'>): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'parsleylift-soak-'));
   const run = new SoakRun({ ...options, folder, network: NETWORK });
@@ -38,6 +46,9 @@
 describe('SoakRun', () => {
   it('sends no request on and on that ends its upstreams', () => checkRun(CRASHING_RUN));
 
+  it('serves requests that were there when upstreams ended by themselves', () => (
+    checkRun(ENDING_RUN)));
+
   [MIXED_RUN, ...REGRESSION_RUNS.filter(({ isShort }) => isShort)].forEach((options) => {
     const faults = options.plan === undefined ? `seed ${options.seed}` : 'a plan';
     it(`keeps the promises under the ${options.profile} faults of ${faults}`, () => (
--- a/src/explain/explainFromLogs.test.ts
+++ b/src/explain/explainFromLogs.test.ts
@@ -60,6 +60,19 @@
     ok(found.lines.includes(notice));
   });
 
+  it('names the crashes that count against a request that was refused for them', () => {
+    const decision = createLine('a.log', 2, {
+      event: 'quarantine', requestId: 'r', outcome: 'admitted', fingerprint: 'f', crashCount: 3,
+    });
+    const refusal = createLine('a.log', 3, {
+      event: 'refused', requestId: 'r', reason: 'quarantined',
+    });
+    const found = explainFromLogs('r', [decision, refusal]);
+    equal(found.outcome, 'quarantined');
+    equal(found.decidingLine, decision);
+    ok(found.cause.includes('have ended'));
+  });
+
   it('shows what changed around a request, and nothing of other times and requests', () => {
     const near = createLine('c.log', 900, { event: 'placerLost', hostId: 'h' });
     const found = explainFromLogs('r', [
--- a/src/explain/explainFromLogs.ts
+++ b/src/explain/explainFromLogs.ts
@@ -20,7 +20,7 @@
 export const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
   'started', 'stopping', 'stopped', 'paused', 'storeLost', 'storeRegained', 'configurationInForce',
   'placerChosen', 'placerLost', 'stageCallEnded', 'upstreamLeaving', 'upstreamBackOff',
-  'directorySourceChanged', 'directoryReaderLost',
+  'directorySourceChanged', 'directoryReaderLost', 'upstreamCrashed',
 ]);
 
 /** Outcomes of `relay` lines that end a request, and what each means. */
@@ -55,6 +55,9 @@
 
 /** The line with the inputs of the decision, which may stand in another host's log. */
 function findDecidingLine(lines: readonly LogLine[], end: LogLine): LogLine {
+  if (end.event === 'refused') {
+    return findLast(lines, ({ event }) => event === 'quarantine') ?? end;
+  }
   switch (getOutcome(end)) {
     case 'too-late':
     case 'no-engine':
@@ -88,6 +91,9 @@
       ? 'No line names it: look at more hosts, or at the caller.'
       : 'No line says how it ended: its host has ended, or its log is cut.';
   }
+  if (end.event === 'refused' && end.details.reason === 'quarantined') {
+    return 'Refused: upstreams have ended under requests like it, and none was answered since.';
+  }
   if (end.event === 'refused') {
     return `Refused before any attempt: ${String(end.details.reason)}.`;
   }
