--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -2,6 +2,7 @@
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { SeededRandomSource } from '../../src/lib/SeededRandomSource.ts';
+import { SystemClock } from '../../src/time/SystemClock.ts';
 import { StoreStandin } from '../../standins/store/StoreStandin.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
 import { SoakCaller, type SoakTarget } from './SoakCaller.ts';
@@ -79,6 +80,8 @@
     calmSinceMs: Infinity,
   };
 
+  readonly #clock = new SystemClock();
+
   readonly #store = new StoreStandin();
 
   readonly #storeProxies: SoakProxy[] = [];
@@ -199,7 +202,7 @@
         this.#record.crashes.push(crash);
         this.#striker.bringBack(crash.upstreamId);
       },
-    });
+    }, this.#clock);
     await upstream.listen();
     const proxy = new SoakProxy(upstream.port);
     await proxy.listen();
@@ -257,6 +260,7 @@
   }
 
   async #close(): Promise<void> {
+    this.#striker.stop();
     await Promise.all(this.#hosts.map((host) => host.stop()));
     this.#upstreams.forEach(({ upstream, proxy }) => {
       proxy.close();
--- a/scripts/soak/SoakStriker.ts
+++ b/scripts/soak/SoakStriker.ts
@@ -59,6 +59,8 @@
 
   #version = 1;
 
+  #isStopped = false;
+
   /**
    * @param targets - what faults strike
    */
@@ -84,6 +86,11 @@
     });
   }
 
+  /** Starts no upstream again; for a run that is over. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
   /** Puts the next version of the manifest in force. */
   putManifest(): void {
     this.#targets.store.put(STORE_KEYS.configuration, createSoakManifest(this.#version));
@@ -98,8 +105,8 @@
   async bringBack(upstreamId: string): Promise<void> {
     const placed = this.#targets.upstreams.find(({ upstream }) => upstream.id === upstreamId);
     await sleep(DOWN_MS);
-    // It may have been ended and started by a fault meanwhile.
-    if (placed !== undefined && placed.upstream.id === upstreamId) {
+    // It may have been ended and started by a fault meanwhile, or the run may be over.
+    if (!this.#isStopped && placed !== undefined && placed.upstream.id === upstreamId) {
       placed.upstream.restart();
       this.#targets.store.remove(`${STORE_KEYS.upstreamPrefix}${upstreamId}`);
       this.register(placed, 'ready');
--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -7,6 +7,7 @@
 import { text as readText } from 'node:stream/consumers';
 import { HEADERS, UPSTREAM_PATHS } from '../../platform/WIRE.ts';
 import { HEALTH_PATH } from './createSoakManifest.ts';
+import type { Clock } from '../../src/time/Clock.ts';
 import { EVENT_COUNT } from './findViolations.ts';
 import {
   ARRIVAL_KIND, REQUEST_KIND, type ArrivalKind, type ArrivalRecord, type CrashRecord,
@@ -67,6 +68,8 @@
 
   readonly #events: SoakUpstreamEvents;
 
+  readonly #clock: Clock;
+
   readonly #server: Server;
 
   /** Names this start of it. */
@@ -85,10 +88,12 @@
   /**
    * @param kind - what it does
    * @param events - gets each arrival and each run
+   * @param clock - dates each start
    */
-  constructor(kind: RequestKind | 'stage', events: SoakUpstreamEvents) {
+  constructor(kind: RequestKind | 'stage', events: SoakUpstreamEvents, clock: Clock) {
     this.kind = kind;
     this.#events = events;
+    this.#clock = clock;
     this.#server = createServer((request, response) => {
       this.#handle(request, response).catch(() => response.destroy());
     });
@@ -122,7 +127,7 @@
   restart(): void {
     this.#isDown = false;
     this.id = `i-${randomUUID()}`;
-    this.startedAtMs = Date.now();
+    this.startedAtMs = Math.floor(this.#clock.getWallMs());
   }
 
   /** Ends it. */
