Read the limit that an upstream names, and log who learns it and when

Nothing is decided by it yet. Of two words neither of which is surely the later one the stricter holds; a limit is lifted by an answer to a request that was sent after it was heard. What is no number is passed over, with one line in 10 s for each upstream.

--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -6,6 +6,7 @@
 import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
 import { UpstreamClosures } from './UpstreamClosures.ts';
+import { UpstreamLimits, type LimitWord } from './UpstreamLimits.ts';
 import type { UpstreamEntry, UpstreamLifetime } from './UpstreamEntry.ts';
 
 /** An upstream as this host knows it. */
@@ -43,6 +44,8 @@
       return `leaving ${change.lifetime.id}`;
     case 'upstreamBackOff':
       return `backOff ${change.upstreamId}`;
+    case 'upstreamLimit':
+      return `limit ${change.word.lifetime.id}`;
     case 'crashRecorded':
       return `crash ${change.report.crashId} ${change.hostId}`;
     case 'requestCleared':
@@ -70,6 +73,8 @@
 
   readonly #closures: UpstreamClosures;
 
+  readonly #limits: UpstreamLimits;
+
   readonly #listeners: ((change: DirectoryChange) => void)[] = [];
 
   #configuration: ServingConfiguration | null = null;
@@ -86,6 +91,7 @@
   constructor(clock: Clock) {
     this.#clock = clock;
     this.#closures = new UpstreamClosures(clock);
+    this.#limits = new UpstreamLimits(clock);
   }
 
   /** The version in force; null before the first one is known. */
@@ -175,6 +181,22 @@
     return this.#closures.isReopening(upstreamId);
   }
 
+  /**
+   * @param lifetime - a start of an upstream
+   * @returns requests a second that it takes from all hosts together; null when it names no limit
+   */
+  getRequestLimit(lifetime: UpstreamLifetime): number | null {
+    return this.#limits.get(lifetime);
+  }
+
+  /**
+   * @param lifetime - a start of an upstream
+   * @returns what it said last of its limit; undefined when it never named one
+   */
+  getLimitWord(lifetime: UpstreamLifetime): LimitWord | undefined {
+    return this.#limits.getWord(lifetime);
+  }
+
   /**
    * @param poolId - the pool
    * @returns its upstreams that may get new work from this host
@@ -295,6 +317,8 @@
         return this.#closures.noteLeaving(change.lifetime);
       case 'upstreamBackOff':
         return this.#closures.noteBackOff(change.upstreamId, change.durationMs);
+      case 'upstreamLimit':
+        return this.#limits.note(change.word);
       case 'crashRecorded':
       case 'requestCleared':
       case 'requestTried':
--- a/src/directory/DirectoryChange.ts
+++ b/src/directory/DirectoryChange.ts
@@ -3,6 +3,7 @@
 import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
 import type { UpstreamEntry, UpstreamLifetime } from './UpstreamEntry.ts';
+import type { LimitWord } from './UpstreamLimits.ts';
 
 /** The answer in which an upstream has told this host something of itself. */
 export interface NoticeSource {
@@ -11,6 +12,11 @@
   readonly status: number;
 }
 
+/** Who told this host of a limit: the upstream itself, or another host that it had told. */
+export type LimitSource =
+  | ({ readonly kind: 'answer' } & NoticeSource)
+  | { readonly kind: 'host'; readonly hostId: HostId };
+
 /** One thing that has changed by the word of the store, or by an upstream's own. */
 export type DirectoryChange =
   | { readonly kind: 'configuration'; readonly configuration: ServingConfiguration }
@@ -56,4 +62,6 @@
     readonly upstreamId: UpstreamId;
     readonly durationMs: number;
     readonly source: NoticeSource;
-  };
+  }
+  /** An upstream names a limit for all hosts together, changes it, or names none any more. */
+  | { readonly kind: 'upstreamLimit'; readonly word: LimitWord; readonly source: LimitSource };
--- a/src/explain/explainFromLogs.ts
+++ b/src/explain/explainFromLogs.ts
@@ -20,7 +20,7 @@
 export const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
   'started', 'stopping', 'stopped', 'paused', 'storeLost', 'storeRegained', 'configurationInForce',
   'placerChosen', 'placerLost', 'stageCallEnded', 'upstreamLeaving', 'upstreamBackOff',
-  'directorySourceChanged', 'directoryReaderLost', 'upstreamCrashed',
+  'directorySourceChanged', 'directoryReaderLost', 'upstreamCrashed', 'upstreamLimit',
 ]);
 
 /** Outcomes of `relay` lines that end a request, and what each means. */
--- a/src/placement/PlacementService.test.ts
+++ b/src/placement/PlacementService.test.ts
@@ -22,7 +22,7 @@
       run: () => new Promise(() => {}),
       free: async () => {},
     },
-    notices: new UpstreamNotices(directory, logger),
+    notices: new UpstreamNotices(clock, directory, logger),
     repeats: UNLIMITED_REPEATS,
     logger,
   });
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -118,7 +118,9 @@
     const mayStart = (): boolean => this.#directory.isUsable(call.makerId);
     this.#caller.run(call, mayStart).then(({ outcome, notice, status }) => {
       this.#notices.take({ id: call.makerId, startedAtMs: call.makerStartedAtMs }, notice, {
-        requestId: call.items[0]?.requestId ?? '', status: status ?? 0,
+        requestId: call.items[0]?.requestId ?? '',
+        status: status ?? 0,
+        sentAtMs: call.startedAtMs,
       });
       const level = outcome.kind === 'answered' ? 'debug' : 'info';
       this.#logger[level]({
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -257,7 +257,9 @@
         onHead: (head) => {
           this.#head = head;
           this.#context.notices.take(engine, head.notice, {
-            requestId: this.#exchange.request.profile.id, status: head.status,
+            requestId: this.#exchange.request.profile.id,
+            status: head.status,
+            sentAtMs: this.#sentAtMs,
           });
           this.#context.shares.noteAnswered(this.#terms.poolId, placed.upstreamId);
         },
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -7,6 +7,8 @@
 import { HttpDirectoryPeers } from '../directory/HttpDirectoryPeers.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
 import { registerDirectoryRoutes } from '../directory/registerDirectoryRoutes.ts';
+import type { LimitSource } from '../directory/DirectoryChange.ts';
+import type { LimitWord } from '../directory/UpstreamLimits.ts';
 import { UpstreamNotices } from '../directory/UpstreamNotices.ts';
 import { IngressServer } from '../ingress/IngressServer.ts';
 import { ReadinessServer } from '../ingress/ReadinessServer.ts';
@@ -127,7 +129,7 @@
     this.#hostCountKeeper = new HostCountKeeper({
       hostId: settings.hostId, directory, store: adapters.store, logger,
     });
-    const notices = new UpstreamNotices(directory, logger);
+    const notices = new UpstreamNotices(clock, directory, logger);
     this.#service = new PlacementService({
       clock, directory, caller: adapters.stageCaller, notices, repeats: shares, logger,
     });
@@ -269,12 +271,32 @@
           { event: change.kind, ...change },
           'an upstream has said that it closes; nothing new goes there from this host',
         );
+      } else if (change.kind === 'upstreamLimit') {
+        this.#logLimit(change.word, change.source);
       } else {
         this.#logger.info({ event: 'directoryChanged', change }, 'the directory has changed');
       }
     });
   }
 
+  #logLimit({
+    lifetime, requestsPerSecond, askedAtMs, heardAtMs,
+  }: LimitWord, source: LimitSource): void {
+    const nowMs = this.#clock.getMonotonicMs();
+    this.#metrics.noteLimit(lifetime.id, requestsPerSecond);
+    this.#logger.info({
+      event: 'upstreamLimit',
+      upstreamId: lifetime.id,
+      startedAtMs: lifetime.startedAtMs,
+      requestsPerSecond,
+      source,
+      ageMs: Math.round(nowMs - heardAtMs),
+      askedAgoMs: Math.round(nowMs - askedAtMs),
+    }, requestsPerSecond === null
+      ? 'an upstream names no limit any more'
+      : 'an upstream names the requests that it takes from all hosts together');
+  }
+
   /** A process that stood still may have missed anything; it reads everything anew. */
   #watchPauses(): void {
     let lastMs = this.#clock.getWallMs();
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -3,7 +3,7 @@
   Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import { parseAddress } from '../ingress/parseAddress.ts';
-import type { PoolId } from '../lib/ids.ts';
+import type { PoolId, UpstreamId } from '../lib/ids.ts';
 import type { RepeatDecision } from './RepeatDecision.ts';
 
 /** Upper bounds of the latency histogram, in seconds. */
@@ -62,6 +62,13 @@
     registers: [this.#registry],
   });
 
+  readonly #limits = new Gauge({
+    name: 'parsleylift_upstream_limit_per_second',
+    help: 'Requests a second that an upstream takes from all hosts together, if it says so',
+    labelNames: ['upstream'],
+    registers: [this.#registry],
+  });
+
   #server: Server | null = null;
 
   /**
@@ -79,6 +86,18 @@
     this.#crashes.inc({ pool: poolId });
   }
 
+  /**
+   * @param upstreamId - an upstream
+   * @param requestsPerSecond - the limit that it names now; null for none any more
+   */
+  noteLimit(upstreamId: UpstreamId, requestsPerSecond: number | null): void {
+    if (requestsPerSecond === null) {
+      this.#limits.remove({ upstream: upstreamId });
+    } else {
+      this.#limits.set({ upstream: upstreamId }, requestsPerSecond);
+    }
+  }
+
   /**
    * @param decision - a repeat that was asked for, and whether it was allowed
    */
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -193,7 +193,9 @@
         onHead: (head) => {
           attempt.head = head;
           this.#context.notices.take(upstream, head.notice, {
-            requestId: this.#exchange.request.profile.id, status: head.status,
+            requestId: this.#exchange.request.profile.id,
+            status: head.status,
+            sentAtMs: attempt.sentAtMs,
           });
           book.noteAnswer(id, head.load);
           this.#context.shares.noteAnswered(this.#terms.poolId, id);
--- a/test/property/UpstreamClosureModel.ts
+++ b/test/property/UpstreamClosureModel.ts
@@ -44,7 +44,7 @@
 
   readonly #directory = new Directory(this.#clock);
 
-  readonly #notices = new UpstreamNotices(this.#directory, pino({ level: 'silent' }));
+  readonly #notices = new UpstreamNotices(this.#clock, this.#directory, pino({ level: 'silent' }));
 
   readonly #upstreams: readonly ModelUpstream[];
 
@@ -152,7 +152,11 @@
     }
     this.#notices.take(known, {
       ...EMPTY_NOTICE, isLeaving: upstream.isLeaving, backOffMs,
-    }, { requestId: 'r', status: backOffMs > 0 ? 503 : 200 });
+    }, {
+      requestId: 'r',
+      status: backOffMs > 0 ? 503 : 200,
+      sentAtMs: this.#clock.getMonotonicMs(),
+    });
     const changed = upstream;
     changed.isKnownToLeave ||= upstream.isLeaving;
     if (backOffMs > 0) {
