--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -11,9 +11,10 @@
 
 /*
  * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H] [--rate R] [--retries C]
- * [--slack B] [--profile all|repeats|closures] [--faults S] [--crashing]`: real entry hosts as
- * processes on loopback under faults from outside. Counts what arrives at each service more than
- * once, what reaches upstreams that have said that they close, and how many of them a request ends.
+ * [--slack B] [--profile all|repeats|closures|limits] [--faults S] [--crashing] [--one-sided]`:
+ * real entry hosts as processes on loopback under faults from outside. Counts what arrives at each
+ * service more than once, what reaches upstreams that have said that they close or that name a
+ * limit, and how many of them a request ends.
  * Exits 1 when a promise was not kept, and names the seed. `npm run soak -- --regressions` runs
  * every seed that ever failed, each as it was run then.
  */
@@ -47,6 +48,7 @@
   run.getCrashes().forEach(({ lateArrivals, ...report }) => (
     console.log(`  crashes: ${JSON.stringify({ ...report, late: lateArrivals.length })}`)));
   console.log(`  closures: ${JSON.stringify(run.getClosures())}`);
+  run.getLimits().forEach((report) => console.log(`  limit: ${JSON.stringify(report)}`));
   // Upstreams and callers live in this process: what it reads late looks late on the way.
   console.log(`  longest stall of the soak itself: ${Math.round(stalls.max / NS_PER_MS)} ms`);
   violations.forEach((violation) => console.log(`  ${JSON.stringify(violation)}`));
@@ -68,6 +70,9 @@
   crashing: {
     type: 'boolean', default: false, describe: 'requests come that end the upstreams',
   },
+  'one-sided': {
+    type: 'boolean', default: false, describe: 'one host gets all requests',
+  },
   regressions: { type: 'boolean', default: false, describe: 'run every seed that ever failed' },
 }).strict().parse();
 
@@ -81,6 +86,7 @@
     bounds: { ratio: RETRY_RATIO, slack: options.slack, windowMs: RETRY_WINDOW_MS },
     profile: options.profile,
     isCrashing: options.crashing,
+    isOneSided: options.oneSided,
     faultMs: options.faults * MS_PER_SECOND,
     calmMs: CALM_MS,
   }));
--- a/scripts/soak/SoakRecord.ts
+++ b/scripts/soak/SoakRecord.ts
@@ -76,6 +76,45 @@
   readonly untilMs: number;
 }
 
+/** What an upstream that names a limit has read whole. */
+export const LIMITED_KIND = {
+  request: 'request',
+  /** A call for pieces of stages, whatever their number. */
+  stageCall: 'stageCall',
+  /** A question for its health, or results that are freed. */
+  other: 'other',
+} as const;
+
+/** A member of {@link LIMITED_KIND}. */
+export type LimitedKind = typeof LIMITED_KIND[keyof typeof LIMITED_KIND];
+
+/** Something that has reached an upstream, as its limit counts it. */
+export interface LimitArrival {
+  readonly upstreamId: string;
+  readonly kind: LimitedKind;
+  /** Empty for what is no request of a caller. */
+  readonly requestId: string;
+  readonly atMs: number;
+}
+
+/** An answer in which an upstream named its limit. */
+export interface LimitWordRecord {
+  readonly upstreamId: string;
+  readonly kind: LimitedKind;
+  readonly requestId: string;
+  readonly atMs: number;
+}
+
+/** A span in which an upstream named one limit. */
+export interface LimitSpan {
+  readonly upstreamId: string;
+  readonly service: string;
+  readonly requestsPerSecond: number;
+  readonly fromMs: number;
+  /** Infinite while it goes on. */
+  untilMs: number;
+}
+
 /** The end of an upstream under a request that ends whatever runs it. */
 export interface CrashRecord {
   readonly requestId: string;
@@ -110,6 +149,9 @@
   readonly arrivals: ArrivalRecord[];
   readonly notices: NoticeRecord[];
   readonly crashes: CrashRecord[];
+  readonly limitArrivals: LimitArrival[];
+  readonly limitWords: LimitWordRecord[];
+  readonly limitSpans: LimitSpan[];
   readonly hostSpans: HostSpan[];
   readonly linkSpans: LinkSpan[];
   /** Spans in which the store was harmed for some host. */
--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
 import { REGRESSION_RUNS } from './REGRESSION_RUNS.ts';
+import { SOAK_POOLS } from './createSoakManifest.ts';
 import { SOAK_PROFILE } from './createSoakPlan.ts';
 import { SoakRun, type SoakRunOptions } from './SoakRun.ts';
 
@@ -35,23 +36,75 @@
   })),
 };
 
-async function checkRun(options: Omit<SoakRunOptions, 'folder' | 'network'>): Promise<void> {
+const LIMITED_RUN: Omit<SoakRunOptions, 'folder' | 'network'> = {
+  ...MIXED_RUN,
+  hostCount: 6,
+  requestsPerSecond: 8,
+  callerRetries: 0,
+  plan: [{
+    atMs: 0,
+    durationMs: 10_000,
+    pick: 0,
+    fault: { kind: 'limit', scope: 'oneOfEachPool', requestsPerSecond: 1 },
+  }],
+};
+
+/** Part of the limits that has to be used where all upstreams of a pool name one. */
+const MIN_USED_PART = 0.6;
+
+async function checkRun(options: Omit<SoakRunOptions, 'folder' | 'network'>): Promise<SoakRun> {
   const folder = mkdtempSync(join(tmpdir(), 'parsleylift-soak-'));
   const run = new SoakRun({ ...options, folder, network: NETWORK });
   deepEqual(await run.run(), []);
   ok(run.servedCount > 0);
   rmSync(folder, { recursive: true });
+  return run;
+}
+
+/** Checks that what the upstreams of a pool take together is used. */
+function checkUse(run: SoakRun): void {
+  const reports = run.getLimits();
+  Object.values(SOAK_POOLS).forEach((pool) => {
+    const parts = reports.filter(({ service }) => service === pool)
+      .map(({ usedPart }) => usedPart ?? 0);
+    const mean = parts.reduce((sum, part) => sum + part, 0) / parts.length;
+    ok(pool === SOAK_POOLS.stage || mean >= MIN_USED_PART, `${pool}: ${parts.join(' ')}`);
+  });
 }
 
 describe('SoakRun', () => {
-  it('sends no request on and on that ends its upstreams', () => checkRun(CRASHING_RUN));
+  it('sends no request on and on that ends its upstreams', async () => {
+    await checkRun(CRASHING_RUN);
+  });
+
+  it('sends an upstream no more than the limit that it names', async () => {
+    await checkRun(LIMITED_RUN);
+  });
 
-  it('serves requests that were there when upstreams ended by themselves', () => (
-    checkRun(ENDING_RUN)));
+  [false, true].forEach((isOneSided) => {
+    const who = isOneSided ? 'one host' : 'all hosts';
+    it(`uses the limits that all upstreams name, with callers at ${who}`, async () => {
+      checkUse(await checkRun({
+        ...LIMITED_RUN,
+        isOneSided,
+        plan: [{
+          atMs: 0,
+          durationMs: 10_000,
+          pick: 0,
+          fault: { kind: 'limit', scope: 'all', requestsPerSecond: 2 },
+        }],
+      }));
+    });
+  });
+
+  it('serves requests that were there when upstreams ended by themselves', async () => {
+    await checkRun(ENDING_RUN);
+  });
 
   [MIXED_RUN, ...REGRESSION_RUNS.filter(({ isShort }) => isShort)].forEach((options) => {
     const faults = options.plan === undefined ? `seed ${options.seed}` : 'a plan';
-    it(`keeps the promises under the ${options.profile} faults of ${faults}`, () => (
-      checkRun(options)));
+    it(`keeps the promises under the ${options.profile} faults of ${faults}`, async () => {
+      await checkRun(options);
+    });
   });
 });
--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -8,14 +8,16 @@
 import { SoakCaller, type SoakTarget } from './SoakCaller.ts';
 import { SoakHost } from './SoakHost.ts';
 import { SoakProxy } from './SoakProxy.ts';
-import { REQUEST_KIND, type SoakRecord } from './SoakRecord.ts';
+import { REQUEST_KIND } from './SoakRecord.ts';
 import { SoakStriker, type PlacedUpstream } from './SoakStriker.ts';
 import { CRASHING_BODY, SoakUpstream } from './SoakUpstream.ts';
 import { countRepeats, type RepeatReport } from './countRepeats.ts';
 import { SOAK_POOLS } from './createSoakManifest.ts';
+import { createSoakRecord } from './createSoakRecord.ts';
 import { createSoakPlan, type PlannedFault, type SoakProfile } from './createSoakPlan.ts';
 import { measureClosures, type ClosureReport } from './measureClosures.ts';
 import { measureCrashes, type CrashReport } from './measureCrashes.ts';
+import { measureLimits, type LimitReport } from './measureLimits.ts';
 import { findViolations, type Violation } from './findViolations.ts';
 
 /** What a run of the soak is made from. */
@@ -32,6 +34,8 @@
   readonly isCrashing: boolean;
   /** Faults in place of those that the seed draws. */
   readonly plan?: readonly PlannedFault[];
+  /** Whether one host gets all requests, as many as all of them else. */
+  readonly isOneSided?: boolean;
   /** Span in which faults begin. */
   readonly faultMs: number;
   /** Span after the last fault in which service has to be back. */
@@ -68,17 +72,7 @@
   /** Apart from the traffic's, since how often callers come back differs from run to run. */
   readonly #retryRandom: SeededRandomSource;
 
-  readonly #record: SoakRecord = {
-    callers: [],
-    runs: [],
-    arrivals: [],
-    notices: [],
-    crashes: [],
-    hostSpans: [],
-    linkSpans: [],
-    storeSpans: [],
-    calmSinceMs: Infinity,
-  };
+  readonly #record = createSoakRecord();
 
   readonly #clock = new SystemClock();
 
@@ -135,6 +129,11 @@
     return measureClosures(this.#record);
   }
 
+  /** @returns how near upstreams came to the limits that they named */
+  getLimits(): LimitReport[] {
+    return measureLimits(this.#record);
+  }
+
   /** @returns the promises that were not kept */
   async run(): Promise<Violation[]> {
     const caller = new SoakCaller(this.#record.callers);
@@ -198,6 +197,9 @@
       onRun: (run) => this.#record.runs.push(run),
       onArrival: (arrival) => this.#record.arrivals.push(arrival),
       onNotice: (notice) => this.#record.notices.push(notice),
+      onLimitArrival: (arrival) => this.#record.limitArrivals.push(arrival),
+      onLimitWord: (word) => this.#record.limitWords.push(word),
+      onLimitSpan: (span) => this.#record.limitSpans.push(span),
       onCrash: (crash) => {
         this.#record.crashes.push(crash);
         this.#striker.bringBack(crash.upstreamId);
@@ -228,7 +230,9 @@
   }
 
   #sendRequests(caller: SoakCaller): void {
-    this.#hosts.forEach((host, index) => {
+    this.#hosts.forEach((own, ownIndex) => {
+      const index = this.#options.isOneSided === true ? 0 : ownIndex;
+      const host = this.#hosts[index] ?? own;
       const pick = Math.floor(this.#random.getFraction() * KINDS.length);
       const kind = KINDS[pick] ?? REQUEST_KIND.once;
       const isRetrying = this.#random.getFraction() < RETRYING_PART;
--- a/scripts/soak/SoakStriker.ts
+++ b/scripts/soak/SoakStriker.ts
@@ -137,6 +137,9 @@
       case 'store':
         await this.#strikeStore(fault.how, durationMs);
         return;
+      case 'limit':
+        await this.#nameLimit(fault, pick, durationMs);
+        return;
       case 'manifest':
         this.putManifest();
         return;
@@ -220,6 +223,41 @@
     this.register(placed, 'ready');
   }
 
+  async #nameLimit(
+    { scope, requestsPerSecond }: Extract<SoakFault, { kind: 'limit' }>,
+    pick: number,
+    durationMs: number,
+  ): Promise<void> {
+    const chosen = this.#chooseUpstreams(scope, pick);
+    const ids = chosen.map(({ id }) => id);
+    chosen.forEach((upstream) => upstream.nameLimit(requestsPerSecond));
+    await sleep(durationMs);
+    // Another process has the place of one that has crashed meanwhile.
+    chosen.filter(({ id }, index) => id === ids[index])
+      .forEach((upstream) => upstream.nameLimit(null));
+  }
+
+  #chooseUpstreams(
+    scope: Extract<SoakFault, { kind: 'limit' }>['scope'],
+    pick: number,
+  ): SoakUpstream[] {
+    const all = this.#targets.upstreams.map(({ upstream }) => upstream);
+    const picked = all[pick % all.length];
+    switch (scope) {
+      case 'upstream':
+        return picked === undefined ? [] : [picked];
+      case 'pool':
+        return all.filter(({ kind }) => kind === picked?.kind);
+      case 'oneOfEachPool':
+        return all.filter(({ kind }, index) => (
+          all.findIndex((other) => other.kind === kind) === index));
+      case 'all':
+        return all;
+      default:
+        throw exhaustiveSwitchError(scope);
+    }
+  }
+
   async #strikePool(
     how: Extract<SoakFault, { kind: 'pool' }>['how'],
     pick: number,
--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -10,7 +10,8 @@
 import type { Clock } from '../../src/time/Clock.ts';
 import { EVENT_COUNT } from './findViolations.ts';
 import {
-  ARRIVAL_KIND, REQUEST_KIND, type ArrivalKind, type ArrivalRecord, type CrashRecord,
+  ARRIVAL_KIND, LIMITED_KIND, REQUEST_KIND, type ArrivalKind, type ArrivalRecord,
+  type CrashRecord, type LimitArrival, type LimitedKind, type LimitSpan, type LimitWordRecord,
   type NoticeRecord, type RequestKind, type RunRecord,
 } from './SoakRecord.ts';
 
@@ -60,6 +61,9 @@
   readonly onNotice: (notice: NoticeRecord) => void;
   /** Called when a request has ended the upstream, which stays away until `restart`. */
   readonly onCrash: (crash: CrashRecord) => void;
+  readonly onLimitArrival: (arrival: LimitArrival) => void;
+  readonly onLimitWord: (word: LimitWordRecord) => void;
+  readonly onLimitSpan: (span: LimitSpan) => void;
 }
 
 /** An upstream of the soak: a plain service, a model engine or one that makes stage results. */
@@ -82,6 +86,9 @@
 
   #openCount = 0;
 
+  /** The limit that it names; null for none. */
+  #limitSpan: LimitSpan | null = null;
+
   /** Whether it has ended and not started again. */
   #isDown = false;
 
@@ -123,8 +130,26 @@
     this.restart();
   }
 
-  /** Starts under another id. */
+  /** @param requestsPerSecond - the limit that it names from now on; null for none */
+  nameLimit(requestsPerSecond: number | null): void {
+    if (this.#limitSpan !== null) {
+      this.#limitSpan.untilMs = performance.now();
+    }
+    this.#limitSpan = requestsPerSecond === null ? null : {
+      upstreamId: this.id,
+      service: this.kind,
+      requestsPerSecond,
+      fromMs: performance.now(),
+      untilMs: Infinity,
+    };
+    if (this.#limitSpan !== null) {
+      this.#events.onLimitSpan(this.#limitSpan);
+    }
+  }
+
+  /** Starts under another id, and names no limit. */
   restart(): void {
+    this.nameLimit(null);
     this.#isDown = false;
     this.id = `i-${randomUUID()}`;
     this.startedAtMs = Math.floor(this.#clock.getWallMs());
@@ -141,6 +166,7 @@
     const requestId = getHeader(request, HEADERS.requestId) ?? '';
     response.setHeader('X-Request-Id', requestId);
     this.#noteArrivals(requestId, body, request);
+    this.#handleLimit(requestId, request, response);
     if (this.fault === 'leave') {
       response.setHeader(HEADERS.leaving, '1');
       this.#noteNotice('leaving', requestId, Infinity);
@@ -172,6 +198,28 @@
     }
   }
 
+  #handleLimit(requestId: string, request: IncomingMessage, response: ServerResponse): void {
+    const kind = this.#getLimitedKind(request);
+    const { id } = this;
+    this.#events.onLimitArrival({
+      upstreamId: id, kind, requestId, atMs: performance.now(),
+    });
+    if (this.#limitSpan === null) {
+      return;
+    }
+    response.setHeader(HEADERS.requestLimit, String(this.#limitSpan.requestsPerSecond));
+    response.once('finish', () => this.#events.onLimitWord({
+      upstreamId: id, kind, requestId, atMs: performance.now(),
+    }));
+  }
+
+  #getLimitedKind({ url }: IncomingMessage): LimitedKind {
+    if (url === UPSTREAM_PATHS.runStage) {
+      return LIMITED_KIND.stageCall;
+    }
+    return this.kind === 'stage' || url === HEALTH_PATH ? LIMITED_KIND.other : LIMITED_KIND.request;
+  }
+
   #endUnder(requestId: string): void {
     if (this.#isDown) {
       return;
--- a/scripts/soak/createSoakPlan.ts
+++ b/scripts/soak/createSoakPlan.ts
@@ -15,6 +15,12 @@
     readonly target: 'upstream' | 'store';
   }
   | { readonly kind: 'store'; readonly how: 'down' | 'answersLost' | 'slow' | 'forget' }
+  /** Upstreams name a limit for a while; a later one takes the place of an earlier one. */
+  | {
+    readonly kind: 'limit';
+    readonly scope: 'upstream' | 'pool' | 'oneOfEachPool' | 'all';
+    readonly requestsPerSecond: number;
+  }
   | { readonly kind: 'manifest' };
 
 /** A fault with its time. */
@@ -90,18 +96,43 @@
   { kind: 'manifest' },
 ];
 
+/** Upstreams that name limits and change their minds, among faults that make hosts forget it. */
+const LIMIT_FAULTS: readonly SoakFault[] = [
+  { kind: 'limit', scope: 'upstream', requestsPerSecond: 0 },
+  { kind: 'limit', scope: 'upstream', requestsPerSecond: 0.5 },
+  { kind: 'limit', scope: 'upstream', requestsPerSecond: 1 },
+  { kind: 'limit', scope: 'upstream', requestsPerSecond: 1 },
+  { kind: 'limit', scope: 'upstream', requestsPerSecond: 3.7 },
+  { kind: 'limit', scope: 'pool', requestsPerSecond: 1 },
+  { kind: 'limit', scope: 'pool', requestsPerSecond: 4 },
+  { kind: 'limit', scope: 'pool', requestsPerSecond: 500 },
+  { kind: 'limit', scope: 'oneOfEachPool', requestsPerSecond: 2 },
+  { kind: 'upstream', how: 'crash' },
+  { kind: 'upstream', how: 'backOff' },
+  { kind: 'host', how: 'terminate' },
+  { kind: 'host', how: 'kill' },
+  { kind: 'host', how: 'pause' },
+  { kind: 'allHosts', how: 'terminate' },
+  { kind: 'connection', how: 'reset', target: 'upstream' },
+  { kind: 'connection', how: 'silent', target: 'store' },
+  { kind: 'store', how: 'down' },
+  { kind: 'manifest' },
+];
+
 /**
  * Which faults are drawn. `all` holds those that it had at first, so that its seeds draw the same
  * faults for good; `repeats` those that repeats come from; `closures` upstreams that say that they
- * leave or want a pause.
+ * leave or want a pause; `limits` upstreams that name a limit.
  */
-export const SOAK_PROFILE = { all: 'all', repeats: 'repeats', closures: 'closures' } as const;
+export const SOAK_PROFILE = {
+  all: 'all', repeats: 'repeats', closures: 'closures', limits: 'limits',
+} as const;
 
 /** A member of {@link SOAK_PROFILE}. */
 export type SoakProfile = typeof SOAK_PROFILE[keyof typeof SOAK_PROFILE];
 
 const PROFILE_FAULTS: Readonly<Record<SoakProfile, readonly SoakFault[]>> = {
-  all: FAULTS, repeats: REPEAT_FAULTS, closures: CLOSURE_FAULTS,
+  all: FAULTS, repeats: REPEAT_FAULTS, closures: CLOSURE_FAULTS, limits: LIMIT_FAULTS,
 };
 
 const MIN_DURATION_MS = 300;
@@ -111,6 +142,8 @@
 const POOL_FACTOR = 2;
 /** An upstream goes on for longer than its drain may take after it has said that it leaves. */
 const LEAVING_FACTOR = 3;
+/** A limit lasts beyond the time in which hosts have to know it. */
+const LIMIT_FACTOR = 6;
 const MEAN_GAP_MS = 600;
 const PICKS = 1_000;
 
@@ -122,6 +155,8 @@
       return STORE_FACTOR;
     case 'pool':
       return POOL_FACTOR;
+    case 'limit':
+      return LIMIT_FACTOR;
     default:
       return 1;
   }
--- a/scripts/soak/findViolations.test.ts
+++ b/scripts/soak/findViolations.test.ts
@@ -1,11 +1,12 @@
 import { deepEqual } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { SOAK_ACCOUNT } from './createSoakManifest.ts';
+import { createSoakRecord } from './createSoakRecord.ts';
 import { DRAIN_MS, EVENT_COUNT, findViolations } from './findViolations.ts';
 import { CONTACT_MS } from './measureCrashes.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
 import {
-  ARRIVAL_KIND, REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
+  ARRIVAL_KIND, LIMITED_KIND, REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
 } from './SoakRecord.ts';
 
 const EVENTS = Array.from({ length: EVENT_COUNT }, (_, index) => `id: ${index + 1}\ndata: x\n\n`);
@@ -36,17 +37,10 @@
 };
 
 function check(caller: Partial<CallerRecord>, runs: readonly RunRecord[] = [RUN]): string[] {
-  const record: SoakRecord = {
+  const record = createSoakRecord({
     callers: [{ ...CALLER, ...caller }],
     runs: [...runs],
-    arrivals: [],
-    notices: [],
-    hostSpans: [],
-    linkSpans: [],
-    storeSpans: [],
-    crashes: [],
-    calmSinceMs: Infinity,
-  };
+  });
   return findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise);
 }
 
@@ -92,17 +86,11 @@
       upstreamId: 'u',
       atMs: 5,
     };
-    const record: SoakRecord = {
+    const record = createSoakRecord({
       callers: [CALLER],
       runs: [RUN],
       arrivals: [arrival, { ...arrival, atMs: 6 }],
-      notices: [],
-      hostSpans: [],
-      linkSpans: [],
-      storeSpans: [],
-      crashes: [],
-      calmSinceMs: Infinity,
-    };
+    });
     deepEqual(findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise), ['repeats']);
     deepEqual(findViolations(record, 10_000, { ...BOUNDS, slack: 1 }), []);
   });
@@ -122,9 +110,8 @@
       sentAtMs,
       endedAtMs: sentAtMs + 1,
     }));
-    const record: SoakRecord = {
+    const record = createSoakRecord({
       callers,
-      runs: [],
       arrivals: timesMs.map((atMs, index) => ({
         service: REQUEST_KIND.repeatable,
         kind: ARRIVAL_KIND.whole,
@@ -133,16 +120,11 @@
         upstreamId: `u${index}`,
         atMs,
       })),
-      notices: [],
-      hostSpans: [],
-      linkSpans: [],
-      storeSpans: [],
       crashes: [0, 1, 2].map((index) => ({
         requestId: `r${index}`, upstreamId: `u${index}`, atMs: timesMs[index] ?? 0,
       })),
-      calmSinceMs: Infinity,
       ...spans,
-    };
+    });
     return findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise);
   }
 
@@ -162,17 +144,10 @@
     const callers = [{
       ...CALLER, sentAtMs: 20_000, endedAtMs: 20_001, status: 503,
     }];
-    const record: SoakRecord = {
+    const record = createSoakRecord({
       callers,
-      runs: [],
-      arrivals: [],
-      notices: [],
-      hostSpans: [],
-      linkSpans: [],
-      storeSpans: [],
-      crashes: [],
       calmSinceMs: 10_000,
-    };
+    });
     deepEqual(findViolations(record, 30_000, BOUNDS).map(({ promise }) => promise), ['recovered']);
   });
 
@@ -183,11 +158,10 @@
     spans: Partial<Pick<SoakRecord, 'hostSpans' | 'linkSpans'>> = {},
   ): string[] {
     const told: CallerRecord = { ...CALLER, requestId: 'told', kind: REQUEST_KIND.repeatable };
-    const record: SoakRecord = {
+    const record = createSoakRecord({
       callers: [told, ...timesMs.map((sentAtMs, index) => ({
         ...told, requestId: `r${index}`, sentAtMs, endedAtMs: sentAtMs + 10,
       }))].map((caller) => ({ ...caller, answerText: `answer to ${caller.requestId}` })),
-      runs: [],
       arrivals: timesMs.map((atMs, index) => ({
         service: REQUEST_KIND.repeatable,
         kind: ARRIVAL_KIND.whole,
@@ -203,13 +177,8 @@
         atMs: 1_000,
         untilMs: kind === 'leaving' ? Infinity : 5_000,
       }],
-      hostSpans: [],
-      linkSpans: [],
-      storeSpans: [],
-      crashes: [],
-      calmSinceMs: Infinity,
       ...spans,
-    };
+    });
     return findViolations(record, 10_000, BOUNDS).map(({ promise }) => promise);
   }
 
@@ -226,4 +195,45 @@
     const linkSpans = [{ upstreamId: 'u', fromMs: 900, untilMs: 1_100 }];
     deepEqual(checkClosure('backOff', [2_000, 3_000, 4_900], { linkSpans }), []);
   });
+
+  /** Requests of two hosts at an upstream that names 1 a second from 1,000 ms on. */
+  function checkLimit(
+    timesMs: readonly number[],
+    spans: Partial<SoakRecord> = {},
+    toldAtMs = 1_000,
+  ): string[] {
+    const callers = [0, 1].map((hostIndex) => ({
+      ...CALLER,
+      kind: REQUEST_KIND.repeatable,
+      requestId: `r${hostIndex}`,
+      hostIndex,
+      answerText: `answer to r${hostIndex}`,
+    }));
+    const record = createSoakRecord({
+      callers,
+      limitArrivals: timesMs.map((atMs, index) => ({
+        upstreamId: 'u', kind: LIMITED_KIND.request, requestId: `r${index % 2}`, atMs,
+      })),
+      limitWords: [0, 1].map((hostIndex) => ({
+        upstreamId: 'u', kind: LIMITED_KIND.request, requestId: `r${hostIndex}`, atMs: toldAtMs,
+      })),
+      limitSpans: [{
+        upstreamId: 'u', service: 'once', requestsPerSecond: 1, fromMs: 1_000, untilMs: 30_000,
+      }],
+      ...spans,
+    });
+    return findViolations(record, 40_000, BOUNDS).map(({ promise }) => promise);
+  }
+
+  it('finds that an upstream gets more than the limit that it names', () => {
+    const dueAtMs = 1_000 + CONTACT_MS;
+    const times = Array.from({ length: 12 }, (_, index) => dueAtMs + index * 350);
+    deepEqual(checkLimit(times), ['limit']);
+    deepEqual(checkLimit(times.slice(1)), []);
+    deepEqual(checkLimit(times.map((atMs) => atMs - CONTACT_MS)), []);
+    deepEqual(checkLimit(times.map((_, index) => dueAtMs + index * 370)), []);
+    deepEqual(checkLimit(times, {}, dueAtMs), [], 'two hosts that were told a moment ago');
+    const hostSpans = [{ hostIndex: 0, fromMs: dueAtMs, untilMs: dueAtMs + 1 }];
+    deepEqual(checkLimit(times, { hostSpans }), []);
+  });
 });
--- a/scripts/soak/findViolations.ts
+++ b/scripts/soak/findViolations.ts
@@ -1,6 +1,7 @@
 import { countRepeats } from './countRepeats.ts';
 import { measureClosures } from './measureClosures.ts';
 import { measureCrashes } from './measureCrashes.ts';
+import { measureLimits } from './measureLimits.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
 import {
   REQUEST_KIND, type CallerRecord, type RunRecord, type SoakRecord,
@@ -10,7 +11,8 @@
 /** A promise that was not kept. */
 export interface Violation {
   readonly promise: 'atMostOnce' | 'notRun' | 'wholeAnswer' | 'inOrder' | 'ended' | 'asked'
-    | 'inputs' | 'account' | 'recovered' | 'repeats' | 'leaving' | 'backOff' | 'crashes';
+    | 'inputs' | 'account' | 'recovered' | 'repeats' | 'leaving' | 'backOff' | 'crashes'
+    | 'limit';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -152,6 +154,12 @@
     }));
 }
 
+function findLimitFaults(record: SoakRecord): Violation[] {
+  return measureLimits(record)
+    .filter(({ mostCount, allowedCount }) => mostCount > allowedCount)
+    .map((report) => ({ promise: 'limit', requestId: '', detail: JSON.stringify(report) }));
+}
+
 /**
  * Checks the promises from what callers and upstreams have seen.
  *
@@ -177,5 +185,6 @@
     ...findRepeatFaults(record, bounds),
     ...findClosureFaults(record),
     ...findCrashFaults(record),
+    ...findLimitFaults(record),
   ];
 }
--- /dev/null
+++ b/scripts/soak/measureLimits.ts
@@ -0,0 +1,122 @@
+import { CONTACT_MS } from './measureCrashes.ts';
+import {
+  LIMITED_KIND, type LimitArrival, type LimitSpan, type LimitWordRecord, type SoakRecord,
+} from './SoakRecord.ts';
+
+/** What an upstream got while it named one limit. */
+export interface LimitReport {
+  readonly service: string;
+  readonly upstreamId: string;
+  readonly requestsPerSecond: number;
+  /** Most that it got in a window from hosts that it had told. */
+  readonly mostCount: number;
+  readonly allowedCount: number;
+  /** What it got once hosts had to know, as a part of the limit; null where that was short. */
+  readonly usedPart: number | null;
+  /** Checks and freed results beside that, which are not counted. */
+  readonly otherCount: number;
+}
+
+/** The bound of the users' rule: in a window, this multiple of what the limit allows, and a few. */
+const WINDOW_MS = 4_000;
+const OVERSHOOT = 1.5;
+const SLACK = 5;
+/** A host that was told a moment ago may have sent before. */
+const TOLD_SLACK_MS = 500;
+const MS_PER_SECOND = 1_000;
+
+function isRecent(
+  { fromMs, untilMs }: { readonly fromMs: number; readonly untilMs: number },
+  atMs: number,
+): boolean {
+  return fromMs <= atMs && untilMs >= atMs - CONTACT_MS;
+}
+
+/** Says which host sent an arrival; stage calls come from the one that places, which moves. */
+class ArrivalSenders {
+  readonly #record: SoakRecord;
+
+  readonly #hosts: ReadonlyMap<string, number>;
+
+  constructor(record: SoakRecord) {
+    this.#record = record;
+    this.#hosts = new Map(record.callers.map(({ requestId, hostIndex }) => [requestId, hostIndex]));
+  }
+
+  /** The sender as far as it is known; undefined stands for the host that places. */
+  get({ kind, requestId }: LimitArrival | LimitWordRecord): number | undefined {
+    return kind === LIMITED_KIND.request ? this.#hosts.get(requestId) : undefined;
+  }
+
+  /** A host that stood still a moment ago, or a link that did, is not held to the limit. */
+  isExcused(arrival: LimitArrival): boolean {
+    const sender = this.get(arrival);
+    return this.#record.hostSpans.some((span) => (
+      (sender === undefined || span.hostIndex === sender) && isRecent(span, arrival.atMs)))
+      || this.#record.linkSpans.some((span) => (
+        span.upstreamId === arrival.upstreamId && isRecent(span, arrival.atMs)));
+  }
+}
+
+function getToldAtMs(
+  words: readonly LimitWordRecord[],
+  senders: ArrivalSenders,
+): Map<number | undefined, number> {
+  const told = new Map<number | undefined, number>();
+  words.forEach((word) => {
+    const sender = senders.get(word);
+    told.set(sender, Math.min(told.get(sender) ?? Infinity, word.atMs));
+  });
+  return told;
+}
+
+function getMostInWindow(timesMs: readonly number[]): number {
+  let start = 0;
+  let most = 0;
+  timesMs.forEach((atMs, index) => {
+    while ((timesMs[start] ?? 0) < atMs - WINDOW_MS) {
+      start += 1;
+    }
+    most = Math.max(most, index - start + 1);
+  });
+  return most;
+}
+
+function measureSpan(record: SoakRecord, senders: ArrivalSenders, span: LimitSpan): LimitReport {
+  const { upstreamId, requestsPerSecond } = span;
+  const dueAtMs = span.fromMs + CONTACT_MS;
+  const arrivals = record.limitArrivals.filter((arrival) => (
+    arrival.upstreamId === upstreamId && arrival.atMs >= dueAtMs && arrival.atMs < span.untilMs));
+  const counted = arrivals.filter(({ kind }) => kind !== LIMITED_KIND.other);
+  const told = getToldAtMs(
+    record.limitWords.filter((word) => word.upstreamId === upstreamId),
+    senders,
+  );
+  const held = counted.filter((arrival) => (
+    (told.get(senders.get(arrival)) ?? Infinity) <= arrival.atMs - TOLD_SLACK_MS
+    && !senders.isExcused(arrival)));
+  const lastMs = Math.min(span.untilMs, record.limitArrivals.at(-1)?.atMs ?? dueAtMs);
+  const usableS = (lastMs - dueAtMs) / MS_PER_SECOND;
+  return {
+    service: span.service,
+    upstreamId,
+    requestsPerSecond,
+    mostCount: getMostInWindow(held.map(({ atMs }) => atMs)),
+    allowedCount: requestsPerSecond * (WINDOW_MS / MS_PER_SECOND) * OVERSHOOT + SLACK,
+    usedPart: usableS * MS_PER_SECOND < WINDOW_MS || requestsPerSecond === 0
+      ? null
+      : Number((counted.length / usableS / requestsPerSecond).toFixed(2)),
+    otherCount: arrivals.length - counted.length,
+  };
+}
+
+/**
+ * Measures what reached upstreams while they named a limit.
+ *
+ * @param record - what callers and upstreams have seen
+ * @returns a report for each span of each limit
+ */
+export function measureLimits(record: SoakRecord): LimitReport[] {
+  const senders = new ArrivalSenders(record);
+  return record.limitSpans.map((span) => measureSpan(record, senders, span));
+}
