--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -5,13 +5,16 @@
   REPETITION, type ServingPool, type ServingRoute,
 } from '../../src/directory/ServingConfiguration.ts';
 import type { PromptPart } from '../../src/ingress/CallerRequest.ts';
-import { toId, type PoolId, type UpstreamId } from '../../src/lib/ids.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../../src/lib/ids.ts';
 import { SeededRandomSource } from '../../src/lib/SeededRandomSource.ts';
 import { PlacementDesk } from '../../src/placement/PlacementDesk.ts';
 import { findPlacementGroups, type PlacementGroup } from '../../src/placement/PlacementGroup.ts';
 import type { PlacementResult } from '../../src/placement/PlacementRequest.ts';
 import { orderGroups } from '../../src/placement/orderGroups.ts';
 import { ManualClock } from '../../src/time/ManualClock.ts';
+import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_REPEATS } from '../../test/support/UNLIMITED_REPEATS.ts';
 import { EventQueue } from '../load/EventQueue.ts';
 import { EngineModel } from './EngineModel.ts';
@@ -193,6 +196,8 @@
       requestId,
       domains: group?.domains ?? [],
       standingResults: [],
+      hostId: toId<HostId>('host'),
+      limitReports: [],
       poolId: ENGINE_POOL_ID,
       stages: requestClass.stages,
       pieceCounts: call.pieceCounts,
@@ -268,6 +273,7 @@
       directory: this.#directory,
       logger: pino({ level: 'silent' }),
       repeats: UNLIMITED_REPEATS,
+      rates: UNLIMITED_RATES,
       sendCall: (call) => {
         const maker = this.#makers.get(call.makerId);
         call.items.forEach((item) => this.#noteUsed(item.inputs));
--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -189,6 +189,16 @@
     return this.#limits.get(lifetime);
   }
 
+  /** @returns the listed upstreams that name a limit, and when that was heard last */
+  getLimited(): { readonly entry: UpstreamEntry; readonly heardAtMs: number }[] {
+    return this.#limits.inForce.flatMap(({ lifetime, heardAtMs }) => {
+      const upstream = this.#upstreams.get(lifetime.id);
+      return upstream === undefined || this.getRequestLimit(upstream.entry) === null
+        ? []
+        : [{ entry: upstream.entry, heardAtMs }];
+    });
+  }
+
   /**
    * @param lifetime - a start of an upstream
    * @returns what it said last of its limit; undefined when it never named one
--- a/src/directory/UpstreamLimits.ts
+++ b/src/directory/UpstreamLimits.ts
@@ -67,10 +67,9 @@
   note(word: LimitWord): boolean {
     const { id } = word.lifetime;
     const known = this.#words.get(id);
-    if (known === undefined && word.requestsPerSecond === null) {
-      return false;
-    }
-    if (known !== undefined && !isSuperseding(word, known)) {
+    // That an upstream still names none is no news.
+    const isNews = word.requestsPerSecond !== null || this.get(word.lifetime) !== null;
+    if (!isNews || (known !== undefined && !isSuperseding(word, known))) {
       return false;
     }
     this.#words.set(id, word);
@@ -95,6 +94,11 @@
     return word === undefined || isOfLaterStart(lifetime, word.lifetime) ? undefined : word;
   }
 
+  /** Words by which a limit is in force. */
+  get inForce(): readonly LimitWord[] {
+    return [...this.#words.values()].filter((word) => word.requestsPerSecond !== null);
+  }
+
   #forgetLapsed(): void {
     if (this.#words.size <= MAX_WORD_COUNT) {
       return;
--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { pino } from 'pino';
 import { PlacementTestBed, ENGINE_POOL_ID } from '../../test/support/PlacementTestBed.ts';
+import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_REPEATS } from '../../test/support/UNLIMITED_REPEATS.ts';
 import { getFreePort } from '../../test/support/getFreePort.ts';
 import { Directory } from '../directory/Directory.ts';
@@ -69,6 +70,7 @@
       hostId: toId<HostId>('own'),
       directory: this.own.directory,
       desk: this.own.desk,
+      rates: { createReports: () => [] },
       connections: this.connections,
       logger: pino({ level: 'silent' }),
     });
@@ -153,6 +155,7 @@
       directory: new Directory(clock),
       logger: pino({ level: 'silent' }),
       repeats: UNLIMITED_REPEATS,
+      rates: UNLIMITED_RATES,
       sendCall: () => {},
       sendFree: () => {},
       requestRun: () => {},
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -1,7 +1,9 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
 import type { HostEntry } from '../directory/HostEntry.ts';
-import type { HostId } from '../lib/ids.ts';
+import type { HostId, PoolId } from '../lib/ids.ts';
+import type { LimitReport } from '../rates/RateMessage.ts';
+import type { SendRates } from '../rates/SendRates.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
 import { readBoundedText } from '../upstreams/readBoundedText.ts';
@@ -25,6 +27,8 @@
   readonly directory: Directory;
   /** This host's own desk, for when it is the one that places. */
   readonly desk: PlacementDesk;
+  /** Knows the limits that upstreams name. */
+  readonly rates: Pick<SendRates, 'createReports'>;
   readonly connections: UpstreamConnections;
   readonly logger: Logger;
 }
@@ -85,6 +89,16 @@
     return new PlacementCourse(clock, this, demand, groups.length === 0 ? [NO_GROUP] : groups);
   }
 
+  /** @inheritdoc */
+  get hostId(): HostId {
+    return this.#options.hostId;
+  }
+
+  /** @inheritdoc */
+  createLimitReports(poolId: PoolId): LimitReport[] {
+    return this.#options.rates.createReports(poolId);
+  }
+
   /** @inheritdoc */
   choose(group: PlacementGroup): HostEntry | null {
     return this.#chooser.choose(group);
--- a/src/placement/PlacementCourse.ts
+++ b/src/placement/PlacementCourse.ts
@@ -1,5 +1,6 @@
 import type { HostEntry } from '../directory/HostEntry.ts';
-import type { UpstreamId } from '../lib/ids.ts';
+import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
+import type { LimitReport } from '../rates/RateMessage.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { PlacementGroup } from './PlacementGroup.ts';
 import {
@@ -32,6 +33,10 @@
 
 /** How a course reaches the hosts that place; null stands for this host. */
 export interface PlacementPeers {
+  /** This host. */
+  readonly hostId: HostId;
+  /** What it knows now of the limits that upstreams of a pool name. */
+  createLimitReports(poolId: PoolId): LimitReport[];
   choose(group: PlacementGroup): HostEntry | null;
   /** Whether this host hands its own placements over. */
   isOwnDeskLeaving(): boolean;
@@ -163,6 +168,8 @@
       ...this.#demand,
       domains: group.domains,
       standingResults: this.#standing,
+      hostId: this.#peers.hostId,
+      limitReports: this.#peers.createLimitReports(this.#demand.poolId),
       isPlacedAgain: this.#isAskedAgain,
       onTimeMs: this.#demand.onTimeMs - elapsedMs,
       remainingMs: this.#demand.remainingMs - elapsedMs,
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -5,15 +5,17 @@
 import type { UpstreamId } from '../lib/ids.ts';
 import type { Clock } from '../time/Clock.ts';
 import { chooseEngine } from './chooseEngine.ts';
+import { EngineLeaves } from './EngineLeaves.ts';
 import { EngineTable, getCachedTokens } from './EngineTable.ts';
 import { getGroupUpstreams } from './getGroupUpstreams.ts';
 import type { PieceRepeats } from './PieceRepeats.ts';
+import type { PlacementRates } from './PlacementRates.ts';
 import {
   createPlacementJob, getLastStages, isStageDone, type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
 import {
-  REFUSAL, type PlacementNote, type PlacementRequest, type PlacementResult, type Refusal,
-  type StandingResult,
+  REFUSAL, type PlacementNote, type PlacementRequest, type PlacementResult,
+  type Refusal, type StandingResult,
 } from './PlacementRequest.ts';
 import type { StageCall, StageOutcome } from './StageCall.ts';
 import { StageScheduler, type StageSchedulerOptions } from './StageScheduler.ts';
@@ -25,6 +27,8 @@
   readonly logger: Logger;
   /** Bounds how often pieces are sent again. */
   readonly repeats: PieceRepeats;
+  /** Says whether upstreams that name a limit may be sent to. */
+  readonly rates: PlacementRates;
   /** @param call - to be sent now; its end comes back through `finishCall` */
   readonly sendCall: (call: StageCall) => void;
   /** Frees results at the upstream that keeps them; the end comes back through `noteFreed`. */
@@ -42,6 +46,8 @@
  * can be on time goes before it, also what comes later, so that it takes longer than it looks.
  */
 const LATE_PART = 0.5;
+/** Longest time of which a caller is told to stay away from engines that name limits. */
+const MAX_LIMITED_RETRY_AFTER_MS = 20_000;
 /** Shortest time after which a refused caller is asked back. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -67,6 +73,8 @@
 
   readonly #engines = new EngineTable();
 
+  readonly #leaves: EngineLeaves;
+
   readonly #jobs = new Map<string, PlacementJob>();
 
   #isHandingOver = false;
@@ -80,6 +88,7 @@
   constructor(options: PlacementDeskOptions) {
     this.#options = options;
     this.#scheduler = new StageScheduler(options);
+    this.#leaves = new EngineLeaves(options.directory, options.rates);
     options.directory.onChange((change) => this.#applyChange(change));
   }
 
@@ -106,6 +115,7 @@
       answer({ kind: 'handedOver', results, wereSent });
       return () => {};
     }
+    this.#options.rates.takeReports(request.limitReports, request.hostId);
     const nowMs = this.#options.clock.getMonotonicMs();
     const standingResults = [...request.standingResults, ...this.#takeBack(request.requestId)];
     const onTimeMs = request.onTimeMs - this.#startMs;
@@ -118,6 +128,11 @@
     );
     const expectedMs = this.#scheduler.getExpectedMs(job);
     const allowedMs = request.remainingMs * (expectedMs > onTimeMs ? LATE_PART : 1);
+    const engineWaitMs = this.#leaves.getWaitMs(request, this.#jobs.values());
+    if (engineWaitMs > Math.max(onTimeMs, expectedMs) && standingResults.length === 0) {
+      this.#answerRefusal(job, REFUSAL.limited, Math.min(MAX_LIMITED_RETRY_AFTER_MS, engineWaitMs));
+      return () => {};
+    }
     // What has been made already is not thrown away.
     if (expectedMs > allowedMs && standingResults.length === 0) {
       this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - allowedMs, expectedMs);
@@ -241,6 +256,7 @@
     const bounds = directory.configuration?.pools.get(request.poolId)?.engine;
     const { poolId, domains, excludedIds } = request;
     const candidates = getGroupUpstreams(directory, poolId, domains, excludedIds)
+      .filter(({ entry }) => this.#leaves.isOpenTo(entry, request))
       .map(({ entry }) => ({
         engine: this.#engines.get(entry.id), failureDomain: entry.failureDomain,
       }))
@@ -260,7 +276,10 @@
     job.engineId = engineId;
     job.placedAtMs = nowMs;
     this.#engines.place(engineId, request.requestId, request.parts, memoryTokens, capacityTokens);
-    job.answer({ kind: 'placed', upstreamId: engineId, inputs });
+    const leave = this.#leaves.take(engineId);
+    job.answer({
+      kind: 'placed', upstreamId: engineId, inputs, leave,
+    });
   }
 
   /** The failure domain of the engine that keeps most of a prompt. */
--- /dev/null
+++ b/src/placement/PlacementRates.ts
@@ -0,0 +1,23 @@
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import type { HostId } from '../lib/ids.ts';
+import type { LimitReport } from '../rates/RateMessage.ts';
+
+/** What the host that places needs of the rates at which upstreams may be sent to. */
+export interface PlacementRates {
+  /** Whether an upstream names a limit. */
+  isLimited(entry: UpstreamEntry): boolean;
+  /** Whether one send from this host may go out now. */
+  canTake(entry: UpstreamEntry): boolean;
+  /** Takes leave for that; without effect, and true, where no limit is named. */
+  tryTake(entry: UpstreamEntry): boolean;
+  /** Whether a send from another host may go out now, by leave of this one. */
+  canTakeCommon(entry: UpstreamEntry): boolean;
+  /** Takes leave for that. */
+  tryTakeCommon(entry: UpstreamEntry): boolean;
+  /** Sends a second that this host may make or hand out; infinite where no limit is named. */
+  getRatePerSecond(entry: UpstreamEntry): number;
+  /** When one of some upstreams that name limits may be sent to by leave of this host. */
+  getRetryAfterMs(upstreams: readonly UpstreamEntry[]): number;
+  /** Takes in what another host knows of limits. */
+  takeReports(reports: readonly LimitReport[], hostId: HostId): void;
+}
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -1,6 +1,7 @@
 import type { RouteStage } from '../directory/ServingConfiguration.ts';
 import type { PromptPart } from '../ingress/CallerRequest.ts';
-import type { PoolId, UpstreamId } from '../lib/ids.ts';
+import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
+import type { LimitReport } from '../rates/RateMessage.ts';
 
 /** A stage result that stands already, at a request that another host had begun to place. */
 export interface StandingResult {
@@ -44,12 +45,25 @@
   readonly domains: readonly string[];
   /** What a host that placed before and left has handed over. */
   readonly standingResults: readonly StandingResult[];
+  /** The host that asks, and sends. */
+  readonly hostId: HostId;
+  /** What it knows of the limits that engines of the pool name. */
+  readonly limitReports: readonly LimitReport[];
 }
 
+/** By whose leave a request is sent to an engine that names a limit. */
+export type Leave =
+  /** That of the host that places. */
+  | 'common'
+  /** The reserve of the host that sends. */
+  | 'reserve';
+
 /** Why a placement is refused. */
 export const REFUSAL = {
   /** It can't be done in the time that is left. */
   tooLate: 'too-late',
+  /** All engines name limits, and others take up what is left of them. */
+  limited: 'limited',
   /** No engine of the pool may be used. */
   noEngine: 'no-engine',
   /** The host that places is leaving or out of reach. */
@@ -66,6 +80,8 @@
     readonly upstreamId: UpstreamId;
     /** Handles of the results that the engine takes in. */
     readonly inputs: readonly string[];
+    /** By which leave the engine gets it; null where it names no limit, as far as is known. */
+    readonly leave: Leave | null;
   }
   | {
     readonly kind: 'refused';
--- a/src/placement/PlacementService.test.ts
+++ b/src/placement/PlacementService.test.ts
@@ -1,10 +1,11 @@
 import { deepEqual, equal } from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
 import { pino } from 'pino';
+import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_REPEATS } from '../../test/support/UNLIMITED_REPEATS.ts';
 import { Directory } from '../directory/Directory.ts';
 import { UpstreamNotices } from '../directory/UpstreamNotices.ts';
-import { toId, type PoolId } from '../lib/ids.ts';
+import { toId, type HostId, type PoolId } from '../lib/ids.ts';
 import { SystemClock } from '../time/SystemClock.ts';
 import type { PlacementResult } from './PlacementRequest.ts';
 import { PlacementService } from './PlacementService.ts';
@@ -24,6 +25,7 @@
     },
     notices: new UpstreamNotices(clock, directory, logger),
     repeats: UNLIMITED_REPEATS,
+    rates: UNLIMITED_RATES,
     logger,
   });
   return service;
@@ -52,6 +54,8 @@
       isPlacedAgain: false,
       domains: [],
       standingResults: [],
+      hostId: toId<HostId>('host'),
+      limitReports: [],
     }, resolve);
   });
 }
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -3,6 +3,7 @@
 import type { UpstreamNotices } from '../directory/UpstreamNotices.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { PieceRepeats } from './PieceRepeats.ts';
+import type { PlacementRates } from './PlacementRates.ts';
 import { PlacementDesk } from './PlacementDesk.ts';
 import type { StageCall } from './StageCall.ts';
 import type { StageCaller } from './StageCaller.ts';
@@ -23,6 +24,8 @@
   readonly notices: UpstreamNotices;
   /** Bounds how often pieces are sent again. */
   readonly repeats: PieceRepeats;
+  /** Says whether upstreams that name a limit may be sent to. */
+  readonly rates: PlacementRates;
   /** Gets the decisions. */
   readonly logger: Logger;
 }
@@ -51,7 +54,7 @@
    * @param parts - see {@link PlacementServiceParts}
    */
   constructor({
-    clock, directory, caller, notices, repeats, logger,
+    clock, directory, caller, notices, repeats, rates, logger,
   }: PlacementServiceParts) {
     this.#directory = directory;
     this.#notices = notices;
@@ -63,6 +66,7 @@
       directory,
       logger,
       repeats,
+      rates,
       sendCall: (call) => this.#send(call),
       sendFree: (_makerId, address, handles) => this.#free(address, handles),
       requestRun: () => this.#requestRun(),
--- a/src/placement/PlacerChooser.ts
+++ b/src/placement/PlacerChooser.ts
@@ -1,14 +1,10 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
-import type { HostEntry, KnownHost } from '../directory/HostEntry.ts';
+import type { HostEntry } from '../directory/HostEntry.ts';
 import type { HostId } from '../lib/ids.ts';
+import { choosePlacer } from './choosePlacer.ts';
 import type { PlacementGroup } from './PlacementGroup.ts';
 
-/** Processor cores with which a host can place for a group. */
-const SUFFICIENT_CORES = 0.6;
-/** Bandwidth of the link with which a host can place for a group. */
-const SUFFICIENT_LINK_MBPS = 40;
-
 /** What the choice is made from. */
 export interface PlacerChooserOptions {
   readonly hostId: HostId;
@@ -19,18 +15,6 @@
   readonly isAvoided: (host: HostEntry) => boolean;
 }
 
-/** 1 for a host that can place for a group; less for one that lacks processor or bandwidth. */
-function getFitness({ processorCores, linkMbps }: HostEntry): number {
-  return Math.min(1, processorCores / SUFFICIENT_CORES, linkMbps / SUFFICIENT_LINK_MBPS);
-}
-
-/** The fittest first, then the one that is there for longest. */
-function compareHosts(left: KnownHost, right: KnownHost): number {
-  return getFitness(right) - getFitness(left)
-    || left.registeredRevision - right.registeredRevision
-    || (left.id < right.id ? -1 : 1);
-}
-
 /**
  * Chooses the host that places for a group; all hosts with the same view choose the same one.
  *
@@ -58,9 +42,8 @@
   choose(group: PlacementGroup): HostEntry | null {
     const { directory, hostId, isAvoided } = this.#options;
     const present = [...directory.hosts.values()].filter((host) => !isAvoided(host));
-    const near = present.filter((host) => group.domains.includes(host.failureDomain));
     const groupName = group.domains[0] ?? '';
-    const [chosen] = [...(near.length > 0 ? near : present)].sort(compareHosts);
+    const chosen = choosePlacer(present, group.domains);
     this.#noteChoice(groupName, chosen?.id ?? hostId);
     return chosen === undefined || chosen.id === hostId ? null : chosen;
   }
--- a/src/placement/StageForecast.ts
+++ b/src/placement/StageForecast.ts
@@ -4,6 +4,19 @@
 import type { Clock } from '../time/Clock.ts';
 import type { GroupJobs } from './GroupJobs.ts';
 import type { PlacementJob } from './PlacementJob.ts';
+import type { PlacementRates } from './PlacementRates.ts';
+
+const MS_PER_SECOND = 1_000;
+
+/** What a forecast is made from. */
+export interface StageForecastParts {
+  /** The time of the step. */
+  readonly clock: Clock;
+  /** Figures of the pools. */
+  readonly directory: Directory;
+  /** How often upstreams that name a limit may be called. */
+  readonly rates: PlacementRates;
+}
 
 /** Which of the waiting requests go before one that is asked about. */
 type JobFilter = (job: PlacementJob) => boolean;
@@ -23,13 +36,15 @@
   /** What `getLeastMs` said, for jobs none of whose pieces has ended or been opened since. */
   readonly #leastMs = new Map<PlacementJob, number>();
 
+  readonly #rates: PlacementRates;
+
   /**
-   * @param clock - the time of the step
-   * @param directory - figures of the pools
+   * @param parts - see {@link StageForecastParts}
    */
-  constructor(clock: Clock, directory: Directory) {
+  constructor({ clock, directory, rates }: StageForecastParts) {
     this.#clock = clock;
     this.#directory = directory;
+    this.#rates = rates;
   }
 
   /** @param job - a request one of whose pieces has ended or been opened again, or that is gone */
@@ -79,12 +94,17 @@
       }
     });
     return this.getLeastMs(job) + this.#sumLevels(job, (limits, _count, poolId) => {
-      const makerCount = group.getUsable(poolId).length;
+      const makers = group.getUsable(poolId);
       const fullCallMs = limits.callMs + limits.pieceMs * limits.maxPieces;
-      const perCall = limits.maxPieces * makerCount * limits.callSlots;
-      return makerCount === 0
-        ? this.#directory.getOpensInMs(poolId) ?? 0
-        : ((waitingCounts.get(poolId) ?? 0) / perCall) * fullCallMs;
+      const callsPerMs = makers.reduce((sum, { entry }) => sum + Math.min(
+        limits.callSlots / fullCallMs,
+        this.#rates.getRatePerSecond(entry) / MS_PER_SECOND,
+      ), 0);
+      const waitingCount = waitingCounts.get(poolId) ?? 0;
+      if (makers.length === 0) {
+        return this.#directory.getOpensInMs(poolId) ?? 0;
+      }
+      return waitingCount === 0 ? 0 : waitingCount / limits.maxPieces / callsPerMs;
     });
   }
 
--- a/src/placement/StageResults.ts
+++ b/src/placement/StageResults.ts
@@ -1,20 +1,28 @@
 import type { Directory } from '../directory/Directory.ts';
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
 import type { UpstreamId } from '../lib/ids.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { MakerTable } from './MakerTable.ts';
 import {
   isStageDone, type JobPiece, type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
+import type { PlacementRates } from './PlacementRates.ts';
 import type { StandingResult } from './PlacementRequest.ts';
 import { resetPiece } from './resetPiece.ts';
 import { getConsumers } from './stageBytes.ts';
 
+const MS_PER_SECOND = 1_000;
+/** Sends to an upstream that names a limit, of which one may free results. */
+const SENDS_PER_FREE = 4;
+
 /** What the results need from outside. */
 export interface StageResultsParts {
   readonly clock: Clock;
   readonly directory: Directory;
   /** Who keeps which result. */
   readonly makers: MakerTable;
+  /** Says whether upstreams that name a limit may be sent to. */
+  readonly rates: PlacementRates;
   /** Frees results at the upstream that keeps them. */
   readonly sendFree: (makerId: UpstreamId, address: string, handles: readonly string[]) => void;
 }
@@ -25,6 +33,9 @@
 
   readonly #toFree = new Map<UpstreamId, string[]>();
 
+  /** When results were last freed at upstreams that name a limit. */
+  readonly #freedAtMs = new Map<UpstreamId, number>();
+
   /**
    * @param parts - see {@link StageResultsParts}
    */
@@ -102,6 +113,7 @@
   /** @param makerId - an upstream that is gone; nothing is to be freed there */
   forgetMaker(makerId: UpstreamId): void {
     this.#toFree.delete(makerId);
+    this.#freedAtMs.delete(makerId);
   }
 
   /** @param job - a request one of whose stages is done; what that needed is freed */
@@ -135,14 +147,31 @@
   flushFrees(): void {
     const { directory, sendFree } = this.#parts;
     this.#toFree.forEach((handles, makerId) => {
-      if (directory.isBackingOff(makerId)) {
+      const upstream = directory.getUpstream(makerId);
+      if (directory.isBackingOff(makerId)
+        || (upstream !== undefined && !this.#mayFree(upstream.entry))) {
         return;
       }
       this.#toFree.delete(makerId);
-      const upstream = directory.getUpstream(makerId);
       if (upstream !== undefined) {
         sendFree(makerId, upstream.entry.address, handles);
       }
     });
   }
+
+  /** Results lapse by themselves, so that calls go before them where an upstream names a limit. */
+  #mayFree(entry: UpstreamEntry): boolean {
+    const { clock, rates } = this.#parts;
+    if (!rates.isLimited(entry)) {
+      return true;
+    }
+    const nowMs = clock.getMonotonicMs();
+    const pauseMs = (SENDS_PER_FREE * MS_PER_SECOND) / rates.getRatePerSecond(entry);
+    const isDue = nowMs - (this.#freedAtMs.get(entry.id) ?? -Infinity) >= pauseMs;
+    if (!isDue || !rates.tryTake(entry)) {
+      return false;
+    }
+    this.#freedAtMs.set(entry.id, nowMs);
+    return true;
+  }
 }
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -16,6 +16,7 @@
   PIECE_FAILURE, type PieceOutcome, type StageCall, type StageOutcome,
 } from './StageCall.ts';
 import type { PieceRepeats } from './PieceRepeats.ts';
+import type { PlacementRates } from './PlacementRates.ts';
 import type { StandingResult } from './PlacementRequest.ts';
 import { createStageItem } from './createStageItem.ts';
 import { StageForecast } from './StageForecast.ts';
@@ -30,6 +31,8 @@
   readonly directory: Directory;
   /** Bounds how often pieces are sent again. */
   readonly repeats: PieceRepeats;
+  /** Says whether upstreams that name a limit may be sent to. */
+  readonly rates: PlacementRates;
   /** @param call - to be sent now; its end comes back through `finishCall` */
   readonly sendCall: (call: StageCall) => void;
   /** Frees results at the upstream that keeps them; the end comes back through `noteFreed`. */
@@ -85,7 +88,7 @@
    */
   constructor(options: StageSchedulerOptions) {
     this.#options = options;
-    this.#forecast = new StageForecast(options.clock, options.directory);
+    this.#forecast = new StageForecast(options);
     this.#results = new StageResults({ ...options, makers: this.#makers });
   }
 
@@ -270,7 +273,8 @@
     const usable = group.getUsable(pool.id)
       .map((upstream) => ({ upstream, maker: this.#makers.get(upstream.entry.id) }));
     const nowMs = this.#options.clock.getMonotonicMs();
-    const idle = getIdleMakers(usable, limits, nowMs);
+    const idle = getIdleMakers(usable, limits, nowMs)
+      .filter(({ upstream }) => this.#options.rates.canTake(upstream.entry));
     if (idle.length === 0) {
       return;
     }
@@ -329,6 +333,10 @@
     limits: BatchLimits,
     pieces: readonly PlannedPiece[],
   ): void {
+    // Another call of this run may have taken the last leave.
+    if (!this.#options.rates.tryTake(upstream.entry)) {
+      return;
+    }
     const nowMs = this.#options.clock.getMonotonicMs();
     const expectedMs = limits.callMs + limits.pieceMs * pieces.length;
     const repeatCount = pieces.filter(({ piece }) => piece.sendCount > 0).length;
--- a/src/placement/planBatches.test.ts
+++ b/src/placement/planBatches.test.ts
@@ -1,6 +1,8 @@
 import { deepEqual, equal, ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { toId, type PoolId, type UpstreamId } from '../lib/ids.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../lib/ids.ts';
 import { createPlacementJob, type PlacementJob } from './PlacementJob.ts';
 import {
   compareGroups, planBatches, type BatchSpace, type PieceGroup,
@@ -22,6 +24,8 @@
     requestId: sketch.id,
     domains: ['a'],
     standingResults: [],
+    hostId: toId<HostId>('host'),
+    limitReports: [],
     poolId: toId<PoolId>('engines'),
     stages: [{
       poolId: toId<PoolId>('pool'), after: [], resultBytes: sketch.resultBytes ?? 10,
--- a/src/quarantine/UpstreamCheck.ts
+++ b/src/quarantine/UpstreamCheck.ts
@@ -1,4 +1,5 @@
 import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import type { UpstreamNotice } from '../directory/UpstreamNotice.ts';
 
 /**
  * Whether a start of an upstream goes on: `unknown` when nothing comes back, which a cut or a full
@@ -15,3 +16,22 @@
    */
   check(entry: UpstreamEntry, healthPath: string): Promise<SignOfLife>;
 }
+
+/** What came back when an upstream was asked for its health. */
+export interface HealthAnswer {
+  readonly sign: SignOfLife;
+  /** What it said of itself. */
+  readonly notice: UpstreamNotice;
+  /** HTTP status; null when there was no answer. */
+  readonly status: number | null;
+}
+
+/** Asks upstreams for their health over the wire; an adapter's part. */
+export interface HealthCaller {
+  /**
+   * @param entry - a start of an upstream
+   * @param healthPath - where its pool is asked
+   * @returns what came back
+   */
+  ask(entry: UpstreamEntry, healthPath: string): Promise<HealthAnswer>;
+}
--- /dev/null
+++ b/src/rates/LimitProbe.ts
@@ -0,0 +1,87 @@
+import type { Directory } from '../directory/Directory.ts';
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import type { UpstreamCheck } from '../quarantine/UpstreamCheck.ts';
+import type { Clock } from '../time/Clock.ts';
+import type { RateKeepers } from './RateKeepers.ts';
+
+/** What a probe is made of. */
+export interface LimitProbeParts {
+  readonly clock: Clock;
+  readonly directory: Directory;
+  readonly keepers: RateKeepers;
+  /** Asks for the health of an upstream; what its answer says of the limit is taken in. */
+  readonly check: UpstreamCheck;
+}
+
+const LOOK_EVERY_MS = 500;
+/** Silence after which the host that keeps the sum asks, once in the window of a limit. */
+const KEEPER_SILENCE_MS = 4_000;
+/** Silence after which any other host asks, which the one that keeps the sum has left alone. */
+const OTHER_SILENCE_MS = 40_000;
+
+/**
+ * Asks upstreams that name a limit, and from which nothing comes any more since nothing is sent
+ * there, whether they still do.
+ */
+export class LimitProbe {
+  readonly #parts: LimitProbeParts;
+
+  readonly #askedAtMs = new Map<string, number>();
+
+  #timer: NodeJS.Timeout | null = null;
+
+  #isClosed = false;
+
+  /**
+   * @param parts - see {@link LimitProbeParts}
+   */
+  constructor(parts: LimitProbeParts) {
+    this.#parts = parts;
+    parts.directory.onChange(({ kind }) => {
+      if (kind === 'upstreamLimit') {
+        this.#schedule();
+      }
+    });
+  }
+
+  /** Ends the looks. */
+  close(): void {
+    this.#isClosed = true;
+    clearTimeout(this.#timer ?? undefined);
+  }
+
+  /** Asks those that are due. */
+  look(): void {
+    const nowMs = this.#parts.clock.getMonotonicMs();
+    this.#parts.directory.getLimited()
+      .filter(({ entry, heardAtMs }) => {
+        const silenceMs = this.#parts.keepers.isOwn(entry) ? KEEPER_SILENCE_MS : OTHER_SILENCE_MS;
+        const lastMs = Math.max(heardAtMs, this.#askedAtMs.get(entry.id) ?? -Infinity);
+        return nowMs - lastMs >= silenceMs;
+      })
+      .forEach(({ entry }) => this.#ask(entry, nowMs));
+  }
+
+  #schedule(): void {
+    if (this.#timer === null && !this.#isClosed) {
+      this.#timer = setTimeout(() => {
+        this.#timer = null;
+        this.look();
+        if (this.#parts.directory.getLimited().length > 0) {
+          this.#schedule();
+        } else {
+          this.#askedAtMs.clear();
+        }
+      }, LOOK_EVERY_MS);
+      this.#timer.unref();
+    }
+  }
+
+  #ask(entry: UpstreamEntry, nowMs: number): void {
+    const { directory, check } = this.#parts;
+    this.#askedAtMs.set(entry.id, nowMs);
+    const healthPath = directory.configuration?.pools.get(entry.poolId)?.healthPath ?? '/';
+    // No answer says nothing of the limit; it is asked again.
+    check.check(entry, healthPath).catch(() => 'unknown');
+  }
+}
--- /dev/null
+++ b/src/rates/RateKeepers.ts
@@ -0,0 +1,120 @@
+import type { Directory } from '../directory/Directory.ts';
+import type { DirectoryChange } from '../directory/DirectoryChange.ts';
+import type { KnownHost } from '../directory/HostEntry.ts';
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import type { HostId } from '../lib/ids.ts';
+import { choosePlacer } from '../placement/choosePlacer.ts';
+import { findPlacementGroups } from '../placement/PlacementGroup.ts';
+import type { Clock } from '../time/Clock.ts';
+
+/** What the choice of keepers is made from. */
+export interface RateKeepersParts {
+  readonly clock: Clock;
+  readonly hostId: HostId;
+  readonly directory: Directory;
+  /** Whether the store has confirmed a moment ago that this host is registered. */
+  readonly isRegistered: () => boolean;
+}
+
+interface ChosenKeeper {
+  readonly hostId: HostId | null;
+  readonly sinceMs: number;
+}
+
+/**
+ * How long a host keeps a sum before it hands anything out: what the one before has handed out is
+ * past by then, and every host that has the store has heard of the change.
+ */
+export const SETTLE_MS = 5_000;
+/** A view of the hosts that the store has not confirmed for longer says nothing. */
+const MAX_VIEW_AGE_MS = 4_000;
+
+/** Changes that may move the duty; those of upstreams are looked at when the duty is asked for. */
+const HOST_CHANGES: ReadonlySet<DirectoryChange['kind']> = new Set(['host', 'hostGone']);
+const GROUP_CHANGES: ReadonlySet<DirectoryChange['kind']> = new Set([
+  'upstream', 'upstreamGone', 'configuration', 'domainDrained', 'domainRestored',
+]);
+
+/**
+ * Says which host keeps the sum over all hosts of what upstreams of a failure domain get. It is the
+ * host that places there, by the store's word alone, so that all with the same view agree.
+ */
+export class RateKeepers {
+  readonly #parts: RateKeepersParts;
+
+  readonly #byDomain = new Map<string, ChosenKeeper>();
+
+  #isOutdated = true;
+
+  /**
+   * @param parts - see {@link RateKeepersParts}
+   */
+  constructor(parts: RateKeepersParts) {
+    this.#parts = parts;
+    parts.directory.onChange(({ kind }) => {
+      if (HOST_CHANGES.has(kind)) {
+        this.#update();
+      } else if (GROUP_CHANGES.has(kind)) {
+        this.#isOutdated = true;
+      }
+    });
+  }
+
+  /**
+   * @param entry - an upstream
+   * @returns the host that keeps its sum; undefined when none is known
+   */
+  getKeeper(entry: UpstreamEntry): KnownHost | undefined {
+    const { hostId } = this.#getChosen(entry.failureDomain);
+    return hostId === null ? undefined : this.#parts.directory.hosts.get(hostId);
+  }
+
+  /**
+   * @param entry - an upstream
+   * @returns whether this host keeps its sum, and has done so for long enough
+   */
+  isOwn(entry: UpstreamEntry): boolean {
+    const {
+      clock, directory, hostId, isRegistered,
+    } = this.#parts;
+    const chosen = this.#getChosen(entry.failureDomain);
+    return chosen.hostId === hostId
+      && clock.getMonotonicMs() - chosen.sinceMs >= SETTLE_MS
+      && (directory.ageMs ?? Infinity) <= MAX_VIEW_AGE_MS
+      && isRegistered();
+  }
+
+  /** Begins anew; for a process that has stood still while others may have taken over. */
+  restart(): void {
+    this.#byDomain.clear();
+    this.#isOutdated = true;
+  }
+
+  #getChosen(domain: string): ChosenKeeper {
+    if (this.#isOutdated) {
+      this.#update();
+    }
+    return this.#byDomain.get(domain) ?? this.#choose(domain, [domain]);
+  }
+
+  #update(): void {
+    this.#isOutdated = false;
+    const groups = findPlacementGroups(this.#parts.directory);
+    groups.forEach(({ domains }) => domains.forEach((domain) => this.#choose(domain, domains)));
+    [...this.#byDomain.keys()]
+      .filter((domain) => !groups.some(({ domains }) => domains.includes(domain)))
+      .forEach((domain) => this.#choose(domain, [domain]));
+  }
+
+  #choose(domain: string, domains: readonly string[]): ChosenKeeper {
+    const { clock, directory } = this.#parts;
+    const hostId = choosePlacer([...directory.hosts.values()], domains)?.id ?? null;
+    const before = this.#byDomain.get(domain);
+    if (before !== undefined && before.hostId === hostId) {
+      return before;
+    }
+    const chosen = { hostId, sinceMs: clock.getMonotonicMs() };
+    this.#byDomain.set(domain, chosen);
+    return chosen;
+  }
+}
--- /dev/null
+++ b/src/rates/SendRates.ts
@@ -0,0 +1,317 @@
+import type { Directory } from '../directory/Directory.ts';
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import type { LimitWord } from '../directory/UpstreamLimits.ts';
+import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
+import type { Clock } from '../time/Clock.ts';
+import { createLimitBound, type RateBound } from './RateBound.ts';
+import type { RateKeepers } from './RateKeepers.ts';
+import type {
+  LeaveAnswer, LeaveAsk, LeaveDecision, LimitReport,
+} from './RateMessage.ts';
+import { ReserveSends } from './ReserveSends.ts';
+import { SlotSchedule } from './SlotSchedule.ts';
+import { getReserveShare } from './getReserveShare.ts';
+
+/** An upstream whose sum this host keeps, or that names no limit. */
+interface KeptUpstream {
+  readonly entry: UpstreamEntry;
+  /** Null where it names no limit. */
+  readonly schedule: SlotSchedule | null;
+  readonly waitMs: number;
+}
+
+/** What the rates of a host are made of. */
+export interface SendRatesParts {
+  readonly clock: Clock;
+  readonly hostId: HostId;
+  /** Knows which upstreams name a limit, and the hosts. */
+  readonly directory: Directory;
+  readonly keepers: RateKeepers;
+}
+
+const MS_PER_SECOND = 1_000;
+/** How long the word that a limit is lifted is told to other hosts. */
+const LIFTED_TOLD_MS = 30_000;
+/** When an upstream is asked again that takes nothing now. */
+const IDLE_RETRY_AFTER_MS = 4_000;
+/** Schedules that are kept before those of upstreams without a limit are let go. */
+const MAX_SCHEDULE_COUNT = 256;
+
+/**
+ * Keeps what upstreams that name a limit get from all hosts together under it. One host keeps the
+ * sum of each upstream and hands slots out; beside it every host has a share of a small reserve,
+ * for when that host is away. An upstream that names no limit needs no leave.
+ */
+export class SendRates {
+  readonly #parts: SendRatesParts;
+
+  readonly #reserve: ReserveSends;
+
+  /** Of the upstreams whose sum this host keeps. */
+  readonly #schedules = new Map<UpstreamId, SlotSchedule>();
+
+  /**
+   * @param parts - see {@link SendRatesParts}
+   */
+  constructor(parts: SendRatesParts) {
+    this.#parts = parts;
+    this.#reserve = new ReserveSends(parts.clock);
+  }
+
+  /**
+   * @param entry - an upstream
+   * @returns whether it names a limit
+   */
+  isLimited(entry: UpstreamEntry): boolean {
+    return this.#getBound(entry) !== null;
+  }
+
+  /**
+   * @param entry - an upstream
+   * @returns whether leave for one send can be had here and now
+   */
+  canTake(entry: UpstreamEntry): boolean {
+    const bound = this.#getBound(entry);
+    return bound === null
+      || this.#getSchedule(entry, bound)?.waitMs === 0
+      || this.#hasReserve(entry, bound);
+  }
+
+  /**
+   * Takes leave for one send that goes out now.
+   *
+   * @param entry - an upstream
+   * @returns whether there was any
+   */
+  tryTake(entry: UpstreamEntry): boolean {
+    return this.#getBound(entry) === null
+      || this.tryTakeCommon(entry)
+      || this.tryTakeReserve(entry);
+  }
+
+  /**
+   * @param entry - an upstream that names a limit
+   * @returns whether a slot could be had, which only the host that keeps its sum hands out
+   */
+  canTakeCommon(entry: UpstreamEntry): boolean {
+    const bound = this.#getBound(entry);
+    return bound !== null && this.#getSchedule(entry, bound)?.waitMs === 0;
+  }
+
+  /**
+   * @param entry - an upstream that names a limit
+   * @returns whether a slot was taken
+   */
+  tryTakeCommon(entry: UpstreamEntry): boolean {
+    const bound = this.#getBound(entry);
+    return bound !== null && (this.#getSchedule(entry, bound)?.tryTake(0) ?? null) !== null;
+  }
+
+  /**
+   * @param entry - an upstream that names a limit
+   * @returns whether a send was taken out of this host's reserve
+   */
+  tryTakeReserve(entry: UpstreamEntry): boolean {
+    const bound = this.#getBound(entry);
+    if (bound === null || !this.#hasReserve(entry, bound)) {
+      return false;
+    }
+    this.#reserve.note(entry.id);
+    // The host that keeps the sum itself has nobody to report to.
+    const schedule = this.#getSchedule(entry, bound);
+    schedule?.noteSpent(this.#reserve.takeUnreported(entry.id));
+    return true;
+  }
+
+  /**
+   * @param entry - an upstream
+   * @returns sends a second that this host may expect to make or to hand out; infinite for no limit
+   */
+  getRatePerSecond(entry: UpstreamEntry): number {
+    const bound = this.#getBound(entry);
+    if (bound === null) {
+      return Infinity;
+    }
+    return this.#getSchedule(entry, bound) === null
+      ? (this.#getShare(entry, bound) * MS_PER_SECOND) / bound.reserveWindowMs
+      : bound.perSecond;
+  }
+
+  /**
+   * @param upstreams - upstreams none of which takes anything now
+   * @returns when the first of them may take something from this host, as far as it can tell
+   */
+  getRetryAfterMs(upstreams: readonly UpstreamEntry[]): number {
+    const waits = upstreams.map((entry) => {
+      const bound = this.#getBound(entry);
+      return bound === null ? 0 : this.#getOwnWaitMs(entry, bound);
+    });
+    return Math.min(IDLE_RETRY_AFTER_MS, ...waits);
+  }
+
+  /**
+   * @param poolId - a pool
+   * @returns what is known of the limits of its upstreams, for another host
+   */
+  createReports(poolId: PoolId): LimitReport[] {
+    return this.createReportsOf(this.#parts.directory.getListed(poolId).map(({ entry }) => entry));
+  }
+
+  /**
+   * @param entries - upstreams
+   * @returns what is known of their limits, for another host
+   */
+  createReportsOf(entries: readonly UpstreamEntry[]): LimitReport[] {
+    return entries.flatMap((entry) => {
+      const word = this.#parts.directory.getLimitWord(entry);
+      return word === undefined || this.#isLongLifted(word)
+        ? []
+        : [this.#createReport(entry, word)];
+    });
+  }
+
+  /**
+   * @param reports - what another host knows
+   * @param hostId - that host
+   */
+  takeReports(reports: readonly LimitReport[], hostId: HostId): void {
+    const nowMs = this.#parts.clock.getMonotonicMs();
+    reports.forEach((report) => {
+      const { upstreamId, startedAtMs, requestsPerSecond } = report;
+      this.#parts.directory.apply({
+        kind: 'upstreamLimit',
+        word: {
+          lifetime: { id: upstreamId, startedAtMs },
+          requestsPerSecond,
+          askedAtMs: nowMs - report.askedAgoMs,
+          heardAtMs: nowMs - report.heardAgoMs,
+        },
+        source: { kind: 'host', hostId },
+      });
+      const entry = this.#parts.directory.getUpstream(upstreamId)?.entry;
+      const bound = entry === undefined ? null : this.#getBound(entry);
+      if (entry !== undefined && bound !== null) {
+        this.#getSchedule(entry, bound)?.noteSpent(report.spentCount);
+      }
+    });
+  }
+
+  /**
+   * Decides for another host, or for this one, whether it may send to one of some upstreams.
+   *
+   * @param ask - what it wants
+   * @returns the decision, and what is known here of the limits
+   */
+  decide(ask: LeaveAsk): LeaveAnswer {
+    this.takeReports(ask.reports, ask.hostId);
+    const reportedIds = ask.reports.map(({ upstreamId }) => upstreamId);
+    return {
+      decision: this.#decide(this.#getEntries(ask.upstreamIds), ask.maxWaitMs),
+      reports: this.createReportsOf(this.#getEntries([...reportedIds, ...ask.upstreamIds])),
+    };
+  }
+
+  #decide(entries: readonly UpstreamEntry[], maxWaitMs: number): LeaveDecision {
+    const kept = entries.flatMap((entry): KeptUpstream[] => {
+      const bound = this.#getBound(entry);
+      if (bound === null) {
+        return [{ entry, schedule: null, waitMs: 0 }];
+      }
+      const schedule = this.#getSchedule(entry, bound);
+      return schedule === null ? [] : [{ entry, schedule, waitMs: schedule.waitMs }];
+    });
+    const [first] = kept.sort((left, right) => left.waitMs - right.waitMs);
+    if (first === undefined) {
+      return { kind: 'notKept' };
+    }
+    const waitMs = first.schedule === null ? 0 : first.schedule.tryTake(maxWaitMs);
+    if (waitMs !== null) {
+      return { kind: 'granted', upstreamId: first.entry.id, waitMs };
+    }
+    const returnMs = first.schedule?.promiseReturnMs() ?? 0;
+    return {
+      kind: 'denied',
+      retryAfterMs: Number.isFinite(returnMs) ? returnMs : IDLE_RETRY_AFTER_MS,
+    };
+  }
+
+  #getEntries(ids: readonly UpstreamId[]): UpstreamEntry[] {
+    return [...new Set(ids)]
+      .map((id) => this.#parts.directory.getUpstream(id)?.entry)
+      .filter((entry) => entry !== undefined);
+  }
+
+  #createReport(entry: UpstreamEntry, word: LimitWord): LimitReport {
+    const nowMs = this.#parts.clock.getMonotonicMs();
+    const bound = this.#getBound(entry);
+    return {
+      upstreamId: entry.id,
+      startedAtMs: word.lifetime.startedAtMs,
+      requestsPerSecond: word.requestsPerSecond,
+      askedAgoMs: nowMs - word.askedAtMs,
+      heardAgoMs: nowMs - word.heardAtMs,
+      hasReserve: bound !== null && this.#hasReserve(entry, bound),
+      spentCount: this.#reserve.takeUnreported(entry.id),
+    };
+  }
+
+  #isLongLifted({ requestsPerSecond, heardAtMs }: LimitWord): boolean {
+    return requestsPerSecond === null
+      && this.#parts.clock.getMonotonicMs() - heardAtMs > LIFTED_TOLD_MS;
+  }
+
+  #getBound(entry: UpstreamEntry): RateBound | null {
+    const perSecond = this.#parts.directory.getRequestLimit(entry);
+    return perSecond === null ? null : createLimitBound(perSecond);
+  }
+
+  /** Null where another host keeps the sum. */
+  #getSchedule(entry: UpstreamEntry, bound: RateBound): SlotSchedule | null {
+    if (!this.#parts.keepers.isOwn(entry)) {
+      this.#schedules.delete(entry.id);
+      return null;
+    }
+    const known = this.#schedules.get(entry.id);
+    if (known !== undefined) {
+      known.setBound(bound);
+      return known;
+    }
+    if (this.#schedules.size >= MAX_SCHEDULE_COUNT) {
+      this.#forgetUnlimited();
+    }
+    const schedule = new SlotSchedule(this.#parts.clock, bound);
+    this.#schedules.set(entry.id, schedule);
+    return schedule;
+  }
+
+  #forgetUnlimited(): void {
+    [...this.#schedules.keys()].forEach((id) => {
+      const entry = this.#parts.directory.getUpstream(id)?.entry;
+      if (entry === undefined || this.#getBound(entry) === null) {
+        this.#schedules.delete(id);
+      }
+    });
+  }
+
+  #getShare(entry: UpstreamEntry, { reserveCount }: RateBound): number {
+    const { directory, hostId } = this.#parts;
+    return getReserveShare(entry.id, reserveCount, {
+      ownId: hostId,
+      presentIds: [...directory.hosts.keys()],
+      largestCount: directory.largestHostCount,
+    });
+  }
+
+  #hasReserve(entry: UpstreamEntry, bound: RateBound): boolean {
+    const share = this.#getShare(entry, bound);
+    return this.#reserve.getWaitMs(entry.id, share, bound.reserveWindowMs) === 0;
+  }
+
+  #getOwnWaitMs(entry: UpstreamEntry, bound: RateBound): number {
+    const share = this.#getShare(entry, bound);
+    return Math.min(
+      this.#reserve.getWaitMs(entry.id, share, bound.reserveWindowMs),
+      this.#getSchedule(entry, bound)?.waitMs ?? Infinity,
+    );
+  }
+}
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -29,6 +29,8 @@
 const MAX_REFUSED_SENDS = 6;
 /** Events beside those of the tokens, such as the one that ends a stream. */
 const SPARE_EVENTS = 64;
+/** How long the leave of the placing host may be used. */
+const LEAVE_TTL_MS = 500;
 /** Retry-After where the cause is over in a moment. */
 const SHORT_RETRY_AFTER_MS = 200;
 
@@ -68,6 +70,9 @@
 
   #placement: RunningPlacement | null = null;
 
+  /** When the engine was chosen. */
+  #placedAtMs = 0;
+
   /** The engine that the placement chose. */
   #engineId: UpstreamId | null = null;
 
@@ -193,6 +198,7 @@
       return;
     }
     this.#engineId = result.upstreamId;
+    this.#placedAtMs = this.#context.clock.getMonotonicMs();
     this.#sendWhenPaced(result);
   }
 
@@ -221,10 +227,27 @@
       );
       return;
     }
+    if (!this.#hasLeave(placed, upstream.entry)) {
+      this.#log('leaveGone', { upstreamId: placed.upstreamId, leave: placed.leave });
+      this.#placeUnsent(placed.upstreamId);
+      return;
+    }
     pacer.noteSend(placed.upstreamId);
     this.#send(placed, upstream.entry);
   }
 
+  /**
+   * The placing host gives leave where an engine names a limit. This host may have been told of the
+   * limit since, or its reserve be used up by another request.
+   */
+  #hasLeave({ leave }: Placed, engine: UpstreamEntry): boolean {
+    const { rates, clock } = this.#context;
+    const isPrompt = clock.getMonotonicMs() - this.#placedAtMs <= LEAVE_TTL_MS;
+    return (leave === 'common' && isPrompt)
+      || !rates.isLimited(engine)
+      || rates.tryTakeReserve(engine);
+  }
+
   #send(placed: Placed, engine: UpstreamEntry): void {
     if (this.#permit?.trySend(placed.upstreamId) === false) {
       this.#giveUp(STATUS.unavailable, 'repeats-spent', SHORT_RETRY_AFTER_MS);
@@ -238,7 +261,9 @@
     this.#eventCount = 0;
     this.#splitter = new EventSplitter();
     this.#log('sent', {
-      ...this.#repeats.noteSend(placed.upstreamId), inputCount: placed.inputs.length,
+      ...this.#repeats.noteSend(placed.upstreamId),
+      inputCount: placed.inputs.length,
+      leave: placed.leave,
     });
     this.#running = sendAttempt(
       this.#context.connections.get(`http://${engine.address}`),
--- /dev/null
+++ b/src/relay/LeaveFinder.ts
@@ -0,0 +1,106 @@
+import type { KnownUpstream } from '../directory/Directory.ts';
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { LeaveResult } from '../rates/LeaveClient.ts';
+import type { RelayContext, RelayTerms } from './RelayContext.ts';
+
+/** What a finder is made of. */
+export interface LeaveFinderParts {
+  readonly context: Pick<RelayContext, 'clock' | 'directory' | 'rates' | 'leaves'>;
+  readonly terms: RelayTerms;
+  /** Writes a line about the request. */
+  readonly log: (outcome: string, details: Readonly<Record<string, unknown>>) => void;
+  /** Runs an action later, unless the request is over by then. */
+  readonly after: (delayMs: number, action: () => void) => void;
+}
+
+/** Hears what became of the search. */
+export interface LeaveListener {
+  /** @param entry - an upstream that may be sent to now */
+  readonly onGranted: (entry: UpstreamEntry) => void;
+  /** Called when the upstream that would have taken it is not there any more. */
+  readonly onGone: () => void;
+  /** @param retryAfterMs - when an upstream may take one more */
+  readonly onDenied: (retryAfterMs: number) => void;
+}
+
+/** Part of its target latency that a request waits for its turn; what is left is for the work. */
+const WAIT_PART = 0.5;
+/** The same for a request that is not the most urgent: turns further ahead are left to those. */
+const LESS_URGENT_WAIT_PART = 0.25;
+const HIGHEST_PRIORITY = 0;
+
+/** Finds an upstream for one request among those that name a limit for all hosts together. */
+export class LeaveFinder {
+  readonly #parts: LeaveFinderParts;
+
+  /**
+   * @param parts - see {@link LeaveFinderParts}
+   */
+  constructor(parts: LeaveFinderParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Drops the upstreams that may not be sent to now.
+   *
+   * @param upstreams - open upstreams
+   * @returns those that name no limit, or for which there is leave here
+   */
+  select(upstreams: readonly KnownUpstream[]): KnownUpstream[] {
+    const { rates, leaves } = this.#parts.context;
+    const limited = upstreams.filter(({ entry }) => rates.isLimited(entry));
+    if (limited.length > 0) {
+      leaves.refresh(this.#parts.terms.poolId, limited.map(({ entry }) => entry));
+    }
+    return upstreams.filter(({ entry }) => rates.canTake(entry));
+  }
+
+  /**
+   * Asks the hosts that keep the sums.
+   *
+   * @param upstreams - upstreams that name a limit, and for which there is no leave here
+   * @param listener - hears what became of it
+   */
+  find(upstreams: readonly KnownUpstream[], listener: LeaveListener): void {
+    const { context, log } = this.#parts;
+    const maxWaitMs = this.#getMaxWaitMs();
+    const upstreamIds = upstreams.map(({ entry }) => entry.id);
+    log('asksForLeave', { upstreamIds, maxWaitMs });
+    context.leaves.take(upstreams.map(({ entry }) => entry), maxWaitMs)
+      .then((result) => this.#takeResult(result, listener))
+      .catch((error: unknown) => {
+        log('leaveFailed', { error: String(error) });
+        listener.onDenied(maxWaitMs);
+      });
+  }
+
+  #takeResult(result: LeaveResult, listener: LeaveListener): void {
+    const { context, log, after } = this.#parts;
+    log('leaveDecided', { ...result });
+    switch (result.kind) {
+      case 'granted':
+        after(result.waitMs, () => {
+          const upstream = context.directory.getUpstream(result.upstreamId);
+          if (upstream !== undefined && context.directory.isUsable(result.upstreamId)) {
+            listener.onGranted(upstream.entry);
+          } else {
+            listener.onGone();
+          }
+        });
+        return;
+      case 'denied':
+        listener.onDenied(result.retryAfterMs);
+        return;
+      default:
+        throw exhaustiveSwitchError(result);
+    }
+  }
+
+  #getMaxWaitMs(): number {
+    const { context, terms } = this.#parts;
+    const part = terms.priority === HIGHEST_PRIORITY ? WAIT_PART : LESS_URGENT_WAIT_PART;
+    const remainingMs = terms.deadlineAtMs - context.clock.getMonotonicMs();
+    return Math.max(0, Math.min(terms.route.targetLatencyMs * part, remainingMs * part));
+  }
+}
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -3,6 +3,8 @@
 import type { ServingRoute } from '../directory/ServingConfiguration.ts';
 import type { UpstreamNotices } from '../directory/UpstreamNotices.ts';
 import type { PoolId } from '../lib/ids.ts';
+import type { LeaveClient } from '../rates/LeaveClient.ts';
+import type { SendRates } from '../rates/SendRates.ts';
 import type { PlacementClient } from '../placement/PlacementClient.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
@@ -26,6 +28,10 @@
   readonly book: UpstreamBook;
   readonly shares: HostShares;
   readonly pacer: ColdPacer;
+  /** Says whether upstreams that name a limit may be sent to from here. */
+  readonly rates: SendRates;
+  /** Asks other hosts for leave to do so. */
+  readonly leaves: LeaveClient;
   readonly quarantine: RequestQuarantine;
   readonly answerMemory: AnswerMemory;
   readonly logger: Logger;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -16,6 +16,14 @@
 import { PeerServer } from '../placement/PeerServer.ts';
 import { PlacementService } from '../placement/PlacementService.ts';
 import { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
+import { NotingUpstreamCheck } from '../quarantine/NotingUpstreamCheck.ts';
+import { HttpRatePeers } from '../rates/HttpRatePeers.ts';
+import { LeaveClient } from '../rates/LeaveClient.ts';
+import { LimitProbe } from '../rates/LimitProbe.ts';
+import { RatedUpstreamCheck } from '../rates/RatedUpstreamCheck.ts';
+import { RateKeepers } from '../rates/RateKeepers.ts';
+import { SendRates } from '../rates/SendRates.ts';
+import { registerRateRoutes } from '../rates/registerRateRoutes.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
 import { AnswerMemory } from './AnswerMemory.ts';
@@ -41,6 +49,8 @@
 /** Time kept at the end of the grace for breaking off what is left. */
 const BREAK_OFF_MS = 300;
 const STOP_CHECK_MS = 50;
+/** A host whose entry was confirmed longer ago may have lost it; leases last half as long again. */
+const MAX_REGISTRATION_AGE_MS = 4_000;
 
 /** One entry host: serves callers, follows the directory and places generations for all hosts. */
 export class RelayHost {
@@ -70,6 +80,10 @@
 
   readonly #relays: RelayManager;
 
+  readonly #keepers: RateKeepers;
+
+  readonly #limitProbe: LimitProbe;
+
   readonly #metrics = new RelayMetrics();
 
   readonly #ingress: IngressServer;
@@ -111,7 +125,7 @@
       }),
       peers: new HttpDirectoryPeers(adapters.connections),
     }, { waitMs: settings.storeWaitMs, relayWaitMs: settings.relayWaitMs });
-    this.#registration = new HostRegistration(adapters.store, {
+    this.#registration = new HostRegistration(clock, adapters.store, {
       id: settings.hostId,
       failureDomain: settings.failureDomain,
       peerAddress: settings.peerAddress,
@@ -130,16 +144,32 @@
       hostId: settings.hostId, directory, store: adapters.store, logger,
     });
     const notices = new UpstreamNotices(clock, directory, logger);
+    this.#keepers = new RateKeepers({
+      clock,
+      hostId: settings.hostId,
+      directory,
+      isRegistered: () => (
+        (this.#registration.confirmedAgoMs ?? Infinity) <= MAX_REGISTRATION_AGE_MS),
+    });
+    const rates = new SendRates({
+      clock, hostId: settings.hostId, directory, keepers: this.#keepers,
+    });
+    const check = new NotingUpstreamCheck(clock, adapters.upstreamCheck, notices);
+    this.#limitProbe = new LimitProbe({
+      clock, directory, keepers: this.#keepers, check,
+    });
     this.#service = new PlacementService({
-      clock, directory, caller: adapters.stageCaller, notices, repeats: shares, logger,
+      clock, directory, caller: adapters.stageCaller, notices, repeats: shares, rates, logger,
     });
     this.#peerServer = new PeerServer(this.#service.desk);
     this.#peerServer.addRoutes((server) => registerDirectoryRoutes(server, this.#follower));
+    this.#peerServer.addRoutes((server) => registerRateRoutes(server, rates));
     this.#client = new PlacementClient({
       clock,
       hostId: settings.hostId,
       directory,
       desk: this.#service.desk,
+      rates,
       connections: adapters.connections,
       logger,
     });
@@ -148,7 +178,7 @@
       hostId: settings.hostId,
       directory,
       store: adapters.store,
-      check: adapters.upstreamCheck,
+      check: new RatedUpstreamCheck(check, rates),
       random: new SystemRandomSource(),
       logger,
       onCrash: (poolId) => this.#metrics.noteCrash(poolId),
@@ -163,6 +193,15 @@
       book: new UpstreamBook(clock, settings.failureDomain),
       shares,
       pacer: new ColdPacer(clock),
+      rates,
+      leaves: new LeaveClient({
+        clock,
+        hostId: settings.hostId,
+        rates,
+        keepers: this.#keepers,
+        peers: new HttpRatePeers(adapters.connections),
+        logger,
+      }),
       quarantine: this.#quarantine,
       answerMemory: new AnswerMemory(),
       logger,
@@ -254,6 +293,7 @@
     this.#follower.stop();
     this.#hostCountKeeper.close();
     this.#quarantine.close();
+    this.#limitProbe.close();
     this.#client.close();
     this.#service.close();
     await this.#peerServer.close();
@@ -308,6 +348,7 @@
           'the process stood still; reading the directory anew',
         );
         this.#follower.forgetRevision();
+        this.#keepers.restart();
       }
       lastMs = nowMs;
     }, PAUSE_CHECK_MS).unref();
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -10,6 +10,7 @@
 import { REPEAT_REASON, type RepeatReason } from './RepeatDecision.ts';
 import { getHostShare, getReturnMs } from './getReturnMs.ts';
 import { HeldAnswer } from './HeldAnswer.ts';
+import { LeaveFinder } from './LeaveFinder.ts';
 import { RequestRepeats } from './RequestRepeats.ts';
 import { sendAttempt, type AttemptEnd, type RunningAttempt } from './sendAttempt.ts';
 import { TrialCheck } from './TrialCheck.ts';
@@ -73,6 +74,8 @@
 
   readonly #trialCheck: TrialCheck;
 
+  readonly #leaveFinder: LeaveFinder;
+
   /** Attempts that ran or may have run. */
   #runCount = 0;
 
@@ -95,6 +98,12 @@
     this.#terms = terms;
     this.#exchange = exchange;
     this.#trialCheck = new TrialCheck(context.quarantine, terms.isTrial);
+    this.#leaveFinder = new LeaveFinder({
+      context,
+      terms,
+      log: (outcome, details) => this.#log(outcome, details),
+      after: (delayMs, action) => this.#after(delayMs, action),
+    });
     this.#repeats = new RequestRepeats({
       clock: context.clock,
       shares: context.shares,
@@ -131,27 +140,64 @@
       return;
     }
     const { book } = this.#context;
-    const usable = this.#getCandidates();
+    const open = this.#getCandidates();
+    const usable = this.#leaveFinder.select(open);
     const untried = usable.filter(({ entry }) => !this.#tried.has(entry.id));
     const patienceMs = this.#terms.route.targetLatencyMs * PATIENCE_PART;
     const upstream = book.choose(untried.length > 0 ? untried : usable, patienceMs);
+    if (upstream === null && open.length > 0) {
+      this.#findLeave(open, permit);
+      return;
+    }
     if (upstream === null) {
       this.#waitForUpstream(permit);
       return;
     }
     this.#noteWaiting(false);
-    if (this.#trialCheck.isPassed(upstream.entry.id)) {
-      this.#sendTo(upstream.entry, permit);
+    this.#sendOnceChecked(upstream.entry, (entry) => {
+      if (this.#context.rates.tryTake(entry)) {
+        this.#sendTo(entry, permit);
+      } else {
+        this.#send(permit);
+      }
+    }, permit);
+  }
+
+  /** A request on trial goes to an upstream that has just shown that it lives. */
+  #sendOnceChecked(
+    entry: UpstreamEntry,
+    send: (entry: UpstreamEntry) => void,
+    permit: RepeatPermit | null,
+  ): void {
+    if (this.#trialCheck.isPassed(entry.id)) {
+      send(entry);
       return;
     }
-    this.#tried.add(upstream.entry.id);
+    this.#tried.add(entry.id);
     this.#trialCheck.ask(
-      upstream.entry,
-      () => this.#sendTo(upstream.entry, permit),
+      entry,
+      () => send(entry),
       () => this.#after(NO_UPSTREAM_PAUSE_MS, () => this.#send(permit)),
     );
   }
 
+  /** All open upstreams name limits, and there is no leave here for any of them. */
+  #findLeave(limited: readonly KnownUpstream[], permit: RepeatPermit | null): void {
+    // Another attempt may still be answered.
+    if (this.#open.size > 0) {
+      return;
+    }
+    this.#leaveFinder.find(limited, {
+      onGranted: (entry) => this.#sendOnceChecked(
+        entry,
+        () => this.#sendTo(entry, permit),
+        permit,
+      ),
+      onGone: () => this.#send(permit),
+      onDenied: (retryAfterMs) => this.#giveUp(STATUS.unavailable, 'limited', retryAfterMs),
+    });
+  }
+
   #sendTo(upstream: UpstreamEntry, permit: RepeatPermit | null): void {
     if (this.#isOver) {
       return;
@@ -394,6 +440,9 @@
   }
 
   #giveUp(status: number, reason: string, returnMs = RETRY_AFTER_MS): void {
+    if (this.#isOver) {
+      return;
+    }
     if (this.#lastFailure !== null) {
       this.#answer(this.#lastFailure.head, this.#lastFailure.body);
       return;
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -3,12 +3,15 @@
 import {
   REPETITION, type BatchLimits, type ServingPool, type ServingRoute,
 } from '../../src/directory/ServingConfiguration.ts';
-import { toId, type PoolId, type UpstreamId } from '../../src/lib/ids.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../../src/lib/ids.ts';
 import type { PieceRepeats } from '../../src/placement/PieceRepeats.ts';
 import { PlacementDesk } from '../../src/placement/PlacementDesk.ts';
 import type { PlacementRequest, PlacementResult } from '../../src/placement/PlacementRequest.ts';
 import type { PieceOutcome, StageCall } from '../../src/placement/StageCall.ts';
 import { ManualClock } from '../../src/time/ManualClock.ts';
+import { UNLIMITED_RATES } from './UNLIMITED_RATES.ts';
 import { UNLIMITED_REPEATS } from './UNLIMITED_REPEATS.ts';
 
 /** The pool of model engines in every test bed. */
@@ -70,6 +73,7 @@
       directory: this.directory,
       logger: pino({ level: 'silent' }),
       repeats: createRepeats(this.clock, this.directory),
+      rates: UNLIMITED_RATES,
       sendCall: (call) => this.calls.push(call),
       sendFree: (_makerId, _address, handles) => this.freed.push(...handles),
       requestRun: () => this.desk.run(),
@@ -114,6 +118,8 @@
     return this.desk.place({
       domains: ['a', 'b', 'c'],
       standingResults: [],
+      hostId: toId<HostId>('host'),
+      limitReports: [],
       poolId: ENGINE_POOL_ID,
       stages: [],
       pieceCounts: (request.stages ?? []).map(() => 1),
--- /dev/null
+++ b/test/support/UNLIMITED_RATES.ts
@@ -0,0 +1,13 @@
+import type { PlacementRates } from '../../src/placement/PlacementRates.ts';
+
+/** Lets tests of other matters send as often as they like. */
+export const UNLIMITED_RATES: PlacementRates = {
+  isLimited: () => false,
+  canTake: () => true,
+  tryTake: () => true,
+  canTakeCommon: () => false,
+  tryTakeCommon: () => false,
+  getRatePerSecond: () => Infinity,
+  getRetryAfterMs: () => 0,
+  takeReports: () => {},
+};
