Say what is held or refused for a limit, and show the share in force

Lines limitKeeperChosen, placementHeld, asksForLeave, leaveDecided; gauges of the limit and of this host's share, a counter of sends by their leave; explain names a limit as the cause.

--- a/src/explain/explainFromLogs.ts
+++ b/src/explain/explainFromLogs.ts
@@ -21,6 +21,7 @@
   'started', 'stopping', 'stopped', 'paused', 'storeLost', 'storeRegained', 'configurationInForce',
   'placerChosen', 'placerLost', 'stageCallEnded', 'upstreamLeaving', 'upstreamBackOff',
   'directorySourceChanged', 'directoryReaderLost', 'upstreamCrashed', 'upstreamLimit',
+  'limitKeeperChosen',
 ]);
 
 /** Outcomes of `relay` lines that end a request, and what each means. */
@@ -29,6 +30,7 @@
   timeout: 'Its time was up.',
   'caller-gone': 'The caller closed its connection.',
   'too-late': 'The placing host refused it, since its stages could not be done in time.',
+  limited: 'All its upstreams name limits, and others had what they take in its time.',
   'no-engine': 'No engine with room was found in time.',
   unreachable: 'No host that places could be reached.',
   'engines-full': 'Engines refused it, or could not be reached, too often.',
@@ -62,6 +64,9 @@
     case 'too-late':
     case 'no-engine':
       return findLast(lines, ({ event }) => event === 'placementRefused') ?? end;
+    case 'limited':
+      return findLast(lines, (line) => line.event === 'placementRefused'
+        || getOutcome(line) === 'leaveDecided') ?? end;
     case 'engine-broke-off':
       return findLast(lines, (line) => getOutcome(line) === 'brokenOff') ?? end;
     case 'upstream-failed':
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import type { Directory } from '../directory/Directory.ts';
+import type { Directory, KnownUpstream } from '../directory/Directory.ts';
 import type { DirectoryChange } from '../directory/DirectoryChange.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { UpstreamId } from '../lib/ids.ts';
@@ -255,8 +255,12 @@
     }
     const bounds = directory.configuration?.pools.get(request.poolId)?.engine;
     const { poolId, domains, excludedIds } = request;
-    const candidates = getGroupUpstreams(directory, poolId, domains, excludedIds)
-      .filter(({ entry }) => this.#leaves.isOpenTo(entry, request))
+    const engines = getGroupUpstreams(directory, poolId, domains, excludedIds);
+    const open = engines.filter(({ entry }) => this.#leaves.isOpenTo(entry, request));
+    if (engines.length > 0 && open.length === 0) {
+      this.#noteHeld(job, engines);
+    }
+    const candidates = open
       .map(({ entry }) => ({
         engine: this.#engines.get(entry.id), failureDomain: entry.failureDomain,
       }))
@@ -282,6 +286,19 @@
     });
   }
 
+  #noteHeld(job: PlacementJob, engines: readonly KnownUpstream[]): void {
+    const held = job;
+    if (!held.isHeldByLimit) {
+      held.isHeldByLimit = true;
+      this.#options.logger.info({
+        event: 'placementHeld',
+        requestId: job.request.requestId,
+        upstreamIds: engines.map(({ entry }) => entry.id),
+        waitMs: Math.round(this.#leaves.getWaitMs(job.request, [])),
+      }, 'a request waits, since all its engines name limits');
+    }
+  }
+
   /** The failure domain of the engine that keeps most of a prompt. */
   #getPreferredDomain(request: PlacementRequest): string | null {
     let best: { domain: string; tokens: number } | null = null;
@@ -342,6 +359,7 @@
       remainingMs: Math.round(job.deadlineAtMs - this.#options.clock.getMonotonicMs()),
       leastMs: Math.round(this.#scheduler.getLeastMs(job)),
       expectedMs: Math.round(expectedMs),
+      engineWaitMs: Math.round(this.#leaves.getWaitMs(job.request, this.#jobs.values())),
       version: this.#options.directory.configuration?.version ?? null,
       waitingCount: this.waitingCount,
     }, 'refused a placement');
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -40,6 +40,8 @@
   readonly preferredDomain: string | null;
   state: 'inStages' | 'awaitingEngine' | 'placed';
   engineId: UpstreamId | null;
+  /** Whether it has waited for an engine that names a limit. */
+  isHeldByLimit: boolean;
   /** When the engine was chosen; 0 before. */
   placedAtMs: number;
   readonly answer: (result: PlacementResult) => void;
@@ -98,6 +100,7 @@
     preferredDomain,
     state: 'inStages',
     engineId: null,
+    isHeldByLimit: false,
     placedAtMs: 0,
     answer,
   };
--- a/src/rates/RateBound.ts
+++ b/src/rates/RateBound.ts
@@ -14,7 +14,8 @@
 /** Sends without leave beyond a second's, so that there is one at every limit. */
 const RESERVE_SLACK = 2;
 /** A little over the 4 s for which a limit holds, since sends take different times on the way. */
-const RESERVE_WINDOW_MS = 4_600;
+const MIN_RESERVE_WINDOW_MS = 4_600;
+const MS_PER_SECOND = 1_000;
 
 /**
  * Divides what an upstream takes. In 4 s it gets 4.6 times the limit by leave, the burst and the
@@ -24,11 +25,16 @@
  * @returns how often it may be sent to
  */
 export function createLimitBound(perSecond: number): RateBound {
+  // An upstream that takes nothing is asked for its health only.
+  const reserveCount = perSecond === 0 ? 0 : Math.floor(perSecond + RESERVE_SLACK);
   return {
     perSecond,
     burst: Math.max(1, perSecond * BURST_PART),
-    // An upstream that takes nothing is asked for its health only.
-    reserveCount: perSecond === 0 ? 0 : Math.floor(perSecond + RESERVE_SLACK),
-    reserveWindowMs: RESERVE_WINDOW_MS,
+    reserveCount,
+    // Where it takes little, the reserve alone is no more than that either.
+    reserveWindowMs: Math.max(
+      MIN_RESERVE_WINDOW_MS,
+      perSecond === 0 ? 0 : (reserveCount / perSecond) * MS_PER_SECOND,
+    ),
   };
 }
--- a/src/rates/RateKeepers.ts
+++ b/src/rates/RateKeepers.ts
@@ -1,3 +1,4 @@
+import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
 import type { DirectoryChange } from '../directory/DirectoryChange.ts';
 import type { KnownHost } from '../directory/HostEntry.ts';
@@ -14,6 +15,8 @@
   readonly directory: Directory;
   /** Whether the store has confirmed a moment ago that this host is registered. */
   readonly isRegistered: () => boolean;
+  /** Gets a line when the duty moves. */
+  readonly logger: Logger;
 }
 
 interface ChosenKeeper {
@@ -107,7 +110,7 @@
   }
 
   #choose(domain: string, domains: readonly string[]): ChosenKeeper {
-    const { clock, directory } = this.#parts;
+    const { clock, directory, logger } = this.#parts;
     const hostId = choosePlacer([...directory.hosts.values()], domains)?.id ?? null;
     const before = this.#byDomain.get(domain);
     if (before !== undefined && before.hostId === hostId) {
@@ -115,6 +118,9 @@
     }
     const chosen = { hostId, sinceMs: clock.getMonotonicMs() };
     this.#byDomain.set(domain, chosen);
+    logger.info({
+      event: 'limitKeeperChosen', failureDomain: domain, hostId, before: before?.hostId ?? null,
+    }, 'another host keeps what upstreams that name limits get from all hosts');
     return chosen;
   }
 }
--- a/src/rates/SendRates.ts
+++ b/src/rates/SendRates.ts
@@ -20,6 +20,15 @@
   readonly waitMs: number;
 }
 
+/** What of the limit of an upstream is in force at a host. */
+export interface LimitShare {
+  readonly upstreamId: UpstreamId;
+  readonly requestsPerSecond: number;
+  /** Sends a second that the host may make, or hand out where it keeps the sum. */
+  readonly sharePerSecond: number;
+  readonly isKeeper: boolean;
+}
+
 /** What the rates of a host are made of. */
 export interface SendRatesParts {
   readonly clock: Clock;
@@ -137,6 +146,16 @@
       : bound.perSecond;
   }
 
+  /** @returns the upstreams that name limits, and what of them is in force at this host */
+  getShares(): LimitShare[] {
+    return this.#parts.directory.getLimited().map(({ entry }) => ({
+      upstreamId: entry.id,
+      requestsPerSecond: this.#parts.directory.getRequestLimit(entry) ?? 0,
+      sharePerSecond: this.getRatePerSecond(entry),
+      isKeeper: this.#parts.keepers.isOwn(entry),
+    }));
+  }
+
   /**
    * @param upstreams - upstreams none of which takes anything now
    * @returns when the first of them may take something from this host, as far as it can tell
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -241,11 +241,15 @@
    * limit since, or its reserve be used up by another request.
    */
   #hasLeave({ leave }: Placed, engine: UpstreamEntry): boolean {
-    const { rates, clock } = this.#context;
+    const { rates, clock, metrics } = this.#context;
+    if (leave === null && !rates.isLimited(engine)) {
+      return true;
+    }
     const isPrompt = clock.getMonotonicMs() - this.#placedAtMs <= LEAVE_TTL_MS;
-    return (leave === 'common' && isPrompt)
-      || !rates.isLimited(engine)
-      || rates.tryTakeReserve(engine);
+    const isCommon = leave === 'common' && isPrompt;
+    const hasLeave = isCommon || !rates.isLimited(engine) || rates.tryTakeReserve(engine);
+    metrics.noteLimited('generation', isCommon ? 'common' : (hasLeave && 'reserve') || 'none');
+    return hasLeave;
   }
 
   #send(placed: Placed, engine: UpstreamEntry): void {
--- a/src/relay/LeaveFinder.ts
+++ b/src/relay/LeaveFinder.ts
@@ -6,7 +6,7 @@
 
 /** What a finder is made of. */
 export interface LeaveFinderParts {
-  readonly context: Pick<RelayContext, 'clock' | 'directory' | 'rates' | 'leaves'>;
+  readonly context: Pick<RelayContext, 'clock' | 'directory' | 'rates' | 'leaves' | 'metrics'>;
   readonly terms: RelayTerms;
   /** Writes a line about the request. */
   readonly log: (outcome: string, details: Readonly<Record<string, unknown>>) => void;
@@ -56,6 +56,24 @@
     return upstreams.filter(({ entry }) => rates.canTake(entry));
   }
 
+  /**
+   * @param entry - an upstream that is sent to now
+   * @returns whether it may be
+   */
+  tryTake(entry: UpstreamEntry): boolean {
+    const { rates, metrics } = this.#parts.context;
+    if (!rates.isLimited(entry)) {
+      return true;
+    }
+    if (rates.tryTakeCommon(entry)) {
+      metrics.noteLimited('whole', 'common');
+      return true;
+    }
+    const hasReserve = rates.tryTakeReserve(entry);
+    metrics.noteLimited('whole', hasReserve ? 'reserve' : 'none');
+    return hasReserve;
+  }
+
   /**
    * Asks the hosts that keep the sums.
    *
@@ -78,6 +96,7 @@
   #takeResult(result: LeaveResult, listener: LeaveListener): void {
     const { context, log, after } = this.#parts;
     log('leaveDecided', { ...result });
+    context.metrics.noteLimited('whole', result.kind === 'granted' ? 'common' : 'none');
     switch (result.kind) {
       case 'granted':
         after(result.waitMs, () => {
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -148,12 +148,14 @@
       clock,
       hostId: settings.hostId,
       directory,
+      logger,
       isRegistered: () => (
         (this.#registration.confirmedAgoMs ?? Infinity) <= MAX_REGISTRATION_AGE_MS),
     });
     const rates = new SendRates({
       clock, hostId: settings.hostId, directory, keepers: this.#keepers,
     });
+    this.#metrics.watchLimits(rates);
     const check = new NotingUpstreamCheck(clock, adapters.upstreamCheck, notices);
     this.#limitProbe = new LimitProbe({
       clock, directory, keepers: this.#keepers, check,
@@ -323,7 +325,6 @@
     lifetime, requestsPerSecond, askedAtMs, heardAtMs,
   }: LimitWord, source: LimitSource): void {
     const nowMs = this.#clock.getMonotonicMs();
-    this.#metrics.noteLimit(lifetime.id, requestsPerSecond);
     this.#logger.info({
       event: 'upstreamLimit',
       upstreamId: lifetime.id,
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -3,7 +3,9 @@
   Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import { parseAddress } from '../ingress/parseAddress.ts';
-import type { PoolId, UpstreamId } from '../lib/ids.ts';
+import type { PoolId } from '../lib/ids.ts';
+import type { Leave } from '../placement/PlacementRequest.ts';
+import type { SendRates } from '../rates/SendRates.ts';
 import type { RepeatDecision } from './RepeatDecision.ts';
 
 /** Upper bounds of the latency histogram, in seconds. */
@@ -62,11 +64,29 @@
     registers: [this.#registry],
   });
 
+  /** What is in force of the limits that upstreams name; null before it is known. */
+  #rates: Pick<SendRates, 'getShares'> | null = null;
+
   readonly #limits = new Gauge({
     name: 'parsleylift_upstream_limit_per_second',
     help: 'Requests a second that an upstream takes from all hosts together, if it says so',
     labelNames: ['upstream'],
     registers: [this.#registry],
+    collect: () => this.#collectLimits(),
+  });
+
+  readonly #limitShares = new Gauge({
+    name: 'parsleylift_upstream_limit_share_per_second',
+    help: 'What of that this host may send, or hand out where it keeps the sum',
+    labelNames: ['upstream', 'keeper'],
+    registers: [this.#registry],
+  });
+
+  readonly #limitedSends = new Counter({
+    name: 'parsleylift_limited_sends_total',
+    help: 'Sends to upstreams that name a limit, by the leave for them, and those without any',
+    labelNames: ['kind', 'leave'],
+    registers: [this.#registry],
   });
 
   #server: Server | null = null;
@@ -86,16 +106,17 @@
     this.#crashes.inc({ pool: poolId });
   }
 
+  /** @param rates - tell what is in force of the limits that upstreams name */
+  watchLimits(rates: Pick<SendRates, 'getShares'>): void {
+    this.#rates = rates;
+  }
+
   /**
-   * @param upstreamId - an upstream
-   * @param requestsPerSecond - the limit that it names now; null for none any more
+   * @param kind - what was to be sent
+   * @param leave - by which leave it was sent; `none` where it was not
    */
-  noteLimit(upstreamId: UpstreamId, requestsPerSecond: number | null): void {
-    if (requestsPerSecond === null) {
-      this.#limits.remove({ upstream: upstreamId });
-    } else {
-      this.#limits.set({ upstream: upstreamId }, requestsPerSecond);
-    }
+  noteLimited(kind: RelayKind, leave: Leave | 'none'): void {
+    this.#limitedSends.inc({ kind, leave });
   }
 
   /**
@@ -144,4 +165,14 @@
     this.#server?.close();
     this.#server?.closeAllConnections();
   }
+
+  #collectLimits(): void {
+    this.#limits.reset();
+    this.#limitShares.reset();
+    this.#rates?.getShares().forEach((share) => {
+      const { upstreamId: upstream, isKeeper } = share;
+      this.#limits.set({ upstream }, share.requestsPerSecond);
+      this.#limitShares.set({ upstream, keeper: String(isKeeper) }, share.sharePerSecond);
+    });
+  }
 }
--- a/src/relay/WholeRelay.ts
+++ b/src/relay/WholeRelay.ts
@@ -155,7 +155,7 @@
     }
     this.#noteWaiting(false);
     this.#sendOnceChecked(upstream.entry, (entry) => {
-      if (this.#context.rates.tryTake(entry)) {
+      if (this.#leaveFinder.tryTake(entry)) {
         this.#sendTo(entry, permit);
       } else {
         this.#send(permit);
--- /dev/null
+++ b/test/property/LimitedFleetModel.ts
@@ -0,0 +1,360 @@
+import { pino } from 'pino';
+import { Directory } from '../../src/directory/Directory.ts';
+import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
+import type { UpstreamEntry } from '../../src/directory/UpstreamEntry.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../../src/lib/ids.ts';
+import { SeededRandomSource } from '../../src/lib/SeededRandomSource.ts';
+import { LeaveClient } from '../../src/rates/LeaveClient.ts';
+import type { LeaveAnswer } from '../../src/rates/RateMessage.ts';
+import { RateKeepers } from '../../src/rates/RateKeepers.ts';
+import { SendRates } from '../../src/rates/SendRates.ts';
+import { createHostChange } from '../support/createHostChange.ts';
+import { VirtualTime } from './VirtualTime.ts';
+
+/** What a run of the model is made from. */
+export interface LimitedFleetOptions {
+  readonly seed: number;
+  readonly hostCount: number;
+  /** Of each of three upstreams; null names none. */
+  readonly limits: readonly (number | null)[];
+  /** Requests a second in all. */
+  readonly requestsPerSecond: number;
+  /** Whether one host gets all of them. */
+  readonly isOneSided: boolean;
+  /** Pause between two faults; null for none. */
+  readonly faultEveryMs: number | null;
+}
+
+/** What the upstreams of a run have seen. */
+export interface LimitedFleetReport {
+  /** Most in 4 s beyond what is allowed, over all upstreams; 0 or less where all is kept. */
+  readonly worstExcess: number;
+  /** What arrived from when hosts had to know, as a part of what the limits take. */
+  readonly usedPart: number;
+}
+
+interface ModelHost {
+  readonly index: number;
+  readonly id: HostId;
+  directory: Directory;
+  keepers: RateKeepers;
+  rates: SendRates;
+  client: LeaveClient;
+  /** Counts its processes; what an earlier one began is void. */
+  life: number;
+  registeredRevision: number;
+  state: 'up' | 'down' | 'frozen' | 'cut';
+  /** When it was last anything but up. */
+  disturbedUntilMs: number;
+}
+
+interface Arrival {
+  readonly upstream: number;
+  readonly host: number;
+  readonly atMs: number;
+  readonly isExcused: boolean;
+}
+
+const POOL_ID = toId<PoolId>('pool');
+const DOMAINS = ['a', 'b', 'c'];
+const UPSTREAM_COUNT = 3;
+const SILENT = pino({ level: 'silent' });
+const WARM_UP_MS = 8_000;
+const LENGTH_MS = 40_000;
+const CONTACT_MS = 3_000;
+const TOLD_SLACK_MS = 500;
+const WINDOW_MS = 4_000;
+const WORK_MS = 20;
+const MAX_FLIGHT_MS = 60;
+const PEER_HOP_MS = 2;
+const PEER_TIMEOUT_MS = 300;
+const STORE_LAG_MS = 1_500;
+const LEASE_MS = 6_000;
+const REGISTERED_MS = 4_000;
+const CONFIRM_EVERY_MS = 500;
+const MAX_WAIT_MS = 100;
+const MS_PER_SECOND = 1_000;
+
+function getDomain(index: number): string {
+  return DOMAINS[index % DOMAINS.length] ?? '';
+}
+
+function createUpstream(index: number): UpstreamEntry {
+  return {
+    id: toId<UpstreamId>(`u${index}`),
+    startedAtMs: 1,
+    poolId: POOL_ID,
+    address: `u${index}:1`,
+    failureDomain: getDomain(index),
+    isDraining: false,
+    slots: 64,
+    coldRemainingMs: 0,
+  };
+}
+
+function getHostChange({ index, id, registeredRevision }: ModelHost): DirectoryChange {
+  return createHostChange(id, { failureDomain: getDomain(index), registeredRevision });
+}
+
+/** Hosts that send to upstreams which name limits, under kills, freezes and cuts. */
+export class LimitedFleetModel {
+  readonly #options: LimitedFleetOptions;
+
+  readonly #random: SeededRandomSource;
+
+  readonly #time = new VirtualTime();
+
+  readonly #upstreams = Array.from({ length: UPSTREAM_COUNT }, (_, index) => createUpstream(index));
+
+  readonly #hosts: ModelHost[];
+
+  readonly #arrivals: Arrival[] = [];
+
+  /** When a host was told first by an upstream. */
+  readonly #toldAtMs = new Map<string, number>();
+
+  #revision = 0;
+
+  /**
+   * @param options - see {@link LimitedFleetOptions}
+   */
+  constructor(options: LimitedFleetOptions) {
+    this.#options = options;
+    this.#random = new SeededRandomSource(options.seed);
+    this.#hosts = Array.from({ length: options.hostCount }, (_, index) => this.#createHost(index));
+    this.#hosts.forEach((host) => this.#register(host));
+  }
+
+  /** @returns what the upstreams have seen */
+  async run(): Promise<LimitedFleetReport> {
+    this.#every(CONFIRM_EVERY_MS, () => this.#hosts.forEach((host) => {
+      if (host.state === 'up') {
+        host.directory.noteConfirmed();
+      }
+    }));
+    this.#every(MS_PER_SECOND / this.#options.requestsPerSecond, () => this.#sendNext());
+    await this.#time.run(WARM_UP_MS);
+    const { faultEveryMs } = this.#options;
+    if (faultEveryMs !== null) {
+      this.#every(faultEveryMs, () => this.#strike());
+    }
+    await this.#time.run(LENGTH_MS);
+    return this.#measure();
+  }
+
+  #every(intervalMs: number, action: () => void): void {
+    this.#time.sleep(intervalMs).then(() => {
+      action();
+      this.#every(intervalMs, action);
+    });
+  }
+
+  #createHost(index: number): ModelHost {
+    const id = toId<HostId>(`h${index}`);
+    const host = {
+      index, id, life: 0, registeredRevision: 0, state: 'up', disturbedUntilMs: -Infinity,
+    } as ModelHost;
+    this.#startProcess(host);
+    return host;
+  }
+
+  /** A process knows nothing but what it reads now. */
+  #startProcess(host: ModelHost): void {
+    const { clock } = this.#time;
+    const directory = new Directory(clock);
+    const { life } = host;
+    const keepers = new RateKeepers({
+      clock,
+      hostId: host.id,
+      directory,
+      logger: SILENT,
+      // What it last heard of the store lapses for it before it does for the others.
+      isRegistered: () => host.life === life
+        && (host.state !== 'cut' || clock.getMonotonicMs() < host.disturbedUntilMs - LEASE_MS
+          + REGISTERED_MS),
+    });
+    const rates = new SendRates({
+      clock, hostId: host.id, directory, keepers,
+    });
+    const client = new LeaveClient({
+      clock,
+      hostId: host.id,
+      rates,
+      keepers,
+      peers: { ask: (keeper, ask) => this.#askPeer(host, keeper.id, (peer) => peer.decide(ask)) },
+      logger: SILENT,
+    });
+    Object.assign(host, {
+      directory, keepers, rates, client,
+    });
+    this.#upstreams.forEach((entry) => directory.apply({ kind: 'upstream', entry }));
+    directory.noteConfirmed();
+  }
+
+  async #askPeer(
+    host: ModelHost,
+    keeperId: HostId,
+    decide: (rates: SendRates) => LeaveAnswer,
+  ): Promise<LeaveAnswer> {
+    const keeper = this.#hosts.find(({ id }) => id === keeperId);
+    await this.#time.sleep(PEER_HOP_MS);
+    if (keeper === undefined || keeper.state === 'down' || keeper.state === 'frozen'
+      || (keeper.state === 'cut') !== (host.state === 'cut')) {
+      await this.#time.sleep(PEER_TIMEOUT_MS);
+      throw new Error('silent');
+    }
+    const answer = decide(keeper.rates);
+    await this.#time.sleep(PEER_HOP_MS);
+    return answer;
+  }
+
+  /** The store's word reaches each host that it reaches, a little later. */
+  #publish(change: DirectoryChange): void {
+    this.#hosts.forEach((host) => {
+      const { life } = host;
+      this.#time.sleep(this.#random.getFraction() * STORE_LAG_MS).then(() => {
+        if (host.life === life && host.state === 'up') {
+          host.directory.apply(change);
+        }
+      });
+    });
+  }
+
+  #register(host: ModelHost): void {
+    const registered = host;
+    this.#revision += 1;
+    registered.registeredRevision = this.#revision;
+    // A process reads all there is at its start, and the others hear of it.
+    this.#hosts?.filter(({ state }) => state !== 'down')
+      .forEach((other) => host.directory.apply(getHostChange(other)));
+    this.#publish(getHostChange(host));
+  }
+
+  #strike(): void {
+    const host = this.#hosts[Math.floor(this.#random.getFraction() * this.#hosts.length)];
+    if (host === undefined || host.state !== 'up') {
+      return;
+    }
+    const kinds = ['down', 'frozen', 'cut'] as const;
+    const kind = kinds[Math.floor(this.#random.getFraction() * kinds.length)] ?? 'down';
+    const durationMs = 500 + this.#random.getFraction() * 9_000;
+    host.state = kind;
+    host.disturbedUntilMs = this.#time.nowMs + durationMs;
+    if (kind === 'down') {
+      host.life += 1;
+    }
+    const { life } = host;
+    if (durationMs > LEASE_MS) {
+      this.#time.sleep(LEASE_MS).then(() => this.#publish({ kind: 'hostGone', hostId: host.id }));
+    }
+    this.#time.sleep(durationMs).then(() => this.#wake(host, life, kind, durationMs));
+  }
+
+  #wake(host: ModelHost, life: number, kind: 'down' | 'frozen' | 'cut', durationMs: number): void {
+    if (host.life !== life) {
+      return;
+    }
+    const woken = host;
+    woken.state = 'up';
+    if (kind === 'down') {
+      this.#startProcess(host);
+      this.#register(host);
+    } else {
+      host.keepers.restart();
+      if (durationMs > LEASE_MS) {
+        this.#register(host);
+      }
+    }
+  }
+
+  #sendNext(): void {
+    const { isOneSided } = this.#options;
+    const index = isOneSided ? 0 : Math.floor(this.#random.getFraction() * this.#hosts.length);
+    const host = this.#hosts[index];
+    if (host !== undefined && (host.state === 'up' || host.state === 'cut')) {
+      this.#relay(host);
+    }
+  }
+
+  async #relay(host: ModelHost): Promise<void> {
+    const { life, rates, client } = host;
+    const limited = this.#upstreams.filter((entry) => rates.isLimited(entry));
+    if (limited.length > 0) {
+      client.refresh(POOL_ID, limited);
+    }
+    const ready = this.#upstreams.filter((entry) => rates.canTake(entry));
+    const chosen = ready[Math.floor(this.#random.getFraction() * ready.length)];
+    if (chosen !== undefined) {
+      rates.tryTake(chosen);
+      await this.#send(host, chosen);
+      return;
+    }
+    const result = await client.take(this.#upstreams, MAX_WAIT_MS);
+    if (result.kind === 'granted') {
+      await this.#time.sleep(result.waitMs);
+      const entry = this.#upstreams.find(({ id }) => id === result.upstreamId);
+      if (entry !== undefined && host.life === life && host.state !== 'frozen') {
+        await this.#send(host, entry);
+      }
+    }
+  }
+
+  async #send(host: ModelHost, entry: UpstreamEntry): Promise<void> {
+    const { life, directory } = host;
+    const { clock } = this.#time;
+    const sentAtMs = clock.getMonotonicMs();
+    const upstream = this.#upstreams.indexOf(entry);
+    await this.#time.sleep(1 + this.#random.getFraction() * MAX_FLIGHT_MS);
+    const atMs = this.#time.nowMs;
+    const isExcused = host.life !== life || host.state !== 'up'
+      || host.disturbedUntilMs >= atMs - CONTACT_MS;
+    this.#arrivals.push({
+      upstream, host: host.index, atMs, isExcused,
+    });
+    await this.#time.sleep(WORK_MS);
+    if (host.life !== life) {
+      return;
+    }
+    const limit = this.#options.limits[upstream] ?? null;
+    const key = `${host.index} ${upstream}`;
+    if (limit !== null && !this.#toldAtMs.has(key)) {
+      this.#toldAtMs.set(key, this.#time.nowMs);
+    }
+    directory.apply({
+      kind: 'upstreamLimit',
+      word: {
+        lifetime: entry,
+        requestsPerSecond: limit,
+        askedAtMs: sentAtMs,
+        heardAtMs: clock.getMonotonicMs(),
+      },
+      source: { kind: 'answer', requestId: 'r', status: 200 },
+    });
+  }
+
+  #measure(): LimitedFleetReport {
+    const { limits } = this.#options;
+    const reports = limits.map((limit, upstream) => {
+      const all = this.#arrivals
+        .filter((arrival) => arrival.upstream === upstream && arrival.atMs >= WARM_UP_MS);
+      const held = all.filter(({ host, atMs, isExcused }) => !isExcused
+        && (this.#toldAtMs.get(`${host} ${upstream}`) ?? Infinity) <= atMs - TOLD_SLACK_MS);
+      const most = held.reduce((largest, { atMs: endMs }) => Math.max(
+        largest,
+        held.filter(({ atMs }) => atMs <= endMs && atMs > endMs - WINDOW_MS).length,
+      ), 0);
+      const allowed = limit === null
+        ? Infinity
+        : limit * (WINDOW_MS / MS_PER_SECOND) * 1.5 + 5;
+      return { excess: most - allowed, count: all.length };
+    });
+    const limitSum = limits.reduce<number>((sum, limit) => sum + (limit ?? 0), 0);
+    return {
+      worstExcess: Math.max(...reports.map(({ excess }) => excess)),
+      usedPart: reports.reduce((sum, { count }) => sum + count, 0)
+        / ((limitSum * LENGTH_MS) / MS_PER_SECOND),
+    };
+  }
+}
