Count the duty of keeping a sum from when a host has it, not from when it is asked

Unit tests of the rates; the soak's limits profile strikes hosts less often, since each strike excuses a host for seconds, and tells what was near and what was used.

--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -6,6 +6,7 @@
 import { SoakRun, type SoakRunOptions } from './soak/SoakRun.ts';
 import { REGRESSION_RUNS } from './soak/REGRESSION_RUNS.ts';
 import { SOAK_PROFILE } from './soak/createSoakPlan.ts';
+import { formatLimits } from './soak/formatLimits.ts';
 import { formatRepeats } from './soak/formatRepeats.ts';
 import { readLoggedRepeats } from './soak/readLoggedRepeats.ts';
 
@@ -48,7 +49,7 @@
   run.getCrashes().forEach(({ lateArrivals, ...report }) => (
     console.log(`  crashes: ${JSON.stringify({ ...report, late: lateArrivals.length })}`)));
   console.log(`  closures: ${JSON.stringify(run.getClosures())}`);
-  run.getLimits().forEach((report) => console.log(`  limit: ${JSON.stringify(report)}`));
+  formatLimits(run.getLimits()).forEach((line) => console.log(`  ${line}`));
   // Upstreams and callers live in this process: what it reads late looks late on the way.
   console.log(`  longest stall of the soak itself: ${Math.round(stalls.max / NS_PER_MS)} ms`);
   violations.forEach((violation) => console.log(`  ${JSON.stringify(violation)}`));
--- a/scripts/soak/createSoakPlan.ts
+++ b/scripts/soak/createSoakPlan.ts
@@ -112,7 +112,6 @@
   { kind: 'host', how: 'terminate' },
   { kind: 'host', how: 'kill' },
   { kind: 'host', how: 'pause' },
-  { kind: 'allHosts', how: 'terminate' },
   { kind: 'connection', how: 'reset', target: 'upstream' },
   { kind: 'connection', how: 'silent', target: 'store' },
   { kind: 'store', how: 'down' },
@@ -145,6 +144,8 @@
 /** A limit lasts beyond the time in which hosts have to know it. */
 const LIMIT_FACTOR = 6;
 const MEAN_GAP_MS = 600;
+/** Where hosts are excused for seconds by each fault of theirs, more would leave nothing to judge. */
+const MEAN_LIMIT_GAP_MS = 1_800;
 const PICKS = 1_000;
 
 function getDurationFactor(fault: SoakFault): number {
@@ -176,6 +177,7 @@
   profile: SoakProfile,
 ): PlannedFault[] {
   const faults = PROFILE_FAULTS[profile];
+  const meanGapMs = profile === SOAK_PROFILE.limits ? MEAN_LIMIT_GAP_MS : MEAN_GAP_MS;
   const planned: PlannedFault[] = [];
   let atMs = 0;
   while (atMs < lengthMs) {
@@ -189,7 +191,7 @@
         fault,
       });
     }
-    atMs += -Math.log(1 - random.getFraction()) * MEAN_GAP_MS;
+    atMs += -Math.log(1 - random.getFraction()) * meanGapMs;
   }
   return planned;
 }
--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -189,6 +189,14 @@
     return this.#limits.get(lifetime);
   }
 
+  /** @returns the failure domains of all hosts and upstreams */
+  getFailureDomains(): Set<string> {
+    return new Set([
+      ...[...this.#upstreams.values()].map(({ entry }) => entry.failureDomain),
+      ...[...this.#hosts.values()].map(({ failureDomain }) => failureDomain),
+    ]);
+  }
+
   /** @returns the listed upstreams that name a limit, and when that was heard last */
   getLimited(): { readonly entry: UpstreamEntry; readonly heardAtMs: number }[] {
     return this.#limits.inForce.flatMap(({ lifetime, heardAtMs }) => {
--- /dev/null
+++ b/src/rates/LimitProbe.test.ts
@@ -0,0 +1,79 @@
+import { deepEqual } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { pino } from 'pino';
+import { createHostChange } from '../../test/support/createHostChange.ts';
+import { Directory } from '../directory/Directory.ts';
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../lib/ids.ts';
+import { ManualClock } from '../time/ManualClock.ts';
+import { LimitProbe } from './LimitProbe.ts';
+import { RateKeepers, SETTLE_MS } from './RateKeepers.ts';
+
+const UPSTREAM: UpstreamEntry = {
+  id: toId<UpstreamId>('u'),
+  startedAtMs: 1,
+  poolId: toId<PoolId>('pool'),
+  address: 'u:1',
+  failureDomain: 'a',
+  isDraining: false,
+  slots: 1,
+  coldRemainingMs: 0,
+};
+
+/** When a host asks an upstream that names a limit at 0 ms and is not sent anything. */
+function getAskTimes(hostId: string, durationMs: number): number[] {
+  const clock = new ManualClock();
+  const directory = new Directory(clock);
+  const askedAtMs: number[] = [];
+  const probe = new LimitProbe({
+    clock,
+    directory,
+    keepers: new RateKeepers({
+      clock,
+      hostId: toId<HostId>(hostId),
+      directory,
+      isRegistered: () => true,
+      logger: pino({ level: 'silent' }),
+    }),
+    check: {
+      check: async () => {
+        askedAtMs.push(clock.getMonotonicMs());
+        return 'alive';
+      },
+    },
+  });
+  directory.apply(createHostChange('keeper', { registeredRevision: 1 }));
+  directory.apply(createHostChange('other', { registeredRevision: 2 }));
+  directory.apply({ kind: 'upstream', entry: UPSTREAM });
+  clock.advance(SETTLE_MS);
+  directory.apply({
+    kind: 'upstreamLimit',
+    word: {
+      lifetime: UPSTREAM,
+      requestsPerSecond: 0,
+      askedAtMs: clock.getMonotonicMs(),
+      heardAtMs: clock.getMonotonicMs(),
+    },
+    source: { kind: 'answer', requestId: 'r', status: 200 },
+  });
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 500) {
+    clock.advance(500);
+    directory.noteConfirmed();
+    probe.look();
+  }
+  probe.close();
+  return askedAtMs.map((atMs) => atMs - SETTLE_MS);
+}
+
+describe('LimitProbe', () => {
+  it('asks an upstream that is not sent anything whether it still names its limit', () => {
+    deepEqual(getAskTimes('keeper', 13_000), [4_000, 8_000, 12_000]);
+  });
+
+  it('leaves that to the host which keeps the sum, but for long silence', () => {
+    deepEqual(getAskTimes('other', 13_000), []);
+    deepEqual(getAskTimes('other', 41_000), [40_000]);
+  });
+});
--- /dev/null
+++ b/src/rates/RateKeepers.test.ts
@@ -0,0 +1,92 @@
+import { equal } from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import { pino } from 'pino';
+import { createHostChange } from '../../test/support/createHostChange.ts';
+import { Directory } from '../directory/Directory.ts';
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../lib/ids.ts';
+import { ManualClock } from '../time/ManualClock.ts';
+import { RateKeepers, SETTLE_MS } from './RateKeepers.ts';
+
+const UPSTREAM: UpstreamEntry = {
+  id: toId<UpstreamId>('u'),
+  startedAtMs: 1,
+  poolId: toId<PoolId>('pool'),
+  address: 'u:1',
+  failureDomain: 'a',
+  isDraining: false,
+  slots: 1,
+  coldRemainingMs: 0,
+};
+
+describe('RateKeepers', () => {
+  let clock: ManualClock;
+  let directory: Directory;
+  let isRegistered: boolean;
+  let keepers: RateKeepers;
+
+  /** Lets time pass while the store confirms what is known. */
+  function pass(durationMs: number): void {
+    clock.advance(durationMs);
+    directory.noteConfirmed();
+  }
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    directory = new Directory(clock);
+    isRegistered = true;
+    keepers = new RateKeepers({
+      clock,
+      hostId: toId<HostId>('own'),
+      directory,
+      isRegistered: () => isRegistered,
+      logger: pino({ level: 'silent' }),
+    });
+    directory.apply(createHostChange('own', { registeredRevision: 2 }));
+  });
+
+  it('has the host keep the sum that is there for longest, once it has settled', () => {
+    pass(SETTLE_MS - 1);
+    equal(keepers.isOwn(UPSTREAM), false);
+    pass(1);
+    equal(keepers.isOwn(UPSTREAM), true);
+    directory.apply(createHostChange('older', { registeredRevision: 1 }));
+    equal(keepers.isOwn(UPSTREAM), false);
+    equal(keepers.getKeeper(UPSTREAM)?.id, 'older');
+  });
+
+  it('settles anew where the duty comes back', () => {
+    pass(SETTLE_MS);
+    directory.apply(createHostChange('older', { registeredRevision: 1 }));
+    directory.apply({ kind: 'hostGone', hostId: toId<HostId>('older') });
+    equal(keepers.isOwn(UPSTREAM), false);
+    pass(SETTLE_MS);
+    equal(keepers.isOwn(UPSTREAM), true);
+  });
+
+  it('lays the duty down when the store does not confirm it any more', () => {
+    pass(SETTLE_MS);
+    isRegistered = false;
+    equal(keepers.isOwn(UPSTREAM), false);
+    isRegistered = true;
+    equal(keepers.isOwn(UPSTREAM), true);
+    clock.advance(4_001);
+    equal(keepers.isOwn(UPSTREAM), false);
+  });
+
+  it('settles anew after the process stood still', () => {
+    pass(SETTLE_MS);
+    equal(keepers.isOwn(UPSTREAM), true);
+    keepers.restart();
+    equal(keepers.isOwn(UPSTREAM), false);
+  });
+
+  it('is kept by nobody where no host is known', () => {
+    directory.apply({ kind: 'hostGone', hostId: toId<HostId>('own') });
+    pass(SETTLE_MS);
+    equal(keepers.isOwn(UPSTREAM), false);
+    equal(keepers.getKeeper(UPSTREAM), undefined);
+  });
+});
--- a/src/rates/RateKeepers.ts
+++ b/src/rates/RateKeepers.ts
@@ -54,8 +54,10 @@
    */
   constructor(parts: RateKeepersParts) {
     this.#parts = parts;
-    parts.directory.onChange(({ kind }) => {
-      if (HOST_CHANGES.has(kind)) {
+    parts.directory.onChange((change) => {
+      const { kind } = change;
+      const isNewDomain = kind === 'upstream' && !this.#byDomain.has(change.entry.failureDomain);
+      if (HOST_CHANGES.has(kind) || isNewDomain) {
         this.#update();
       } else if (GROUP_CHANGES.has(kind)) {
         this.#isOutdated = true;
@@ -104,7 +106,8 @@
     this.#isOutdated = false;
     const groups = findPlacementGroups(this.#parts.directory);
     groups.forEach(({ domains }) => domains.forEach((domain) => this.#choose(domain, domains)));
-    [...this.#byDomain.keys()]
+    // The duty counts from here on, also where no upstream has named a limit yet.
+    [...new Set([...this.#byDomain.keys(), ...this.#parts.directory.getFailureDomains()])]
       .filter((domain) => !groups.some(({ domains }) => domains.includes(domain)))
       .forEach((domain) => this.#choose(domain, [domain]));
   }
