--- a/scripts/soak/createSoakPlan.ts
+++ b/scripts/soak/createSoakPlan.ts
@@ -144,7 +144,7 @@
 /** A limit lasts beyond the time in which hosts have to know it. */
 const LIMIT_FACTOR = 6;
 const MEAN_GAP_MS = 600;
-/** Where hosts are excused for seconds by each fault of theirs, more would leave nothing to judge. */
+/** Each fault excuses hosts for seconds; more of them would leave nothing to judge. */
 const MEAN_LIMIT_GAP_MS = 1_800;
 const PICKS = 1_000;
 
