Tell a host that is placed for what the placing host knows of the engine's limit

Cause: the host that sends had heard of the limit, and that it was lifted was heard by others only. The placing host, which knew, gave no leave since none was needed; the host took that for a placing host that doesn't know of the limit. Now the placement says what is known of the engine's limit, and the newer word holds.

Also: a request that waits for engines with limits until its time is up is told so, with a true time; the wait of a placing host counts its own handing out only, not its own reserve. The refusals of the desk have a file of their own. Tests: placement/limitedPlacement.

--- a/src/placement/EngineLeaves.ts
+++ b/src/placement/EngineLeaves.ts
@@ -3,11 +3,17 @@
 import type { UpstreamId } from '../lib/ids.ts';
 import type { PlacementJob } from './PlacementJob.ts';
 import type { PlacementRates } from './PlacementRates.ts';
-import type { Leave, PlacementRequest } from './PlacementRequest.ts';
+import type { PlacementRequest, PlacementResult } from './PlacementRequest.ts';
 import { getGroupUpstreams } from './getGroupUpstreams.ts';
 
 const MS_PER_SECOND = 1_000;
 
+/** What is told of the limit of an engine that was chosen. */
+export type EngineLeave = Pick<
+  Extract<PlacementResult, { kind: 'placed' }>,
+  'leave' | 'limitReports'
+>;
+
 /**
  * Says which engines may get a request now where they name limits. Leave is the placing host's,
  * when that keeps the sum of the engine, or lies in the reserve of the host that asks.
@@ -39,14 +45,19 @@
 
   /**
    * @param engineId - an engine that gets a request now
-   * @returns by which leave; null where it names no limit
+   * @returns by which leave, and what is known of its limit
    */
-  take(engineId: UpstreamId): Leave | null {
+  take(engineId: UpstreamId): EngineLeave {
     const entry = this.#directory.getUpstream(engineId)?.entry;
-    if (entry === undefined || !this.#rates.isLimited(entry)) {
-      return null;
+    if (entry === undefined) {
+      return { leave: null, limitReports: [] };
+    }
+    // The host that asks may not have heard that a limit was lifted.
+    const limitReports = this.#rates.describeLimits([entry]);
+    if (!this.#rates.isLimited(entry)) {
+      return { leave: null, limitReports };
     }
-    return this.#rates.tryTakeCommon(entry) ? 'common' : 'reserve';
+    return { leave: this.#rates.tryTakeCommon(entry) ? 'common' : 'reserve', limitReports };
   }
 
   /**
@@ -65,7 +76,7 @@
     }
     const firstWaitMs = engines.some((entry) => this.isOpenTo(entry, request))
       ? 0
-      : this.#rates.getRetryAfterMs(engines);
+      : this.#rates.getCommonWaitMs(engines);
     const aheadCount = [...jobs].filter(({ state, request: other }) => (
       state !== 'placed' && other.poolId === poolId && other.priority <= request.priority)).length;
     return aheadCount === 0
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -28,7 +28,7 @@
   /** This host's own desk, for when it is the one that places. */
   readonly desk: PlacementDesk;
   /** Knows the limits that upstreams name. */
-  readonly rates: Pick<SendRates, 'createReports'>;
+  readonly rates: Pick<SendRates, 'createReports' | 'takeReports'>;
   readonly connections: UpstreamConnections;
   readonly logger: Logger;
 }
@@ -99,6 +99,13 @@
     return this.#options.rates.createReports(poolId);
   }
 
+  /** @inheritdoc */
+  takeLimitReports(placer: HostEntry | null, reports: readonly LimitReport[]): void {
+    if (placer !== null) {
+      this.#options.rates.takeReports(reports, placer.id);
+    }
+  }
+
   /** @inheritdoc */
   choose(group: PlacementGroup): HostEntry | null {
     return this.#chooser.choose(group);
--- a/src/placement/PlacementCourse.ts
+++ b/src/placement/PlacementCourse.ts
@@ -37,6 +37,8 @@
   readonly hostId: HostId;
   /** What it knows now of the limits that upstreams of a pool name. */
   createLimitReports(poolId: PoolId): LimitReport[];
+  /** Takes in what a placing host knows of them; null stands for this host. */
+  takeLimitReports(placer: HostEntry | null, reports: readonly LimitReport[]): void;
   choose(group: PlacementGroup): HostEntry | null;
   /** Whether this host hands its own placements over. */
   isOwnDeskLeaving(): boolean;
@@ -144,6 +146,9 @@
     this.#question = peers.ask(placer, request);
     try {
       const result = await this.#question.result;
+      if (result.kind === 'placed') {
+        peers.takeLimitReports(placer, result.limitReports);
+      }
       if (result.kind === 'handedOver') {
         this.#standing = result.results;
         this.#isAskedAgain ||= result.wereSent;
--- a/src/placement/PlacementDesk.ts
+++ b/src/placement/PlacementDesk.ts
@@ -10,12 +10,12 @@
 import { getGroupUpstreams } from './getGroupUpstreams.ts';
 import type { PieceRepeats } from './PieceRepeats.ts';
 import type { PlacementRates } from './PlacementRates.ts';
+import { PlacementRefusals } from './PlacementRefusals.ts';
 import {
   createPlacementJob, getLastStages, isStageDone, type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
-import {
-  REFUSAL, type PlacementNote, type PlacementRequest, type PlacementResult,
-  type Refusal, type StandingResult,
+import type {
+  PlacementNote, PlacementRequest, PlacementResult, StandingResult,
 } from './PlacementRequest.ts';
 import type { StageCall, StageOutcome } from './StageCall.ts';
 import { StageScheduler, type StageSchedulerOptions } from './StageScheduler.ts';
@@ -46,10 +46,6 @@
  * can be on time goes before it, also what comes later, so that it takes longer than it looks.
  */
 const LATE_PART = 0.5;
-/** Longest time of which a caller is told to stay away from engines that name limits. */
-const MAX_LIMITED_RETRY_AFTER_MS = 20_000;
-/** Shortest time after which a refused caller is asked back. */
-const MIN_RETRY_AFTER_MS = 100;
 
 /** Whether pieces that are still to be made were sent before. */
 function hasSentPieces({ stages }: PlacementJob): boolean {
@@ -75,6 +71,8 @@
 
   readonly #leaves: EngineLeaves;
 
+  readonly #refusals: PlacementRefusals;
+
   readonly #jobs = new Map<string, PlacementJob>();
 
   #isHandingOver = false;
@@ -89,6 +87,9 @@
     this.#options = options;
     this.#scheduler = new StageScheduler(options);
     this.#leaves = new EngineLeaves(options.directory, options.rates);
+    this.#refusals = new PlacementRefusals({
+      ...options, scheduler: this.#scheduler, leaves: this.#leaves, jobs: this.#jobs,
+    });
     options.directory.onChange((change) => this.#applyChange(change));
   }
 
@@ -130,12 +131,12 @@
     const allowedMs = request.remainingMs * (expectedMs > onTimeMs ? LATE_PART : 1);
     const engineWaitMs = this.#leaves.getWaitMs(request, this.#jobs.values());
     if (engineWaitMs > Math.max(onTimeMs, expectedMs) && standingResults.length === 0) {
-      this.#answerRefusal(job, REFUSAL.limited, Math.min(MAX_LIMITED_RETRY_AFTER_MS, engineWaitMs));
+      this.#refusals.refuseLimited(job);
       return () => {};
     }
     // What has been made already is not thrown away.
     if (expectedMs > allowedMs && standingResults.length === 0) {
-      this.#answerRefusal(job, REFUSAL.tooLate, expectedMs - allowedMs, expectedMs);
+      this.#refusals.refuseTooLate(job, expectedMs, allowedMs);
       return () => {};
     }
     this.#jobs.set(request.requestId, job);
@@ -280,9 +281,8 @@
     job.engineId = engineId;
     job.placedAtMs = nowMs;
     this.#engines.place(engineId, request.requestId, request.parts, memoryTokens, capacityTokens);
-    const leave = this.#leaves.take(engineId);
     job.answer({
-      kind: 'placed', upstreamId: engineId, inputs, leave,
+      kind: 'placed', upstreamId: engineId, inputs, ...this.#leaves.take(engineId),
     });
   }
 
@@ -340,34 +340,11 @@
         }
       } else if (nowMs + this.#scheduler.getLeastMs(job) > job.deadlineAtMs) {
         this.#drop(requestId);
-        const reason = job.state === 'awaitingEngine' ? REFUSAL.noEngine : REFUSAL.tooLate;
-        this.#answerRefusal(job, reason, MIN_RETRY_AFTER_MS);
+        this.#refusals.refuseExpired(job);
       }
     });
   }
 
-  #answerRefusal(
-    job: PlacementJob,
-    reason: Refusal,
-    retryAfterMs: number,
-    expectedMs = this.#scheduler.getLeastMs(job),
-  ): void {
-    this.#options.logger.info({
-      event: 'placementRefused',
-      requestId: job.request.requestId,
-      reason,
-      remainingMs: Math.round(job.deadlineAtMs - this.#options.clock.getMonotonicMs()),
-      leastMs: Math.round(this.#scheduler.getLeastMs(job)),
-      expectedMs: Math.round(expectedMs),
-      engineWaitMs: Math.round(this.#leaves.getWaitMs(job.request, this.#jobs.values())),
-      version: this.#options.directory.configuration?.version ?? null,
-      waitingCount: this.waitingCount,
-    }, 'refused a placement');
-    job.answer({
-      kind: 'refused', reason, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, retryAfterMs),
-    });
-  }
-
   /** The request is placed again in a moment; until then its results stand. */
   #noteNotTaken({ kind, upstreamId, requestId }: PlacementNote, job: PlacementJob | null): void {
     if (kind === 'unreachable') {
--- a/src/placement/PlacementRates.ts
+++ b/src/placement/PlacementRates.ts
@@ -16,8 +16,10 @@
   tryTakeCommon(entry: UpstreamEntry): boolean;
   /** Sends a second that this host may make or hand out; infinite where no limit is named. */
   getRatePerSecond(entry: UpstreamEntry): number;
-  /** When one of some upstreams that name limits may be sent to by leave of this host. */
-  getRetryAfterMs(upstreams: readonly UpstreamEntry[]): number;
+  /** When this host may hand out a send to one of some upstreams that name limits. */
+  getCommonWaitMs(upstreams: readonly UpstreamEntry[]): number;
+  /** What is known of the limits of some upstreams, for another host. */
+  describeLimits(entries: readonly UpstreamEntry[]): LimitReport[];
   /** Takes in what another host knows of limits. */
   takeReports(reports: readonly LimitReport[], hostId: HostId): void;
 }
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -82,6 +82,8 @@
     readonly inputs: readonly string[];
     /** By which leave the engine gets it; null where it names no limit, as far as is known. */
     readonly leave: Leave | null;
+    /** What the placing host knows of the engine's limit; empty when it never named one. */
+    readonly limitReports: readonly LimitReport[];
   }
   | {
     readonly kind: 'refused';
--- /dev/null
+++ b/src/placement/limitedPlacement.test.ts
@@ -0,0 +1,149 @@
+import { deepEqual, equal, ok } from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { pino } from 'pino';
+import { PlacementTestBed } from '../../test/support/PlacementTestBed.ts';
+import { UNLIMITED_REPEATS } from '../../test/support/UNLIMITED_REPEATS.ts';
+import { createHostChange } from '../../test/support/createHostChange.ts';
+import type { Directory } from '../directory/Directory.ts';
+import type { RouteStage } from '../directory/ServingConfiguration.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../lib/ids.ts';
+import { RateKeepers, SETTLE_MS } from '../rates/RateKeepers.ts';
+import { SendRates } from '../rates/SendRates.ts';
+import type { ManualClock } from '../time/ManualClock.ts';
+
+const HOST_ID = toId<HostId>('host');
+const STAGE: RouteStage = { poolId: toId<PoolId>('first'), after: [], resultBytes: 1 };
+const STEP_MS = 20;
+const WINDOW_MS = 4_000;
+
+function createRates(clock: ManualClock, directory: Directory): SendRates {
+  return new SendRates({
+    clock,
+    hostId: HOST_ID,
+    directory,
+    keepers: new RateKeepers({
+      clock,
+      hostId: HOST_ID,
+      directory,
+      isRegistered: () => true,
+      logger: pino({ level: 'silent' }),
+    }),
+  });
+}
+
+/** A desk at the host that keeps the sums, and has done so for a while. */
+async function createBed(makers: number, engineCount: number): Promise<PlacementTestBed> {
+  const bed = new PlacementTestBed(
+    { first: { makers } },
+    engineCount,
+    () => UNLIMITED_REPEATS,
+    createRates,
+  );
+  bed.directory.apply(createHostChange(HOST_ID, { failureDomain: 'a' }));
+  await Promise.resolve();
+  bed.clock.advance(SETTLE_MS);
+  bed.directory.noteConfirmed();
+  return bed;
+}
+
+function nameLimit(bed: PlacementTestBed, name: string, requestsPerSecond: number | null): void {
+  const nowMs = bed.clock.getMonotonicMs();
+  bed.directory.apply({
+    kind: 'upstreamLimit',
+    word: {
+      lifetime: { id: toId<UpstreamId>(name), startedAtMs: null },
+      requestsPerSecond,
+      askedAtMs: nowMs,
+      heardAtMs: nowMs,
+    },
+    source: { kind: 'answer', requestId: 'r', status: 200 },
+  });
+}
+
+/** Lets time pass in steps, and the desk do what is due. */
+function runFor(bed: PlacementTestBed, durationMs: number, action: (atMs: number) => void): void {
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+    bed.clock.advance(STEP_MS);
+    bed.directory.noteConfirmed();
+    action(elapsedMs);
+    bed.desk.run();
+  }
+}
+
+function getPlaced(bed: PlacementTestBed, engineId: string): string[] {
+  return [...bed.results]
+    .filter(([, result]) => result.kind === 'placed' && result.upstreamId === engineId)
+    .map(([requestId]) => requestId);
+}
+
+describe('placements on upstreams that name limits', () => {
+  it('give an engine what it takes, and the others the rest', async () => {
+    const bed = await createBed(1, 2);
+    nameLimit(bed, 'engines-0', 1);
+    runFor(bed, WINDOW_MS, (atMs) => {
+      bed.place({ requestId: `r${atMs}` });
+      ['engines-0', 'engines-1'].forEach((name) => bed.desk.note({
+        requestId: `r${atMs}`, upstreamId: toId<UpstreamId>(name), kind: 'ended',
+      }));
+    });
+    const count = getPlaced(bed, 'engines-0').length;
+    ok(count >= 2 && count <= 5, `${count} placed there`);
+    equal(getPlaced(bed, 'engines-1').length, WINDOW_MS / STEP_MS - count);
+  });
+
+  it('go to the most urgent first, and refuse at once what has no turn in time', async () => {
+    const bed = await createBed(1, 1);
+    nameLimit(bed, 'engines-0', 1);
+    ['a', 'b', 'c', 'd'].forEach((name) => bed.place({ requestId: name, priority: 1 }));
+    deepEqual([...bed.results.keys()], ['c', 'd']);
+    const refusal = bed.results.get('d');
+    ok(refusal?.kind === 'refused' && refusal.reason === 'limited');
+    ok(refusal.retryAfterMs > 1_000, `${refusal.retryAfterMs} ms`);
+    bed.place({ requestId: 'urgent', priority: 0 });
+    runFor(bed, 1_100, () => {});
+    deepEqual(getPlaced(bed, 'engines-0'), ['urgent']);
+  });
+
+  it('tell a host of a limit that was lifted, which it may not have heard', async () => {
+    const bed = await createBed(1, 1);
+    nameLimit(bed, 'engines-0', 1);
+    bed.clock.advance(1_000);
+    nameLimit(bed, 'engines-0', null);
+    bed.place({ requestId: 'r' });
+    const result = bed.results.get('r');
+    ok(result?.kind === 'placed');
+    equal(result.leave, null);
+    deepEqual(
+      result.limitReports.map(({ upstreamId, requestsPerSecond }) => (
+        [upstreamId, requestsPerSecond])),
+      [['engines-0', null]],
+    );
+  });
+
+  it('call an upstream that makes pieces no more often than it takes, frees included', async () => {
+    const bed = await createBed(1, 1);
+    nameLimit(bed, 'first-0', 2);
+    const sentAtMs: number[] = [];
+    runFor(bed, WINDOW_MS * 2, (atMs) => {
+      if (atMs % 200 === 0) {
+        bed.place({ requestId: `r${atMs}`, stages: [STAGE] });
+      }
+      const calls = bed.takeCalls();
+      calls.forEach((call) => bed.complete(call));
+      const nowMs = bed.clock.getMonotonicMs();
+      calls.forEach(() => sentAtMs.push(nowMs));
+      if (bed.freed.splice(0).length > 0) {
+        sentAtMs.push(nowMs);
+      }
+      getPlaced(bed, 'engines-0').forEach((requestId) => bed.desk.note({
+        requestId, upstreamId: toId<UpstreamId>('engines-0'), kind: 'started',
+      }));
+    });
+    const counts = sentAtMs.map((endMs) => (
+      sentAtMs.filter((atMs) => atMs <= endMs && atMs > endMs - WINDOW_MS).length));
+    ok(sentAtMs.length >= 8, `only ${sentAtMs.length} sends`);
+    ok(Math.max(...counts) <= 17, `${Math.max(...counts)} sends in 4 s`);
+  });
+});
--- a/src/rates/ReserveSends.ts
+++ b/src/rates/ReserveSends.ts
@@ -20,15 +20,6 @@
     this.#clock = clock;
   }
 
-  /**
-   * @param id - an upstream
-   * @param windowMs - a span up to now
-   * @returns sends within it
-   */
-  getCount(id: UpstreamId, windowMs: number): number {
-    return this.#getRecent(id, windowMs).length;
-  }
-
   /**
    * @param id - an upstream
    * @param share - sends that are allowed within a window
@@ -51,7 +42,9 @@
     if (this.#sentAtMs.size >= MAX_UPSTREAM_COUNT && !this.#sentAtMs.has(id)) {
       this.#sentAtMs.clear();
     }
-    this.#sentAtMs.set(id, [...this.#sentAtMs.get(id) ?? [], this.#clock.getMonotonicMs()]);
+    const sends = this.#sentAtMs.get(id) ?? [];
+    sends.push(this.#clock.getMonotonicMs());
+    this.#sentAtMs.set(id, sends);
     this.#unreported.set(id, (this.#unreported.get(id) ?? 0) + 1);
   }
 
@@ -67,12 +60,13 @@
 
   #getRecent(id: UpstreamId, windowMs: number): readonly number[] {
     const sinceMs = this.#clock.getMonotonicMs() - windowMs;
-    const recent = (this.#sentAtMs.get(id) ?? []).filter((atMs) => atMs > sinceMs);
-    if (recent.length > 0) {
-      this.#sentAtMs.set(id, recent);
-    } else {
+    const sends = this.#sentAtMs.get(id) ?? [];
+    while ((sends[0] ?? Infinity) <= sinceMs) {
+      sends.shift();
+    }
+    if (sends.length === 0) {
       this.#sentAtMs.delete(id);
     }
-    return recent;
+    return sends;
   }
 }
--- a/src/rates/SendRates.ts
+++ b/src/rates/SendRates.ts
@@ -168,6 +168,18 @@
     return Math.min(IDLE_RETRY_AFTER_MS, ...waits);
   }
 
+  /**
+   * @param upstreams - upstreams that name limits
+   * @returns when this host may hand out a send to one of them; a while where it keeps no sum
+   */
+  getCommonWaitMs(upstreams: readonly UpstreamEntry[]): number {
+    const waits = upstreams.map((entry) => {
+      const bound = this.#getBound(entry);
+      return bound === null ? 0 : this.#getSchedule(entry, bound)?.waitMs ?? Infinity;
+    });
+    return Math.min(IDLE_RETRY_AFTER_MS, ...waits);
+  }
+
   /**
    * @param poolId - a pool
    * @returns what is known of the limits of its upstreams, for another host
@@ -178,9 +190,20 @@
 
   /**
    * @param entries - upstreams
-   * @returns what is known of their limits, for another host
+   * @returns what is known of their limits, for the host that keeps their sum; what was sent there
+   * without its leave is told once
    */
   createReportsOf(entries: readonly UpstreamEntry[]): LimitReport[] {
+    return this.describeLimits(entries).map((report) => ({
+      ...report, spentCount: this.#reserve.takeUnreported(report.upstreamId),
+    }));
+  }
+
+  /**
+   * @param entries - upstreams
+   * @returns what is known of their limits, for any host
+   */
+  describeLimits(entries: readonly UpstreamEntry[]): LimitReport[] {
     return entries.flatMap((entry) => {
       const word = this.#parts.directory.getLimitWord(entry);
       return word === undefined || this.#isLongLifted(word)
@@ -226,7 +249,7 @@
     const reportedIds = ask.reports.map(({ upstreamId }) => upstreamId);
     return {
       decision: this.#decide(this.#getEntries(ask.upstreamIds), ask.maxWaitMs),
-      reports: this.createReportsOf(this.#getEntries([...reportedIds, ...ask.upstreamIds])),
+      reports: this.describeLimits(this.#getEntries([...reportedIds, ...ask.upstreamIds])),
     };
   }
 
@@ -270,7 +293,7 @@
       askedAgoMs: nowMs - word.askedAtMs,
       heardAgoMs: nowMs - word.heardAtMs,
       hasReserve: bound !== null && this.#hasReserve(entry, bound),
-      spentCount: this.#reserve.takeUnreported(entry.id),
+      spentCount: 0,
     };
   }
 
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -7,6 +7,7 @@
   toId, type HostId, type PoolId, type UpstreamId,
 } from '../../src/lib/ids.ts';
 import type { PieceRepeats } from '../../src/placement/PieceRepeats.ts';
+import type { PlacementRates } from '../../src/placement/PlacementRates.ts';
 import { PlacementDesk } from '../../src/placement/PlacementDesk.ts';
 import type { PlacementRequest, PlacementResult } from '../../src/placement/PlacementRequest.ts';
 import type { PieceOutcome, StageCall } from '../../src/placement/StageCall.ts';
@@ -61,19 +62,22 @@
    * @param stagePools - upstreams and figures of each pool of stages, by its name
    * @param engineCount - how many model engines there are
    * @param createRepeats - makes what bounds how often pieces are sent again
+   * @param createRates - makes what bounds how often upstreams are sent to that name limits
    */
   constructor(
     stagePools: Readonly<Record<string, { makers: number; batch?: Partial<BatchLimits> }>>,
     engineCount = 1,
     createRepeats: (clock: ManualClock, directory: Directory) => PieceRepeats = (
       () => UNLIMITED_REPEATS),
+    createRates: (clock: ManualClock, directory: Directory) => PlacementRates = (
+      () => UNLIMITED_RATES),
   ) {
     this.desk = new PlacementDesk({
       clock: this.clock,
       directory: this.directory,
       logger: pino({ level: 'silent' }),
       repeats: createRepeats(this.clock, this.directory),
-      rates: UNLIMITED_RATES,
+      rates: createRates(this.clock, this.directory),
       sendCall: (call) => this.calls.push(call),
       sendFree: (_makerId, _address, handles) => this.freed.push(...handles),
       requestRun: () => this.desk.run(),
--- a/test/support/UNLIMITED_RATES.ts
+++ b/test/support/UNLIMITED_RATES.ts
@@ -8,6 +8,7 @@
   canTakeCommon: () => false,
   tryTakeCommon: () => false,
   getRatePerSecond: () => Infinity,
-  getRetryAfterMs: () => 0,
+  getCommonWaitMs: () => 0,
+  describeLimits: () => [],
   takeReports: () => {},
 };
