--- a/src/placement/PeerServer.ts
+++ b/src/placement/PeerServer.ts
@@ -24,8 +24,8 @@
         return { detail: 'no configuration is known here yet' };
       }
       // A host of an earlier version says nothing of limits.
-      const asked = { limitReports: [], ...request.body as PlacementRequest };
-      const result = await this.#place(asked, (withdraw) => {
+      const body = request.body as Omit<PlacementRequest, 'limitReports'>;
+      const result = await this.#place({ limitReports: [], ...body }, (withdraw) => {
         reply.raw.once('close', () => {
           if (!reply.raw.writableFinished) {
             withdraw();
