--- a/scripts/soak/REGRESSION_RUNS.ts
+++ b/scripts/soak/REGRESSION_RUNS.ts
@@ -29,6 +29,8 @@
 const QUEUE = 'ended: requests waited in the queue of the soak\'s own caller';
 const ENTRY = 'recovered: the soak left the entry of an upstream behind that had started again';
 
+const STALE_LIMIT = 'recovered: a host kept a limit that was lifted, since only others heard of it';
+
 const HELD_UP = 'repeats: those held up on the way arrived beside those of the next window';
 
 /**
@@ -120,4 +122,14 @@
     faultMs: 12_000,
     cause: ENTRY,
   },
+  {
+    ...SIX_HOSTS,
+    seed: 2704,
+    requestsPerSecond: 8,
+    callerRetries: 1,
+    bounds: { ratio: RATIO, slack: 50, windowMs: WINDOW_MS },
+    profile: SOAK_PROFILE.limits,
+    faultMs: 30_000,
+    cause: STALE_LIMIT,
+  },
 ];
--- /dev/null
+++ b/test/support/checkSoakRun.ts
@@ -0,0 +1,38 @@
+import { deepEqual, ok } from 'node:assert/strict';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { SOAK_PROFILE } from '../../scripts/soak/createSoakPlan.ts';
+import { SoakRun, type SoakRunOptions } from '../../scripts/soak/SoakRun.ts';
+
+/** A run of the soak but for what its place on this machine is. */
+export type SoakTestRun = Omit<SoakRunOptions, 'folder' | 'network'>;
+
+/** A short run with all kinds of faults. */
+export const MIXED_RUN: SoakTestRun = {
+  seed: 101,
+  hostCount: 3,
+  requestsPerSecond: 10,
+  callerRetries: 1,
+  bounds: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+  profile: SOAK_PROFILE.all,
+  isCrashing: false,
+  faultMs: 4_000,
+  calmMs: 7_500,
+};
+
+/**
+ * Runs the soak, and fails where a promise is broken or nothing is served.
+ *
+ * @param options - what to run
+ * @param network - a loopback network that no other test process has
+ * @returns the run
+ */
+export async function checkSoakRun(options: SoakTestRun, network: number): Promise<SoakRun> {
+  const folder = mkdtempSync(join(tmpdir(), 'parsleylift-soak-'));
+  const run = new SoakRun({ ...options, folder, network });
+  deepEqual(await run.run(), []);
+  ok(run.servedCount > 0);
+  rmSync(folder, { recursive: true });
+  return run;
+}
