Give up a request whose piece broke off four calls; wait for closes in endlessAnswers

A piece whose call broke off was put back to waiting without end, and the pieces that shared its calls were sent again with it. Cause: only the pool's retry bound limited it, which other traffic refills. Change: a piece counts its broken calls; after two it gets a call of its own, so that the pieces beside it are not given up with it; after four the request is refused at once (reason broken-calls).

relay/endlessAnswers (known red twice): the open connections were counted right after the last answer, but nothing orders the upstream's close event before it.

--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -12,7 +12,8 @@
 import type { PlacementRates } from './PlacementRates.ts';
 import { PlacementRefusals } from './PlacementRefusals.ts';
 import {
-  createPlacementJob, getLastStages, isStageDone, type JobStage, type PlacementJob,
+  createPlacementJob, getLastStages, hasCrashingPiece, isStageDone,
+  type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
 import type {
   PlacementReport, PlacementRequest, PlacementResult, StandingResult,
@@ -343,6 +344,9 @@
         if (job.deadlineAtMs + RETAIN_AFTER_DEADLINE_MS <= nowMs) {
           this.#drop(requestId);
         }
+      } else if (hasCrashingPiece(job)) {
+        this.#drop(requestId);
+        this.#refusals.refuseCrashing(job);
       } else if (nowMs + this.#scheduler.getLeastMs(job) > job.deadlineAtMs) {
         this.#drop(requestId);
         this.#refusals.refuseExpired(job);
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -17,6 +17,8 @@
   sendCount: number;
   /** Why it is retried; null before its first attempt has ended. */
   retryReason: PieceRetryReason | null;
+  /** Number of its calls that ended without a usable answer, as when the upstream crashed. */
+  brokenCallCount: number;
 }
 
 /** The state of one stage of a request. */
@@ -93,6 +95,7 @@
         makerId: null,
         sendCount: request.isPlacedAgain ? 1 : 0,
         retryReason: request.isPlacedAgain ? 'placedAgain' : null,
+        brokenCallCount: 0,
       })),
     })),
     onTimeAtMs: nowMs + request.onTimeMs,
@@ -106,6 +109,31 @@
   };
 }
 
+/** Broken calls after which a piece no longer shares a call with others. */
+const MAX_SHARED_BROKEN_CALLS = 2;
+/** Broken calls after which a piece is not sent again. */
+const MAX_BROKEN_CALLS = 4;
+
+/**
+ * Tells whether a piece is sent without others: it may have broken its last calls, and the pieces
+ * that shared them must not be given up with it.
+ *
+ * @param piece - a piece
+ * @returns whether it needs a call of its own
+ */
+export function isSentAlone({ brokenCallCount }: JobPiece): boolean {
+  return brokenCallCount >= MAX_SHARED_BROKEN_CALLS;
+}
+
+/**
+ * @param job - a request
+ * @returns whether one of its pieces has broken so many calls that the request is given up
+ */
+export function hasCrashingPiece({ stages }: PlacementJob): boolean {
+  return stages.some(({ pieces }) => (
+    pieces.some(({ brokenCallCount }) => brokenCallCount >= MAX_BROKEN_CALLS)));
+}
+
 /**
  * @param stage - a stage
  * @returns whether all its pieces are done
--- a/src/placement/PlacementRefusals.ts
+++ b/src/placement/PlacementRefusals.ts
@@ -19,6 +19,8 @@
 
 /** Longest retry delay for a caller when all engines advertise limits. */
 const MAX_LIMITED_RETRY_AFTER_MS = 20_000;
+/** Retry delay for a request whose pieces were in too many broken calls. */
+const BROKEN_CALLS_RETRY_AFTER_MS = 5_000;
 /** Shortest retry delay for a refused caller. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -61,6 +63,11 @@
     }
   }
 
+  /** @param job - a request with a piece that is not sent again, since its calls broke */
+  refuseCrashing(job: PlacementJob): void {
+    this.#refuse(job, REFUSAL.brokenCalls, BROKEN_CALLS_RETRY_AFTER_MS);
+  }
+
   #refuse(
     job: PlacementJob,
     reason: Refusal,
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -66,6 +66,8 @@
   limited: 'limited',
   /** No engine of the pool may be used. */
   noEngine: 'no-engine',
+  /** The upstreams of a stage broke off each call with one of its pieces. */
+  brokenCalls: 'broken-calls',
   /** The coordinator is leaving or unreachable. */
   unreachable: 'unreachable',
 } as const;
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -7,7 +7,7 @@
 import { GroupJobs } from './GroupJobs.ts';
 import { MakerTable, type MakerRecord } from './MakerTable.ts';
 import {
-  isStageDone, isStageOpen, type PlacementJob,
+  isSentAlone, isStageDone, isStageOpen, type JobPiece, type PlacementJob,
 } from './PlacementJob.ts';
 import {
   compareGroups, planBatches, type PieceGroup, type PlannedPiece,
@@ -55,6 +55,18 @@
   return outcome.kind === 'failure' && outcome.failure === PIECE_FAILURE.noRoom;
 }
 
+/** Separates the pieces that need a call of their own from those that may share one. */
+function splitByCall(
+  pieces: readonly JobPiece[],
+): { readonly pieces: readonly JobPiece[]; readonly needsOwnCall: boolean }[] {
+  const shared = pieces.filter((piece) => !isSentAlone(piece));
+  const alone = pieces.filter((piece) => isSentAlone(piece));
+  return [
+    ...(shared.length > 0 ? [{ pieces: shared, needsOwnCall: false }] : []),
+    ...alone.map((piece) => ({ pieces: [piece], needsOwnCall: true })),
+  ];
+}
+
 function getTimeoutMs(expectedMs: number, maker: MakerRecord): number {
   return Math.max(MIN_TIMEOUT_MS, expectedMs * TIMEOUT_FACTOR * Math.max(1, maker.slowness));
 }
@@ -216,7 +228,10 @@
       case 'broken':
         this.#makers.recordFailure(call.makerId, nowMs);
         this.#reserveUnknown(call, getResultBytes(call.pieces), nowMs + this.#getResultTtlMs(call));
-        call.pieces.forEach(({ piece }) => resetPiece(piece, 'broken'));
+        call.pieces.forEach(({ piece }) => {
+          piece.brokenCallCount += 1;
+          resetPiece(piece, 'broken');
+        });
         break;
       default:
         throw exhaustiveSwitchError(outcome);
@@ -312,13 +327,15 @@
           && (piece.sendCount === 0 || takeRetry())),
       }))
       .filter(({ pieces }) => pieces.length > 0)
-      .map(({ stage, pieces }) => {
+      .flatMap(({ stage, pieces }) => splitByCall(pieces).map((part) => ({ stage, ...part })))
+      .map(({ stage, pieces, needsOwnCall }) => {
         const doneAtMs = nowMs + this.getLeastMs(job);
         const canBeOnTime = doneAtMs <= job.onTimeAtMs;
         return {
           job,
           stage,
           pieces,
+          needsOwnCall,
           canBeOnTime,
           slackMs: (canBeOnTime ? job.onTimeAtMs : job.deadlineAtMs) - doneAtMs,
           failureDomain: chooser.choose(job, stage),
--- a/src/placement/pieceRetries.test.ts
+++ b/src/placement/pieceRetries.test.ts
@@ -1,4 +1,4 @@
-import { ok } from 'node:assert/strict';
+import { equal, ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
 import { PlacementTestBed } from '../../test/support/PlacementTestBed.ts';
@@ -77,6 +77,10 @@
   return excess === undefined ? null : `${excess.repeatCount} retries, ${excess.allowed} allowed`;
 }
 
+function isBad(call: StageCall): boolean {
+  return call.items.some(({ requestId }) => requestId === 'bad');
+}
+
 describe('retries of pieces', () => {
   it('stay within their bound while upstreams refuse the calls', () => {
     const sends = collectSends(15_000, (bed, call) => {
@@ -97,8 +101,6 @@
   it('stop for a piece that crashes the upstreams that run it', () => {
     const bed = new PlacementTestBed({ first: { makers: 8 } }, 1, createShares);
     const ended: StageCall[] = [];
-    const isBad = (call: StageCall): boolean => (
-      call.items.some(({ requestId }) => requestId === 'bad'));
     bed.place({
       requestId: 'bad', stages: [STAGE], pieceCounts: [1], remainingMs: 30_000,
     });
@@ -116,4 +118,24 @@
     }
     ok(ended.length <= MAX_ENDED, `${ended.length} upstreams crashed`);
   });
+
+  it('answers a request whose piece shared calls with one that crashes upstreams', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1 } });
+    const shared: StageCall[] = [];
+    ['bad', 'good'].forEach((requestId) => bed.place({
+      requestId, stages: [STAGE], pieceCounts: [1], remainingMs: 30_000,
+    }));
+    for (let nowMs = 0; nowMs < 20_000; nowMs += STEP_MS) {
+      bed.clock.advance(STEP_MS);
+      bed.coordinator.run();
+      const calls = bed.takeCalls();
+      shared.push(...calls.filter((call) => isBad(call) && call.items.length > 1));
+      calls.filter(isBad).forEach((call) => (
+        bed.coordinator.finishCall(call, { kind: 'broken', detail: 'other side closed' })));
+      calls.filter((call) => !isBad(call)).forEach((call) => bed.complete(call));
+    }
+    ok(shared.length > 0, 'no call was shared');
+    equal(bed.results.get('bad')?.kind, 'refused');
+    equal(bed.results.get('good')?.kind, 'placed');
+  });
 });
--- a/src/placement/planBatches.test.ts
+++ b/src/placement/planBatches.test.ts
@@ -15,6 +15,7 @@
   readonly priority?: number;
   readonly slackMs?: number;
   readonly canBeOnTime?: boolean;
+  readonly needsOwnCall?: boolean;
   readonly failureDomain?: string;
   readonly inputBytes?: number;
 }
@@ -51,6 +52,7 @@
     job,
     stage,
     pieces: stage.pieces,
+    needsOwnCall: values.needsOwnCall ?? false,
     canBeOnTime: values.canBeOnTime ?? true,
     slackMs: values.slackMs ?? 500,
     failureDomain: values.failureDomain ?? null,
--- a/src/placement/planBatches.ts
+++ b/src/placement/planBatches.ts
@@ -11,6 +11,8 @@
   readonly job: PlacementJob;
   readonly stage: JobStage;
   readonly pieces: readonly JobPiece[];
+  /** Whether its pieces share a call with no other piece. */
+  readonly needsOwnCall: boolean;
   /** Whether the request can still be answered on time. */
   readonly canBeOnTime: boolean;
   /** Slack before it misses its latency target, or its deadline if the target is out of reach. */
@@ -52,9 +54,14 @@
 interface OpenBatch extends PlannedBatch {
   readonly space: BatchSpace;
   freeBytes: number;
+  /** Whether it takes no further piece. */
+  isClosed: boolean;
 }
 
 function getRoom(batch: OpenBatch, group: PieceGroup): number {
+  if (batch.isClosed || (group.needsOwnCall && batch.pieces.length > 0)) {
+    return 0;
+  }
   const bytes = group.stage.resultBytes;
   const room = bytes > 0 ? Math.floor(batch.freeBytes / bytes) : Infinity;
   return Math.max(0, Math.min(batch.space.maxPieces - batch.pieces.length, room));
@@ -121,7 +128,7 @@
   busy: readonly BusyMaker[] = [],
 ): PlannedBatch[] {
   const batches: OpenBatch[] = spaces.map((space) => ({
-    makerId: space.makerId, space, freeBytes: space.freeBytes, pieces: [],
+    makerId: space.makerId, space, freeBytes: space.freeBytes, pieces: [], isClosed: false,
   }));
   groups.forEach((group) => {
     if (shouldHold(group, batches, busy)) {
@@ -139,6 +146,7 @@
         best.pieces.push({ job: group.job, stage: group.stage, piece });
       });
       best.freeBytes -= count * group.stage.resultBytes;
+      best.isClosed = group.needsOwnCall;
       waiting = waiting.slice(count);
     }
   });
--- a/src/relay/endlessAnswers.test.ts
+++ b/src/relay/endlessAnswers.test.ts
@@ -82,12 +82,16 @@
 async function runFlood(path: string, createFlood: FloodMaker): Promise<FloodRun> {
   const sent = new Map<Socket, number>();
   let openCount = 0;
+  const closings: Promise<void>[] = [];
   const flooding: UpstreamHandler = (request, response) => {
     const { socket } = request;
     openCount += 1;
-    socket.once('close', () => {
-      openCount -= 1;
-    });
+    closings.push(new Promise<void>((resolve) => {
+      socket.once('close', () => {
+        openCount -= 1;
+        resolve();
+      });
+    }));
     response.detachSocket(socket);
     flood(socket, createFlood(String(request.headers['x-request-id'])), (bytes) => {
       sent.set(socket, (sent.get(socket) ?? 0) + bytes);
@@ -103,6 +107,9 @@
     });
     statuses.push(status);
   }
+  // The upstream learns of a closed connection after the caller has its answer from another one. A
+  // connection that stays open fails the test by its timeout.
+  await Promise.all(closings);
   return {
     statuses, mostBytes: Math.max(0, ...sent.values()), floodCount: sent.size, openCount,
   };
