--- a/scripts/soak/SoakFaultInjector.ts
+++ b/scripts/soak/SoakFaultInjector.ts
@@ -3,6 +3,7 @@
 import { STORE_KEYS } from '../../platform/WIRE.ts';
 import { exhaustiveSwitchError } from '../../src/lib/exhaustiveSwitchError.ts';
 import type { StoreFault, StoreStandin } from '../../standins/store/StoreStandin.ts';
+import { StoreCopyFault } from './StoreCopyFault.ts';
 import type { SoakHost } from './SoakHost.ts';
 import type { ProxyFault, SoakProxy } from './SoakProxy.ts';
 import type { LinkSpan, StoreSpan } from './SoakRecord.ts';
@@ -57,6 +58,8 @@
 export class SoakFaultInjector {
   readonly #options: SoakFaultInjectorOptions;
 
+  readonly #storeCopyFault: StoreCopyFault;
+
   #version = 1;
 
   #isStopped = false;
@@ -66,6 +69,12 @@
    */
   constructor(options: SoakFaultInjectorOptions) {
     this.#options = options;
+    this.#storeCopyFault = new StoreCopyFault(options.store);
+  }
+
+  /** Starts to take copies of the store. */
+  start(): void {
+    this.#storeCopyFault.start();
   }
 
   /**
@@ -75,7 +84,7 @@
    * @param state - the state that the entry shows
    */
   register({ upstream, proxy, failureDomain }: PlacedUpstream, state: 'ready' | 'draining'): void {
-    this.#options.store.put(`${STORE_KEYS.upstreamPrefix}${upstream.id}`, {
+    this.#storeCopyFault.put(`${STORE_KEYS.upstreamPrefix}${upstream.id}`, {
       service: upstream.kind,
       address: proxy.address,
       zone: failureDomain,
@@ -89,11 +98,12 @@
   /** Prevents further upstream restarts, since the run is over. */
   stop(): void {
     this.#isStopped = true;
+    this.#storeCopyFault.stop();
   }
 
   /** Writes the next version of the manifest to the store. */
   putManifest(): void {
-    this.#options.store.put(STORE_KEYS.configuration, createSoakManifest(this.#version));
+    this.#storeCopyFault.put(STORE_KEYS.configuration, createSoakManifest(this.#version));
     this.#version += 1;
   }
 
@@ -108,7 +118,7 @@
     // A fault may have restarted it meanwhile, or the run may be over.
     if (!this.#isStopped && placed !== undefined && placed.upstream.id === upstreamId) {
       placed.upstream.restart();
-      this.#options.store.remove(`${STORE_KEYS.upstreamPrefix}${upstreamId}`);
+      this.#storeCopyFault.remove(`${STORE_KEYS.upstreamPrefix}${upstreamId}`);
       this.register(placed, 'ready');
     }
   }
@@ -139,6 +149,9 @@
       case 'store':
         await this.#injectStoreFault(fault.how, durationMs);
         return;
+      case 'storeCopy':
+        await this.#injectStoreCopyFault(targetNumber, durationMs);
+        return;
       case 'limit':
         await this.#injectLimitFault(fault, targetNumber, durationMs);
         return;
@@ -190,7 +203,7 @@
     targetNumber: number,
     durationMs: number,
   ): Promise<void> {
-    const { upstreams, store } = this.#options;
+    const { upstreams } = this.#options;
     const placed = upstreams[targetNumber % upstreams.length];
     if (placed === undefined) {
       return;
@@ -221,7 +234,7 @@
       return;
     }
     placed.upstream.crash();
-    store.remove(`${STORE_KEYS.upstreamPrefix}${id}`);
+    this.#storeCopyFault.remove(`${STORE_KEYS.upstreamPrefix}${id}`);
     this.register(placed, 'ready');
   }
 
@@ -330,4 +343,10 @@
     store.fault = { kind: 'none' };
     this.#options.onStoreSpan({ fromMs, untilMs: performance.now() });
   }
+
+  async #injectStoreCopyFault(targetNumber: number, durationMs: number): Promise<void> {
+    const fromMs = performance.now();
+    await this.#storeCopyFault.inject(targetNumber, durationMs);
+    this.#options.onStoreSpan({ fromMs, untilMs: performance.now() });
+  }
 }
--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -1,4 +1,5 @@
 import { describe, it } from 'node:test';
+import { SOAK_PROFILE } from './createSoakPlan.ts';
 import { MIXED_RUN, checkSoakRun, type SoakTestOptions } from '../../test/support/checkSoakRun.ts';
 import { REGRESSION_RUNS } from './REGRESSION_RUNS.ts';
 
@@ -21,6 +22,32 @@
   })),
 };
 
+/** The store comes back from copies, at first while all hosts are restarting. */
+const STORE_COPY_RUN: SoakTestOptions = {
+  ...MIXED_RUN,
+  profile: SOAK_PROFILE.copies,
+  plan: [
+    {
+      atMs: 2_500, durationMs: 900, targetNumber: 0, fault: { kind: 'storeCopy' },
+    },
+    {
+      atMs: 2_600, durationMs: 0, targetNumber: 0, fault: { kind: 'allHosts', how: 'kill' },
+    },
+    {
+      atMs: 5_000, durationMs: 0, targetNumber: 0, fault: { kind: 'manifest' },
+    },
+    {
+      atMs: 5_200, durationMs: 0, targetNumber: 1, fault: { kind: 'upstream', how: 'drain' },
+    },
+    {
+      atMs: 7_300, durationMs: 500, targetNumber: 6, fault: { kind: 'storeCopy' },
+    },
+    {
+      atMs: 9_000, durationMs: 0, targetNumber: 2, fault: { kind: 'upstream', how: 'crash' },
+    },
+  ],
+};
+
 describe('SoakRun', () => {
   it('stops sending requests that crash their upstreams', async () => {
     await checkSoakRun(CRASHING_RUN, NETWORK);
@@ -30,7 +57,10 @@
     await checkSoakRun(UPSTREAM_CRASH_RUN, NETWORK);
   });
 
-  [MIXED_RUN, ...REGRESSION_RUNS.filter(({ isShort }) => isShort)].forEach((options) => {
+  const runs = [
+    MIXED_RUN, STORE_COPY_RUN, ...REGRESSION_RUNS.filter(({ isShort }) => isShort),
+  ];
+  runs.forEach((options) => {
     const faults = options.plan === undefined ? `seed ${options.seed}` : 'a plan';
     it(`keeps all promises under the ${options.profile} faults of ${faults}`, async () => {
       await checkSoakRun(options, NETWORK);
--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -184,6 +184,7 @@
   async #start(): Promise<void> {
     mkdirSync(this.#options.folder, { recursive: true });
     await this.#store.listen();
+    this.#faultInjector.start();
     this.#faultInjector.putManifest();
     await Promise.all(Object.values(SOAK_POOLS).flatMap((pool) => (
       Array.from({ length: UPSTREAMS_PER_POOL }, (_, index) => this.#addUpstream(pool, index)))));
--- a/scripts/soak/createSoakPlan.ts
+++ b/scripts/soak/createSoakPlan.ts
@@ -15,6 +15,8 @@
     readonly target: 'upstream' | 'store';
   }
   | { readonly kind: 'store'; readonly how: 'down' | 'answersLost' | 'slow' | 'forget' }
+  /** The store is away for a moment and comes back from a copy of some seconds ago. */
+  | { readonly kind: 'storeCopy' }
   /** Upstreams advertise a limit for some time; a later limit replaces an earlier one. */
   | {
     readonly kind: 'limit';
@@ -118,20 +120,47 @@
   { kind: 'manifest' },
 ];
 
+/** A store that comes back from older copies, and changes that the copies lack. */
+const COPY_FAULTS: readonly SoakFault[] = [
+  { kind: 'storeCopy' },
+  { kind: 'storeCopy' },
+  { kind: 'storeCopy' },
+  { kind: 'store', how: 'answersLost' },
+  { kind: 'store', how: 'forget' },
+  { kind: 'upstream', how: 'crash' },
+  { kind: 'upstream', how: 'crash' },
+  { kind: 'upstream', how: 'drain' },
+  { kind: 'upstream', how: 'leave' },
+  { kind: 'allHosts', how: 'terminate' },
+  { kind: 'allHosts', how: 'kill' },
+  { kind: 'host', how: 'terminate' },
+  { kind: 'host', how: 'kill' },
+  { kind: 'host', how: 'pause' },
+  { kind: 'connection', how: 'silent', target: 'store' },
+  { kind: 'connection', how: 'reset', target: 'upstream' },
+  { kind: 'manifest' },
+  { kind: 'manifest' },
+];
+
 /**
  * Sets of faults to draw from. `all` keeps its original faults, so that its seeds always draw the
  * same ones; `repeats` has faults that cause retries; `closures` has upstreams that leave or ask
- * for a back-off; `limits` has upstreams that advertise a limit.
+ * for a back-off; `limits` has upstreams that advertise a limit; `copies` has a store that comes
+ * back from older copies.
  */
 export const SOAK_PROFILE = {
-  all: 'all', repeats: 'repeats', closures: 'closures', limits: 'limits',
+  all: 'all', repeats: 'repeats', closures: 'closures', limits: 'limits', copies: 'copies',
 } as const;
 
 /** A member of {@link SOAK_PROFILE}. */
 export type SoakProfile = typeof SOAK_PROFILE[keyof typeof SOAK_PROFILE];
 
 const PROFILE_FAULTS: Readonly<Record<SoakProfile, readonly SoakFault[]>> = {
-  all: FAULTS, repeats: REPEAT_FAULTS, closures: CLOSURE_FAULTS, limits: LIMIT_FAULTS,
+  all: FAULTS,
+  repeats: REPEAT_FAULTS,
+  closures: CLOSURE_FAULTS,
+  limits: LIMIT_FAULTS,
+  copies: COPY_FAULTS,
 };
 
 const MIN_DURATION_MS = 300;
--- a/src/directory/ChangeLog.test.ts
+++ b/src/directory/ChangeLog.test.ts
@@ -1,6 +1,7 @@
 import { deepEqual } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { ChangeLog } from './ChangeLog.ts';
+import { bindToEra } from './EraBound.ts';
 
 describe('ChangeLog', () => {
   it('returns all batches after a revision, in order', () => {
@@ -17,9 +18,9 @@
 
   it('reports a gap before its first revision, and never returns an older revision', () => {
     const log = new ChangeLog();
-    deepEqual(log.getSince(1), { kind: 'gap' });
+    deepEqual(log.getSince(1), { kind: 'gap', era: null });
     log.reset(10);
-    deepEqual(log.getSince(9), { kind: 'gap' });
+    deepEqual(log.getSince(9), { kind: 'gap', era: 0 });
     deepEqual(log.getSince(30), { kind: 'changes', revision: 30, payloads: [] });
   });
 
@@ -28,7 +29,7 @@
     log.reset(10);
     log.append(10, 12, 'a');
     log.append(15, 17, 'b');
-    deepEqual(log.getSince(12), { kind: 'gap' });
+    deepEqual(log.getSince(12), { kind: 'gap', era: 0 });
     deepEqual(log.getSince(15), { kind: 'changes', revision: 17, payloads: ['b'] });
   });
 
@@ -36,10 +37,18 @@
     const log = new ChangeLog();
     log.reset(0);
     Array.from({ length: 100 }, (_, index) => log.append(index, index + 1, `${index}`));
-    deepEqual(log.getSince(0), { kind: 'gap' });
+    deepEqual(log.getSince(0), { kind: 'gap', era: 0 });
     deepEqual(log.getSince(98), { kind: 'changes', revision: 100, payloads: ['98', '99'] });
   });
 
+  it('reports a gap to a host whose revision is of another era', () => {
+    const log = new ChangeLog();
+    log.reset(bindToEra(2, 10));
+    log.append(bindToEra(2, 10), bindToEra(2, 12), 'a');
+    deepEqual(log.getSince(bindToEra(1, 11)), { kind: 'gap', era: 2 });
+    deepEqual(log.getSince(bindToEra(3, 11)), { kind: 'gap', era: 2 });
+  });
+
   it('ends a wait when changes are appended', async () => {
     const log = new ChangeLog();
     log.reset(1);
--- a/src/directory/ChangeLog.ts
+++ b/src/directory/ChangeLog.ts
@@ -1,8 +1,10 @@
+import { getEra, type EraBound } from './EraBound.ts';
+
 /** Changes from one answer of the store, in its encoding. */
 interface ChangeBatch {
   /** Revision before the changes. */
-  readonly fromRevision: number;
-  readonly toRevision: number;
+  readonly fromRevision: EraBound;
+  readonly toRevision: EraBound;
   readonly payload: string;
 }
 
@@ -10,12 +12,12 @@
 export type ChangeLogResult =
   | {
     readonly kind: 'changes';
-    readonly revision: number;
+    readonly revision: EraBound;
     /** Batches in order; empty when nothing has changed. */
     readonly payloads: readonly string[];
   }
-  /** The log does not reach back to the revision. */
-  | { readonly kind: 'gap' };
+  /** The log does not reach back to the revision, or follows another era of the store. */
+  | { readonly kind: 'gap'; readonly era: number | null };
 
 /** Number of batches that are kept; a host that needs older ones reads the store itself. */
 const MAX_BATCH_COUNT = 64;
@@ -24,14 +26,14 @@
 export class ChangeLog {
   #batches: ChangeBatch[] = [];
 
-  #firstRevision: number | null = null;
+  #firstRevision: EraBound | null = null;
 
-  #lastRevision: number | null = null;
+  #lastRevision: EraBound | null = null;
 
   readonly #waiters = new Set<() => void>();
 
   /** @param revision - the current revision; earlier changes are not available */
-  reset(revision: number): void {
+  reset(revision: EraBound): void {
     this.#batches = [];
     this.#firstRevision = revision;
     this.#lastRevision = revision;
@@ -45,7 +47,7 @@
    * @param toRevision - the revision after the changes
    * @param payload - the changes in the store's encoding; null when there are none
    */
-  append(fromRevision: number, toRevision: number, payload: string | null): void {
+  append(fromRevision: EraBound, toRevision: EraBound, payload: string | null): void {
     if (this.#lastRevision !== fromRevision) {
       this.reset(fromRevision);
     }
@@ -64,10 +66,13 @@
    * @param revision - the last one that the requesting host knows
    * @returns the changes since then
    */
-  getSince(revision: number): ChangeLogResult {
-    if (this.#firstRevision === null || this.#lastRevision === null
-      || revision < this.#firstRevision) {
-      return { kind: 'gap' };
+  getSince(revision: EraBound): ChangeLogResult {
+    if (this.#firstRevision === null || this.#lastRevision === null) {
+      return { kind: 'gap', era: null };
+    }
+    const era = getEra(this.#lastRevision);
+    if (revision < this.#firstRevision || getEra(revision) !== era) {
+      return { kind: 'gap', era };
     }
     return {
       kind: 'changes',
@@ -85,7 +90,7 @@
    * @param waitMs - the longest wait
    * @returns when there are changes or a gap, or the wait timed out
    */
-  async waitForChangesAfter(revision: number, waitMs: number): Promise<void> {
+  async waitForChangesAfter(revision: EraBound, waitMs: number): Promise<void> {
     const result = this.getSince(revision);
     if (result.kind === 'gap' || result.payloads.length > 0) {
       return;
--- a/src/directory/Directory.test.ts
+++ b/src/directory/Directory.test.ts
@@ -1,9 +1,11 @@
 import { deepEqual, equal } from 'node:assert/strict';
-import { describe, it } from 'node:test';
+import { beforeEach, describe, it } from 'node:test';
+import { createHostChange } from '../../test/support/createHostChange.ts';
 import { toId, type PoolId, type UpstreamId } from '../lib/ids.ts';
 import { ManualClock } from '../time/ManualClock.ts';
 import { Directory } from './Directory.ts';
 import type { DirectoryChange } from './DirectoryChange.ts';
+import { bindToEra } from './EraBound.ts';
 
 const POOL_ID = toId<PoolId>('pool');
 
@@ -92,4 +94,97 @@
     deepEqual(getUsableIds(directory), ['u2']);
     deepEqual(applied.map((change) => change.kind), ['upstream', 'upstreamGone', 'domainRestored']);
   });
+
+  describe('when the store comes back from an older copy', () => {
+    const ERA_1 = bindToEra(1, 50);
+    const ERA_2 = bindToEra(2, 20);
+    const GRACE_MS = 3_000;
+    let clock: ManualClock;
+    let directory: Directory;
+
+    beforeEach(() => {
+      clock = new ManualClock();
+      clock.advance(1_000);
+      directory = new Directory(clock);
+    });
+
+    function readEra1(...changes: DirectoryChange[]): void {
+      directory.applySnapshot({ changes, revision: ERA_1 });
+    }
+
+    function readEra2(...changes: DirectoryChange[]): void {
+      directory.applySnapshot({ changes, revision: ERA_2 });
+    }
+
+    it('keeps entries that the copy lacks until those alive have been written again', () => {
+      readEra1(createUpstreamChange('u1'), createUpstreamChange('u2'), createHostChange('h1'));
+      readEra2(createUpstreamChange('u1'));
+      deepEqual(getUsableIds(directory), ['u1', 'u2']);
+      equal(directory.hosts.size, 1);
+      clock.advance(GRACE_MS);
+      equal(directory.nextReadInMs, 0);
+      readEra2(createUpstreamChange('u1'), createHostChange('h1'));
+      deepEqual(getUsableIds(directory), ['u1']);
+      equal(directory.hosts.size, 1);
+    });
+
+    it('does not use an upstream again that was draining, gone or restarted', () => {
+      readEra1(
+        createUpstreamChange('drained', 'a', true, 1),
+        createUpstreamChange('gone', 'a', false, 1),
+        createUpstreamChange('restarted', 'a', false, 1),
+      );
+      directory.apply({ kind: 'upstreamGone', upstreamId: toId<UpstreamId>('gone') });
+      directory.apply(createUpstreamChange('restarted', 'a', false, 2));
+      const copy = ['drained', 'gone', 'restarted']
+        .map((id) => createUpstreamChange(id, 'a', false, 1));
+      readEra2(...copy);
+      deepEqual(getUsableIds(directory), ['restarted']);
+      equal(directory.getUpstream(toId<UpstreamId>('restarted'))?.entry.startedAtMs, 2);
+      clock.advance(GRACE_MS);
+      readEra2(...copy);
+      deepEqual(getUsableIds(directory), ['restarted']);
+    });
+
+    it('uses a removed upstream again once it has written its entry in the new era', () => {
+      readEra1(createUpstreamChange('u1', 'a', false, 1));
+      directory.apply({ kind: 'upstreamGone', upstreamId: toId<UpstreamId>('u1') });
+      readEra2(createUpstreamChange('u1', 'a', false, 1));
+      deepEqual(getUsableIds(directory), []);
+      directory.apply(createUpstreamChange('u1', 'a', false, 1));
+      deepEqual(getUsableIds(directory), ['u1']);
+    });
+
+    it('neither ends nor starts a drain by the word of the copy', () => {
+      readEra1(createUpstreamChange('a1', 'a'), createUpstreamChange('b1', 'b'));
+      directory.apply({ kind: 'domainDrained', failureDomain: 'a' });
+      directory.apply({ kind: 'domainDrained', failureDomain: 'b' });
+      directory.apply({ kind: 'domainRestored', failureDomain: 'b' });
+      const upstreams = [createUpstreamChange('a1', 'a'), createUpstreamChange('b1', 'b')];
+      readEra2(...upstreams, { kind: 'domainDrained', failureDomain: 'b' });
+      deepEqual(getUsableIds(directory), ['b1']);
+      clock.advance(GRACE_MS);
+      readEra2(...upstreams);
+      deepEqual(getUsableIds(directory), ['a1', 'b1']);
+    });
+
+    it('never takes an older configuration, nor does a process that starts from the copy', () => {
+      readEra1(createConfigurationChange(7));
+      readEra2(createConfigurationChange(5));
+      equal(directory.configuration?.version, 7);
+      const started = new Directory(clock);
+      const host = createHostChange('h1', { configurationVersion: 7 });
+      started.applySnapshot({ changes: [createConfigurationChange(5), host], revision: ERA_2 });
+      equal(started.configuration?.version, undefined);
+      started.apply(createConfigurationChange(7));
+      equal(started.configuration?.version, 7);
+    });
+
+    it('keeps the largest host count and forgets the revision of its record', () => {
+      readEra1({ kind: 'hostCount', count: 9, revision: ERA_1 });
+      readEra2(createHostChange('h1'));
+      equal(directory.largestHostCount, 9);
+      deepEqual(directory.recordedHostCount, { count: 0, revision: 0 });
+    });
+  });
 });
--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -3,8 +3,10 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { DirectoryChange } from './DirectoryChange.ts';
 import type { DirectorySnapshot } from './DirectoryStore.ts';
+import { getEra, type EraBound } from './EraBound.ts';
 import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
+import { StoreRollbackFilter } from './StoreRollbackFilter.ts';
 import { UpstreamClosureTable } from './UpstreamClosureTable.ts';
 import { AdvertisedLimitTable, type AdvertisedLimit } from './AdvertisedLimitTable.ts';
 import type { UpstreamEntry, UpstreamLifetime } from './UpstreamEntry.ts';
@@ -20,7 +22,15 @@
 export interface RecordedHostCount {
   readonly count: number;
   /** Revision of the record; 0 when there is none. */
-  readonly revision: number;
+  readonly revision: EraBound;
+}
+
+/** Part of the store's content that was not taken, in the first seconds of a new era. */
+export interface SnapshotDifference {
+  /** Known entries that the store lacks and that stay in use. */
+  readonly keptCount: number;
+  /** Entries of the store that were not taken, since they had been removed. */
+  readonly outdatedCount: number;
 }
 
 function getChangeKey(change: DirectoryChange): string {
@@ -40,6 +50,8 @@
       return `host ${change.hostId}`;
     case 'hostCount':
       return 'hostCount';
+    case 'storeEraChanged':
+      return 'storeEra';
     case 'upstreamLeaving':
       return `leaving ${change.lifetime.id}`;
     case 'upstreamBackOff':
@@ -58,9 +70,25 @@
   }
 }
 
+/**
+ * Order of application within a snapshot. Drains go first, so that a drained domain never appears
+ * as open in between; hosts go before the configuration, whose version they may show as outdated.
+ */
+function getSnapshotRank(change: DirectoryChange): number {
+  switch (change.kind) {
+    case 'domainDrained':
+      return 0;
+    case 'host':
+      return 1;
+    default:
+      return 2;
+  }
+}
+
 /**
  * This host's view of the configuration, upstreams, failure domains and hosts. A configuration is
- * only replaced by a higher version.
+ * only replaced by a higher version, and never taken from a store that came back from an older copy
+ * while another host knows a higher one.
  */
 export class Directory {
   readonly #clock: Clock;
@@ -77,6 +105,11 @@
 
   readonly #listeners: ((change: DirectoryChange) => void)[] = [];
 
+  readonly #rollbackFilter: StoreRollbackFilter;
+
+  /** Era of the store's content; null before it was read. */
+  #storeEra: number | null = null;
+
   #configuration: ServingConfiguration | null = null;
 
   #largestHostCount = 1;
@@ -91,6 +124,7 @@
   constructor(clock: Clock) {
     this.#clock = clock;
     this.#closures = new UpstreamClosureTable(clock);
+    this.#rollbackFilter = new StoreRollbackFilter(clock);
     this.#advertisedLimits = new AdvertisedLimitTable(clock);
   }
 
@@ -117,6 +151,11 @@
     return this.#recordedHostCount;
   }
 
+  /** Time until the whole store has to be read again; null when following its changes suffices. */
+  get nextReadInMs(): number | null {
+    return this.#rollbackFilter.nextReadInMs;
+  }
+
   /** Time since the store last confirmed this directory; null before its first answer. */
   get ageMs(): number | null {
     return this.#confirmedAtMs === null
@@ -273,11 +312,14 @@
   }
 
   /**
-   * Applies the whole content of the store; entries that it lacks are removed.
+   * Applies the whole content of the store; entries that it lacks are removed. In the first seconds
+   * of a new era of the store, its content is taken only where it is not older than what is known.
    *
    * @param snapshot - the content
+   * @returns how far the content was not taken
    */
-  applySnapshot(snapshot: DirectorySnapshot): void {
+  applySnapshot(snapshot: DirectorySnapshot): SnapshotDifference {
+    this.#enterEra(getEra(snapshot.revision));
     const presentKeys = new Set(snapshot.changes.map((change) => getChangeKey(change)));
     const removals: DirectoryChange[] = [
       ...[...this.#upstreams.keys()]
@@ -286,13 +328,37 @@
         .map((failureDomain) => ({ kind: 'domainRestored', failureDomain } as const)),
       ...[...this.#hosts.keys()].map((hostId) => ({ kind: 'hostGone', hostId } as const)),
     ];
-    // Drains are applied first, so that a drained domain never appears as open in between.
-    [...snapshot.changes]
-      .sort((left, right) => Number(right.kind === 'domainDrained')
-        - Number(left.kind === 'domainDrained'))
-      .forEach((change) => this.apply(change));
-    removals.filter((change) => !presentKeys.has(getChangeKey(change)))
+    const missing = removals.filter((change) => !presentKeys.has(getChangeKey(change)));
+    const current = snapshot.changes
+      .filter((change) => !this.#rollbackFilter.isOutdated(change));
+    [...current]
+      .sort((left, right) => getSnapshotRank(left) - getSnapshotRank(right))
       .forEach((change) => this.apply(change));
+    const { isKeepingMissing } = this.#rollbackFilter;
+    if (!isKeepingMissing) {
+      missing.forEach((change) => this.apply(change));
+    }
+    this.#rollbackFilter.recordRead();
+    return {
+      keptCount: isKeepingMissing ? missing.length : 0,
+      outdatedCount: snapshot.changes.length - current.length,
+    };
+  }
+
+  #enterEra(era: number): void {
+    const before = this.#storeEra;
+    this.#storeEra = era;
+    if (before === null || before === era) {
+      return;
+    }
+    this.#rollbackFilter.start();
+    // The copy may list a process as open that had announced since that it drains.
+    [...this.#upstreams.values()]
+      .filter(({ entry }) => entry.isDraining && entry.startedAtMs !== null)
+      .forEach(({ entry }) => this.#closures.recordLeaving(entry));
+    this.#largestHostCount = this.largestHostCount;
+    this.#recordedHostCount = { count: 0, revision: 0 };
+    this.apply({ kind: 'storeEraChanged', era, before });
   }
 
   #isRestart({ id, startedAtMs }: UpstreamEntry): boolean {
@@ -321,11 +387,12 @@
         });
         return true;
       case 'upstreamGone':
-        return this.#upstreams.delete(change.upstreamId);
+        return this.#removeUpstream(change.upstreamId);
       case 'domainDrained':
         this.#drainedDomains.add(change.failureDomain);
         return true;
       case 'domainRestored':
+        this.#rollbackFilter.recordDomainRestored(change.failureDomain);
         return this.#drainedDomains.delete(change.failureDomain);
       case 'host':
         this.#hosts.set(change.entry.id, change.entry);
@@ -342,6 +409,8 @@
         return this.#closures.recordBackOff(change.upstreamId, change.durationMs);
       case 'upstreamLimit':
         return this.#advertisedLimits.record(change.advertisedLimit);
+      case 'storeEraChanged':
+        return true;
       case 'crashRecorded':
       case 'requestCleared':
       case 'requestTried':
@@ -353,10 +422,24 @@
     }
   }
 
+  #removeUpstream(upstreamId: UpstreamId): boolean {
+    const entry = this.#upstreams.get(upstreamId)?.entry;
+    if (entry === undefined) {
+      return false;
+    }
+    this.#rollbackFilter.recordUpstreamRemoved(entry);
+    return this.#upstreams.delete(upstreamId);
+  }
+
   #updateConfiguration(configuration: ServingConfiguration): boolean {
     if (this.#configuration !== null && configuration.version <= this.#configuration.version) {
       return false;
     }
+    const knownVersions = [...this.#hosts.values()]
+      .map(({ configurationVersion }) => configurationVersion ?? 0);
+    if (configuration.version < Math.max(0, ...knownVersions)) {
+      return false;
+    }
     this.#configuration = configuration;
     return true;
   }
--- a/src/directory/DirectoryChange.ts
+++ b/src/directory/DirectoryChange.ts
@@ -1,5 +1,6 @@
 import type { HostId, UpstreamId } from '../lib/ids.ts';
 import type { CrashReport } from '../quarantine/QuarantineStore.ts';
+import type { EraBound } from './EraBound.ts';
 import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
 import type { UpstreamEntry, UpstreamLifetime } from './UpstreamEntry.ts';
@@ -27,26 +28,28 @@
   | { readonly kind: 'host'; readonly entry: KnownHost }
   | { readonly kind: 'hostGone'; readonly hostId: HostId }
   /** Largest number of hosts ever registered at the same time, as recorded in the store. */
-  | { readonly kind: 'hostCount'; readonly count: number; readonly revision: number }
+  | { readonly kind: 'hostCount'; readonly count: number; readonly revision: EraBound }
+  /** The store came back from an older copy; what was written since then is lost. */
+  | { readonly kind: 'storeEraChanged'; readonly era: number; readonly before: number }
   /** Requests that a host had in progress at an upstream when the upstream crashed. */
   | {
     readonly kind: 'crashRecorded';
     readonly hostId: HostId;
     readonly report: CrashReport;
-    readonly revision: number;
+    readonly revision: EraBound;
   }
   /** A request that was in progress at crashed upstreams has been answered. */
   | {
     readonly kind: 'requestCleared';
     readonly fingerprint: string;
-    readonly revision: number;
+    readonly revision: EraBound;
   }
   /** A request that was in progress at crashed upstreams is sent as a trial, by one host. */
   | {
     readonly kind: 'requestTried';
     readonly fingerprint: string;
     readonly trialCount: number;
-    readonly revision: number;
+    readonly revision: EraBound;
   }
   /** The record of a request's trials was deleted, after an answer or by an operator. */
   | { readonly kind: 'trialsForgotten'; readonly fingerprint: string }
--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -4,12 +4,13 @@
 import type { RandomSource } from '../lib/RandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
 import { ChangeLog } from './ChangeLog.ts';
-import type { Directory } from './Directory.ts';
+import type { Directory, SnapshotDifference } from './Directory.ts';
 import type { DirectoryChange } from './DirectoryChange.ts';
 import type { DirectoryPeers } from './DirectoryPeers.ts';
 import type { DirectoryReaderSelector } from './DirectoryReaderSelector.ts';
+import { getEra, getUnbound, type EraBound } from './EraBound.ts';
 import type { KnownHost } from './HostEntry.ts';
-import type { DirectoryStore } from './DirectoryStore.ts';
+import type { DirectorySnapshot, DirectoryStore } from './DirectoryStore.ts';
 
 /** Timing of a {@link DirectoryFollower}. */
 export interface DirectoryFollowerTimings {
@@ -94,7 +95,10 @@
   /** Changes for hosts that follow this host. */
   readonly changeLog = new ChangeLog();
 
-  #revision: number | null = null;
+  #revision: EraBound | null = null;
+
+  /** The newest revision so far, also while the whole directory has to be read. */
+  #lastRevision: EraBound | null = null;
 
   /** Monotonic time of the last answer of the store itself; null before the first. */
   #storeAnsweredAtMs: number | null = null;
@@ -194,11 +198,11 @@
 
   /** @returns the pause before the next step, to batch further changes */
   async #step(): Promise<number> {
-    if (this.#revision === null) {
+    const { readerSelector, peers, directory } = this.#options;
+    if (this.#revision === null || directory.nextReadInMs === 0) {
       await this.#readAll();
       return 0;
     }
-    const { readerSelector, peers } = this.#options;
     const { relayWaitMs } = this.#timings;
     const reader = relayWaitMs === null || this.#mustCatchUp
       ? null
@@ -206,13 +210,15 @@
     if (reader === null || peers === undefined || relayWaitMs === null) {
       return this.#followStore(this.#revision);
     }
-    await this.#followReader(peers, reader, this.#revision, relayWaitMs);
+    await this.#followReader(peers, reader, this.#revision, this.#limitWaitMs(relayWaitMs));
     return 0;
   }
 
   async #readAll(): Promise<void> {
     const snapshot = await this.#options.store.readAll();
-    this.#options.directory.applySnapshot(snapshot);
+    const difference = this.#options.directory.applySnapshot(snapshot);
+    this.#logEraChange(snapshot, difference);
+    this.#lastRevision = snapshot.revision;
     this.#revision = snapshot.revision;
     this.changeLog.reset(snapshot.revision);
     this.#hasRead = true;
@@ -225,13 +231,43 @@
     }, 'read the whole directory from the store');
   }
 
-  async #followStore(startRevision: number): Promise<number> {
+  #logEraChange(
+    { revision, changes }: DirectorySnapshot,
+    difference: SnapshotDifference,
+  ): void {
+    const before = this.#lastRevision;
+    if (before !== null && getEra(before) !== getEra(revision)) {
+      this.#options.logger.warn({
+        event: 'storeEraChanged',
+        era: getEra(revision),
+        before: getEra(before),
+        revision: getUnbound(revision),
+        revisionBefore: getUnbound(before),
+        entryCount: changes.length,
+        ...difference,
+        version: this.#options.directory.configuration?.version ?? null,
+      }, 'the store came back from an older copy; what it lacks is written again where known');
+    }
+  }
+
+  /** @returns a pause before the whole directory is read, so that the hosts don't read at once */
+  #getReadPauseMs(): number {
+    const { settlePerHostMs, maxSettleMs } = this.#timings;
+    const { directory, random } = this.#options;
+    return random.getFraction() * Math.min(maxSettleMs, settlePerHostMs * directory.hosts.size);
+  }
+
+  async #followStore(startRevision: EraBound): Promise<number> {
     const { store } = this.#options;
     const result = await store.follow(startRevision, this.#getStoreWaitMs());
     this.#mustCatchUp = false;
     if (this.#revision !== startRevision) {
       return 0;
     }
+    if (result.kind === 'eraChanged') {
+      this.#revision = null;
+      return this.#getReadPauseMs();
+    }
     if (result.kind === 'historyLost') {
       this.#options.logger.warn(
         { event: 'directoryHistoryLost', revision: startRevision },
@@ -252,15 +288,20 @@
       return 0;
     }
     const { waitMs, relayWaitMs } = this.#timings;
-    return this.#isReader && relayWaitMs !== null
+    return this.#limitWaitMs(this.#isReader && relayWaitMs !== null
       ? Math.min(waitMs, relayWaitMs * READER_WAIT_FACTOR)
-      : waitMs;
+      : waitMs);
+  }
+
+  /** Limits a wait for changes to the time until the whole store has to be read again. */
+  #limitWaitMs(waitMs: number): number {
+    return Math.ceil(Math.min(waitMs, this.#options.directory.nextReadInMs ?? Infinity));
   }
 
   async #followReader(
     peers: DirectoryPeers,
     reader: KnownHost,
-    startRevision: number,
+    startRevision: EraBound,
     waitMs: number,
   ): Promise<void> {
     const { store, directory, readerSelector } = this.#options;
@@ -271,9 +312,13 @@
       }
       if (answer.kind === 'gap') {
         this.#mustCatchUp = true;
+        if (answer.era !== getEra(startRevision)) {
+          readerSelector?.recordFailure(reader, `it follows era ${answer.era} of the store`);
+        }
         return;
       }
-      const changes = answer.payloads.flatMap((payload) => store.decodeChanges(payload));
+      const changes = answer.payloads
+        .flatMap((payload) => store.decodeChanges(payload, answer.revision));
       this.#apply(changes, answer.revision);
       directory.recordConfirmation(answer.ageMs);
     } catch (error) {
@@ -283,9 +328,10 @@
   }
 
   /** Applies changes. The revision never decreases, whatever the source of the changes. */
-  #apply(changes: readonly DirectoryChange[], revision: number): void {
+  #apply(changes: readonly DirectoryChange[], revision: EraBound): void {
     changes.forEach((change) => this.#options.directory.apply(change));
     this.#revision = Math.max(this.#revision ?? 0, revision);
+    this.#lastRevision = this.#revision;
   }
 
   #recordStoreAnswer(): void {
--- a/src/directory/DirectoryPeers.ts
+++ b/src/directory/DirectoryPeers.ts
@@ -1,8 +1,9 @@
 import type { ChangeLogResult } from './ChangeLog.ts';
+import type { EraBound } from './EraBound.ts';
 import type { KnownHost } from './HostEntry.ts';
 
-/** Path at which a reader serves its changes to other hosts. */
-export const DIRECTORY_PATH = '/directory-changes';
+/** Path at which a reader serves its changes to other hosts, by revisions with their era. */
+export const DIRECTORY_PATH = '/directory-changes/by-era';
 
 /** Answer of a reader to a host that follows it. */
 export type PeerChanges = ChangeLogResult & {
@@ -19,5 +20,5 @@
    * @returns the changes
    * @throws Error when the reader gives no answer, or has lost contact with the store
    */
-  follow(reader: KnownHost, revision: number, waitMs: number): Promise<PeerChanges>;
+  follow(reader: KnownHost, revision: EraBound, waitMs: number): Promise<PeerChanges>;
 }
--- a/src/directory/DirectoryStore.ts
+++ b/src/directory/DirectoryStore.ts
@@ -1,11 +1,12 @@
 import type { DirectoryChange } from './DirectoryChange.ts';
+import type { EraBound } from './EraBound.ts';
 import type { HostEntry } from './HostEntry.ts';
 
 /** Whole content of the store at about one revision. */
 export interface DirectorySnapshot {
   readonly changes: readonly DirectoryChange[];
   /** Revision after which changes are to be followed. */
-  readonly revision: number;
+  readonly revision: EraBound;
 }
 
 /** Result of a wait for changes. */
@@ -13,10 +14,12 @@
   | {
     readonly kind: 'changes';
     readonly changes: readonly DirectoryChange[];
-    readonly revision: number;
+    readonly revision: EraBound;
     /** The changes in the store's encoding, for `decodeChanges` at another host. */
     readonly payload: string;
   }
+  /** The store came back from an older copy; its revisions are those of another era. */
+  | { readonly kind: 'eraChanged'; readonly era: number }
   /** The store no longer has the requested history. */
   | { readonly kind: 'historyLost' };
 
@@ -37,24 +40,25 @@
    * @param waitMs - the longest wait
    * @returns the changes; none when the wait timed out
    */
-  follow(revision: number, waitMs: number): Promise<FollowResult>;
+  follow(revision: EraBound, waitMs: number): Promise<FollowResult>;
   /**
    * @param payload - changes that another host received from the store
+   * @param revision - the revision that they lead to
    * @returns the decoded changes
    */
-  decodeChanges(payload: string): readonly DirectoryChange[];
+  decodeChanges(payload: string, revision: EraBound): readonly DirectoryChange[];
   /**
    * @param ttlMs - time after which the lease expires unless it is renewed
    * @returns the lease's id
    */
-  createLease(ttlMs: number): Promise<number>;
+  createLease(ttlMs: number): Promise<EraBound>;
   /**
    * @param leaseId - the lease
    * @returns whether the lease is still valid
    */
-  renewLease(leaseId: number): Promise<RenewResult>;
+  renewLease(leaseId: EraBound): Promise<RenewResult>;
   /** @param leaseId - the lease; the store deletes the entries written under it */
-  endLease(leaseId: number): Promise<void>;
+  endLease(leaseId: EraBound): Promise<void>;
   /**
    * Writes a host's entry, which exists until the lease ends.
    *
@@ -62,12 +66,12 @@
    * @param leaseId - the lease
    * @returns whether the lease is still valid
    */
-  writeHost(entry: HostEntry, leaseId: number): Promise<RenewResult>;
+  writeHost(entry: HostEntry, leaseId: EraBound): Promise<RenewResult>;
   /**
    * Records the largest number of hosts, unless another host has changed the record meanwhile.
    *
    * @param count - the number of hosts
    * @param knownRevision - the revision of the record to replace; 0 when there is none
    */
-  recordHostCount(count: number, knownRevision: number): Promise<void>;
+  recordHostCount(count: number, knownRevision: EraBound): Promise<void>;
 }
--- a/src/directory/HostEntry.ts
+++ b/src/directory/HostEntry.ts
@@ -1,4 +1,5 @@
 import type { HostId } from '../lib/ids.ts';
+import type { EraBound } from './EraBound.ts';
 
 /** Entry by which a host announces itself to the other hosts. */
 export interface HostEntry {
@@ -10,10 +11,12 @@
   readonly processorCores: number;
   /** Bandwidth of the host's network link. */
   readonly linkMbps: number;
+  /** Version of the configuration that it knew when it registered; absent when it knew none. */
+  readonly configurationVersion?: number;
 }
 
 /** Entry of a host as read from the store. */
 export interface KnownHost extends HostEntry {
   /** Store revision at which the host's process registered; the lowest belongs to the oldest. */
-  readonly registeredRevision: number;
+  readonly registeredRevision: EraBound;
 }
--- a/src/directory/HostRegistration.ts
+++ b/src/directory/HostRegistration.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import type { Clock } from '../time/Clock.ts';
 import type { DirectoryStore } from './DirectoryStore.ts';
+import { getEra, getUnbound, type EraBound } from './EraBound.ts';
 import type { HostEntry } from './HostEntry.ts';
 
 /** Timing of a host's registration. */
@@ -23,38 +24,40 @@
 
   readonly #store: DirectoryStore;
 
-  readonly #entry: HostEntry;
+  readonly #getEntry: () => HostEntry;
 
   readonly #logger: Logger;
 
   readonly #options: HostRegistrationOptions;
 
-  #leaseId: number | null = null;
+  #leaseId: EraBound | null = null;
 
   #timer: NodeJS.Timeout | null = null;
 
   #isStopped = false;
 
+  #isRenewing = false;
+
   /** Start of the last call that confirmed the entry; null while no entry is confirmed. */
   #confirmedAtMs: number | null = null;
 
   /**
    * @param clock - tells when the store confirms the entry
    * @param store - receives the entry
-   * @param entry - the entry
+   * @param getEntry - returns the entry as it is to be written now
    * @param logger - receives a line at each registration
    * @param options - the lease time and the renewal interval
    */
   constructor(
     clock: Clock,
     store: DirectoryStore,
-    entry: HostEntry,
+    getEntry: () => HostEntry,
     logger: Logger,
     options: HostRegistrationOptions = DEFAULT_HOST_REGISTRATION_OPTIONS,
   ) {
     this.#clock = clock;
     this.#store = store;
-    this.#entry = entry;
+    this.#getEntry = getEntry;
     this.#logger = logger;
     this.#options = options;
   }
@@ -68,6 +71,9 @@
 
   /** Registers the host and renews its entry periodically. */
   async start(): Promise<void> {
+    clearTimeout(this.#timer ?? undefined);
+    this.#timer = null;
+    this.#isRenewing = true;
     try {
       await this.#renew();
     } catch (error) {
@@ -76,15 +82,17 @@
         'the host could not be registered; retrying',
       );
     }
+    this.#isRenewing = false;
     if (!this.#isStopped) {
-      this.#timer = setTimeout(() => {
-        this.start().catch((error: unknown) => {
-          this.#logger.error(
-            { event: 'registrationFailed', error: String(error) },
-            'the renewal of the host entry ended unexpectedly',
-          );
-        });
-      }, this.#options.renewEveryMs);
+      this.#timer = setTimeout(() => this.#restart(), this.#options.renewEveryMs);
+    }
+  }
+
+  /** Renews the entry at once; for a host whose entry the store may have lost. */
+  renewNow(): void {
+    // Without a pending timer the host is not started, is stopped, or renews its entry already.
+    if (this.#timer !== null && !this.#isRenewing) {
+      this.#restart();
     }
   }
 
@@ -102,6 +110,15 @@
     }
   }
 
+  #restart(): void {
+    this.start().catch((error: unknown) => {
+      this.#logger.error(
+        { event: 'registrationFailed', error: String(error) },
+        'the renewal of the host entry ended unexpectedly',
+      );
+    });
+  }
+
   async #renew(): Promise<void> {
     const requestedAtMs = this.#clock.getMonotonicMs();
     if (this.#leaseId !== null && await this.#store.renewLease(this.#leaseId) === 'renewed') {
@@ -114,10 +131,13 @@
     if (this.#isStopped) {
       return;
     }
-    if (await this.#store.writeHost(this.#entry, leaseId) === 'renewed') {
+    if (await this.#store.writeHost(this.#getEntry(), leaseId) === 'renewed') {
       this.#leaseId = leaseId;
       this.#confirmedAtMs = requestedAtMs;
-      this.#logger.info({ event: 'hostRegistered', leaseId }, 'registered this host in the store');
+      this.#logger.info(
+        { event: 'hostRegistered', leaseId: getUnbound(leaseId), storeEra: getEra(leaseId) },
+        'registered this host in the store',
+      );
     }
   }
 }
--- a/src/directory/HttpDirectoryPeers.ts
+++ b/src/directory/HttpDirectoryPeers.ts
@@ -1,6 +1,7 @@
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
 import { readBoundedText } from '../upstreams/readBoundedText.ts';
 import { DIRECTORY_PATH, type DirectoryPeers, type PeerChanges } from './DirectoryPeers.ts';
+import type { EraBound } from './EraBound.ts';
 import type { KnownHost } from './HostEntry.ts';
 
 /** Time for a reader's answer in addition to the requested wait. */
@@ -19,7 +20,7 @@
   }
 
   /** @inheritdoc */
-  async follow(reader: KnownHost, revision: number, waitMs: number): Promise<PeerChanges> {
+  async follow(reader: KnownHost, revision: EraBound, waitMs: number): Promise<PeerChanges> {
     const response = await this.#connections.get(`http://${reader.peerAddress}`).request({
       method: 'GET',
       path: `${DIRECTORY_PATH}?after=${revision}&waitMs=${waitMs}`,
--- a/src/directory/relayedDirectory.test.ts
+++ b/src/directory/relayedDirectory.test.ts
@@ -131,7 +131,8 @@
   });
 
   it('reads the store without waiting when its reader lacks its revision', async () => {
-    const { store, follower } = createFollower(FOLLOWER, [{ kind: 'gap', ageMs: 1 }, NO_CHANGES]);
+    const gap = { kind: 'gap', era: 0, ageMs: 1 } as const;
+    const { store, follower } = createFollower(FOLLOWER, [gap, NO_CHANGES]);
     await follower.run();
     deepEqual(store.waitsMs, [0]);
   });
--- a/src/explain/explainFromLogs.ts
+++ b/src/explain/explainFromLogs.ts
@@ -18,7 +18,8 @@
 
 /** Events that change a host's state; included when they occur near the request. */
 export const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
-  'started', 'stopping', 'stopped', 'paused', 'storeLost', 'storeRegained', 'configurationInForce',
+  'started', 'stopping', 'stopped', 'paused', 'storeLost', 'storeRegained', 'storeEraChanged',
+  'configurationInForce',
   'placerChosen', 'placerLost', 'stageCallEnded', 'upstreamLeaving', 'upstreamBackOff',
   'directorySourceChanged', 'directoryReaderLost', 'upstreamCrashed', 'upstreamLimit',
   'limitKeeperChosen',
--- a/src/quarantine/QuarantineStore.ts
+++ b/src/quarantine/QuarantineStore.ts
@@ -1,3 +1,4 @@
+import type { EraBound } from '../directory/EraBound.ts';
 import type { RenewResult } from '../directory/DirectoryStore.ts';
 import type { HostId } from '../lib/ids.ts';
 
@@ -23,7 +24,7 @@
   /** Trials so far, including the one that begins. */
   readonly trialCount: number;
   /** Revision of the record to replace; 0 for none. */
-  readonly expectedRevision: number;
+  readonly expectedRevision: EraBound;
   /** Request whose record is removed to bound their number; null while there are few. */
   readonly evictedFingerprint: string | null;
 }
@@ -36,7 +37,7 @@
    * @param ttlMs - duration of the lease
    * @returns the lease's id
    */
-  createLease(ttlMs: number): Promise<number>;
+  createLease(ttlMs: number): Promise<EraBound>;
   /**
    * Writes a crash report.
    *
@@ -45,7 +46,7 @@
    * @param leaseId - lease that bounds the lifetime of the record
    * @returns whether the lease is still valid
    */
-  writeCrash(report: CrashReport, hostId: HostId, leaseId: number): Promise<RenewResult>;
+  writeCrash(report: CrashReport, hostId: HostId, leaseId: EraBound): Promise<RenewResult>;
   /**
    * Writes that a request was answered, and removes its trial record.
    *
@@ -53,12 +54,12 @@
    * @param leaseId - lease that bounds the lifetime of the record
    * @returns whether the lease is still valid
    */
-  writeCleared(fingerprint: string, leaseId: number): Promise<RenewResult>;
+  writeCleared(fingerprint: string, leaseId: EraBound): Promise<RenewResult>;
   /**
    * Writes a trial record if the store still has the expected revision.
    *
    * @param record - see {@link TrialRecord}
    * @returns the revision of the new record; null when another host was first
    */
-  writeTrials(record: TrialRecord): Promise<number | null>;
+  writeTrials(record: TrialRecord): Promise<EraBound | null>;
 }
--- a/src/quarantine/QuarantineWriter.ts
+++ b/src/quarantine/QuarantineWriter.ts
@@ -1,5 +1,6 @@
 import type { Logger } from 'pino';
 import { Backoff } from '../configuration/Backoff.ts';
+import type { EraBound } from '../directory/EraBound.ts';
 import type { HostId } from '../lib/ids.ts';
 import type { RandomSource } from '../lib/RandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
@@ -18,11 +19,17 @@
   readonly schedule?: Schedule;
 }
 
+interface WrittenRecord<Value> {
+  readonly value: Value;
+  /** Monotonic time of the write. */
+  readonly atMs: number;
+}
+
 /** Fraction of a lease's TTL after which new records get a new lease, so that they last long. */
 const LEASE_USE_FRACTION = 0.5;
 const MIN_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 1_000;
-/** Pending records of each kind; the oldest are dropped first. */
+/** Pending and written records of each kind that are kept; the oldest are dropped first. */
 const MAX_PENDING = 1_000;
 
 /** Writes crashes and answered requests to the store for the other hosts, retrying on failures. */
@@ -35,7 +42,12 @@
 
   readonly #cleared = new Set<string>();
 
-  #lease: { readonly id: number; readonly createdAtMs: number } | null = null;
+  /** Records in the store, which are written again when the store has lost them. */
+  readonly #writtenCrashes = new Map<string, WrittenRecord<CrashReport>>();
+
+  readonly #writtenCleared = new Map<string, WrittenRecord<string>>();
+
+  #lease: { readonly id: EraBound; readonly createdAtMs: number } | null = null;
 
   #isWriting = false;
 
@@ -80,6 +92,18 @@
     this.#start();
   }
 
+  /** Writes the records again that a store which came back from an older copy may have lost. */
+  restore(): void {
+    this.#lease = null;
+    const oldestMs = this.#options.clock.getMonotonicMs() - CRASH_TTL_MS;
+    const getCurrent = <Value>(records: ReadonlyMap<string, WrittenRecord<Value>>): Value[] => (
+      [...records.values()].filter(({ atMs }) => atMs > oldestMs).map(({ value }) => value));
+    getCurrent(this.#writtenCrashes)
+      .filter(({ crashId }) => !this.#crashes.has(crashId))
+      .forEach((report) => this.addCrash(report));
+    getCurrent(this.#writtenCleared).forEach((fingerprint) => this.addCleared(fingerprint));
+  }
+
   /** Stops writing. */
   close(): void {
     this.#isClosed = true;
@@ -124,16 +148,31 @@
     const [fingerprint] = this.#cleared;
     if (report !== undefined) {
       this.#checkLease(await store.writeCrash(report, hostId, leaseId));
+      this.#remember(this.#writtenCrashes, report.crashId, report);
       // A newer report may have replaced it during the write.
       if (this.#crashes.get(report.crashId) === report) {
         this.#crashes.delete(report.crashId);
       }
     } else if (fingerprint !== undefined) {
       this.#checkLease(await store.writeCleared(fingerprint, leaseId));
+      this.#remember(this.#writtenCleared, fingerprint, fingerprint);
       this.#cleared.delete(fingerprint);
     }
   }
 
+  #remember<Value>(
+    records: Map<string, WrittenRecord<Value>>,
+    key: string,
+    value: Value,
+  ): void {
+    records.delete(key);
+    records.set(key, { value, atMs: this.#options.clock.getMonotonicMs() });
+    const [oldest] = records.keys();
+    if (oldest !== undefined && records.size > MAX_PENDING) {
+      records.delete(oldest);
+    }
+  }
+
   #checkLease(result: 'renewed' | 'ended'): void {
     if (result === 'ended') {
       this.#lease = null;
@@ -141,7 +180,7 @@
     }
   }
 
-  async #getLease(): Promise<number> {
+  async #getLease(): Promise<EraBound> {
     const { clock, store } = this.#options;
     const lease = this.#lease;
     const ageMs = lease === null ? Infinity : clock.getMonotonicMs() - lease.createdAtMs;
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -11,7 +11,9 @@
 import type { CrashReport, QuarantineStore } from './QuarantineStore.ts';
 import { QuarantineWriter } from './QuarantineWriter.ts';
 import type { RequestSubject } from './RequestSubject.ts';
-import { CRASH_LIMIT, SuspectTable, type SendDecision } from './SuspectTable.ts';
+import {
+  CRASH_LIMIT, SuspectTable, type LostTrials, type SendDecision,
+} from './SuspectTable.ts';
 import type { UpstreamCheck } from './UpstreamCheck.ts';
 
 /** Options of a {@link RequestQuarantine}. */
@@ -39,6 +41,8 @@
 
 /** Crashes of a request from which on its answer is announced to the other hosts. */
 const ANNOUNCED_CRASH_COUNT = CRASH_LIMIT - 1;
+/** Longest delay before trial counts are written again that the store has lost. */
+const MAX_RESTORE_DELAY_MS = 1_000;
 /** Maximum number of crashes whose times are kept. */
 const MAX_CRASH_TIMES = 1_000;
 
@@ -56,6 +60,8 @@
 
   readonly #writer: QuarantineWriter;
 
+  #isClosed = false;
+
   /** When this host learned of each recent crash. */
   readonly #crashedAtMs = new Map<string, number>();
 
@@ -210,6 +216,7 @@
 
   /** Stops background writes and wakes all waiting requests. */
   close(): void {
+    this.#isClosed = true;
     this.#writer.close();
     this.#wakeWaiting();
   }
@@ -282,6 +289,11 @@
 
   #applyChange(change: DirectoryChange): void {
     switch (change.kind) {
+      case 'storeEraChanged':
+        this.#table.startEra();
+        this.#writer.restore();
+        this.#scheduleTrialRestore();
+        break;
       case 'crashRecorded':
         this.#recordCrashTime(change.report.crashId);
         this.#table.addCrash(change.report, change.revision);
@@ -303,6 +315,38 @@
     }
   }
 
+  /** The random delay lets one host write what all of them know. */
+  #scheduleTrialRestore(): void {
+    const { schedule = scheduleTimer, random } = this.#options;
+    schedule(random.getFraction() * MAX_RESTORE_DELAY_MS, () => this.#restoreTrials());
+  }
+
+  /** Writes the trial counts again that a store which came back from an older copy has lost. */
+  #restoreTrials(): void {
+    if (this.#isClosed) {
+      return;
+    }
+    const writes = this.#table.getLostTrials().map((trials) => this.#restoreTrial(trials));
+    Promise.all(writes).catch((error: unknown) => {
+      this.#options.logger.info(
+        { event: 'trialsNotRestored', error: String(error) },
+        'writing trial counts again failed; retrying',
+      );
+      this.#scheduleTrialRestore();
+    });
+  }
+
+  async #restoreTrial({ fingerprint, trialCount, revision }: LostTrials): Promise<void> {
+    const newRevision = await this.#options.store.writeTrials({
+      fingerprint, trialCount, expectedRevision: revision, evictedFingerprint: null,
+    });
+    this.#log('trialsRestored', fingerprint, { trialCount, revision: newRevision });
+    // Without a revision another host was first, whose record arrives as a change.
+    if (newRevision !== null) {
+      this.#table.setTrialCount(fingerprint, trialCount, newRevision);
+    }
+  }
+
   /** @returns whether a change arrived before the timeout */
   #waitForChange(waitMs: number): Promise<boolean> {
     const { schedule = scheduleTimer } = this.#options;
--- a/src/quarantine/SuspectTable.test.ts
+++ b/src/quarantine/SuspectTable.test.ts
@@ -1,6 +1,7 @@
 import { deepEqual, equal, ok } from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
 import { ManualClock } from '../time/ManualClock.ts';
+import { bindToEra } from '../directory/EraBound.ts';
 import type { CrashReport } from './QuarantineStore.ts';
 import { CRASH_TTL_MS, SuspectTable, TRIAL_DELAYS_MS } from './SuspectTable.ts';
 
@@ -101,4 +102,40 @@
       table.addCrash(createReport('rack@1', [`x${index}`]), 400)));
     equal(table.getDecision(HARMFUL).kind, 'trialDue');
   });
+
+  describe('in a new era of the store', () => {
+    const ERA = 2;
+
+    it('keeps a trial count that the copy has not, and takes the revision of its record', () => {
+      crash(3);
+      table.setTrialCount(HARMFUL, 1, 300);
+      table.setTrialCount(HARMFUL, 2, 400);
+      table.startEra();
+      table.setTrialCount(HARMFUL, 1, bindToEra(ERA, 300));
+      equal(table.getTrialCount(HARMFUL), 2);
+      deepEqual(table.getLostTrials(), [
+        { fingerprint: HARMFUL, trialCount: 2, revision: bindToEra(ERA, 300) },
+      ]);
+      table.setTrialCount(HARMFUL, 2, bindToEra(ERA, 310));
+      deepEqual(table.getLostTrials(), []);
+    });
+
+    it('does not count crashes again that are written after the answer that cleared them', () => {
+      crash(3);
+      table.clear(HARMFUL, 200);
+      table.startEra();
+      table.addCrash(createReport('u0@1', [HARMFUL]), bindToEra(ERA, 500));
+      equal(table.getCrashCount(HARMFUL), 0);
+      table.addCrash(createReport('u9@1', [HARMFUL], 9), bindToEra(ERA, 501));
+      equal(table.getCrashCount(HARMFUL), 1);
+    });
+
+    it('is not cleared by a record that was known before the crashes', () => {
+      table.clear(HARMFUL, 50);
+      crash(3);
+      table.startEra();
+      table.clear(HARMFUL, bindToEra(ERA, 50));
+      equal(table.getCrashCount(HARMFUL), 3);
+    });
+  });
 });
--- a/src/quarantine/SuspectTable.ts
+++ b/src/quarantine/SuspectTable.ts
@@ -1,3 +1,4 @@
+import { getEra, getUnbound, type EraBound } from '../directory/EraBound.ts';
 import type { Clock } from '../time/Clock.ts';
 import { countCrashes, type CrashedRun } from './countCrashes.ts';
 import type { CrashReport } from './QuarantineStore.ts';
@@ -6,7 +7,7 @@
 export type SendDecision =
   | { readonly kind: 'free' }
   /** It may be sent once, by the host that takes the next trial. */
-  | { readonly kind: 'trialDue'; readonly trialCount: number; readonly revision: number }
+  | { readonly kind: 'trialDue'; readonly trialCount: number; readonly revision: EraBound }
   /** It may not be sent now. */
   | {
     readonly kind: 'held';
@@ -26,12 +27,31 @@
   readonly crashes: Map<string, RecordedRun>;
   trialCount: number;
   /** Revision of its trial record; 0 for none. */
-  trialRevision: number;
+  trialRevision: EraBound;
+  /** Whether the trial count is of an earlier era of the store, which may have lost its record. */
+  isTrialCountRestored: boolean;
   triedAtMs: number;
   /** When this host learned of the last crash. */
   crashedAtMs: number;
 }
 
+/** Trials of a request whose record a copy of the store lacks. */
+export interface LostTrials {
+  readonly fingerprint: string;
+  readonly trialCount: number;
+  /** Revision of the older record that the copy has; 0 for none. */
+  readonly revision: EraBound;
+}
+
+/** Record that cleared a request. */
+interface ClearedRequest {
+  readonly revision: EraBound;
+  /** Crashes from before the record, which don't count even when they are recorded again. */
+  readonly crashIds: ReadonlySet<string>;
+  /** When the entry expires. */
+  readonly untilMs: number;
+}
+
 /** Crashes of a request after which it is sent as a trial only. */
 export const CRASH_LIMIT = 3;
 /**
@@ -47,9 +67,16 @@
 const TRIALS_USED_UP_RETRY_AFTER_MS = 3_600_000;
 /** Maximum number of trial records in the store, where these do not expire. */
 const MAX_TRIAL_RECORDS = 500;
+/** Revision of a record that doesn't exist. */
+const NO_REVISION: EraBound = 0;
 /** Maximum number of suspects; those that are not held are evicted first. */
 const MAX_SUSPECTS = 10_000;
 
+/** Whether two revisions are of one record, which a copy of the store has in a later era. */
+function isSameRecord(known: EraBound, revision: EraBound): boolean {
+  return getEra(known) !== getEra(revision) && getUnbound(known) === getUnbound(revision);
+}
+
 /**
  * Keeps the requests that were running at upstreams when these crashed. A request that crashes
  * upstreams is never answered, so an answer clears it and only crashes after the last answer count.
@@ -60,8 +87,7 @@
 
   readonly #suspects = new Map<string, Suspect>();
 
-  /** Revision of the record that last cleared each request, and when the entry expires. */
-  readonly #cleared = new Map<string, { readonly revision: number; readonly untilMs: number }>();
+  readonly #cleared = new Map<string, ClearedRequest>();
 
   /**
    * @param clock - source of the time
@@ -129,7 +155,7 @@
    * @param fingerprint - the request
    * @returns the revision; 0 when there is no record
    */
-  getTrialRevision(fingerprint: string): number {
+  getTrialRevision(fingerprint: string): EraBound {
     return this.#suspects.get(fingerprint)?.trialRevision ?? 0;
   }
 
@@ -146,10 +172,11 @@
    * @param report - the crash and the requests
    * @param revision - revision of the record; infinite for a crash detected by this host
    */
-  addCrash({ crashId, endedAtMs, requests }: CrashReport, revision: number): void {
+  addCrash({ crashId, endedAtMs, requests }: CrashReport, revision: EraBound): void {
     const nowMs = this.#clock.getMonotonicMs();
     requests
-      .filter(({ fingerprint }) => !this.#isClearedSince(fingerprint, revision))
+      .filter(({ fingerprint }) => !this.#isClearedSince(fingerprint, revision)
+        && this.#cleared.get(fingerprint)?.crashIds.has(crashId) !== true)
       .map(({ fingerprint, sentAtMs }) => ({ suspect: this.#getOrCreate(fingerprint), sentAtMs }))
       // Each host reports the same crash, with its own time.
       .filter(({ suspect }) => !suspect.crashes.has(crashId))
@@ -165,20 +192,49 @@
    * @param fingerprint - the request
    * @param revision - revision of the record; 0 for an answer received by this host
    */
-  clear(fingerprint: string, revision: number): void {
+  clear(fingerprint: string, revision: EraBound): void {
     // A record that is read again may be older than the trial record known here.
-    if (revision > 0 && revision < this.getTrialRevision(fingerprint)) {
+    const known = this.#cleared.get(fingerprint);
+    if (revision > 0 && (revision < this.getTrialRevision(fingerprint)
+      || (known !== undefined && isSameRecord(known.revision, revision)))) {
       return;
     }
+    const crashIds = new Set([
+      ...known?.crashIds ?? [],
+      ...this.#suspects.get(fingerprint)?.crashes.keys() ?? [],
+    ]);
     this.#suspects.delete(fingerprint);
-    if (revision > 0) {
+    if (revision > 0 || crashIds.size > 0) {
       const untilMs = this.#clock.getMonotonicMs() + CRASH_TTL_MS;
       this.#cleared.delete(fingerprint);
-      this.#cleared.set(fingerprint, { revision, untilMs });
+      this.#cleared.set(fingerprint, {
+        revision: Math.max(revision, known?.revision ?? NO_REVISION), crashIds, untilMs,
+      });
       this.#evictOldestCleared();
     }
   }
 
+  /**
+   * Prepares for a new era of the store, whose copy may lack the newest records: its revisions are
+   * not those known here, and a lower trial count in it is outdated.
+   */
+  startEra(): void {
+    this.#suspects.forEach((suspect) => {
+      const changed = suspect;
+      changed.trialRevision = NO_REVISION;
+      changed.isTrialCountRestored = suspect.trialCount > 0;
+    });
+  }
+
+  /** @returns the requests whose trial count the store does not have, since it lost the record */
+  getLostTrials(): LostTrials[] {
+    return [...this.#suspects]
+      .filter(([, { isTrialCountRestored }]) => isTrialCountRestored)
+      .map(([fingerprint, { trialCount, trialRevision }]) => ({
+        fingerprint, trialCount, revision: trialRevision,
+      }));
+  }
+
   /**
    * Applies a trial record if it is newer than the known one.
    *
@@ -186,14 +242,21 @@
    * @param trialCount - its trials so far
    * @param revision - revision of the record
    */
-  setTrialCount(fingerprint: string, trialCount: number, revision: number): void {
+  setTrialCount(fingerprint: string, trialCount: number, revision: EraBound): void {
     const isNewer = !this.#isClearedSince(fingerprint, revision)
       && revision > this.getTrialRevision(fingerprint);
-    if (isNewer) {
-      Object.assign(this.#getOrCreate(fingerprint), {
-        trialCount, trialRevision: revision, triedAtMs: this.#clock.getMonotonicMs(),
-      });
+    if (!isNewer) {
+      return;
+    }
+    const suspect = this.#getOrCreate(fingerprint);
+    suspect.trialRevision = revision;
+    // The copy of the store may have an older record, with a lower count.
+    if (suspect.isTrialCountRestored && trialCount < suspect.trialCount) {
+      return;
     }
+    suspect.isTrialCountRestored = false;
+    suspect.trialCount = trialCount;
+    suspect.triedAtMs = this.#clock.getMonotonicMs();
   }
 
   /**
@@ -236,7 +299,7 @@
     return countCrashes([...crashes.values()].filter(({ untilMs }) => untilMs > nowMs));
   }
 
-  #isClearedSince(fingerprint: string, revision: number): boolean {
+  #isClearedSince(fingerprint: string, revision: EraBound): boolean {
     const cleared = this.#cleared.get(fingerprint);
     return cleared !== undefined && revision < cleared.revision;
   }
@@ -250,7 +313,8 @@
     const suspect: Suspect = {
       crashes: new Map(),
       trialCount: 0,
-      trialRevision: 0,
+      trialRevision: NO_REVISION,
+      isTrialCountRestored: false,
       triedAtMs: -Infinity,
       crashedAtMs: -Infinity,
     };
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -125,13 +125,16 @@
       }),
       peers: new HttpDirectoryPeers(adapters.connections),
     }, { waitMs: settings.storeWaitMs, relayWaitMs: settings.relayWaitMs });
-    this.#registration = new HostRegistration(clock, adapters.store, {
+    this.#registration = new HostRegistration(clock, adapters.store, () => ({
       id: settings.hostId,
       failureDomain: settings.failureDomain,
       peerAddress: settings.peerAddress,
       processorCores: settings.processorCores,
       linkMbps: settings.linkMbps,
-    }, logger);
+      ...(directory.configuration === null
+        ? {}
+        : { configurationVersion: directory.configuration.version }),
+    }), logger);
     const shares = new HostShares({
       clock,
       hostId: settings.hostId,
@@ -319,6 +322,10 @@
           { event: change.kind, ...change },
           'an upstream announced that it closes; this host sends no new requests to it',
         );
+      } else if (change.kind === 'storeEraChanged') {
+        this.#registration.renewNow();
+        this.#limitCoordinators.restartTakeovers();
+        this.#metrics.recordStoreEraChange();
       } else if (change.kind === 'upstreamLimit') {
         this.#logLimit(change.advertisedLimit, change.source);
       } else {
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -64,6 +64,12 @@
     registers: [this.#registry],
   });
 
+  readonly #storeEraChanges = new Counter({
+    name: 'parsleylift_store_era_changes_total',
+    help: 'Times that the store came back from an older copy',
+    registers: [this.#registry],
+  });
+
   /** Provides the advertised limits in force; null until it is set. */
   #rates: Pick<SendRateLimiter, 'getShares'> | null = null;
 
@@ -106,6 +112,11 @@
     this.#crashes.inc({ pool: poolId });
   }
 
+  /** Counts that the store came back from an older copy. */
+  recordStoreEraChange(): void {
+    this.#storeEraChanges.inc();
+  }
+
   /** @param rates - provides the advertised limits in force */
   setRates(rates: Pick<SendRateLimiter, 'getShares'>): void {
     this.#rates = rates;
--- a/standins/store/StoreStandin.ts
+++ b/standins/store/StoreStandin.ts
@@ -2,7 +2,7 @@
 import {
   fastify, type FastifyInstance, type FastifyReply, type FastifyRequest,
 } from 'fastify';
-import { STORE_PATHS } from '../../platform/WIRE.ts';
+import { HEADERS, STORE_PATHS } from '../../platform/WIRE.ts';
 import { StoreState, type StoreTransaction } from './StoreState.ts';
 
 /** A fault of the store. */
@@ -54,6 +54,9 @@
   /** The active fault. */
   fault: StoreFault = { kind: 'none' };
 
+  /** Whether answers name the era. */
+  namesEra = true;
+
   /** Number of calls received, whatever their result. */
   callCount = 0;
 
@@ -120,6 +123,9 @@
       handler: async (request, reply) => {
         this.callCount += 1;
         const { fault } = this;
+        if (this.namesEra) {
+          reply.header(HEADERS.storeEra, String(this.state.era));
+        }
         if (fault.kind === 'down') {
           return reply.code(STATUS.unavailable).send({});
         }
@@ -130,6 +136,9 @@
           await sleep(fault.delayMs);
         }
         const answer = await handler(request, reply);
+        if (this.namesEra) {
+          reply.header(HEADERS.storeEra, String(this.state.era));
+        }
         if (fault.kind === 'answersLost') {
           reply.raw.destroy();
         }
--- a/standins/store/StoreState.ts
+++ b/standins/store/StoreState.ts
@@ -36,6 +36,16 @@
   endsAtMs: number;
 }
 
+/** Copy of the whole state, as a backup holds it. */
+export interface StoreCopy {
+  readonly items: readonly StoreItem[];
+  readonly leases: readonly (readonly [number, Readonly<Lease>])[];
+  readonly events: readonly StoreEvent[];
+  readonly revision: number;
+  readonly oldestRevision: number;
+  readonly leaseCount: number;
+}
+
 const FIRST_REVISION = 100;
 
 /** State of the users' store: items with revisions, leases, and a history of changes. */
@@ -54,11 +64,50 @@
 
   #leaseCount = 0;
 
+  #era = 1;
+
   /** The revision of the newest change. */
   get revision(): number {
     return this.#revision;
   }
 
+  /** Rises by one each time the store comes back from a copy. */
+  get era(): number {
+    return this.#era;
+  }
+
+  /** @returns a copy of the whole state */
+  createCopy(): StoreCopy {
+    return {
+      items: [...this.#items.values()],
+      leases: [...this.#leases].map(([id, lease]) => [id, { ...lease }]),
+      events: [...this.#events],
+      revision: this.#revision,
+      oldestRevision: this.#oldestRevision,
+      leaseCount: this.#leaseCount,
+    };
+  }
+
+  /**
+   * Comes back from a copy: later writes and leases are lost; their numbers are given out again.
+   *
+   * @param copy - the copy
+   */
+  restore(copy: StoreCopy): void {
+    this.#items.clear();
+    copy.items.forEach((item) => this.#items.set(item.key, item));
+    this.#leases.clear();
+    const nowMs = performance.now();
+    copy.leases.forEach(([id, { ttlMs }]) => (
+      this.#leases.set(id, { ttlMs, endsAtMs: nowMs + ttlMs })));
+    this.#events = [...copy.events];
+    this.#revision = copy.revision;
+    this.#oldestRevision = copy.oldestRevision;
+    this.#leaseCount = copy.leaseCount;
+    this.#era += 1;
+    this.#notify();
+  }
+
   /**
    * @param key - a key
    * @returns its item, if it exists
@@ -90,7 +139,7 @@
    * @returns the later changes; null if that history was dropped
    */
   getEvents(prefix: string, after: number): StoreEvent[] | null {
-    return after < this.#oldestRevision
+    return after < this.#oldestRevision || after > this.#revision
       ? null
       : this.#events.filter(({ key, rev }) => rev > after && key.startsWith(prefix));
   }
--- a/test/property/ModelHost.ts
+++ b/test/property/ModelHost.ts
@@ -4,6 +4,7 @@
 import type { PeerChanges } from '../../src/directory/DirectoryPeers.ts';
 import { DirectoryReaderSelector } from '../../src/directory/DirectoryReaderSelector.ts';
 import type { FollowResult } from '../../src/directory/DirectoryStore.ts';
+import type { EraBound } from '../../src/directory/EraBound.ts';
 import type { KnownHost } from '../../src/directory/HostEntry.ts';
 import { SeededRandomSource } from '../../src/lib/SeededRandomSource.ts';
 import { toId, type HostId } from '../../src/lib/ids.ts';
@@ -120,8 +121,7 @@
     const store = new MemoryDirectoryStore();
     store.readAll = async () => {
       await this.#callStore(0, () => true);
-      const { changes } = this.#model.store;
-      return { changes: [...changes], revision: changes.length };
+      return this.#model.store.getSnapshot();
     };
     store.follow = (revision, waitMs = 0) => this.#followStore(revision, waitMs);
     return new DirectoryFollower({
@@ -139,13 +139,10 @@
     });
   }
 
-  async #followStore(revision: number, waitMs: number): Promise<FollowResult> {
+  async #followStore(revision: EraBound, waitMs: number): Promise<FollowResult> {
     const { store } = this.#model;
-    await this.#callStore(waitMs, () => store.changes.length > revision);
-    const changes = store.changes.slice(revision);
-    return {
-      kind: 'changes', changes, revision: store.changes.length, payload: JSON.stringify(changes),
-    };
+    await this.#callStore(waitMs, () => store.revision !== revision);
+    return store.getSince(revision);
   }
 
   async #callStore(waitMs: number, isDue: () => boolean): Promise<void> {
@@ -164,7 +161,7 @@
     }
   }
 
-  async #followPeer(reader: KnownHost, revision: number, waitMs: number): Promise<PeerChanges> {
+  async #followPeer(reader: KnownHost, revision: EraBound, waitMs: number): Promise<PeerChanges> {
     const { time } = this.#model;
     const target = this.#model.getHost(reader.id);
     const untilMs = time.nowMs + waitMs;
--- a/test/property/QuarantineFleetModel.ts
+++ b/test/property/QuarantineFleetModel.ts
@@ -32,8 +32,9 @@
   readonly id: HostId;
   directory: Directory;
   quarantine: RequestQuarantine;
-  /** Revision of the last change that it has applied. */
-  revision: number;
+  /** Number of changes that it has applied, and the era that they are of. */
+  changeCount: number;
+  era: number;
   /** Whether it is cut off from the store. */
   isCut: boolean;
   disturbedAtMs: number;
@@ -196,6 +197,17 @@
     this.#storeDisturbedAtMs = this.time.nowMs;
   }
 
+  /**
+   * Makes the store unavailable for a while, after which it comes back from an older copy.
+   *
+   * @param durationMs - duration of the outage
+   * @param lostCount - number of changes that the copy lacks
+   */
+  async restoreStore(durationMs: number, lostCount: number): Promise<void> {
+    await this.stopStore(durationMs);
+    this.store.restore(lostCount);
+  }
+
   #getHost(index: number): ModelQuarantineHost {
     const host = this.#hosts[index % this.#hosts.length];
     if (host === undefined) {
@@ -276,7 +288,8 @@
       id,
       directory,
       quarantine,
-      revision: this.store.history.length,
+      changeCount: this.store.history.length,
+      era: this.store.era,
       isCut: false,
       disturbedAtMs: -Infinity,
     };
@@ -302,15 +315,25 @@
     });
   }
 
+  #deliverChanges(host: ModelQuarantineHost): void {
+    const { era, history } = this.store;
+    const isNewEra = host.era !== era;
+    const before = host.era;
+    const records = isNewEra ? this.store.getSnapshot() : history.slice(host.changeCount);
+    Object.assign(host, { era, changeCount: history.length });
+    if (isNewEra) {
+      host.directory.apply({ kind: 'storeEraChanged', era, before });
+    }
+    records.forEach(({ change }) => host.directory.apply(change));
+  }
+
   /** Applies the changes of the store to a host after random delays, without end. */
   async #follow(host: ModelQuarantineHost): Promise<void> {
     for (;;) {
       // eslint-disable-next-line no-await-in-loop -- simulates the delay
       await this.time.sleep(this.#random.getFraction() * MAX_LAG_MS);
       if (!host.isCut && !this.store.isDown) {
-        const changes = this.store.history.slice(host.revision);
-        host.revision = this.store.history.length;
-        changes.forEach(({ change }) => host.directory.apply(change));
+        this.#deliverChanges(host);
       }
     }
   }
--- a/test/property/QuarantineStoreModel.ts
+++ b/test/property/QuarantineStoreModel.ts
@@ -1,4 +1,5 @@
 import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
+import { bindToEra, getUnbound, type EraBound } from '../../src/directory/EraBound.ts';
 import type { RenewResult } from '../../src/directory/DirectoryStore.ts';
 import type { HostId } from '../../src/lib/ids.ts';
 import type {
@@ -8,7 +9,7 @@
 /** Change with the revision at which it was written. */
 export interface ModelRecord {
   readonly key: string;
-  readonly revision: number;
+  readonly revision: EraBound;
   readonly change: DirectoryChange;
 }
 
@@ -22,6 +23,9 @@
 
   isDown = false;
 
+  /** Rises each time the store comes back from a copy. */
+  era = 1;
+
   writeCount = 0;
 
   async createLease(): Promise<number> {
@@ -50,7 +54,7 @@
 
   async writeTrials({
     fingerprint, trialCount, expectedRevision: knownRevision,
-  }: TrialRecord): Promise<number | null> {
+  }: TrialRecord): Promise<EraBound | null> {
     this.#assertUp();
     const key = `trials/${fingerprint}`;
     if ((this.#records.get(key)?.revision ?? 0) !== knownRevision) {
@@ -61,19 +65,40 @@
     }));
   }
 
+  /**
+   * Comes back from a copy that lacks the newest changes.
+   *
+   * @param lostCount - number of changes that are lost
+   */
+  restore(lostCount: number): void {
+    this.history.splice(Math.max(0, this.history.length - lostCount));
+    this.era += 1;
+    this.#records.clear();
+    this.history.forEach(({ key, revision, change }) => {
+      if (change.kind === 'trialsForgotten') {
+        this.#records.delete(key);
+        return;
+      }
+      const current = bindToEra(this.era, getUnbound(revision));
+      this.#records.set(key, {
+        key, revision: current, change: { ...change, revision: current } as DirectoryChange,
+      });
+    });
+  }
+
   /** @returns the current records, sorted by key */
   getSnapshot(): ModelRecord[] {
     return [...this.#records.values()].sort((left, right) => (left.key < right.key ? -1 : 1));
   }
 
-  #write(key: string, createChange: (revision: number) => DirectoryChange): number {
+  #write(key: string, createChange: (revision: EraBound) => DirectoryChange): EraBound {
     const record = this.#append(key, createChange);
     this.#records.set(key, record);
     return record.revision;
   }
 
-  #append(key: string, createChange: (revision: number) => DirectoryChange): ModelRecord {
-    const revision = this.history.length + 1;
+  #append(key: string, createChange: (revision: EraBound) => DirectoryChange): ModelRecord {
+    const revision = bindToEra(this.era, this.history.length + 1);
     const record = { key, revision, change: createChange(revision) };
     this.history.push(record);
     return record;
--- a/test/property/quarantineFleet.test.ts
+++ b/test/property/quarantineFleet.test.ts
@@ -27,6 +27,10 @@
   (model) => model.endUpstreams(1),
 ];
 
+const MAX_LOST_CHANGES = 20;
+const STORE_COPIES: readonly Fault[] = Array.from({ length: 3 }, () => (
+  (model, pick, durationMs) => model.restoreStore(durationMs, pick * MAX_LOST_CHANGES)));
+
 interface FleetRun {
   readonly model: QuarantineFleetModel;
   /** Outcomes of a request that callers send all the time, with the time of each send. */
@@ -70,6 +74,11 @@
     .length;
 }
 
+function findUnserved(popular: FleetRun['popular']): FleetRun['popular'] {
+  return popular.filter(({ atMs, outcome }) => (
+    atMs > FAULTS_UNTIL_MS + MAX_FAULT_MS + RECOVERY_MS && outcome !== 'answered'));
+}
+
 describe('hosts that share the crashes caused by requests', () => {
   Array.from({ length: 12 }, (_, index) => index + 1).forEach((seed) => {
     it(`refuse requests that crash upstreams, and no others, seed ${seed}`, async () => {
@@ -78,10 +87,19 @@
         const lateCount = countLate(model, body);
         ok(lateCount <= MAX_LATE_ARRIVALS, `${body}: ${lateCount} late arrivals`);
       });
-      const unserved = popular
-        .filter(({ atMs, outcome }) => (
-          atMs > FAULTS_UNTIL_MS + MAX_FAULT_MS + RECOVERY_MS && outcome !== 'answered'));
-      deepEqual(unserved, []);
+      deepEqual(findUnserved(popular), []);
+    });
+  });
+
+  Array.from({ length: 12 }, (_, index) => index + 1).forEach((seed) => {
+    it(`keep that when the store comes back from older copies, seed ${seed}`, async () => {
+      const { model, popular } = await runFleet(seed, [...FAULTS, ...STORE_COPIES]);
+      ok(model.store.era > 1, 'the store never came back from a copy');
+      CRASHING.forEach((body) => {
+        const lateCount = countLate(model, body);
+        ok(lateCount <= MAX_LATE_ARRIVALS, `${body}: ${lateCount} late arrivals`);
+      });
+      deepEqual(findUnserved(popular), []);
     });
   });
 
