Soak: count a leaving notice only where the host can tell who gave it

Trace (logs of host 3): the notice stood in a 421 answer to a request for the earlier process at that address (upstream i-b73d…, answered by i-f2be… which had just started there and was not in the host's directory); such an answer names no process, and isn't passed on to the caller. Every other answer with the header still counts.

--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -167,14 +167,18 @@
     response.setHeader('X-Request-Id', requestId);
     this.#recordArrivals(requestId, body, request);
     this.#handleLimit(requestId, request, response);
+    const isMisdirected = (getHeader(request, HEADERS.expectedUpstream) ?? this.id) !== this.id;
     if (this.fault === 'leave') {
       response.setHeader(HEADERS.leaving, '1');
-      this.#recordNotice('leaving', requestId, Infinity);
+      // An answer to a request for another process doesn't tell which process it is from.
+      if (!isMisdirected) {
+        this.#recordNotice('leaving', requestId, Infinity);
+      }
     }
     if (request.url === HEALTH_PATH) {
       response.setHeader(HEADERS.upstreamId, this.id);
       response.end();
-    } else if ((getHeader(request, HEADERS.expectedUpstream) ?? this.id) !== this.id) {
+    } else if (isMisdirected) {
       response.writeHead(MISDIRECTED, { 'X-Not-Executed': '1' }).end();
     } else if (this.fault === 'backOff') {
       this.#recordNotice('backOff', requestId, performance.now() + BACK_OFF_MS);
