Keep lease ids beside their era as objects; log the first failed registration

Cause: the platform's lease ids are larger than an era-bound number holds; the range error ended each registration, logged at debug level only. The stand-in counted leases from 1.

--- a/src/directory/DirectoryStore.ts
+++ b/src/directory/DirectoryStore.ts
@@ -1,6 +1,7 @@
 import type { DirectoryChange } from './DirectoryChange.ts';
 import type { EraBound } from './EraBound.ts';
 import type { HostEntry } from './HostEntry.ts';
+import type { StoreLease } from './StoreLease.ts';
 
 /** Whole content of the store at about one revision. */
 export interface DirectorySnapshot {
@@ -49,24 +50,24 @@
   decodeChanges(payload: string, revision: EraBound): readonly DirectoryChange[];
   /**
    * @param ttlMs - time after which the lease expires unless it is renewed
-   * @returns the lease's id
+   * @returns the lease
    */
-  createLease(ttlMs: number): Promise<EraBound>;
+  createLease(ttlMs: number): Promise<StoreLease>;
   /**
-   * @param leaseId - the lease
+   * @param lease - the lease
    * @returns whether the lease is still valid
    */
-  renewLease(leaseId: EraBound): Promise<RenewResult>;
-  /** @param leaseId - the lease; the store deletes the entries written under it */
-  endLease(leaseId: EraBound): Promise<void>;
+  renewLease(lease: StoreLease): Promise<RenewResult>;
+  /** @param lease - the lease; the store deletes the entries written under it */
+  endLease(lease: StoreLease): Promise<void>;
   /**
    * Writes a host's entry, which exists until the lease ends.
    *
    * @param entry - the entry
-   * @param leaseId - the lease
+   * @param lease - the lease
    * @returns whether the lease is still valid
    */
-  writeHost(entry: HostEntry, leaseId: EraBound): Promise<RenewResult>;
+  writeHost(entry: HostEntry, lease: StoreLease): Promise<RenewResult>;
   /**
    * Records the largest number of hosts, unless another host has changed the record meanwhile.
    *
--- a/src/directory/EraBound.ts
+++ b/src/directory/EraBound.ts
@@ -1,8 +1,8 @@
 /**
- * A revision or a lease id of the store together with the store's era, as one number.
+ * A revision of the store together with the store's era, as one number.
  *
- * A store that comes back from an older copy gives out again the revisions and lease ids that it
- * has lost, in a new era. The era is in the upper bits: values of different eras are never equal,
+ * A store that comes back from an older copy gives out again the revisions that it has lost, in a
+ * new era. The era is in the upper bits: values of different eras are never equal,
  * and any value of a later era is greater. An era of 0 leaves the value as it is.
  */
 export type EraBound = number;
@@ -12,7 +12,7 @@
 
 /**
  * @param era - the store's era; 0 when the store names none
- * @param value - a revision or lease id of that era
+ * @param value - a revision of that era
  * @returns both as one value
  * @throws RangeError if one of them is out of range
  */
@@ -34,7 +34,7 @@
 
 /**
  * @param bound - a value that is bound to an era
- * @returns the revision or lease id as the store knows it
+ * @returns the revision as the store knows it
  */
 export function getUnbound(bound: EraBound): number {
   return bound % VALUES_PER_ERA;
--- a/src/directory/HostRegistration.ts
+++ b/src/directory/HostRegistration.ts
@@ -1,8 +1,8 @@
 import type { Logger } from 'pino';
 import type { Clock } from '../time/Clock.ts';
 import type { DirectoryStore } from './DirectoryStore.ts';
-import { getEra, getUnbound, type EraBound } from './EraBound.ts';
 import type { HostEntry } from './HostEntry.ts';
+import type { StoreLease } from './StoreLease.ts';
 
 /** Timing of a host's registration. */
 export interface HostRegistrationOptions {
@@ -30,7 +30,7 @@
 
   readonly #options: HostRegistrationOptions;
 
-  #leaseId: EraBound | null = null;
+  #lease: StoreLease | null = null;
 
   #timer: NodeJS.Timeout | null = null;
 
@@ -38,6 +38,9 @@
 
   #isRenewing = false;
 
+  /** Whether the last renewal failed. */
+  #isFailing = false;
+
   /** Start of the last call that confirmed the entry; null while no entry is confirmed. */
   #confirmedAtMs: number | null = null;
 
@@ -76,11 +79,9 @@
     this.#isRenewing = true;
     try {
       await this.#renew();
+      this.#isFailing = false;
     } catch (error) {
-      this.#logger.debug(
-        { event: 'registrationFailed', error: String(error) },
-        'the host could not be registered; retrying',
-      );
+      this.#recordFailure(error);
     }
     this.#isRenewing = false;
     if (!this.#isStopped) {
@@ -103,10 +104,21 @@
     if (this.#timer !== null) {
       clearTimeout(this.#timer);
     }
-    const leaseId = this.#leaseId;
-    this.#leaseId = null;
-    if (leaseId !== null) {
-      await this.#store.endLease(leaseId);
+    const lease = this.#lease;
+    this.#lease = null;
+    if (lease !== null) {
+      await this.#store.endLease(lease);
+    }
+  }
+
+  /** Logs the first of several failures in a row. */
+  #recordFailure(error: unknown): void {
+    if (!this.#isFailing) {
+      this.#isFailing = true;
+      this.#logger.warn(
+        { event: 'registrationFailed', error: String(error) },
+        'the entry of this host could not be written or renewed; retrying',
+      );
     }
   }
 
@@ -121,21 +133,21 @@
 
   async #renew(): Promise<void> {
     const requestedAtMs = this.#clock.getMonotonicMs();
-    if (this.#leaseId !== null && await this.#store.renewLease(this.#leaseId) === 'renewed') {
+    if (this.#lease !== null && await this.#store.renewLease(this.#lease) === 'renewed') {
       this.#confirmedAtMs = this.#isStopped ? null : requestedAtMs;
       return;
     }
     this.#confirmedAtMs = null;
-    this.#leaseId = null;
-    const leaseId = await this.#store.createLease(this.#options.leaseTtlMs);
+    this.#lease = null;
+    const lease = await this.#store.createLease(this.#options.leaseTtlMs);
     if (this.#isStopped) {
       return;
     }
-    if (await this.#store.writeHost(this.#getEntry(), leaseId) === 'renewed') {
-      this.#leaseId = leaseId;
+    if (await this.#store.writeHost(this.#getEntry(), lease) === 'renewed') {
+      this.#lease = lease;
       this.#confirmedAtMs = requestedAtMs;
       this.#logger.info(
-        { event: 'hostRegistered', leaseId: getUnbound(leaseId), storeEra: getEra(leaseId) },
+        { event: 'hostRegistered', leaseId: lease.id, storeEra: lease.era },
         'registered this host in the store',
       );
     }
--- /dev/null
+++ b/src/directory/StoreLease.ts
@@ -0,0 +1,6 @@
+/** Lease in the store. Its id may belong to another host's lease in another era. */
+export interface StoreLease {
+  /** Era of the store that created the lease. */
+  readonly era: number;
+  readonly id: number;
+}
--- a/src/quarantine/QuarantineStore.ts
+++ b/src/quarantine/QuarantineStore.ts
@@ -1,5 +1,6 @@
 import type { EraBound } from '../directory/EraBound.ts';
 import type { RenewResult } from '../directory/DirectoryStore.ts';
+import type { StoreLease } from '../directory/StoreLease.ts';
 import type { HostId } from '../lib/ids.ts';
 
 /** A request that was running at an upstream when that crashed. */
@@ -35,26 +36,26 @@
    * Creates a lease for records.
    *
    * @param ttlMs - duration of the lease
-   * @returns the lease's id
+   * @returns the lease
    */
-  createLease(ttlMs: number): Promise<EraBound>;
+  createLease(ttlMs: number): Promise<StoreLease>;
   /**
    * Writes a crash report.
    *
    * @param report - the report
    * @param hostId - the reporting host
-   * @param leaseId - lease that bounds the lifetime of the record
+   * @param lease - lease that bounds the lifetime of the record
    * @returns whether the lease is still valid
    */
-  writeCrash(report: CrashReport, hostId: HostId, leaseId: EraBound): Promise<RenewResult>;
+  writeCrash(report: CrashReport, hostId: HostId, lease: StoreLease): Promise<RenewResult>;
   /**
    * Writes that a request was answered, and removes its trial record.
    *
    * @param fingerprint - the request
-   * @param leaseId - lease that bounds the lifetime of the record
+   * @param lease - lease that bounds the lifetime of the record
    * @returns whether the lease is still valid
    */
-  writeCleared(fingerprint: string, leaseId: EraBound): Promise<RenewResult>;
+  writeCleared(fingerprint: string, lease: StoreLease): Promise<RenewResult>;
   /**
    * Writes a trial record if the store still has the expected revision.
    *
--- a/src/quarantine/QuarantineWriter.ts
+++ b/src/quarantine/QuarantineWriter.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'pino';
 import { Backoff } from '../configuration/Backoff.ts';
-import type { EraBound } from '../directory/EraBound.ts';
+import type { StoreLease } from '../directory/StoreLease.ts';
 import type { HostId } from '../lib/ids.ts';
 import type { RandomSource } from '../lib/RandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
@@ -47,7 +47,7 @@
 
   readonly #writtenCleared = new Map<string, WrittenRecord<string>>();
 
-  #lease: { readonly id: EraBound; readonly createdAtMs: number } | null = null;
+  #lease: { readonly lease: StoreLease; readonly createdAtMs: number } | null = null;
 
   #isWriting = false;
 
@@ -143,18 +143,18 @@
   /** Writes crashes before answers: a crash recorded after the answer would count again. */
   async #writeNext(): Promise<void> {
     const { store, hostId } = this.#options;
-    const leaseId = await this.#getLease();
+    const lease = await this.#getLease();
     const report = [...this.#crashes.values()][0];
     const [fingerprint] = this.#cleared;
     if (report !== undefined) {
-      this.#checkLease(await store.writeCrash(report, hostId, leaseId));
+      this.#checkLease(await store.writeCrash(report, hostId, lease));
       this.#remember(this.#writtenCrashes, report.crashId, report);
       // A newer report may have replaced it during the write.
       if (this.#crashes.get(report.crashId) === report) {
         this.#crashes.delete(report.crashId);
       }
     } else if (fingerprint !== undefined) {
-      this.#checkLease(await store.writeCleared(fingerprint, leaseId));
+      this.#checkLease(await store.writeCleared(fingerprint, lease));
       this.#remember(this.#writtenCleared, fingerprint, fingerprint);
       this.#cleared.delete(fingerprint);
     }
@@ -180,16 +180,16 @@
     }
   }
 
-  async #getLease(): Promise<EraBound> {
+  async #getLease(): Promise<StoreLease> {
     const { clock, store } = this.#options;
-    const lease = this.#lease;
-    const ageMs = lease === null ? Infinity : clock.getMonotonicMs() - lease.createdAtMs;
-    if (lease !== null && ageMs < CRASH_TTL_MS * LEASE_USE_FRACTION) {
-      return lease.id;
+    const known = this.#lease;
+    const ageMs = known === null ? Infinity : clock.getMonotonicMs() - known.createdAtMs;
+    if (known !== null && ageMs < CRASH_TTL_MS * LEASE_USE_FRACTION) {
+      return known.lease;
     }
     const createdAtMs = clock.getMonotonicMs();
-    const id = await store.createLease(CRASH_TTL_MS);
-    this.#lease = { id, createdAtMs };
-    return id;
+    const lease = await store.createLease(CRASH_TTL_MS);
+    this.#lease = { lease, createdAtMs };
+    return lease;
   }
 }
--- a/standins/store/StoreState.ts
+++ b/standins/store/StoreState.ts
@@ -47,6 +47,8 @@
 }
 
 const FIRST_REVISION = 100;
+/** Lease ids may be as large as a number can hold exactly. */
+const FIRST_LEASE_ID = Number.MAX_SAFE_INTEGER - 1_000_000;
 
 /** State of the users' store: items with revisions, leases, and a history of changes. */
 export class StoreState {
@@ -180,8 +182,9 @@
    */
   createLease(ttlMs: number): number {
     this.#leaseCount += 1;
-    this.#leases.set(this.#leaseCount, { ttlMs, endsAtMs: performance.now() + ttlMs });
-    return this.#leaseCount;
+    const id = FIRST_LEASE_ID + this.#leaseCount;
+    this.#leases.set(id, { ttlMs, endsAtMs: performance.now() + ttlMs });
+    return id;
   }
 
   /**
--- a/test/property/QuarantineStoreModel.ts
+++ b/test/property/QuarantineStoreModel.ts
@@ -1,6 +1,7 @@
 import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
 import { bindToEra, getUnbound, type EraBound } from '../../src/directory/EraBound.ts';
 import type { RenewResult } from '../../src/directory/DirectoryStore.ts';
+import type { StoreLease } from '../../src/directory/StoreLease.ts';
 import type { HostId } from '../../src/lib/ids.ts';
 import type {
   CrashReport, QuarantineStore, TrialRecord,
@@ -28,9 +29,9 @@
 
   writeCount = 0;
 
-  async createLease(): Promise<number> {
+  async createLease(): Promise<StoreLease> {
     this.#assertUp();
-    return 1;
+    return { era: 1, id: 1 };
   }
 
   async writeCrash(report: CrashReport, hostId: HostId): Promise<RenewResult> {
--- a/test/support/MemoryDirectoryStore.ts
+++ b/test/support/MemoryDirectoryStore.ts
@@ -1,3 +1,4 @@
+import type { StoreLease } from '../../src/directory/StoreLease.ts';
 import type { HostId } from '../../src/lib/ids.ts';
 import type {
   CrashReport, QuarantineStore, TrialRecord,
@@ -37,8 +38,8 @@
     return JSON.parse(payload) as DirectoryChange[];
   }
 
-  async createLease(): Promise<number> {
-    return 1;
+  async createLease(): Promise<StoreLease> {
+    return { era: 1, id: 1 };
   }
 
   async renewLease(): Promise<RenewResult> {
