End the placement of a stream when its callers have abandoned it

Cause: placement planned up to the deadline, which such a caller doesn't wait for. Change: a route has callerPatienceMs; the time left for a placement ends with it. Such requests are refused when they are known to come too late.

--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -391,6 +391,7 @@
       timeoutMs: requestClass.deadlineMs,
       targetLatencyMs: requestClass.onTimeMs,
       gapTargetMs: 400,
+      callerPatienceMs: 8_000,
       priority: requestClass.priority,
       maxAttempts: 1,
       targets: [{ poolId: ENGINE_POOL_ID, weight: 1 }],
--- a/src/directory/ServingConfiguration.ts
+++ b/src/directory/ServingConfiguration.ts
@@ -45,6 +45,8 @@
   readonly targetLatencyMs: number;
   /** Longest gap between two events of a stream that counts as on time. */
   readonly gapTargetMs: number;
+  /** Time without an event, also before the first one, after which callers abandon a stream. */
+  readonly callerPatienceMs: number;
   /** Priority class; 0 is the highest. */
   readonly priority: number;
   /** Largest number of upstreams that may execute one client attempt. */
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -94,6 +94,9 @@
 
   #lastEventId: number | null;
 
+  /** When the caller last received an event; the arrival of the request before the first one. */
+  #lastEventAtMs: number;
+
   /** Number of attempts that ran or may have run. */
   #runCount = 0;
 
@@ -119,6 +122,7 @@
     this.#exchange = exchange;
     this.#lastEventId = exchange.request.profile.lastEventId;
     this.#arrivedAtMs = exchange.request.arrivedAtMs;
+    this.#lastEventAtMs = this.#arrivedAtMs;
     this.#errorAnswer = new BufferedAnswer(context.answerMemory);
     this.#trialCheck = new TrialCheck(context.quarantine, parameters.isTrial);
     this.#retries = new RequestRetries({
@@ -165,6 +169,7 @@
       profile: this.#exchange.request.profile,
       waitedMs: this.#context.clock.getMonotonicMs() - this.#arrivedAtMs,
       remainingMs: this.#getRemainingMs(),
+      silentMs: this.#context.clock.getMonotonicMs() - this.#lastEventAtMs,
       // The placement coordinator does not know the notices that this host has received.
       excludedIds: [...new Set([...this.#excludedIds, ...directory.getClosedIds(poolId)])],
       isPlacedAgain: this.#placement !== null,
@@ -345,6 +350,7 @@
       this.#reportToCoordinator('started');
     }
     this.#lastEventId = id ?? this.#lastEventId;
+    this.#lastEventAtMs = this.#context.clock.getMonotonicMs();
     if (!this.#exchange.write(event.bytes)) {
       this.#running?.pause();
       this.#exchange.onWritable(() => this.#running?.resume());
--- a/src/relay/createPlacementDemand.ts
+++ b/src/relay/createPlacementDemand.ts
@@ -10,6 +10,8 @@
   readonly waitedMs: number;
   /** Time left until the request's deadline. */
   readonly remainingMs: number;
+  /** Time since the caller last received an event, or else since the request arrived. */
+  readonly silentMs: number;
   /** Engines that must not be chosen, such as those that failed the request before. */
   readonly excludedIds: readonly UpstreamId[];
   readonly isPlacedAgain: boolean;
@@ -25,7 +27,7 @@
 export function createPlacementDemand(
   { poolId, priority, route }: RelayParameters,
   {
-    profile, waitedMs, remainingMs, excludedIds, isPlacedAgain,
+    profile, waitedMs, remainingMs, silentMs, excludedIds, isPlacedAgain,
   }: PlacementState,
 ): PlacementDemand {
   return {
@@ -39,7 +41,8 @@
     maxOutputTokens: profile.generation?.maxOutputTokens ?? 0,
     priority,
     onTimeMs: route.targetLatencyMs - waitedMs,
-    remainingMs,
+    // The first event is useless to a caller that has abandoned the stream before.
+    remainingMs: Math.min(remainingMs, route.callerPatienceMs - silentMs),
     excludedIds,
     isPlacedAgain,
   };
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -109,6 +109,7 @@
       timeoutMs: 6_000,
       targetLatencyMs: 2_000,
       gapTargetMs: 400,
+      callerPatienceMs: 8_000,
       priority: 0,
       maxAttempts: 1,
       targets: [{ poolId: ENGINE_POOL_ID, weight: 1 }],
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -43,6 +43,7 @@
   timeoutMs: 3_000,
   targetLatencyMs: 2_000,
   gapTargetMs: 60,
+  callerPatienceMs: 8_000,
   priority: 0,
   maxAttempts: 2,
   targets: [{ poolId: POOL_ID, weight: 1 }],
