--- a/bench/placement/PlacementDeployment.ts
+++ b/bench/placement/PlacementDeployment.ts
@@ -142,7 +142,7 @@
   stepMsPerRunning: 0.03,
 };
 
-/** Fleets like those that users run, except the last one, which no user has. */
+/** Fleets like those that users run, and two that no user has. */
 export const PLACEMENT_DEPLOYMENTS: readonly PlacementDeployment[] = [
   {
     name: 'small',
@@ -177,4 +177,16 @@
     engines: { ...ENGINE_SPEED, counts: [2, 4] },
     classes: createClasses(22),
   },
+  {
+    // The last stage has lost half of its upstreams, and its results fill the memory of the rest.
+    name: 'scarce',
+    domains: ['a', 'b', 'c'],
+    stagePools: [
+      createPool(FETCH, [2, 1, 1], { maxPieces: 9, pieceMs: 23, roomBytes: 18_000_000 }),
+      createPool(MATCH, [2, 1, 1], { maxPieces: 21, pieceMs: 10, roomBytes: 2_400_000 }),
+      createPool(ENCODE, [1, 1, 0], { maxPieces: 31, pieceMs: 6.6, roomBytes: 340_000 }),
+    ],
+    engines: { ...ENGINE_SPEED, counts: [3, 3, 2] },
+    classes: createClasses(21),
+  },
 ];
--- a/bench/placement/StageMakerModel.ts
+++ b/bench/placement/StageMakerModel.ts
@@ -1,8 +1,7 @@
 import type { BatchLimits } from '../../src/directory/ServingConfiguration.ts';
 import type { RandomSource } from '../../src/lib/RandomSource.ts';
-import {
-  PIECE_FAILURE, type PieceOutcome, type StageCall,
-} from '../../src/placement/StageCall.ts';
+import { PIECE_FAILURE } from '../../src/placement/PIECE_FAILURE.ts';
+import type { PieceOutcome, StageCall } from '../../src/placement/StageCall.ts';
 import type { EventQueue } from '../load/EventQueue.ts';
 
 /** Maximum relative deviation of a piece from the declared time. */
--- a/scripts/soak/readLoggedRepeats.test.ts
+++ b/scripts/soak/readLoggedRepeats.test.ts
@@ -12,7 +12,7 @@
     const lines = [
       { ...sent, sendIndex: 0 },
       { ...sent, sendIndex: 1 },
-      { event: 'piecesRepeated', poolId: 'stage', pieces: [1, 2, 3] },
+      { event: 'piecesRetried', poolId: 'stage', pieces: [1, 2, 3] },
       { event: 'stageCallEnded', outcome: { kind: 'notRun' } },
     ].map((line) => JSON.stringify(line));
     writeFileSync(join(folder, 'host-0-1.log'), lines.join('\n'));
--- a/scripts/soak/readLoggedRepeats.ts
+++ b/scripts/soak/readLoggedRepeats.ts
@@ -16,7 +16,7 @@
   if (event === 'relay' && outcome === 'sent') {
     return (sendIndex ?? 0) > 0 ? 1 : 0;
   }
-  return event === 'piecesRepeated' ? pieces?.length ?? 0 : 0;
+  return event === 'piecesRetried' ? pieces?.length ?? 0 : 0;
 }
 
 /** Returns null for an incomplete line, which a killed host may have left. */
--- a/src/claims/ClaimManager.ts
+++ b/src/claims/ClaimManager.ts
@@ -6,6 +6,7 @@
 } from '../lib/ids.ts';
 import type { PeerMessage } from '../peers/PeerMessage.ts';
 import type { ClaimPort, ClaimRequest } from './ClaimPort.ts';
+import type { ClaimOwners } from './ClaimOwners.ts';
 import { RemoteOperationTable, type RemoteOperation } from './RemoteOperationTable.ts';
 import { OUTCOME_UNKNOWN_REASON, type ClaimEvent } from './ClaimEvent.ts';
 import type { ClaimOperation, ClaimResult } from './ClaimOperation.ts';
@@ -19,21 +20,6 @@
 
 const MAX_GONE_INCARNATIONS = 4096;
 
-/** A host that takes part in the claim log. */
-export interface ClaimMember {
-  readonly hostId: HostId;
-  readonly incarnationId: IncarnationId;
-  /** `IP:port` of its peer listener. */
-  readonly address: string;
-}
-
-/** Owners that batch the claims of each shard. Correctness does not depend on them. */
-export interface ClaimOwners {
-  readonly members: readonly ClaimMember[];
-  /** By shard index; where it is null or missing, each host writes its own claims. */
-  readonly ownerHostIds: readonly (HostId | null)[];
-}
-
 /** Claim that this incarnation has requested or holds. */
 interface ClaimRecord {
   readonly request: ClaimRequest;
--- a/src/claims/RemoteOperationTable.ts
+++ b/src/claims/RemoteOperationTable.ts
@@ -1,7 +1,7 @@
 import type { CoreContext } from '../core/CoreContext.ts';
 import { DueQueue } from '../core/DueQueue.ts';
 import type { AccountId, HostId } from '../lib/ids.ts';
-import type { ClaimMember, ClaimOwners } from './ClaimManager.ts';
+import type { ClaimMember, ClaimOwners } from './ClaimOwners.ts';
 import type { ClaimOperation } from './ClaimOperation.ts';
 import type { ClaimOptions } from './ClaimOptions.ts';
 import type { TicketOrigin } from './TicketIssuer.ts';
--- a/src/directory/DirectoryStore.ts
+++ b/src/directory/DirectoryStore.ts
@@ -1,7 +1,7 @@
 import type { DirectoryChange } from './DirectoryChange.ts';
 import type { EraBound } from './EraBound.ts';
 import type { HostEntry } from './HostEntry.ts';
-import type { StoreLease } from './StoreLease.ts';
+import type { RenewResult, StoreLease } from './StoreLease.ts';
 
 /** Whole content of the store at about one revision. */
 export interface DirectorySnapshot {
@@ -24,9 +24,6 @@
   /** The store no longer has the requested history. */
   | { readonly kind: 'historyLost' };
 
-/** Result of renewing a lease. */
-export type RenewResult = 'renewed' | 'ended';
-
 /**
  * Shared store of the configuration and of the entries of upstreams and hosts. Every method rejects
  * with an `Error` when the store gives no usable answer; a write may then have taken effect.
--- a/src/directory/StoreLease.ts
+++ b/src/directory/StoreLease.ts
@@ -4,3 +4,6 @@
   readonly era: number;
   readonly id: number;
 }
+
+/** Result of a call under a lease. */
+export type RenewResult = 'renewed' | 'ended';
--- a/src/explain/explainFromLogs.test.ts
+++ b/src/explain/explainFromLogs.test.ts
@@ -74,11 +74,11 @@
   });
 
   it('includes events near the request, and no lines of other times or requests', () => {
-    const near = createLine('c.log', 900, { event: 'placerLost', hostId: 'h' });
+    const near = createLine('c.log', 900, { event: 'placementCoordinatorLost', hostId: 'h' });
     const found = explainFromLogs('r', [
       relay('a.log', 0, 'sent'),
       near,
-      createLine('c.log', 9_000, { event: 'placerLost', hostId: 'h' }),
+      createLine('c.log', 9_000, { event: 'placementCoordinatorLost', hostId: 'h' }),
       createLine('c.log', 1, { event: 'relay', requestId: 'other', outcome: 'answered' }),
     ]);
     equal(found.lines.length, 2);
--- a/src/explain/explainFromLogs.ts
+++ b/src/explain/explainFromLogs.ts
@@ -19,10 +19,9 @@
 /** Events that change a host's state; included when they occur near the request. */
 export const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
   'started', 'stopping', 'stopped', 'paused', 'storeLost', 'storeRegained', 'storeEraChanged',
-  'configurationInForce',
-  'placerChosen', 'placerLost', 'stageCallEnded', 'upstreamLeaving', 'upstreamBackOff',
-  'directorySourceChanged', 'directoryReaderLost', 'upstreamCrashed', 'upstreamLimit',
-  'limitKeeperChosen',
+  'configurationInForce', 'placementCoordinatorChosen', 'placementCoordinatorLost',
+  'stageCallEnded', 'upstreamLeaving', 'upstreamBackOff', 'directorySourceChanged',
+  'directoryReaderLost', 'upstreamCrashed', 'upstreamLimit', 'limitCoordinatorChosen',
 ]);
 
 /** Cause by the outcome of the `relay` line that ends a request. */
@@ -38,7 +37,7 @@
   'upstreams-full': 'Upstreams refused it or could not be reached too many times.',
   'no-upstream-open': 'All upstreams of its pool asked for a back-off beyond its deadline.',
   'engines-left': 'The engines chosen for it left before it was sent, too many times.',
-  'repeats-spent': 'It had not run, and the retry budget was exhausted.',
+  'retries-exhausted': 'It had not run, and the retry budget was exhausted.',
   'engine-failed': 'The engine answered with a failure, which was relayed to the caller.',
   'engine-broke-off': 'The engine broke off its answer, and the request must not run again.',
   'upstream-failed': 'The upstream broke off or failed, and the request must not run again.',
@@ -67,7 +66,7 @@
       return findLast(lines, ({ event }) => event === 'placementRefused') ?? endLine;
     case 'limited':
       return findLast(lines, (line) => line.event === 'placementRefused'
-        || getOutcome(line) === 'leaveDecided') ?? endLine;
+        || getOutcome(line) === 'permitDecided') ?? endLine;
     case 'engine-broke-off':
       return findLast(lines, (line) => getOutcome(line) === 'brokenOff') ?? endLine;
     case 'upstream-failed':
--- a/src/fleet/createFleetListener.ts
+++ b/src/fleet/createFleetListener.ts
@@ -1,4 +1,4 @@
-import type { ClaimMember, ClaimOwners } from '../claims/ClaimManager.ts';
+import type { ClaimMember, ClaimOwners } from '../claims/ClaimOwners.ts';
 import type { SelfIdentity } from '../core/CoreContext.ts';
 import type { CostDuties } from '../cost/CostLedger.ts';
 import type { DutyAssignment } from '../duties/DutyAssignment.ts';
--- a/src/placement/CoordinatorChooser.ts
+++ b/src/placement/CoordinatorChooser.ts
@@ -54,7 +54,7 @@
       this.#chosen.set(groupName, hostId);
       this.#options.logger.info(
         {
-          event: 'placerChosen', groupName, hostId, before: before ?? null,
+          event: 'placementCoordinatorChosen', groupName, hostId, before: before ?? null,
         },
         'the coordinator of a placement group has changed',
       );
--- a/src/placement/CoordinatorMonitor.ts
+++ b/src/placement/CoordinatorMonitor.ts
@@ -92,7 +92,7 @@
     const durationMs = isFirst ? MIN_AVOID_MS : Math.min(MAX_AVOID_MS, last.durationMs * 2);
     this.#avoided.set(host.peerAddress, { untilMs: nowMs + durationMs, durationMs });
     this.#options.logger.warn({
-      event: 'placerLost', hostId: host.id, detail, durationMs,
+      event: 'placementCoordinatorLost', hostId: host.id, detail, durationMs,
     }, 'the placement coordinator failed; it is not chosen again for durationMs');
   }
 
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -1,6 +1,6 @@
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
 import type { PlacementRequest, PlacementResult } from './PlacementRequest.ts';
-import type { PieceFailure } from './StageCall.ts';
+import type { PieceFailure } from './PIECE_FAILURE.ts';
 
 /** Why a piece is retried: the outcome of its last call or placement, or the loss of its result. */
 export type PieceRetryReason = 'placedAgain' | 'notRun' | 'broken' | 'resultGone' | PieceFailure;
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -102,7 +102,7 @@
     const retried = call.pieces.filter(({ piece }) => piece.sendCount > 1);
     if (retried.length > 0) {
       this.#logger.info({
-        event: 'piecesRepeated',
+        event: 'piecesRetried',
         poolId: call.poolId,
         makerId: call.makerId,
         left: this.#retryBudget.getRetriesLeft(call.poolId),
--- a/src/placement/StageCall.ts
+++ b/src/placement/StageCall.ts
@@ -1,5 +1,6 @@
 import type { UpstreamNotice } from '../directory/UpstreamNotice.ts';
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
+import type { PieceFailure } from './PIECE_FAILURE.ts';
 import type { PlannedPiece } from './planBatches.ts';
 
 /** One piece in the form that is sent to the upstream. */
@@ -31,20 +32,6 @@
   readonly timeoutMs: number;
 }
 
-/** Reasons why a piece of an answered call has no result. */
-export const PIECE_FAILURE = {
-  /** Its deadline passed before the upstream ran it. */
-  late: 'late',
-  /** One of its inputs does not exist any more. */
-  inputGone: 'inputGone',
-  /** The upstream has no memory for its result. */
-  noRoom: 'noRoom',
-  failed: 'failed',
-} as const;
-
-/** A member of {@link PIECE_FAILURE}. */
-export type PieceFailure = typeof PIECE_FAILURE[keyof typeof PIECE_FAILURE];
-
 /** The outcome of one piece. */
 export type PieceOutcome =
   | { readonly kind: 'result'; readonly handle: string }
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -12,9 +12,8 @@
 import {
   compareGroups, planBatches, type PieceGroup, type PlannedPiece,
 } from './planBatches.ts';
-import {
-  PIECE_FAILURE, type PieceOutcome, type StageCall, type StageOutcome,
-} from './StageCall.ts';
+import { PIECE_FAILURE } from './PIECE_FAILURE.ts';
+import type { PieceOutcome, StageCall, StageOutcome } from './StageCall.ts';
 import type { PieceRetryBudget } from './PieceRetryBudget.ts';
 import type { PlacementRates } from './PlacementRates.ts';
 import type { StandingResult } from './PlacementRequest.ts';
--- a/src/placement/abandonedRequests.test.ts
+++ b/src/placement/abandonedRequests.test.ts
@@ -26,12 +26,18 @@
   readonly wastedPieceCount: number;
 }
 
+interface Withdrawal {
+  readonly atMs: number;
+  readonly id: string;
+  readonly run: () => void;
+}
+
 /** Runs a burst beyond what the makers can do, whose callers leave after their patience. */
 function runBurst(remainingMs: number): BurstResult {
   const bed = new PlacementTestBed({
     first: { makers: 2 }, second: { makers: 2 }, third: { makers: 2 },
   }, 40);
-  const withdrawals: { readonly atMs: number; readonly id: string; readonly run: () => void }[] = [];
+  const withdrawals: Withdrawal[] = [];
   const running: { readonly endsAtMs: number; readonly call: StageCall }[] = [];
   const ended = new Set<string>();
   const pieceCounts = new Map<string, number>();
@@ -48,19 +54,20 @@
       refusedAtOnceCount += Number(bed.results.get(requestId)?.kind === 'refused');
       withdrawals.push({ atMs: nowMs + PATIENCE_MS, id: requestId, run: withdraw });
     }
-    withdrawals.filter(({ atMs }) => atMs === nowMs).forEach(({ id, run }) => {
-      abandonedCount += Number(!bed.results.has(id));
-      run();
-    });
+    const leaving = withdrawals.filter(({ atMs }) => atMs === nowMs);
+    abandonedCount += leaving.filter(({ id }) => !bed.results.has(id)).length;
+    leaving.forEach(({ run }) => run());
     running.filter(({ endsAtMs }) => endsAtMs === nowMs).forEach(({ call }) => (
       bed.answer(call, call.items.map(({ requestId, stageIndex, pieceIndex }) => ({
         kind: 'result', handle: `${call.makerId}/${requestId}/${stageIndex}/${pieceIndex}`,
       })))));
     bed.coordinator.run();
-    bed.results.forEach((result, requestId) => {
-      if (result.kind === 'placed' && !ended.has(requestId)) {
-        ended.add(requestId);
-        onTimeCount += Number(nowMs <= Number(requestId.slice(1)) + TARGET_MS);
+    const placedNow = [...bed.results]
+      .filter(([id, { kind }]) => kind === 'placed' && !ended.has(id));
+    onTimeCount += placedNow.filter(([id]) => nowMs <= Number(id.slice(1)) + TARGET_MS).length;
+    placedNow.forEach(([requestId, result]) => {
+      ended.add(requestId);
+      if (result.kind === 'placed') {
         bed.coordinator.handleReport({ requestId, upstreamId: result.upstreamId, kind: 'ended' });
       }
     });
@@ -82,7 +89,7 @@
 }
 
 describe('a burst whose callers leave before their deadlines', () => {
-  it('leaves no request waiting until its caller has gone, and wastes less on such requests', () => {
+  it('leaves no request waiting until its caller has gone, and wastes less work', () => {
     const byDeadline = runBurst(DEADLINE_MS);
     const byPatience = runBurst(PATIENCE_MS);
     const figures = `${JSON.stringify(byDeadline)} by deadline, ${JSON.stringify(byPatience)}`;
--- a/src/quarantine/QuarantineStore.ts
+++ b/src/quarantine/QuarantineStore.ts
@@ -1,6 +1,5 @@
 import type { EraBound } from '../directory/EraBound.ts';
-import type { RenewResult } from '../directory/DirectoryStore.ts';
-import type { StoreLease } from '../directory/StoreLease.ts';
+import type { RenewResult, StoreLease } from '../directory/StoreLease.ts';
 import type { HostId } from '../lib/ids.ts';
 
 /** A request that was running at an upstream when that crashed. */
--- a/src/rates/LimitCoordinators.ts
+++ b/src/rates/LimitCoordinators.ts
@@ -139,7 +139,10 @@
     const chosen = { hostId, sinceMs: clock.getMonotonicMs() };
     this.#byDomain.set(domain, chosen);
     logger.info({
-      event: 'limitKeeperChosen', failureDomain: domain, hostId, before: before?.hostId ?? null,
+      event: 'limitCoordinatorChosen',
+      failureDomain: domain,
+      hostId,
+      before: before?.hostId ?? null,
     }, 'chose another limit coordinator for a failure domain');
     return chosen;
   }
--- a/src/rates/PermitClient.ts
+++ b/src/rates/PermitClient.ts
@@ -136,7 +136,7 @@
       return response.decision;
     } catch (error) {
       this.#options.logger.info(
-        { event: 'leaveUnanswered', keeperId: coordinator.id, error: String(error) },
+        { event: 'permitUnanswered', coordinatorId: coordinator.id, error: String(error) },
         'limit coordinator does not answer; requesting a permit elsewhere',
       );
       return { kind: 'notKept' };
--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -421,7 +421,7 @@
   #failWithoutRetry(): void {
     this.#log('repeatWithdrawn');
     if (this.#openAttempts.size === 0) {
-      this.#fail(STATUS.unavailable, 'repeats-spent');
+      this.#fail(STATUS.unavailable, 'retries-exhausted');
     }
   }
 
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -235,7 +235,7 @@
       return;
     }
     if (!this.#tryTakePermit(placed, upstream.entry)) {
-      this.#log('leaveGone', { upstreamId: placed.upstreamId, leave: placed.leave });
+      this.#log('permitExpired', { upstreamId: placed.upstreamId, leave: placed.leave });
       this.#placeAgainUnsent(placed.upstreamId);
       return;
     }
@@ -264,7 +264,7 @@
 
   #send(placed: Placed, engine: UpstreamEntry): void {
     if (this.#retryPermit?.trySend(placed.upstreamId) === false) {
-      this.#fail(STATUS.unavailable, 'repeats-spent', SHORT_RETRY_AFTER_MS);
+      this.#fail(STATUS.unavailable, 'retries-exhausted', SHORT_RETRY_AFTER_MS);
       return;
     }
     this.#retryPermit = null;
--- a/src/relay/HostShares.ts
+++ b/src/relay/HostShares.ts
@@ -165,6 +165,6 @@
       directoryAgeMs: directory.ageMs === null ? null : Math.round(directory.ageMs),
     };
     metrics.recordRetry(decision);
-    logger.info({ event: 'repeat', ...decision }, 'decided whether to allow a retry');
+    logger.info({ event: 'retryDecided', ...decision }, 'decided whether to allow a retry');
   }
 }
--- a/src/relay/PermitFinder.ts
+++ b/src/relay/PermitFinder.ts
@@ -95,18 +95,18 @@
     const { context, log } = this.#options;
     const maxWaitMs = this.#getMaxWaitMs();
     const upstreamIds = upstreams.map(({ entry }) => entry.id);
-    log('asksForLeave', { upstreamIds, maxWaitMs });
+    log('requestsPermit', { upstreamIds, maxWaitMs });
     context.permitClient.requestPermit(upstreams.map(({ entry }) => entry), maxWaitMs)
       .then((result) => this.#handleResult(result, listener))
       .catch((error: unknown) => {
-        log('leaveFailed', { error: String(error) });
+        log('permitFailed', { error: String(error) });
         listener.onDenied(maxWaitMs);
       });
   }
 
   #handleResult(result: PermitResult, listener: PermitListener): void {
     const { context, log, after } = this.#options;
-    log('leaveDecided', { ...result });
+    log('permitDecided', { ...result });
     context.metrics.recordLimitedSend('whole', result.kind === 'granted' ? 'common' : 'none');
     switch (result.kind) {
       case 'granted':
--- a/test/property/QuarantineStoreModel.ts
+++ b/test/property/QuarantineStoreModel.ts
@@ -1,7 +1,6 @@
 import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
 import { bindToEra, getUnbound, type EraBound } from '../../src/directory/EraBound.ts';
-import type { RenewResult } from '../../src/directory/DirectoryStore.ts';
-import type { StoreLease } from '../../src/directory/StoreLease.ts';
+import type { RenewResult, StoreLease } from '../../src/directory/StoreLease.ts';
 import type { HostId } from '../../src/lib/ids.ts';
 import type {
   CrashReport, QuarantineStore, TrialRecord,
--- a/test/support/MemoryDirectoryStore.ts
+++ b/test/support/MemoryDirectoryStore.ts
@@ -1,4 +1,4 @@
-import type { StoreLease } from '../../src/directory/StoreLease.ts';
+import type { RenewResult, StoreLease } from '../../src/directory/StoreLease.ts';
 import type { HostId } from '../../src/lib/ids.ts';
 import type {
   CrashReport, QuarantineStore, TrialRecord,
@@ -6,7 +6,7 @@
 import type { HostEntry } from '../../src/directory/HostEntry.ts';
 import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
 import type {
-  DirectorySnapshot, DirectoryStore, FollowResult, RenewResult,
+  DirectorySnapshot, DirectoryStore, FollowResult,
 } from '../../src/directory/DirectoryStore.ts';
 
 const FOLLOW_PAUSE_MS = 20;
