--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -2,6 +2,8 @@
 import type { Clock } from '../time/Clock.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { DirectoryChange } from './DirectoryChange.ts';
+import { getChangeKey } from './getChangeKey.ts';
+import { getSnapshotRank } from './getSnapshotRank.ts';
 import type { DirectorySnapshot } from './DirectoryStore.ts';
 import { getEra, type EraBound } from './EraBound.ts';
 import type { KnownHost } from './HostEntry.ts';
@@ -33,58 +35,6 @@
   readonly outdatedCount: number;
 }
 
-function getChangeKey(change: DirectoryChange): string {
-  switch (change.kind) {
-    case 'configuration':
-      return 'configuration';
-    case 'upstream':
-      return `upstream ${change.entry.id}`;
-    case 'upstreamGone':
-      return `upstream ${change.upstreamId}`;
-    case 'domainDrained':
-    case 'domainRestored':
-      return `domain ${change.failureDomain}`;
-    case 'host':
-      return `host ${change.entry.id}`;
-    case 'hostGone':
-      return `host ${change.hostId}`;
-    case 'hostCount':
-      return 'hostCount';
-    case 'storeEraChanged':
-      return 'storeEra';
-    case 'upstreamLeaving':
-      return `leaving ${change.lifetime.id}`;
-    case 'upstreamBackOff':
-      return `backOff ${change.upstreamId}`;
-    case 'upstreamLimit':
-      return `limit ${change.advertisedLimit.lifetime.id}`;
-    case 'crashRecorded':
-      return `crash ${change.report.crashId} ${change.hostId}`;
-    case 'requestCleared':
-      return `cleared ${change.fingerprint}`;
-    case 'requestTried':
-    case 'trialsForgotten':
-      return `trials ${change.fingerprint}`;
-    default:
-      throw exhaustiveSwitchError(change);
-  }
-}
-
-/**
- * Order of application within a snapshot. Drains go first, so that a drained domain never appears
- * as open in between; hosts go before the configuration, whose version they may show as outdated.
- */
-function getSnapshotRank(change: DirectoryChange): number {
-  switch (change.kind) {
-    case 'domainDrained':
-      return 0;
-    case 'host':
-      return 1;
-    default:
-      return 2;
-  }
-}
-
 /**
  * This host's view of the configuration, upstreams, failure domains and hosts. A configuration is
  * only replaced by a higher version, and never taken from a store that came back from an older copy
--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -12,7 +12,7 @@
 import type { PlacementRates } from './PlacementRates.ts';
 import { PlacementRefusals } from './PlacementRefusals.ts';
 import {
-  createPlacementJob, getLastStages, hasCrashingPiece, isStageDone,
+  createPlacementJob, getHandles, getLastStages, hasCrashingPiece, hasSentPieces, isStageDone,
   type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
 import type {
@@ -49,16 +49,6 @@
  */
 const LATE_FRACTION = 0.5;
 
-/** Whether any unfinished piece has been sent. */
-function hasSentPieces({ stages }: PlacementJob): boolean {
-  return stages.some(({ pieces }) => (
-    pieces.some(({ sendCount, state }) => sendCount > 0 && state !== 'done')));
-}
-
-function getHandles(stage: JobStage): string[] {
-  return stage.pieces.flatMap((piece) => (piece.handle === null ? [] : [piece.handle]));
-}
-
 /**
  * Decides for all entry hosts which pieces of stages share a call, which upstream runs them, and
  * which engine runs a generation. One host does this for a group, since calls are full, and free
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -163,3 +163,20 @@
   const needed = new Set(job.stages.flatMap((stage) => [...stage.after]));
   return job.stages.filter((stage) => !needed.has(stage.index));
 }
+
+/**
+ * @param job - a request
+ * @returns whether any unfinished piece of it has been sent
+ */
+export function hasSentPieces({ stages }: PlacementJob): boolean {
+  return stages.some(({ pieces }) => (
+    pieces.some(({ sendCount, state }) => sendCount > 0 && state !== 'done')));
+}
+
+/**
+ * @param stage - a stage
+ * @returns the handles of its existing results
+ */
+export function getHandles(stage: JobStage): string[] {
+  return stage.pieces.flatMap((piece) => (piece.handle === null ? [] : [piece.handle]));
+}
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -7,7 +7,7 @@
 import { GroupJobs } from './GroupJobs.ts';
 import { MakerTable, type MakerRecord } from './MakerTable.ts';
 import {
-  isSentAlone, isStageDone, isStageOpen, type JobPiece, type PlacementJob,
+  isStageDone, isStageOpen, type PlacementJob,
 } from './PlacementJob.ts';
 import {
   compareGroups, planBatches, type PieceGroup, type PlannedPiece,
@@ -22,6 +22,7 @@
 import { StageResults } from './StageResults.ts';
 import { resetPiece } from './resetPiece.ts';
 import { getBusyMakers, getIdleMakers } from './selectMakers.ts';
+import { splitPiecesByCall } from './splitPiecesByCall.ts';
 import { getInputBytes } from './stageBytes.ts';
 
 /** Dependencies of a {@link StageScheduler}. */
@@ -54,18 +55,6 @@
   return outcome.kind === 'failure' && outcome.failure === PIECE_FAILURE.noRoom;
 }
 
-/** Separates the pieces that need a call of their own from those that may share one. */
-function splitByCall(
-  pieces: readonly JobPiece[],
-): { readonly pieces: readonly JobPiece[]; readonly needsOwnCall: boolean }[] {
-  const shared = pieces.filter((piece) => !isSentAlone(piece));
-  const alone = pieces.filter((piece) => isSentAlone(piece));
-  return [
-    ...(shared.length > 0 ? [{ pieces: shared, needsOwnCall: false }] : []),
-    ...alone.map((piece) => ({ pieces: [piece], needsOwnCall: true })),
-  ];
-}
-
 function getTimeoutMs(expectedMs: number, maker: MakerRecord): number {
   return Math.max(MIN_TIMEOUT_MS, expectedMs * TIMEOUT_FACTOR * Math.max(1, maker.slowness));
 }
@@ -326,7 +315,7 @@
           && (piece.sendCount === 0 || takeRetry())),
       }))
       .filter(({ pieces }) => pieces.length > 0)
-      .flatMap(({ stage, pieces }) => splitByCall(pieces).map((part) => ({ stage, ...part })))
+      .flatMap(({ stage, pieces }) => splitPiecesByCall(pieces).map((part) => ({ stage, ...part })))
       .map(({ stage, pieces, needsOwnCall }) => {
         const doneAtMs = nowMs + this.getLeastMs(job);
         const canBeOnTime = doneAtMs <= job.onTimeAtMs;
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -7,6 +7,7 @@
 import type { PlacementReport } from '../placement/PlacementRequest.ts';
 import type { RetryReservation } from '../retries/RetryWindow.ts';
 import { createPlacementDemand } from './createPlacementDemand.ts';
+import { EventSequence } from './EventSequence.ts';
 import { EventSplitter, type StreamEvent } from './EventSplitter.ts';
 import type { RelayContext, RelayParameters } from './RelayContext.ts';
 import { RETRY_REASON, type RetryReason } from './RetryDecision.ts';
@@ -27,8 +28,6 @@
 const FIRST_EVENT_FACTOR = 1.5;
 /** Maximum sends per request that engines refused or that did not reach them. */
 const MAX_REFUSED_SENDS = 6;
-/** Events allowed beyond one per token, such as the event that ends a stream. */
-const EXTRA_EVENT_COUNT = 64;
 /** Validity of a permit from the placement coordinator. */
 const PERMIT_TTL_MS = 500;
 /** Retry-After when the cause is expected to be brief. */
@@ -90,9 +89,7 @@
   /** Error answer of the engine, which is not a stream. */
   readonly #errorAnswer: BufferedAnswer;
 
-  #eventCount = 0;
-
-  #lastEventId: number | null;
+  readonly #events: EventSequence;
 
   /** When the caller last received an event; the arrival of the request before the first one. */
   #lastEventAtMs: number;
@@ -120,7 +117,8 @@
     this.#context = context;
     this.#parameters = parameters;
     this.#exchange = exchange;
-    this.#lastEventId = exchange.request.profile.lastEventId;
+    const { lastEventId, generation } = exchange.request.profile;
+    this.#events = new EventSequence(lastEventId, generation?.maxOutputTokens ?? 0);
     this.#arrivedAtMs = exchange.request.arrivedAtMs;
     this.#lastEventAtMs = this.#arrivedAtMs;
     this.#errorAnswer = new BufferedAnswer(context.answerMemory);
@@ -272,7 +270,7 @@
     this.#sentAtMs = this.#context.clock.getMonotonicMs();
     this.#head = null;
     this.#errorAnswer.release();
-    this.#eventCount = 0;
+    this.#events.startAttempt();
     this.#splitter = new EventSplitter();
     this.#log('sent', {
       ...this.#retries.recordSend(placed.upstreamId),
@@ -289,7 +287,7 @@
         account: this.#parameters.account,
         priority: this.#parameters.priority,
         inputs: placed.inputs,
-        lastEventId: this.#lastEventId,
+        lastEventId: this.#events.lastEventId,
       },
       {
         mayStart: () => this.#context.directory.isUsable(placed.upstreamId),
@@ -329,27 +327,18 @@
 
   /** @returns whether the stream continues */
   #forwardEvent(event: StreamEvent): boolean {
-    const { id } = event;
-    this.#eventCount += 1;
-    if (this.#eventCount > this.#getMaxEventCount()) {
-      this.#running?.abort(`${this.#eventCount} events exceed the maximum`);
-      return false;
-    }
-    if (id !== null && this.#lastEventId !== null) {
-      if (id <= this.#lastEventId) {
-        return true;
-      }
-      if (id !== this.#lastEventId + 1) {
-        this.#running?.abort(`event ${id} follows event ${this.#lastEventId}`);
-        return false;
-      }
+    const decision = this.#events.accept(event);
+    if (decision.kind === 'abort') {
+      this.#running?.abort(decision.detail);
+    }
+    if (decision.kind !== 'forward') {
+      return decision.kind === 'skip';
     }
     if (!this.#exchange.hasAnswered && this.#head !== null) {
       const { status, passedHeaders, isFramed } = this.#head;
       this.#exchange.beginStream(status, passedHeaders, isFramed);
       this.#reportToCoordinator('started');
     }
-    this.#lastEventId = id ?? this.#lastEventId;
     this.#lastEventAtMs = this.#context.clock.getMonotonicMs();
     if (!this.#exchange.write(event.bytes)) {
       this.#running?.pause();
@@ -358,13 +347,6 @@
     return true;
   }
 
-  /** An event contains at least one token. */
-  #getMaxEventCount(): number {
-    const { generation } = this.#exchange.request.profile;
-    const { maxOutputTokens = 0 } = generation ?? {};
-    return maxOutputTokens === 0 ? Infinity : maxOutputTokens + EXTRA_EVENT_COUNT;
-  }
-
   #endAttempt(engine: UpstreamEntry, end: AttemptResult): void {
     const { id: upstreamId } = engine;
     this.#running = null;
@@ -420,7 +402,7 @@
       this.#exchange.beginStream(head.status, head.passedHeaders, head.isFramed);
     }
     this.#exchange.end(head.isFramed);
-    this.#finish('answered', { lastEventId: this.#lastEventId });
+    this.#finish('answered', { lastEventId: this.#events.lastEventId });
   }
 
   #recordBroken(engine: UpstreamEntry): void {
@@ -487,7 +469,7 @@
       && this.#context.quarantine.isFree(subject)
       && this.#tryReserveRetry(RETRY_REASON.broken);
     this.#log(mayRunAgain ? 'resumed' : 'brokenOff', {
-      detail, lastEventId: this.#lastEventId, fingerprint: subject.fingerprint,
+      detail, lastEventId: this.#events.lastEventId, fingerprint: subject.fingerprint,
     });
     if (mayRunAgain) {
       this.#place();
