--- a/src/directory/DirectoryFollower.test.ts
+++ b/src/directory/DirectoryFollower.test.ts
@@ -1,4 +1,4 @@
-import { deepEqual, equal } from 'node:assert/strict';
+import { deepEqual, equal, ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
 import { MemoryDirectoryStore } from '../../test/support/MemoryDirectoryStore.ts';
@@ -9,6 +9,7 @@
 import type { DirectoryChange } from './DirectoryChange.ts';
 import { DEFAULT_DIRECTORY_FOLLOWER_TIMINGS, DirectoryFollower } from './DirectoryFollower.ts';
 import type { FollowResult } from './DirectoryStore.ts';
+import { bindToEra, getEra } from './EraBound.ts';
 
 const {
   waitMs, settlePerHostMs, minPauseMs, maxPauseMs,
@@ -101,6 +102,53 @@
     equal(directory.configuration?.version, 1);
   });
 
+  it('reads the whole store after a random pause when the store has a new era', async () => {
+    const hosts = Array.from({ length: 20 }, (_, index) => createHostChange(`h${index}`));
+    const { readCount, pausesMs } = await follow([CONFIGURATION, ...hosts], [
+      { kind: 'eraChanged', era: 2 }, createChanges(),
+    ]);
+    equal(readCount, 2);
+    const [pauseMs = -1] = pausesMs;
+    ok(pauseMs > 0 && pauseMs < hosts.length * settlePerHostMs, `${pauseMs} ms`);
+  });
+
+  it('reads the whole store again when the graces of a new era end', async () => {
+    const clock = new ManualClock();
+    const store = new ScriptedStore();
+    const directory = new Directory(clock);
+    const waitsMs: number[] = [];
+    const follower = new DirectoryFollower({
+      clock,
+      store,
+      directory,
+      logger: pino({ level: 'silent' }),
+      random: new SeededRandomSource(1),
+      pause: async () => undefined,
+    });
+    const readTimesMs: number[] = [];
+    const startMs = clock.getMonotonicMs();
+    store.readAll = async () => {
+      readTimesMs.push(clock.getMonotonicMs() - startMs);
+      return { changes: [], revision: bindToEra(readTimesMs.length === 1 ? 1 : 2, 5) };
+    };
+    store.follow = async (...[revision = 0, requestedWaitMs = 0]: readonly number[]) => {
+      if (getEra(revision) === 1) {
+        return { kind: 'eraChanged', era: 2 };
+      }
+      waitsMs.push(requestedWaitMs);
+      if (waitsMs.length === 12) {
+        follower.stop();
+      }
+      clock.advance(requestedWaitMs);
+      return {
+        kind: 'changes', changes: [], revision, payload: '',
+      };
+    };
+    await follower.run();
+    deepEqual(readTimesMs, [0, 0, 2_500, 10_000]);
+    ok(waitsMs.every((ms) => ms > 0 && ms <= waitMs), waitsMs.join(' '));
+  });
+
   it('retries after the shortest pause when a call fails late', async () => {
     const clock = new ManualClock();
     const store = new ScriptedStore();
--- a/src/directory/HostRegistration.ts
+++ b/src/directory/HostRegistration.ts
@@ -36,8 +36,6 @@
 
   #isStopped = false;
 
-  #isRenewing = false;
-
   /** Whether the last renewal failed. */
   #isFailing = false;
 
@@ -76,14 +74,12 @@
   async start(): Promise<void> {
     clearTimeout(this.#timer ?? undefined);
     this.#timer = null;
-    this.#isRenewing = true;
     try {
       await this.#renew();
       this.#isFailing = false;
     } catch (error) {
       this.#recordFailure(error);
     }
-    this.#isRenewing = false;
     if (!this.#isStopped) {
       this.#timer = setTimeout(() => this.#restart(), this.#options.renewEveryMs);
     }
@@ -92,7 +88,7 @@
   /** Renews the entry at once; for a host whose entry the store may have lost. */
   renewNow(): void {
     // Without a pending timer the host is not started, is stopped, or renews its entry already.
-    if (this.#timer !== null && !this.#isRenewing) {
+    if (this.#timer !== null) {
       this.#restart();
     }
   }
@@ -101,9 +97,8 @@
   async stop(): Promise<void> {
     this.#isStopped = true;
     this.#confirmedAtMs = null;
-    if (this.#timer !== null) {
-      clearTimeout(this.#timer);
-    }
+    clearTimeout(this.#timer ?? undefined);
+    this.#timer = null;
     const lease = this.#lease;
     this.#lease = null;
     if (lease !== null) {
