--- a/test/property/RelayedFleetModel.ts
+++ b/test/property/RelayedFleetModel.ts
@@ -1,9 +1,6 @@
-import {
-  toId, type HostId, type PoolId, type UpstreamId,
-} from '../../src/lib/ids.ts';
-import { MODEL_BOUNDS, ModelHost, type ModelEnvironment } from './ModelHost.ts';
-import { ModelStore } from './ModelStore.ts';
-import { VirtualTime } from './VirtualTime.ts';
+import { toId, type PoolId, type UpstreamId } from '../../src/lib/ids.ts';
+import { ModelFleet } from './ModelFleet.ts';
+import { MODEL_BOUNDS, type ModelHost } from './ModelHost.ts';
 
 const LEASE_TTL_MS = 6_000;
 const RESTART_MS = 3_000;
@@ -12,55 +9,12 @@
 export type HostFault = 'kill' | 'freeze' | 'cutFromStore' | 'cutFromPeers';
 
 /** Fleet whose hosts follow the directory through readers, under injected faults. */
-export class RelayedFleetModel implements ModelEnvironment {
-  readonly time = new VirtualTime();
-
-  readonly store = new ModelStore();
-
-  readonly isRelayed: boolean;
-
+export class RelayedFleetModel extends ModelFleet {
   /** Longest time for which a host in contact with the store did not know a change. */
   worstLagMs = 0;
 
-  readonly errors: unknown[] = [];
-
-  readonly #hosts: ModelHost[];
-
   #upstreamCount = 0;
 
-  /**
-   * @param hostCount - number of hosts
-   * @param isRelayed - whether hosts follow readers; otherwise each follows the store
-   */
-  constructor(hostCount: number, isRelayed: boolean) {
-    this.isRelayed = isRelayed;
-    this.#hosts = Array.from({ length: hostCount }, (_, index) => new ModelHost(this, index));
-    this.#hosts.forEach(({ entry }) => this.store.write({ kind: 'host', entry }, 0));
-  }
-
-  /** Starts all hosts. */
-  start(): void {
-    this.#hosts.forEach((host) => host.start());
-  }
-
-  /** @param error - error that ended a loop of a host */
-  recordError(error: unknown): void {
-    this.errors.push(error);
-  }
-
-  /**
-   * @param id - id of a host
-   * @returns the host
-   * @throws RangeError if there is no such host
-   */
-  getHost(id: HostId): ModelHost {
-    const host = this.#hosts.find(({ entry }) => entry.id === id);
-    if (host === undefined) {
-      throw new RangeError(`no host ${id}`);
-    }
-    return host;
-  }
-
   /** Adds an upstream to the store; every host in contact has to know it within the bound. */
   change(): void {
     this.#upstreamCount += 1;
@@ -88,7 +42,7 @@
    * @param durationMs - duration of the fault
    */
   injectFault(fault: HostFault, pick: number, isReader: boolean, durationMs: number): void {
-    const alive = this.#hosts.filter(({ isDead }) => !isDead);
+    const alive = this.hosts.filter(({ isDead }) => !isDead);
     const readers = alive.filter((host) => host.readerSelector.isReader);
     const candidates = isReader && readers.length > 0 ? readers : alive;
     const host = candidates[pick % candidates.length];
@@ -129,11 +83,6 @@
     }
   }
 
-  /** Ends all hosts. */
-  stop(): void {
-    this.#hosts.forEach((host) => host.stop());
-  }
-
   #kill(host: ModelHost): void {
     host.stop();
     const { entry } = host;
@@ -148,7 +97,7 @@
   }
 
   #check(): void {
-    const hostsInContact = this.#hosts.filter(({ isDead, disturbedAtMs }) => (
+    const hostsInContact = this.hosts.filter(({ isDead, disturbedAtMs }) => (
       !isDead && this.time.nowMs - disturbedAtMs >= MODEL_BOUNDS.contactMs));
     this.store.changes.forEach((change, index) => {
       if (change.kind === 'upstream') {
--- a/test/property/RestoredStoreModel.ts
+++ b/test/property/RestoredStoreModel.ts
@@ -1,12 +1,9 @@
 import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
 import type { UpstreamEntry } from '../../src/directory/UpstreamEntry.ts';
-import {
-  toId, type HostId, type PoolId, type UpstreamId,
-} from '../../src/lib/ids.ts';
+import { toId, type PoolId, type UpstreamId } from '../../src/lib/ids.ts';
 import type { RandomSource } from '../../src/lib/RandomSource.ts';
-import { ModelHost, type ModelEnvironment } from './ModelHost.ts';
-import { ModelStore } from './ModelStore.ts';
-import { VirtualTime } from './VirtualTime.ts';
+import { ModelFleet } from './ModelFleet.ts';
+import type { ModelHost } from './ModelHost.ts';
 
 const POOL_ID = toId<PoolId>('pool');
 const STEP_MS = 100;
@@ -22,27 +19,15 @@
 interface HostMemory {
   version: number;
   readonly departed: Set<UpstreamId>;
-  readonly drainedDomains: Set<string>;
-  readonly restoredDomains: Set<string>;
 }
 
 /** Fleet that follows a store which comes back from older copies, beside a record of the truth. */
-export class RestoredStoreModel implements ModelEnvironment {
-  readonly time = new VirtualTime();
-
-  readonly store = new ModelStore();
-
-  readonly isRelayed: boolean;
-
-  readonly errors: unknown[] = [];
-
+export class RestoredStoreModel extends ModelFleet {
   /** Broken promises, as text. */
   readonly violations: string[] = [];
 
   readonly #random: RandomSource;
 
-  readonly #hosts: ModelHost[];
-
   readonly #memories = new Map<ModelHost, HostMemory>();
 
   /** The entries of upstreams that run, as they last wrote them. */
@@ -62,38 +47,8 @@
    * @param isRelayed - whether hosts follow readers; otherwise each follows the store
    */
   constructor(random: RandomSource, hostCount: number, isRelayed: boolean) {
+    super(hostCount, isRelayed);
     this.#random = random;
-    this.isRelayed = isRelayed;
-    this.#hosts = Array.from({ length: hostCount }, (_, index) => new ModelHost(this, index));
-    this.#hosts.forEach(({ entry }) => this.store.write({ kind: 'host', entry }, 0));
-  }
-
-  /** Starts all hosts. */
-  start(): void {
-    this.#hosts.forEach((host) => this.#startHost(host));
-  }
-
-  /** Ends all hosts. */
-  stop(): void {
-    this.#hosts.forEach((host) => host.stop());
-  }
-
-  /** @param error - error that ended a loop of a host */
-  recordError(error: unknown): void {
-    this.errors.push(error);
-  }
-
-  /**
-   * @param id - id of a host
-   * @returns the host
-   * @throws RangeError if there is no such host
-   */
-  getHost(id: HostId): ModelHost {
-    const host = this.#hosts.find(({ entry }) => entry.id === id);
-    if (host === undefined) {
-      throw new RangeError(`no host ${id}`);
-    }
-    return host;
   }
 
   /** Writes a newer configuration. */
@@ -148,18 +103,18 @@
 
   /** Kills a host and starts it again. */
   restartHost(): void {
-    const host = this.#pick(this.#hosts.filter(({ isDead }) => !isDead));
+    const host = this.#pick(this.hosts.filter(({ isDead }) => !isDead));
     host?.stop();
     this.time.sleep(HOST_RESTART_MS).then(() => {
       if (host !== undefined) {
-        this.#startHost(host);
+        this.startHost(host);
       }
     }).catch((error: unknown) => this.recordError(error));
   }
 
   /** Cuts a host off from its peers for a while. */
   cutPeers(): void {
-    const host = this.#pick(this.#hosts);
+    const host = this.#pick(this.hosts);
     if (host !== undefined) {
       host.peersCutUntilMs = this.time.nowMs + this.#random.getFraction() * 3_000;
     }
@@ -173,7 +128,7 @@
     this.#isAway = true;
     const copiedAtMs = this.time.nowMs - this.#random.getFraction() * MAX_COPY_AGE_MS;
     const awayMs = this.#random.getFraction() * MAX_AWAY_MS;
-    this.#hosts.forEach((host) => {
+    this.hosts.forEach((host) => {
       const cutHost = host;
       cutHost.storeCutUntilMs = this.time.nowMs + awayMs;
     });
@@ -194,7 +149,7 @@
     while (this.time.nowMs < untilMs) {
       // eslint-disable-next-line no-await-in-loop -- one step after the other
       await this.time.run(Math.min(STEP_MS, untilMs - this.time.nowMs));
-      this.#hosts.filter(({ isDead }) => !isDead).forEach((host) => this.#checkHost(host));
+      this.hosts.filter(({ isDead }) => !isDead).forEach((host) => this.#checkHost(host));
     }
   }
 
@@ -204,7 +159,7 @@
       .filter(({ isDraining, failureDomain }) => (
         !isDraining && !this.#drainedDomains.has(failureDomain)))
       .map(({ id }) => id).sort().join(' ');
-    this.#hosts.forEach(({ entry: { id }, directory }) => {
+    this.hosts.forEach(({ entry: { id }, directory }) => {
       const usable = directory.getUsable(POOL_ID).map(({ entry }) => entry.id).sort().join(' ');
       const version = directory.configuration?.version ?? 0;
       if (usable !== expected || version !== this.#version) {
@@ -218,11 +173,9 @@
     return items[Math.floor(this.#random.getFraction() * items.length)] as Item;
   }
 
-  #startHost(host: ModelHost): void {
-    host.start();
-    const memory: HostMemory = {
-      version: 0, departed: new Set(), drainedDomains: new Set(), restoredDomains: new Set(),
-    };
+  protected override startHost(host: ModelHost): void {
+    super.startHost(host);
+    const memory: HostMemory = { version: 0, departed: new Set() };
     this.#memories.set(host, memory);
     host.directory.onChange((change) => {
       switch (change.kind) {
@@ -237,14 +190,6 @@
             memory.departed.add(change.upstreamId);
           }
           break;
-        case 'domainDrained':
-          memory.drainedDomains.add(change.failureDomain);
-          memory.restoredDomains.delete(change.failureDomain);
-          break;
-        case 'domainRestored':
-          memory.restoredDomains.add(change.failureDomain);
-          memory.drainedDomains.delete(change.failureDomain);
-          break;
         default:
           break;
       }
@@ -292,14 +237,14 @@
   }
 
   #writeAgain(): void {
-    const keys = new Set<() => DirectoryChange>([
+    const changes = [
       () => this.#getConfigurationChange(),
       () => this.#getDomainChange('a'),
       () => this.#getDomainChange('b'),
       ...[...this.#upstreams.keys()].map((id) => () => this.#getUpstreamChange(id)),
-    ]);
-    keys.forEach((getChange) => this.#writeLater(getChange, REWRITE_MS));
-    this.#hosts.forEach(({ entry }) => (
+    ];
+    changes.forEach((getChange) => this.#writeLater(getChange, REWRITE_MS));
+    this.hosts.forEach(({ entry }) => (
       this.#writeLater(() => ({ kind: 'host', entry }), REWRITE_MS)));
     const stale = this.store.getSnapshot().changes
       .flatMap((change) => (change.kind === 'upstream' ? [change.entry.id] : []))
