--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -100,6 +100,9 @@
   /** The newest revision so far, also while the whole directory has to be read. */
   #lastRevision: EraBound | null = null;
 
+  /** Monotonic time before which the whole store is not read again, after a failed attempt. */
+  #readAgainAtMs = -Infinity;
+
   /** Monotonic time of the last answer of the store itself; null before the first. */
   #storeAnsweredAtMs: number | null = null;
 
@@ -198,11 +201,14 @@
 
   /** @returns the pause before the next step, to batch further changes */
   async #step(): Promise<number> {
-    const { readerSelector, peers, directory } = this.#options;
-    if (this.#revision === null || directory.nextReadInMs === 0) {
+    if (this.#revision === null) {
       await this.#readAll();
       return 0;
     }
+    if (this.#isRepeatedReadDue && await this.#tryReadAgain()) {
+      return 0;
+    }
+    const { readerSelector, peers } = this.#options;
     const { relayWaitMs } = this.#timings;
     const reader = relayWaitMs === null || this.#mustCatchUp
       ? null
@@ -214,6 +220,27 @@
     return 0;
   }
 
+  get #isRepeatedReadDue(): boolean {
+    return this.#options.directory.nextReadInMs === 0
+      && this.#options.clock.getMonotonicMs() >= this.#readAgainAtMs;
+  }
+
+  /**
+   * Reads the whole store again. A host that the store refuses goes on following its reader.
+   *
+   * @returns whether the store was read
+   */
+  async #tryReadAgain(): Promise<boolean> {
+    try {
+      await this.#readAll();
+      return true;
+    } catch (error) {
+      this.#readAgainAtMs = this.#options.clock.getMonotonicMs() + this.#timings.maxPauseMs;
+      this.#recordLoss(error);
+      return false;
+    }
+  }
+
   async #readAll(): Promise<void> {
     const snapshot = await this.#options.store.readAll();
     const difference = this.#options.directory.applySnapshot(snapshot);
@@ -295,7 +322,10 @@
 
   /** Limits a wait for changes to the time until the whole store has to be read again. */
   #limitWaitMs(waitMs: number): number {
-    return Math.ceil(Math.min(waitMs, this.#options.directory.nextReadInMs ?? Infinity));
+    const { clock, directory } = this.#options;
+    const postponedMs = this.#readAgainAtMs - clock.getMonotonicMs();
+    const nextReadInMs = Math.max(directory.nextReadInMs ?? Infinity, postponedMs);
+    return Math.ceil(Math.min(waitMs, nextReadInMs));
   }
 
   async #followReader(
--- a/src/directory/relayedDirectory.test.ts
+++ b/src/directory/relayedDirectory.test.ts
@@ -13,9 +13,12 @@
 import { DIRECTORY_PATH, type PeerChanges } from './DirectoryPeers.ts';
 import { DirectoryReaderSelector } from './DirectoryReaderSelector.ts';
 import type { FollowResult } from './DirectoryStore.ts';
+import { bindToEra } from './EraBound.ts';
 import { registerDirectoryRoutes } from './registerDirectoryRoutes.ts';
 
 const RELAY_WAIT_MS = 1_000;
+/** Longer than the time for which a host keeps entries that a copy of the store lacks. */
+const GRACE_MS = 3_000;
 const HOST_NAMES = ['h0', 'h1', 'h2', 'h3', 'h4', 'h5'];
 
 const HOSTS = HOST_NAMES.map((name) => createHostChange(name));
@@ -97,6 +100,22 @@
   kind: 'changes', revision: 0, payloads: [], ageMs: 5,
 };
 
+function createUpstreamChange(): DirectoryChange {
+  return {
+    kind: 'upstream',
+    entry: {
+      id: toId('u'),
+      poolId: toId('p'),
+      address: 'u:1',
+      failureDomain: 'x',
+      isDraining: false,
+      slots: 1,
+      coldRemainingMs: 0,
+      startedAtMs: 1,
+    },
+  };
+}
+
 describe('a directory that follows a reader', () => {
   it('sends no request to the store while its reader answers', async () => {
     const { store, directory, follower } = createFollower(FOLLOWER, [
@@ -108,19 +127,43 @@
     ]);
     await follower.run();
     deepEqual(store.waitsMs, []);
-    directory.apply({
-      kind: 'upstream',
-      entry: {
-        id: toId('u'),
-        poolId: toId('p'),
-        address: 'u:1',
-        failureDomain: 'x',
-        isDraining: false,
-        slots: 1,
-        coldRemainingMs: 0,
-        startedAtMs: 1,
+    directory.apply(createUpstreamChange());
+    equal(directory.isUsable(toId('u')), false);
+  });
+
+  it('goes on following its reader while the store refuses the reads of a new era', async () => {
+    const script: PeerChanges[] = [];
+    const {
+      clock, store, directory, follower,
+    } = createFollower(FOLLOWER, script);
+    const revision = bindToEra(2, 9);
+    let readCount = 0;
+    directory.applySnapshot({ changes: HOSTS, revision: bindToEra(1, 9) });
+    store.readAll = async () => {
+      readCount += 1;
+      if (readCount > 1) {
+        throw new Error('refused');
+      }
+      return { changes: HOSTS, revision };
+    };
+    script.push(
+      {
+        kind: 'changes',
+        revision,
+        payloads: [],
+        get ageMs() {
+          clock.advance(GRACE_MS);
+          return 0;
+        },
       },
-    });
+      {
+        kind: 'changes', revision, payloads: [JSON.stringify([DRAINED])], ageMs: 0,
+      },
+    );
+    await follower.run();
+    equal(readCount, 2);
+    deepEqual(store.waitsMs, []);
+    directory.apply(createUpstreamChange());
     equal(directory.isUsable(toId('u')), false);
   });
 
