--- a/src/quarantine/RequestSubject.ts
+++ b/src/quarantine/RequestSubject.ts
@@ -8,6 +8,8 @@
   readonly host: string;
   readonly path: string;
   readonly body: Buffer;
+  /** Ids of the prompt's parts that other requests may share: all but the last; empty for none. */
+  readonly sharedPartIds: readonly string[];
 }
 
 /** Identifies a request to the quarantine; its digest is computed on first use. */
@@ -23,6 +25,11 @@
     this.#options = options;
   }
 
+  /** Ids of the parts of its prompt that other requests may share. */
+  get sharedPartIds(): readonly string[] {
+    return this.#options.sharedPartIds;
+  }
+
   /** Digest of the content; the same for a retried request, at any host. */
   get fingerprint(): string {
     const {
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -407,6 +407,11 @@
 
   #recordBroken(engine: UpstreamEntry): void {
     const { subject, isTrial } = this.#parameters;
+    this.#log('broken', {
+      upstreamId: engine.id,
+      fingerprint: subject.fingerprint,
+      sharedPartIds: subject.sharedPartIds,
+    });
     this.#context.quarantine.recordBrokenExchange(subject, engine, {
       sentAtMs: this.#sentAtMs, isTrial,
     });
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -54,7 +54,12 @@
     poolId: choosePool(route, profile.id),
     account: account?.name ?? null,
     subject: new RequestSubject({
-      account: account?.name ?? null, method, host, path, body,
+      account: account?.name ?? null,
+      method,
+      host,
+      path,
+      body,
+      sharedPartIds: profile.generation?.parts.slice(0, -1).map(({ id }) => id) ?? [],
     }),
     isTrial: false,
     priority: account?.priority ?? route.priority,
--- a/test/property/QuarantineFleetModel.ts
+++ b/test/property/QuarantineFleetModel.ts
@@ -103,7 +103,7 @@
     const host = this.#getHost(hostIndex);
     const { quarantine } = host;
     const subject = new RequestSubject({
-      account: 'a', method: 'POST', host: 'h', path: '/', body: Buffer.from(body),
+      account: 'a', method: 'POST', host: 'h', path: '/', body: Buffer.from(body), sharedPartIds: [],
     });
     const admission = quarantine.isFree(subject)
       ? { kind: 'free' } as const
