--- a/test/property/QuarantineFleetModel.ts
+++ b/test/property/QuarantineFleetModel.ts
@@ -14,6 +14,9 @@
 const CRASH_MS = 20;
 const DOWN_MS = 1_000;
 const WORK_MS = 60;
+/** Time of a generation until its upstream begins to answer, and until it has answered. */
+const GENERATION_CRASH_MS = 300;
+const GENERATION_MS = 1_200;
 /** Longest delay until a host receives a change of the store. */
 const MAX_LAG_MS = 1_500;
 /** Time within which a host in contact with the store has to know its content. */
@@ -43,9 +46,17 @@
 /** Outcome of one request of a caller. */
 export type ModelOutcome = 'answered' | 'broken' | 'refused';
 
+/** A request of a caller; it crashes its upstream when its body or a part begins with `crash`. */
+export interface ModelRequest {
+  readonly body: string;
+  /** Ids of the parts of its prompt, without the last one. */
+  readonly sharedPartIds?: readonly string[];
+}
+
 /** Arrival of a request at an upstream. */
 export interface ModelArrival {
-  readonly body: string;
+  /** Body or part by which it crashes its upstream; its body if it does not. */
+  readonly cause: string;
   readonly atMs: number;
   /** Whether its host and the store had been free of faults for {@link CONTACT_MS}. */
   readonly isInContact: boolean;
@@ -59,7 +70,7 @@
 
   readonly arrivals: ModelArrival[] = [];
 
-  /** Times at which a request crashed an upstream, by the request's body. */
+  /** Times at which requests crashed an upstream, by the body or part that caused it. */
   readonly crashTimesMs = new Map<string, number[]>();
 
   readonly #random: RandomSource;
@@ -96,15 +107,20 @@
    * Sends a request to a host and waits for its outcome.
    *
    * @param hostIndex - index of the host
-   * @param body - body of the request; one that begins with `crash` crashes its upstream
+   * @param request - see {@link ModelRequest}
    * @returns the outcome
    */
-  async send(hostIndex: number, body: string): Promise<ModelOutcome> {
+  async send(
+    hostIndex: number,
+    { body, sharedPartIds = [] }: ModelRequest,
+  ): Promise<ModelOutcome> {
     const host = this.#getHost(hostIndex);
     const { quarantine } = host;
     const subject = new RequestSubject({
-      account: 'a', method: 'POST', host: 'h', path: '/', body: Buffer.from(body), sharedPartIds: [],
+      account: 'a', method: 'POST', host: 'h', path: '/', body: Buffer.from(body), sharedPartIds,
     });
+    const crashCause = [body, ...sharedPartIds].find((text) => text.startsWith('crash')) ?? null;
+    const isGeneration = sharedPartIds.length > 0;
     const admission = quarantine.isFree(subject)
       ? { kind: 'free' } as const
       : await quarantine.admit(subject, 'r', MAX_ADMISSION_WAIT_MS);
@@ -128,15 +144,17 @@
       return 'broken';
     }
     if (!wasDown) {
-      this.arrivals.push({ body, atMs: sentAtMs, isInContact: this.#isInContact(host) });
+      this.arrivals.push({
+        cause: crashCause ?? body, atMs: sentAtMs, isInContact: this.#isInContact(host),
+      });
     }
     if (wasDown) {
       await this.time.sleep(1);
-    } else if (body.startsWith('crash')) {
-      await this.time.sleep(CRASH_MS);
-      this.#crash(upstream, entry, body);
+    } else if (crashCause !== null) {
+      await this.time.sleep(isGeneration ? GENERATION_CRASH_MS : CRASH_MS);
+      this.#crash(upstream, entry, crashCause);
     } else {
-      await this.time.sleep(WORK_MS);
+      await this.time.sleep(isGeneration ? GENERATION_MS : WORK_MS);
     }
     if (upstream.entry !== entry || upstream.isDown) {
       quarantine.recordBrokenExchange(subject, entry, {
@@ -233,14 +251,14 @@
       && host.disturbedAtMs <= sinceMs && this.#storeDisturbedAtMs <= sinceMs;
   }
 
-  #crash(upstream: ModelUpstream, entry: UpstreamEntry, body: string | null): void {
+  #crash(upstream: ModelUpstream, entry: UpstreamEntry, cause: string | null): void {
     if (upstream.entry !== entry || upstream.isDown) {
       return;
     }
     upstream.isDown = true;
-    if (body !== null) {
-      const timesMs = this.crashTimesMs.get(body) ?? [];
-      this.crashTimesMs.set(body, [...timesMs, this.time.nowMs]);
+    if (cause !== null) {
+      const timesMs = this.crashTimesMs.get(cause) ?? [];
+      this.crashTimesMs.set(cause, [...timesMs, this.time.nowMs]);
     }
     this.time.sleep(DOWN_MS).then(() => {
       Object.assign(upstream, { entry: this.#createEntry(), isDown: false });
--- a/test/property/quarantineFleet.test.ts
+++ b/test/property/quarantineFleet.test.ts
@@ -54,10 +54,11 @@
       await time.sleep(everyMs * (0.5 + random.getFraction()));
     }
   };
-  CRASHING.forEach((body) => repeat(CRASHING_EVERY_MS, END_MS, () => model.send(pickHost(), body)));
+  CRASHING.forEach((body) => (
+    repeat(CRASHING_EVERY_MS, END_MS, () => model.send(pickHost(), { body }))));
   repeat(POPULAR_EVERY_MS, END_MS, () => {
     const atMs = time.nowMs;
-    model.send(pickHost(), 'popular').then((outcome) => popular.push({ atMs, outcome }));
+    model.send(pickHost(), { body: 'popular' }).then((outcome) => popular.push({ atMs, outcome }));
   });
   repeat(1_500, FAULTS_UNTIL_MS, () => {
     const fault = faults[Math.floor(random.getFraction() * faults.length)];
@@ -70,7 +71,7 @@
 function countLate({ arrivals, crashTimesMs }: QuarantineFleetModel, body: string): number {
   const dueAtMs = (crashTimesMs.get(body)?.[2] ?? Infinity) + CONTACT_MS;
   return arrivals
-    .filter((arrival) => arrival.body === body && arrival.atMs > dueAtMs && arrival.isInContact)
+    .filter((arrival) => arrival.cause === body && arrival.atMs > dueAtMs && arrival.isInContact)
     .length;
 }
 
