--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -362,8 +362,8 @@
       case 'storeEraChanged':
         return true;
       case 'crashRecorded':
-      case 'requestCleared':
-      case 'requestTried':
+      case 'suspectCleared':
+      case 'suspectTried':
       case 'trialsForgotten':
         // The quarantine keeps the state of these changes.
         return true;
--- a/src/directory/DirectoryChange.ts
+++ b/src/directory/DirectoryChange.ts
@@ -1,5 +1,6 @@
 import type { HostId, UpstreamId } from '../lib/ids.ts';
 import type { CrashReport } from '../quarantine/QuarantineStore.ts';
+import type { SuspectId } from '../quarantine/SuspectId.ts';
 import type { EraBound } from './EraBound.ts';
 import type { KnownHost } from './HostEntry.ts';
 import type { ServingConfiguration } from './ServingConfiguration.ts';
@@ -40,19 +41,19 @@
   }
   /** A request that was in progress at crashed upstreams has been answered. */
   | {
-    readonly kind: 'requestCleared';
-    readonly fingerprint: string;
+    readonly kind: 'suspectCleared';
+    readonly suspectId: SuspectId;
     readonly revision: EraBound;
   }
   /** A request that was in progress at crashed upstreams is sent as a trial, by one host. */
   | {
-    readonly kind: 'requestTried';
-    readonly fingerprint: string;
+    readonly kind: 'suspectTried';
+    readonly suspectId: SuspectId;
     readonly trialCount: number;
     readonly revision: EraBound;
   }
   /** The record of a request's trials was deleted, after an answer or by an operator. */
-  | { readonly kind: 'trialsForgotten'; readonly fingerprint: string }
+  | { readonly kind: 'trialsForgotten'; readonly suspectId: SuspectId }
   /** An upstream's notice that it is leaving, which counts as much as the store's entry. */
   | {
     readonly kind: 'upstreamLeaving';
--- a/src/directory/getChangeKey.ts
+++ b/src/directory/getChangeKey.ts
@@ -32,11 +32,11 @@
       return `limit ${change.advertisedLimit.lifetime.id}`;
     case 'crashRecorded':
       return `crash ${change.report.crashId} ${change.hostId}`;
-    case 'requestCleared':
-      return `cleared ${change.fingerprint}`;
-    case 'requestTried':
+    case 'suspectCleared':
+      return `cleared ${change.suspectId}`;
+    case 'suspectTried':
     case 'trialsForgotten':
-      return `trials ${change.fingerprint}`;
+      return `trials ${change.suspectId}`;
     default:
       throw exhaustiveSwitchError(change);
   }
--- a/src/quarantine/CrashMonitor.ts
+++ b/src/quarantine/CrashMonitor.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../time/Clock.ts';
 import { scheduleTimer, type Schedule } from '../time/scheduleTimer.ts';
 import type { CrashReport } from './QuarantineStore.ts';
+import type { SuspectId } from './SuspectId.ts';
 import type { Liveness, UpstreamCheck } from './UpstreamCheck.ts';
 
 /** Options of a {@link CrashMonitor}. */
@@ -24,8 +25,8 @@
 export interface BrokenExchange {
   /** The upstream, as it was when the request was sent. */
   readonly entry: UpstreamEntry;
-  /** Fingerprint of the request. */
-  readonly fingerprint: string;
+  /** What a crash may be blamed on: the request and the parts of its prompt. */
+  readonly suspectIds: readonly SuspectId[];
   /** Monotonic time at which the request was sent. */
   readonly sentAtMs: number;
   /** Receives whether the upstream crashed while it ran the request; not called while unknown. */
@@ -36,8 +37,8 @@
 interface SuspectedCrash {
   readonly crashId: string;
   readonly entry: UpstreamEntry;
-  /** Requests with broken exchanges, with the wall time at which each was first sent. */
-  readonly requests: Map<string, number>;
+  /** What was in the broken exchanges, with the wall time at which each was first sent. */
+  readonly suspects: Map<SuspectId, number>;
   readonly listeners: ((hasEnded: boolean) => void)[];
   /** When its first exchange broke; a request that was sent later was not running at the crash. */
   brokenAtMs: number;
@@ -50,8 +51,8 @@
 const SUSPECTED_CRASH_TTL_MS = 10_000;
 /** Suspected crashes kept at the same time; a whole failure domain may crash at once. */
 const MAX_SUSPECTED_CRASHES = 1_000;
-/** Requests listed in one crash report. */
-const MAX_REPORTED_REQUESTS = 64;
+/** Suspects listed in one crash report, enough for the parts of all requests of one upstream. */
+const MAX_REPORTED_SUSPECTS = 512;
 
 /**
  * Gets the id of an upstream process's crash.
@@ -63,6 +64,18 @@
   return `${id}@${startedAtMs ?? 0}`;
 }
 
+function addSuspects(
+  { suspects }: SuspectedCrash,
+  suspectIds: readonly SuspectId[],
+  sentAtMs: number,
+): void {
+  suspectIds.forEach((suspectId) => {
+    if (suspects.size < MAX_REPORTED_SUSPECTS && !suspects.has(suspectId)) {
+      suspects.set(suspectId, sentAtMs);
+    }
+  });
+}
+
 function notifyListeners({ listeners }: SuspectedCrash, hasEnded: boolean): void {
   listeners.splice(0).forEach((listener) => listener(hasEnded));
 }
@@ -98,7 +111,7 @@
    * @param exchange - see {@link BrokenExchange}
    */
   recordBrokenExchange({
-    entry, fingerprint, sentAtMs, onDecided = () => {},
+    entry, suspectIds, sentAtMs, onDecided = () => {},
   }: BrokenExchange): void {
     // A leaving upstream stops as planned: this is no crash.
     if (this.#options.directory.isLeaving(entry)) {
@@ -111,10 +124,7 @@
       onDecided(false);
       return;
     }
-    if (suspectedCrash.requests.size < MAX_REPORTED_REQUESTS
-      && !suspectedCrash.requests.has(fingerprint)) {
-      suspectedCrash.requests.set(fingerprint, this.#getWallMs(sentAtMs));
-    }
+    addSuspects(suspectedCrash, suspectIds, this.#getWallMs(sentAtMs));
     this.#awaitDecision(suspectedCrash, onDecided);
   }
 
@@ -131,7 +141,7 @@
     const suspectedCrash: SuspectedCrash = {
       crashId,
       entry,
-      requests: new Map(),
+      suspects: new Map(),
       listeners: [],
       brokenAtMs: this.#options.clock.getMonotonicMs(),
       state: 'checking',
@@ -194,7 +204,7 @@
       upstreamId: entry.id,
       crashId,
       sign: liveness,
-      requestCount: suspectedCrash.requests.size,
+      suspectCount: suspectedCrash.suspects.size,
     }, 'checked the liveness of an upstream after a broken exchange');
     if (state === 'ended') {
       return;
@@ -235,12 +245,12 @@
   }
 
   #report({
-    crashId, entry, requests, brokenAtMs,
+    crashId, entry, suspects, brokenAtMs,
   }: SuspectedCrash): void {
     this.#options.onCrash({
       crashId,
       endedAtMs: this.#getWallMs(brokenAtMs),
-      requests: [...requests].map(([fingerprint, sentAtMs]) => ({ fingerprint, sentAtMs })),
+      suspects: [...suspects].map(([suspectId, sentAtMs]) => ({ suspectId, sentAtMs })),
     }, entry.poolId);
   }
 
--- a/src/quarantine/QuarantineStore.ts
+++ b/src/quarantine/QuarantineStore.ts
@@ -1,32 +1,33 @@
 import type { EraBound } from '../directory/EraBound.ts';
 import type { RenewResult, StoreLease } from '../directory/StoreLease.ts';
 import type { HostId } from '../lib/ids.ts';
+import type { SuspectId } from './SuspectId.ts';
 
-/** A request that was running at an upstream when that crashed. */
-export interface AffectedRequest {
-  readonly fingerprint: string;
-  /** When it was sent, by the wall clock of the sending host. */
+/** A request that was running at an upstream when that crashed, or a part of its prompt. */
+export interface AffectedSuspect {
+  readonly suspectId: SuspectId;
+  /** When the first such request was sent, by the wall clock of the sending host. */
   readonly sentAtMs: number;
 }
 
-/** A crash of an upstream process, with the requests of one host that were running there. */
+/** A crash of an upstream process, with all that one host had running there. */
 export interface CrashReport {
   /** Identifies the upstream and the process that crashed. */
   readonly crashId: string;
   /** When the upstream crashed, by the wall clock of the reporting host. */
   readonly endedAtMs: number;
-  readonly requests: readonly AffectedRequest[];
+  readonly suspects: readonly AffectedSuspect[];
 }
 
-/** Trial count of a held request, as a host writes it to the store. */
+/** Trial count of a held suspect, as a host writes it to the store. */
 export interface TrialRecord {
-  readonly fingerprint: string;
+  readonly suspectId: SuspectId;
   /** Trials so far, including the one that begins. */
   readonly trialCount: number;
   /** Revision of the record to replace; 0 for none. */
   readonly expectedRevision: EraBound;
-  /** Request whose record is removed to bound their number; null while there are few. */
-  readonly evictedFingerprint: string | null;
+  /** Suspect whose record is removed to bound their number; null while there are few. */
+  readonly evictedId: SuspectId | null;
 }
 
 /** Shares crashes and trials between hosts. Methods reject when the store gives no answer. */
@@ -48,13 +49,13 @@
    */
   writeCrash(report: CrashReport, hostId: HostId, lease: StoreLease): Promise<RenewResult>;
   /**
-   * Writes that a request was answered, and removes its trial record.
+   * Writes that a suspect was answered, and removes its trial record.
    *
-   * @param fingerprint - the request
+   * @param suspectId - the suspect
    * @param lease - lease that bounds the lifetime of the record
    * @returns whether the lease is still valid
    */
-  writeCleared(fingerprint: string, lease: StoreLease): Promise<RenewResult>;
+  writeCleared(suspectId: SuspectId, lease: StoreLease): Promise<RenewResult>;
   /**
    * Writes a trial record if the store still has the expected revision.
    *
--- a/src/quarantine/QuarantineWriter.ts
+++ b/src/quarantine/QuarantineWriter.ts
@@ -5,6 +5,7 @@
 import type { RandomSource } from '../lib/RandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
 import { scheduleTimer, type Schedule } from '../time/scheduleTimer.ts';
+import type { SuspectId } from './SuspectId.ts';
 import type { CrashReport, QuarantineStore } from './QuarantineStore.ts';
 import { CRASH_TTL_MS } from './SuspectTable.ts';
 
@@ -40,12 +41,12 @@
 
   readonly #crashes = new Map<string, CrashReport>();
 
-  readonly #cleared = new Set<string>();
+  readonly #cleared = new Set<SuspectId>();
 
   /** Records in the store, which are written again when the store has lost them. */
   readonly #writtenCrashes = new Map<string, WrittenRecord<CrashReport>>();
 
-  readonly #writtenCleared = new Map<string, WrittenRecord<string>>();
+  readonly #writtenCleared = new Map<string, WrittenRecord<SuspectId>>();
 
   #lease: { readonly lease: StoreLease; readonly createdAtMs: number } | null = null;
 
@@ -81,10 +82,10 @@
   /**
    * Queues the clearing of a request.
    *
-   * @param fingerprint - a request that was answered
+   * @param suspectId - a request that was answered
    */
-  addCleared(fingerprint: string): void {
-    this.#cleared.add(fingerprint);
+  addCleared(suspectId: SuspectId): void {
+    this.#cleared.add(suspectId);
     const [oldest] = this.#cleared;
     if (oldest !== undefined && this.#cleared.size > MAX_PENDING) {
       this.#cleared.delete(oldest);
@@ -101,7 +102,7 @@
     getCurrent(this.#writtenCrashes)
       .filter(({ crashId }) => !this.#crashes.has(crashId))
       .forEach((report) => this.addCrash(report));
-    getCurrent(this.#writtenCleared).forEach((fingerprint) => this.addCleared(fingerprint));
+    getCurrent(this.#writtenCleared).forEach((suspectId) => this.addCleared(suspectId));
   }
 
   /** Stops writing. */
@@ -145,7 +146,7 @@
     const { store, hostId } = this.#options;
     const lease = await this.#getLease();
     const report = [...this.#crashes.values()][0];
-    const [fingerprint] = this.#cleared;
+    const [suspectId] = this.#cleared;
     if (report !== undefined) {
       this.#checkLease(await store.writeCrash(report, hostId, lease));
       this.#remember(this.#writtenCrashes, report.crashId, report);
@@ -153,10 +154,10 @@
       if (this.#crashes.get(report.crashId) === report) {
         this.#crashes.delete(report.crashId);
       }
-    } else if (fingerprint !== undefined) {
-      this.#checkLease(await store.writeCleared(fingerprint, lease));
-      this.#remember(this.#writtenCleared, fingerprint, fingerprint);
-      this.#cleared.delete(fingerprint);
+    } else if (suspectId !== undefined) {
+      this.#checkLease(await store.writeCleared(suspectId, lease));
+      this.#remember(this.#writtenCleared, suspectId, suspectId);
+      this.#cleared.delete(suspectId);
     }
   }
 
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -10,10 +10,14 @@
 import { CrashMonitor, getCrashId } from './CrashMonitor.ts';
 import type { CrashReport, QuarantineStore } from './QuarantineStore.ts';
 import { QuarantineWriter } from './QuarantineWriter.ts';
+import { combineDecisions, type DueTrial, type RequestDecision } from './combineDecisions.ts';
+import { isPromptPart } from './isPromptPart.ts';
 import type { RequestSubject } from './RequestSubject.ts';
+import type { SuspectId } from './SuspectId.ts';
 import {
   CRASH_LIMIT, SuspectTable, type LostTrials, type SendDecision,
 } from './SuspectTable.ts';
+import type { Trial } from './Trial.ts';
 import type { UpstreamCheck } from './UpstreamCheck.ts';
 
 /** Options of a {@link RequestQuarantine}. */
@@ -35,11 +39,18 @@
 /** Decision on whether a request may be sent. */
 export type QuarantineDecision =
   | { readonly kind: 'free' }
-  /** It may be sent once; the outcome decides for all requests with its fingerprint. */
-  | { readonly kind: 'trial' }
+  /** It may be sent once. */
+  | { readonly kind: 'trial'; readonly trial: Trial }
   | { readonly kind: 'refused'; readonly retryAfterMs: number };
 
-/** Crashes of a request from which on its answer is announced to the other hosts. */
+/** A suspect of a request that keeps it from being sent freely. */
+interface HeldSuspect {
+  readonly suspectId: SuspectId;
+  readonly decision: SendDecision['kind'];
+  readonly crashCount: number;
+}
+
+/** Crashes of a suspect from which on its answer is announced to the other hosts. */
 const ANNOUNCED_CRASH_COUNT = CRASH_LIMIT - 1;
 /** Longest delay before trial counts are written again that the store has lost. */
 const MAX_RESTORE_DELAY_MS = 1_000;
@@ -89,7 +100,20 @@
    * @returns whether it is not held
    */
   isFree(subject: RequestSubject): boolean {
-    return this.#table.isEmpty || this.#table.getDecision(subject.fingerprint).kind === 'free';
+    return this.#table.isEmpty || this.#getDecision(subject).kind === 'free';
+  }
+
+  /**
+   * Decides whether a request that was admitted before may still be sent.
+   *
+   * @param subject - the request
+   * @param trial - the trial as which it was admitted; null for none
+   * @returns whether nothing of it is held except for its own trial
+   */
+  maySend(subject: RequestSubject, trial: Trial | null): boolean {
+    return this.#table.isEmpty || subject.suspectIds.every((suspectId) => (
+      trial?.suspectIds.includes(suspectId) === true
+      || this.#table.getDecision(suspectId).kind === 'free'));
   }
 
   /**
@@ -107,22 +131,23 @@
   ): Promise<QuarantineDecision> {
     const { clock } = this.#options;
     const untilMs = clock.getMonotonicMs() + maxWaitMs;
-    const { fingerprint } = subject;
-    let admission = await this.#decide(fingerprint, requestId);
+    let admission = await this.#decide(subject, requestId);
     while (admission === null) {
       const waitMs = untilMs - clock.getMonotonicMs();
       // eslint-disable-next-line no-await-in-loop -- each change is evaluated in turn
       const hasChanged = waitMs > 0 && await this.#waitForChange(waitMs);
-      const decision = this.#table.getDecision(fingerprint);
+      const decision = this.#getDecision(subject);
       if (!hasChanged && decision.kind === 'held') {
         // Most trials end within the time that such requests usually take.
         admission = { kind: 'refused', retryAfterMs: Math.min(maxWaitMs, decision.retryAfterMs) };
       } else {
         // eslint-disable-next-line no-await-in-loop -- as above
-        admission = await this.#decide(fingerprint, requestId);
+        admission = await this.#decide(subject, requestId);
       }
     }
-    this.#log('admitted', fingerprint, { requestId, admission });
+    this.#options.logger.info({
+      event: 'quarantine', outcome: 'admitted', requestId, admission, held: this.#getHeld(subject),
+    }, 'decided whether to send a request that may crash upstreams');
     return admission;
   }
 
@@ -131,24 +156,24 @@
    *
    * @param subject - the request
    * @param entry - the upstream, as it was when the request was sent
-   * @param send - when the request was sent, and whether as a trial
+   * @param send - when the request was sent, and the trial as which it was sent
    */
   recordBrokenExchange(
     subject: RequestSubject,
     entry: UpstreamEntry,
-    { sentAtMs, isTrial }: { readonly sentAtMs: number; readonly isTrial: boolean },
+    { sentAtMs, trial }: { readonly sentAtMs: number; readonly trial: Trial | null },
   ): void {
     const crashedAtMs = this.#crashedAtMs.get(getCrashId(entry)) ?? Infinity;
     if (sentAtMs > crashedAtMs) {
       // The upstream had crashed before the send, so the trial shows nothing.
-      this.#endTrial(subject, isTrial, false);
+      this.#endTrial(trial, false);
       return;
     }
     this.#crashMonitor.recordBrokenExchange({
       entry,
-      fingerprint: subject.fingerprint,
+      suspectIds: subject.suspectIds,
       sentAtMs,
-      onDecided: (hasEnded) => this.#endTrial(subject, isTrial, hasEnded),
+      onDecided: (hasEnded) => this.#endTrial(trial, hasEnded),
     });
   }
 
@@ -162,28 +187,42 @@
     return await this.#crashMonitor.queryLiveness(entry) === 'alive';
   }
 
-  #endTrial(subject: RequestSubject, isTrial: boolean, hasEndedUpstream: boolean): void {
-    if (isTrial && !hasEndedUpstream) {
-      this.returnTrial(subject);
+  #endTrial(trial: Trial | null, hasEndedUpstream: boolean): void {
+    if (trial !== null && !hasEndedUpstream) {
+      this.returnTrial(trial);
     }
   }
 
   /**
-   * Records that an upstream answered a request, which clears the request.
+   * Records that an upstream answered a request. Any answer of a run clears the request; the parts
+   * of its prompt are cleared by a complete success only, since an upstream may fail before it
+   * begins to answer on them.
    *
    * @param subject - the request
+   * @param answer - whether it was a success, and the trial as which the request was sent
    */
-  recordAnswered(subject: RequestSubject): void {
-    if (this.#table.isEmpty) {
-      return;
+  recordAnswered(
+    subject: RequestSubject,
+    { isSuccess, trial }: { readonly isSuccess: boolean; readonly trial: Trial | null },
+  ): void {
+    if (isSuccess) {
+      subject.partIds.forEach((partId) => this.#clear(partId));
     }
-    const { fingerprint } = subject;
-    const isAnnounced = !this.isFree(subject)
-      || this.#table.getCrashCount(fingerprint) >= ANNOUNCED_CRASH_COUNT;
-    this.#table.clear(fingerprint, 0);
+    if (!this.#table.isEmpty) {
+      this.#clear(subject.requestId);
+    }
+    if (!isSuccess && trial !== null) {
+      this.returnTrial({ suspectIds: trial.suspectIds.filter(isPromptPart) });
+    }
+  }
+
+  #clear(suspectId: SuspectId): void {
+    const isAnnounced = this.#table.getDecision(suspectId).kind !== 'free'
+      || this.#table.getUnrecordedCrashCount(suspectId) >= ANNOUNCED_CRASH_COUNT;
+    this.#table.clear(suspectId, 0);
     if (isAnnounced) {
-      this.#log('cleared', fingerprint, {});
-      this.#writer.addCleared(fingerprint);
+      this.#log('cleared', suspectId, {});
+      this.#writer.addCleared(suspectId);
       this.#wakeWaiting();
     }
   }
@@ -191,25 +230,29 @@
   /**
    * Returns a trial whose request was not run, so that it does not count.
    *
-   * @param subject - the request
+   * @param trial - the trial
    */
-  returnTrial({ fingerprint }: RequestSubject): void {
-    const revision = this.#table.getTrialRevision(fingerprint);
-    const trialCount = this.#table.getTrialCount(fingerprint) - 1;
+  returnTrial({ suspectIds }: Trial): void {
+    suspectIds.forEach((suspectId) => this.#returnTrial(suspectId));
+  }
+
+  #returnTrial(suspectId: SuspectId): void {
+    const revision = this.#table.getTrialRevision(suspectId);
+    const trialCount = this.#table.getTrialCount(suspectId) - 1;
     if (trialCount < 0) {
       return;
     }
     this.#options.store.writeTrials({
-      fingerprint, trialCount, expectedRevision: revision, evictedFingerprint: null,
+      suspectId, trialCount, expectedRevision: revision, evictedId: null,
     }).then((newRevision) => {
-      this.#log('trialReturned', fingerprint, { trialCount, revision: newRevision });
+      this.#log('trialReturned', suspectId, { trialCount, revision: newRevision });
       if (newRevision !== null) {
-        this.#table.setTrialCount(fingerprint, trialCount, newRevision);
+        this.#table.setTrialCount(suspectId, trialCount, newRevision);
         this.#wakeWaiting();
       }
     }).catch((error: unknown) => {
-      this.#log('trialReturnedAlone', fingerprint, { trialCount, error: String(error) });
-      this.#table.adjustTrialCount(fingerprint, -1);
+      this.#log('trialReturnedAlone', suspectId, { trialCount, error: String(error) });
+      this.#table.adjustTrialCount(suspectId, -1);
       this.#wakeWaiting();
     });
   }
@@ -221,14 +264,30 @@
     this.#wakeWaiting();
   }
 
+  #getDecision(subject: RequestSubject): RequestDecision {
+    const decisions = subject.suspectIds.map((suspectId) => (
+      [suspectId, this.#table.getDecision(suspectId)] as const));
+    return combineDecisions(decisions, this.#options.clock.getMonotonicMs());
+  }
+
+  #getHeld(subject: RequestSubject): readonly HeldSuspect[] {
+    return subject.suspectIds
+      .map((suspectId) => ({
+        suspectId,
+        decision: this.#table.getDecision(suspectId).kind,
+        crashCount: this.#table.getCrashCount(suspectId),
+      }))
+      .filter(({ decision }) => decision !== 'free');
+  }
+
   /** @returns the decision; null while a running trial may clear the request */
-  async #decide(fingerprint: string, requestId: string): Promise<QuarantineDecision | null> {
-    const decision = this.#table.getDecision(fingerprint);
+  async #decide(subject: RequestSubject, requestId: string): Promise<QuarantineDecision | null> {
+    const decision = this.#getDecision(subject);
     switch (decision.kind) {
       case 'free':
         return decision;
       case 'trialDue':
-        return this.#takeTrial(fingerprint, requestId, decision);
+        return this.#takeTrials(decision.trials, requestId);
       case 'held':
         return decision.isOnTrial ? null : { kind: 'refused', retryAfterMs: decision.retryAfterMs };
       default:
@@ -236,34 +295,49 @@
     }
   }
 
-  async #takeTrial(
-    fingerprint: string,
+  /** @returns the trial of all of them; null when another host was first for one */
+  async #takeTrials(
+    trials: readonly DueTrial[],
     requestId: string,
-    due: Extract<SendDecision, { kind: 'trialDue' }>,
   ): Promise<QuarantineDecision | null> {
+    const taken: SuspectId[] = [];
+    for (let index = 0; index < trials.length; index += 1) {
+      const due = trials[index];
+      // eslint-disable-next-line no-await-in-loop -- a trial that another host has ends the series
+      if (due !== undefined && !await this.#takeTrial(due, requestId)) {
+        this.returnTrial({ suspectIds: taken });
+        return null;
+      }
+      taken.push(...due === undefined ? [] : [due.id]);
+    }
+    return { kind: 'trial', trial: { suspectIds: taken } };
+  }
+
+  async #takeTrial(due: DueTrial, requestId: string): Promise<boolean> {
+    const { id } = due;
     const trialCount = due.trialCount + 1;
     try {
       const revision = await this.#options.store.writeTrials({
-        fingerprint,
+        suspectId: id,
         trialCount,
         expectedRevision: due.revision,
-        evictedFingerprint: this.#table.getOldestTrial(),
+        evictedId: this.#table.getOldestTrial(),
       });
-      this.#log('trialTaken', fingerprint, { requestId, trialCount, revision });
+      this.#log('trialTaken', id, { requestId, trialCount, revision });
       if (revision === null) {
-        this.#table.recordRemoteTrial(fingerprint);
-        return null;
+        this.#table.recordRemoteTrial(id);
+        return false;
       }
-      this.#table.setTrialCount(fingerprint, trialCount, revision);
-      return { kind: 'trial' };
+      this.#table.setTrialCount(id, trialCount, revision);
+      return true;
     } catch (error) {
       // A host without access to the store relies on its own trial count.
-      this.#log('trialAlone', fingerprint, { requestId, trialCount, error: String(error) });
-      if (this.#table.getDecision(fingerprint).kind !== 'trialDue') {
-        return null;
+      this.#log('trialAlone', id, { requestId, trialCount, error: String(error) });
+      if (this.#table.getDecision(id).kind !== 'trialDue') {
+        return false;
       }
-      this.#table.adjustTrialCount(fingerprint, 1);
-      return { kind: 'trial' };
+      this.#table.adjustTrialCount(id, 1);
+      return true;
     }
   }
 
@@ -298,15 +372,15 @@
         this.#recordCrashTime(change.report.crashId);
         this.#table.addCrash(change.report, change.revision);
         break;
-      case 'requestCleared':
-        this.#table.clear(change.fingerprint, change.revision);
+      case 'suspectCleared':
+        this.#table.clear(change.suspectId, change.revision);
         this.#wakeWaiting();
         break;
-      case 'requestTried':
-        this.#table.setTrialCount(change.fingerprint, change.trialCount, change.revision);
+      case 'suspectTried':
+        this.#table.setTrialCount(change.suspectId, change.trialCount, change.revision);
         break;
       case 'trialsForgotten':
-        this.#table.releaseTrials(change.fingerprint);
+        this.#table.releaseTrials(change.suspectId);
         this.#wakeWaiting();
         break;
       default:
@@ -336,14 +410,14 @@
     });
   }
 
-  async #restoreTrial({ fingerprint, trialCount, revision }: LostTrials): Promise<void> {
+  async #restoreTrial({ suspectId, trialCount, revision }: LostTrials): Promise<void> {
     const newRevision = await this.#options.store.writeTrials({
-      fingerprint, trialCount, expectedRevision: revision, evictedFingerprint: null,
+      suspectId, trialCount, expectedRevision: revision, evictedId: null,
     });
-    this.#log('trialsRestored', fingerprint, { trialCount, revision: newRevision });
+    this.#log('trialsRestored', suspectId, { trialCount, revision: newRevision });
     // Without a revision another host was first, whose record arrives as a change.
     if (newRevision !== null) {
-      this.#table.setTrialCount(fingerprint, trialCount, newRevision);
+      this.#table.setTrialCount(suspectId, trialCount, newRevision);
     }
   }
 
@@ -367,12 +441,12 @@
     [...this.#waiting].forEach((wake) => wake());
   }
 
-  #log(outcome: string, fingerprint: string, details: Readonly<Record<string, unknown>>): void {
+  #log(outcome: string, suspectId: SuspectId, details: Readonly<Record<string, unknown>>): void {
     this.#options.logger.info({
       event: 'quarantine',
       outcome,
-      fingerprint,
-      crashCount: this.#table.getCrashCount(fingerprint),
+      suspectId,
+      crashCount: this.#table.getCrashCount(suspectId),
       ...details,
     }, 'updated the quarantine state of a request that was running at crashed upstreams');
   }
--- a/src/quarantine/RequestSubject.ts
+++ b/src/quarantine/RequestSubject.ts
@@ -1,4 +1,6 @@
 import { getFingerprint } from './getFingerprint.ts';
+import { getSuspectId } from './getSuspectId.ts';
+import type { SuspectId } from './SuspectId.ts';
 
 /** Content of a request, without its id. */
 export interface RequestSubjectOptions {
@@ -12,11 +14,16 @@
   readonly sharedPartIds: readonly string[];
 }
 
-/** Identifies a request to the quarantine; its digest is computed on first use. */
+/** Parts of one prompt that are blamed for crashes; a prompt usually has fewer. */
+const MAX_PARTS = 64;
+
+/** Identifies a request to the quarantine; the ids are computed on first use. */
 export class RequestSubject {
   readonly #options: RequestSubjectOptions;
 
-  #fingerprint: string | null = null;
+  #requestId: SuspectId | null = null;
+
+  #partIds: readonly SuspectId[] | null = null;
 
   /**
    * @param options - see {@link RequestSubjectOptions}
@@ -25,17 +32,27 @@
     this.#options = options;
   }
 
-  /** Ids of the parts of its prompt that other requests may share. */
-  get sharedPartIds(): readonly string[] {
-    return this.#options.sharedPartIds;
-  }
-
   /** Digest of the content; the same for a retried request, at any host. */
-  get fingerprint(): string {
+  get requestId(): SuspectId {
     const {
       account, method, host, path, body,
     } = this.#options;
-    this.#fingerprint ??= getFingerprint([account ?? '', method, host, path], body);
-    return this.#fingerprint;
+    this.#requestId ??= getSuspectId({
+      kind: 'request', fingerprint: getFingerprint([account ?? '', method, host, path], body),
+    });
+    return this.#requestId;
+  }
+
+  /** Parts of its prompt that other requests may share. */
+  get partIds(): readonly SuspectId[] {
+    this.#partIds ??= [...new Set(this.#options.sharedPartIds)]
+      .slice(0, MAX_PARTS)
+      .map((partId) => getSuspectId({ kind: 'promptPart', partId }));
+    return this.#partIds;
+  }
+
+  /** All that crashes of its upstreams may be blamed on. */
+  get suspectIds(): readonly SuspectId[] {
+    return [this.requestId, ...this.partIds];
   }
 }
--- a/src/quarantine/SuspectTable.ts
+++ b/src/quarantine/SuspectTable.ts
@@ -1,13 +1,23 @@
 import { getEra, getUnbound, type EraBound } from '../directory/EraBound.ts';
 import type { Clock } from '../time/Clock.ts';
 import { countCrashes, type CrashedRun } from './countCrashes.ts';
+import { AnsweredSuspects } from './AnsweredSuspects.ts';
+import { CrashSuspects } from './CrashSuspects.ts';
 import type { CrashReport } from './QuarantineStore.ts';
+import { isPromptPart } from './isPromptPart.ts';
+import type { SuspectId } from './SuspectId.ts';
 
 /** Decision on whether a request may be sent. */
 export type SendDecision =
   | { readonly kind: 'free' }
   /** It may be sent once, by the host that takes the next trial. */
-  | { readonly kind: 'trialDue'; readonly trialCount: number; readonly revision: EraBound }
+  | {
+    readonly kind: 'trialDue';
+    readonly trialCount: number;
+    readonly revision: EraBound;
+    /** When this host learned of the last crash. */
+    readonly crashedAtMs: number;
+  }
   /** It may not be sent now. */
   | {
     readonly kind: 'held';
@@ -17,12 +27,14 @@
   };
 
 interface RecordedRun extends CrashedRun {
+  /** Revision of the crash record; infinite until the record of a crash detected here arrives. */
+  readonly revision: EraBound;
   /** Monotonic time at which the record expires. */
   readonly untilMs: number;
 }
 
-/** A request that was running at upstreams when they crashed, and was not answered since. */
-interface Suspect {
+/** State of a suspect that was at upstreams when they crashed, and was not answered since. */
+interface SuspectState {
   /** Runs that a crash interrupted, by crash id. */
   readonly crashes: Map<string, RecordedRun>;
   trialCount: number;
@@ -37,17 +49,19 @@
 
 /** Trials of a request whose record a copy of the store lacks. */
 export interface LostTrials {
-  readonly fingerprint: string;
+  readonly suspectId: SuspectId;
   readonly trialCount: number;
   /** Revision of the older record that the copy has; 0 for none. */
   readonly revision: EraBound;
 }
 
 /** Record that cleared a request. */
-interface ClearedRequest {
+interface ClearedSuspect {
   readonly revision: EraBound;
   /** Crashes from before the record, which don't count even when they are recorded again. */
   readonly crashIds: ReadonlySet<string>;
+  /** How many of these crashes the other hosts don't count any more, thanks to the record. */
+  readonly recordedCrashCount: number;
   /** When the entry expires. */
   readonly untilMs: number;
 }
@@ -59,6 +73,8 @@
  * the crashes is soon cleared; after the last failed trial, only an operator can clear the request.
  */
 export const TRIAL_DELAYS_MS: readonly number[] = [0, 5_000, 600_000];
+/** The same for a part that was answered before, so that it is less likely to be the cause. */
+const ANSWERED_TRIAL_DELAYS_MS: readonly number[] = [0, 5_000, 5_000, 600_000];
 /** Maximum duration of a trial that ends by neither an answer nor a crash. */
 const MAX_TRIAL_MS = 5_000;
 /** How long a crash counts. */
@@ -77,6 +93,17 @@
   return getEra(known) !== getEra(revision) && getUnbound(known) === getUnbound(revision);
 }
 
+/** Whether the last trial left no crash record, since its host was killed during the trial. */
+function isLastTrialVoid(
+  { crashes, trialCount, trialRevision }: SuspectState,
+  nowMs: number,
+): boolean {
+  const runs = [...crashes.values()];
+  return trialCount > 0 && trialRevision !== NO_REVISION
+    && runs.some(({ untilMs }) => untilMs > nowMs)
+    && runs.every(({ revision }) => revision < trialRevision);
+}
+
 /**
  * Keeps the requests that were running at upstreams when these crashed. A request that crashes
  * upstreams is never answered, so an answer clears it and only crashes after the last answer count.
@@ -85,9 +112,13 @@
 export class SuspectTable {
   readonly #clock: Clock;
 
-  readonly #suspects = new Map<string, Suspect>();
+  readonly #suspects = new Map<SuspectId, SuspectState>();
+
+  readonly #cleared = new Map<SuspectId, ClearedSuspect>();
+
+  readonly #answeredParts = new AnsweredSuspects();
 
-  readonly #cleared = new Map<string, ClearedRequest>();
+  readonly #crashes = new CrashSuspects();
 
   /**
    * @param clock - source of the time
@@ -104,12 +135,12 @@
   /**
    * Decides whether a request may be sent.
    *
-   * @param fingerprint - the request
+   * @param suspectId - the request
    * @returns the decision
    */
-  getDecision(fingerprint: string): SendDecision {
-    const suspect = this.#suspects.get(fingerprint);
-    if (suspect === undefined || !this.#isHeld(suspect)) {
+  getDecision(suspectId: SuspectId): SendDecision {
+    const suspect = this.#suspects.get(suspectId);
+    if (suspect === undefined || !this.#isHeld(suspectId, suspect)) {
       return { kind: 'free' };
     }
     const nowMs = this.#clock.getMonotonicMs();
@@ -118,49 +149,67 @@
     if (triedAtMs >= suspect.crashedAtMs && trialRemainingMs > 0) {
       return { kind: 'held', retryAfterMs: trialRemainingMs, isOnTrial: true };
     }
-    const delayMs = TRIAL_DELAYS_MS[trialCount];
+    const failedCount = trialCount - (isLastTrialVoid(suspect, nowMs) ? 1 : 0);
+    const delayMs = this.#getTrialDelaysMs(suspectId)[failedCount];
     if (delayMs === undefined) {
       return { kind: 'held', retryAfterMs: TRIALS_USED_UP_RETRY_AFTER_MS, isOnTrial: false };
     }
     const waitMs = triedAtMs + delayMs - nowMs;
     return waitMs <= 0
-      ? { kind: 'trialDue', trialCount, revision: trialRevision }
+      ? {
+        kind: 'trialDue',
+        trialCount: failedCount,
+        revision: trialRevision,
+        crashedAtMs: suspect.crashedAtMs,
+      }
       : { kind: 'held', retryAfterMs: waitMs, isOnTrial: false };
   }
 
   /**
    * Counts the crashes of a request.
    *
-   * @param fingerprint - the request
+   * @param suspectId - the request
    * @returns its crashes since it was last answered
    */
-  getCrashCount(fingerprint: string): number {
-    const suspect = this.#suspects.get(fingerprint);
+  getCrashCount(suspectId: SuspectId): number {
+    const suspect = this.#suspects.get(suspectId);
     return suspect === undefined ? 0 : this.#countCrashes(suspect);
   }
 
+  /**
+   * Counts the crashes that hosts without answers of their own still count.
+   *
+   * @param suspectId - a suspect
+   * @returns its crashes since its last record of an answer in the store
+   */
+  getUnrecordedCrashCount(suspectId: SuspectId): number {
+    const cleared = this.#cleared.get(suspectId);
+    const clearedCount = (cleared?.crashIds.size ?? 0) - (cleared?.recordedCrashCount ?? 0);
+    return clearedCount + this.getCrashCount(suspectId);
+  }
+
   /**
    * Gets the trial count of a request.
    *
-   * @param fingerprint - the request
+   * @param suspectId - the request
    * @returns its trials since it was last answered
    */
-  getTrialCount(fingerprint: string): number {
-    return this.#suspects.get(fingerprint)?.trialCount ?? 0;
+  getTrialCount(suspectId: SuspectId): number {
+    return this.#suspects.get(suspectId)?.trialCount ?? 0;
   }
 
   /**
    * Gets the revision of a request's trial record.
    *
-   * @param fingerprint - the request
+   * @param suspectId - the request
    * @returns the revision; 0 when there is no record
    */
-  getTrialRevision(fingerprint: string): EraBound {
-    return this.#suspects.get(fingerprint)?.trialRevision ?? 0;
+  getTrialRevision(suspectId: SuspectId): EraBound {
+    return this.#suspects.get(suspectId)?.trialRevision ?? 0;
   }
 
   /** @returns the request with the oldest trial record when their maximum is reached; else null */
-  getOldestTrial(): string | null {
+  getOldestTrial(): SuspectId | null {
     const tried = [...this.#suspects].filter(([, { trialCount }]) => trialCount > 0);
     const [oldest] = tried.sort(([, left], [, right]) => left.trialRevision - right.trialRevision);
     return tried.length < MAX_TRIAL_RECORDS ? null : oldest?.[0] ?? null;
@@ -172,43 +221,57 @@
    * @param report - the crash and the requests
    * @param revision - revision of the record; infinite for a crash detected by this host
    */
-  addCrash({ crashId, endedAtMs, requests }: CrashReport, revision: EraBound): void {
+  addCrash({ crashId, endedAtMs, suspects }: CrashReport, revision: EraBound): void {
     const nowMs = this.#clock.getMonotonicMs();
-    requests
-      .filter(({ fingerprint }) => !this.#isClearedSince(fingerprint, revision)
-        && this.#cleared.get(fingerprint)?.crashIds.has(crashId) !== true)
-      .map(({ fingerprint, sentAtMs }) => ({ suspect: this.#getOrCreate(fingerprint), sentAtMs }))
+    this.#crashes.add(crashId, suspects.map(({ suspectId }) => suspectId));
+    suspects
+      .filter(({ suspectId }) => !this.#isClearedSince(suspectId, revision)
+        && this.#cleared.get(suspectId)?.crashIds.has(crashId) !== true)
+      .map(({ suspectId, sentAtMs }) => ({ suspect: this.#getOrCreate(suspectId), sentAtMs }))
       // Each host reports the same crash, with its own time.
-      .filter(({ suspect }) => !suspect.crashes.has(crashId))
       .forEach(({ suspect, sentAtMs }) => {
-        suspect.crashes.set(crashId, { sentAtMs, endedAtMs, untilMs: nowMs + CRASH_TTL_MS });
+        const known = suspect.crashes.get(crashId);
+        if (known !== undefined) {
+          const firstRevision = Math.min(known.revision, revision);
+          suspect.crashes.set(crashId, { ...known, revision: firstRevision });
+          return;
+        }
+        suspect.crashes.set(crashId, {
+          sentAtMs, endedAtMs, revision, untilMs: nowMs + CRASH_TTL_MS,
+        });
         suspect.crashedAtMs = nowMs;
       });
   }
 
   /**
-   * Clears a request that was answered.
+   * Clears a suspect that was answered.
    *
-   * @param fingerprint - the request
+   * @param suspectId - the suspect
    * @param revision - revision of the record; 0 for an answer received by this host
    */
-  clear(fingerprint: string, revision: EraBound): void {
+  clear(suspectId: SuspectId, revision: EraBound): void {
+    if (isPromptPart(suspectId)) {
+      this.#answeredParts.add(suspectId);
+    }
     // A record that is read again may be older than the trial record known here.
-    const known = this.#cleared.get(fingerprint);
-    if (revision > 0 && (revision < this.getTrialRevision(fingerprint)
+    const known = this.#cleared.get(suspectId);
+    if (revision > 0 && (revision < this.getTrialRevision(suspectId)
       || (known !== undefined && isSameRecord(known.revision, revision)))) {
       return;
     }
     const crashIds = new Set([
       ...known?.crashIds ?? [],
-      ...this.#suspects.get(fingerprint)?.crashes.keys() ?? [],
+      ...this.#suspects.get(suspectId)?.crashes.keys() ?? [],
     ]);
-    this.#suspects.delete(fingerprint);
+    this.#suspects.delete(suspectId);
     if (revision > 0 || crashIds.size > 0) {
       const untilMs = this.#clock.getMonotonicMs() + CRASH_TTL_MS;
-      this.#cleared.delete(fingerprint);
-      this.#cleared.set(fingerprint, {
-        revision: Math.max(revision, known?.revision ?? NO_REVISION), crashIds, untilMs,
+      this.#cleared.delete(suspectId);
+      this.#cleared.set(suspectId, {
+        revision: Math.max(revision, known?.revision ?? NO_REVISION),
+        crashIds,
+        recordedCrashCount: revision > 0 ? crashIds.size : known?.recordedCrashCount ?? 0,
+        untilMs,
       });
       this.#evictOldestCleared();
     }
@@ -230,25 +293,25 @@
   getLostTrials(): LostTrials[] {
     return [...this.#suspects]
       .filter(([, { isTrialCountRestored }]) => isTrialCountRestored)
-      .map(([fingerprint, { trialCount, trialRevision }]) => ({
-        fingerprint, trialCount, revision: trialRevision,
+      .map(([suspectId, { trialCount, trialRevision }]) => ({
+        suspectId, trialCount, revision: trialRevision,
       }));
   }
 
   /**
    * Applies a trial record if it is newer than the known one.
    *
-   * @param fingerprint - a request that is or was on trial
+   * @param suspectId - a request that is or was on trial
    * @param trialCount - its trials so far
    * @param revision - revision of the record
    */
-  setTrialCount(fingerprint: string, trialCount: number, revision: EraBound): void {
-    const isNewer = !this.#isClearedSince(fingerprint, revision)
-      && revision > this.getTrialRevision(fingerprint);
+  setTrialCount(suspectId: SuspectId, trialCount: number, revision: EraBound): void {
+    const isNewer = !this.#isClearedSince(suspectId, revision)
+      && revision > this.getTrialRevision(suspectId);
     if (!isNewer) {
       return;
     }
-    const suspect = this.#getOrCreate(fingerprint);
+    const suspect = this.#getOrCreate(suspectId);
     suspect.trialRevision = revision;
     // The copy of the store may have an older record, with a lower count.
     if (suspect.isTrialCountRestored && trialCount < suspect.trialCount) {
@@ -262,21 +325,21 @@
   /**
    * Records a trial at another host, whose record is still to arrive from the store.
    *
-   * @param fingerprint - the request on trial
+   * @param suspectId - the request on trial
    */
-  recordRemoteTrial(fingerprint: string): void {
-    this.#getOrCreate(fingerprint).triedAtMs = this.#clock.getMonotonicMs();
+  recordRemoteTrial(suspectId: SuspectId): void {
+    this.#getOrCreate(suspectId).triedAtMs = this.#clock.getMonotonicMs();
   }
 
   /**
    * Changes the trial count of a request while the store is unavailable; the next record from the
    * store replaces it.
    *
-   * @param fingerprint - the request
+   * @param suspectId - the request
    * @param change - 1 for a trial that begins, -1 for one whose request was not run
    */
-  adjustTrialCount(fingerprint: string, change: 1 | -1): void {
-    const suspect = this.#getOrCreate(fingerprint);
+  adjustTrialCount(suspectId: SuspectId, change: 1 | -1): void {
+    const suspect = this.#getOrCreate(suspectId);
     suspect.trialCount = Math.max(0, suspect.trialCount + change);
     suspect.triedAtMs = change === 1 ? this.#clock.getMonotonicMs() : -Infinity;
   }
@@ -284,33 +347,66 @@
   /**
    * Releases a request whose trial record was removed from the store.
    *
-   * @param fingerprint - the request
+   * @param suspectId - the request
    */
-  releaseTrials(fingerprint: string): void {
-    this.#suspects.delete(fingerprint);
+  releaseTrials(suspectId: SuspectId): void {
+    this.#suspects.delete(suspectId);
   }
 
-  #isHeld(suspect: Suspect): boolean {
+  #getTrialDelaysMs(suspectId: SuspectId): readonly number[] {
+    return this.#answeredParts.has(suspectId) ? ANSWERED_TRIAL_DELAYS_MS : TRIAL_DELAYS_MS;
+  }
+
+  #isHeld(suspectId: SuspectId, suspect: SuspectState): boolean {
+    if (!this.#isImplicated(suspect)) {
+      return false;
+    }
+    const unexplained = [...suspect.crashes]
+      .filter(([crashId]) => !this.#isExplained(suspectId, crashId))
+      .map(([, run]) => run);
+    const isExplained = suspect.crashes.size > 0 && unexplained.length === 0;
+    return suspect.trialCount > 0 ? !isExplained : this.#countRuns(unexplained) >= CRASH_LIMIT;
+  }
+
+  /** Whether a suspect is on trial, or was at as many crashes as one that caused them. */
+  #isImplicated(suspect: SuspectState): boolean {
     return suspect.trialCount > 0 || this.#countCrashes(suspect) >= CRASH_LIMIT;
   }
 
-  #countCrashes({ crashes }: Suspect): number {
+  /**
+   * Whether something that was never answered is the likelier cause of a crash than a part that
+   * was answered before: a part that all requests of a kind share is at every crash too.
+   */
+  #isExplained(suspectId: SuspectId, crashId: string): boolean {
+    return this.#answeredParts.has(suspectId)
+      && this.#crashes.get(crashId).some((otherId) => {
+        const other = this.#suspects.get(otherId);
+        return otherId !== suspectId && other !== undefined
+          && !this.#answeredParts.has(otherId) && this.#isImplicated(other);
+      });
+  }
+
+  #countCrashes({ crashes }: SuspectState): number {
+    return this.#countRuns([...crashes.values()]);
+  }
+
+  #countRuns(runs: readonly RecordedRun[]): number {
     const nowMs = this.#clock.getMonotonicMs();
-    return countCrashes([...crashes.values()].filter(({ untilMs }) => untilMs > nowMs));
+    return countCrashes(runs.filter(({ untilMs }) => untilMs > nowMs));
   }
 
-  #isClearedSince(fingerprint: string, revision: EraBound): boolean {
-    const cleared = this.#cleared.get(fingerprint);
+  #isClearedSince(suspectId: SuspectId, revision: EraBound): boolean {
+    const cleared = this.#cleared.get(suspectId);
     return cleared !== undefined && revision < cleared.revision;
   }
 
-  #getOrCreate(fingerprint: string): Suspect {
-    const known = this.#suspects.get(fingerprint);
+  #getOrCreate(suspectId: SuspectId): SuspectState {
+    const known = this.#suspects.get(suspectId);
     if (known !== undefined) {
       return known;
     }
     this.#evict();
-    const suspect: Suspect = {
+    const suspect: SuspectState = {
       crashes: new Map(),
       trialCount: 0,
       trialRevision: NO_REVISION,
@@ -318,7 +414,7 @@
       triedAtMs: -Infinity,
       crashedAtMs: -Infinity,
     };
-    this.#suspects.set(fingerprint, suspect);
+    this.#suspects.set(suspectId, suspect);
     return suspect;
   }
 
@@ -327,15 +423,17 @@
     if (this.#suspects.size < MAX_SUSPECTS) {
       return;
     }
-    this.#suspects.forEach((suspect, fingerprint) => {
+    this.#suspects.forEach((suspect, suspectId) => {
       if (suspect.trialCount === 0 && this.#countCrashes(suspect) === 0) {
-        this.#suspects.delete(fingerprint);
+        this.#suspects.delete(suspectId);
       }
     });
     if (this.#suspects.size >= MAX_SUSPECTS) {
-      const oldest = [...this.#suspects].find(([, suspect]) => !this.#isHeld(suspect))
+      const oldest = [...this.#suspects].find(([, suspect]) => !this.#isImplicated(suspect))
         ?? [...this.#suspects][0];
-      this.#suspects.delete(oldest?.[0] ?? '');
+      if (oldest !== undefined) {
+        this.#suspects.delete(oldest[0]);
+      }
     }
   }
 
--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -38,7 +38,7 @@
 const MAX_REFUSED_SENDS = 6;
 
 const STATUS = {
-  error: 500, badGateway: 502, unavailable: 503, timeout: 504,
+  multipleChoices: 300, error: 500, badGateway: 502, unavailable: 503, timeout: 504,
 } as const;
 
 function getAttemptOutcome(
@@ -97,7 +97,7 @@
     this.#context = context;
     this.#parameters = parameters;
     this.#exchange = exchange;
-    this.#trialCheck = new TrialCheck(context.quarantine, parameters.isTrial);
+    this.#trialCheck = new TrialCheck(context.quarantine, parameters.trial !== null);
     this.#permitFinder = new PermitFinder({
       context,
       parameters,
@@ -204,6 +204,11 @@
     }
     const { upstreamTable } = this.#context;
     const { id, address } = upstream;
+    // The quarantine may have begun while the request waited.
+    if (!this.#context.quarantine.maySend(this.#parameters.subject, this.#parameters.trial)) {
+      this.#failQuarantined();
+      return;
+    }
     if (retryPermit?.trySend(id) === false) {
       this.#failWithoutRetry();
       return;
@@ -321,7 +326,7 @@
 
   #endAttempt(attempt: OpenAttempt, upstream: UpstreamEntry, end: AttemptResult): void {
     const { quarantine } = this.#context;
-    const { subject, isTrial } = this.#parameters;
+    const { subject, trial } = this.#parameters;
     this.#openAttempts.delete(attempt);
     if (end.kind !== 'complete' || this.#isOver) {
       attempt.answer.release();
@@ -331,7 +336,7 @@
       getAttemptOutcome(attempt, end, this.#isOver),
     );
     if (end.kind === 'broken' && !end.isAborted) {
-      quarantine.recordBrokenExchange(subject, upstream, { sentAtMs: attempt.sentAtMs, isTrial });
+      quarantine.recordBrokenExchange(subject, upstream, { sentAtMs: attempt.sentAtMs, trial });
     }
     if (this.#isOver) {
       return;
@@ -349,7 +354,7 @@
         this.#log('broken', {
           upstreamId: attempt.upstreamId,
           detail: end.detail,
-          fingerprint: subject.fingerprint,
+          fingerprint: subject.requestId,
         });
         this.#retryRun(RETRY_REASON.broken);
         return;
@@ -371,7 +376,9 @@
       this.#retryNotRun();
       return;
     }
-    this.#context.quarantine.recordAnswered(this.#parameters.subject);
+    this.#context.quarantine.recordAnswered(this.#parameters.subject, {
+      isSuccess: head.status < STATUS.multipleChoices, trial: this.#parameters.trial,
+    });
     const body = attempt.answer.take();
     if (head.status >= STATUS.error && this.#isRepeatable) {
       this.#lastFailure = { head, body };
@@ -417,6 +424,13 @@
     return this.#getRemainingMs() < 0 ? null : this.#retries.tryReserve(reason);
   }
 
+  #failQuarantined(): void {
+    this.#log('quarantined', { fingerprint: this.#parameters.subject.requestId });
+    if (this.#openAttempts.size === 0) {
+      this.#fail(STATUS.unavailable, 'quarantined');
+    }
+  }
+
   /** Handles a reserved retry that was withdrawn while it waited, as the retry limit shrank. */
   #failWithoutRetry(): void {
     this.#log('repeatWithdrawn');
@@ -473,8 +487,9 @@
     this.#isOver = true;
     this.#timers.forEach((timer) => clearTimeout(timer));
     this.#retries.release();
-    if (this.#parameters.isTrial && this.#runCount === 0) {
-      this.#context.quarantine.returnTrial(this.#parameters.subject);
+    const { trial } = this.#parameters;
+    if (trial !== null && this.#runCount === 0) {
+      this.#context.quarantine.returnTrial(trial);
     }
     this.#openAttempts.forEach((attempt) => attempt.running?.abort(outcome));
     const elapsedMs = this.#context.clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs;
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -5,6 +5,7 @@
 import type { UpstreamId } from '../lib/ids.ts';
 import type { FinalPlacementResult, RunningPlacement } from '../placement/PlacementSearch.ts';
 import type { PlacementReport } from '../placement/PlacementRequest.ts';
+import type { QuarantineDecision } from '../quarantine/RequestQuarantine.ts';
 import type { RetryReservation } from '../retries/RetryWindow.ts';
 import { createPlacementDemand } from './createPlacementDemand.ts';
 import { EventSequence } from './EventSequence.ts';
@@ -53,7 +54,7 @@
 export class GenerationRelay {
   readonly #context: RelayContext;
 
-  readonly #parameters: RelayParameters;
+  #parameters: RelayParameters;
 
   readonly #exchange: CallerExchange;
 
@@ -63,7 +64,7 @@
 
   readonly #retries: RequestRetries;
 
-  readonly #trialCheck: TrialCheck;
+  #trialCheck: TrialCheck;
 
   readonly #silenceMonitor = new SilenceMonitor(
     (silenceMs) => this.#abandonSilentEngine(silenceMs),
@@ -122,7 +123,7 @@
     this.#arrivedAtMs = exchange.request.arrivedAtMs;
     this.#lastEventAtMs = this.#arrivedAtMs;
     this.#errorAnswer = new BufferedAnswer(context.answerMemory);
-    this.#trialCheck = new TrialCheck(context.quarantine, parameters.isTrial);
+    this.#trialCheck = new TrialCheck(context.quarantine, parameters.trial !== null);
     this.#retries = new RequestRetries({
       clock: context.clock,
       shares: context.shares,
@@ -224,6 +225,10 @@
       this.#placeAgainUnsent(placed.upstreamId);
       return;
     }
+    if (!this.#context.quarantine.maySend(this.#parameters.subject, this.#parameters.trial)) {
+      this.#holdPlaced();
+      return;
+    }
     if (!this.#trialCheck.isPassed(placed.upstreamId)) {
       this.#trialCheck.check(
         upstream.entry,
@@ -241,6 +246,53 @@
     this.#send(placed, upstream.entry);
   }
 
+  /** Gives its place back when the quarantine began to hold the request while it waited. */
+  #holdPlaced(): void {
+    const { clock, quarantine } = this.#context;
+    const { subject, route } = this.#parameters;
+    this.#log('quarantined', { fingerprint: subject.requestId, partIds: subject.partIds });
+    this.#reportToCoordinator('notTaken');
+    if (this.#runCount > 0) {
+      this.#fail(STATUS.badGateway, 'quarantined', null);
+      return;
+    }
+    const maxWaitMs = Math.min(this.#getRemainingMs(), route.targetLatencyMs);
+    const askedAtMs = clock.getMonotonicMs();
+    quarantine.admit(subject, this.#exchange.request.profile.id, maxWaitMs)
+      .then((admission) => this.#handleAdmission(admission, clock.getMonotonicMs() - askedAtMs))
+      .catch((error: unknown) => {
+        this.#log('admissionFailed', { error: String(error) });
+        this.#fail(STATUS.unavailable, 'quarantined', SHORT_RETRY_AFTER_MS);
+      });
+  }
+
+  #handleAdmission(admission: QuarantineDecision, waitedMs: number): void {
+    switch (admission.kind) {
+      case 'trial':
+        if (this.#isOver) {
+          this.#context.quarantine.returnTrial(admission.trial);
+          return;
+        }
+        this.#parameters = {
+          ...this.#parameters,
+          trial: admission.trial,
+          route: { ...this.#parameters.route, maxAttempts: 1 },
+        };
+        this.#trialCheck = new TrialCheck(this.#context.quarantine, true);
+        this.#place();
+        return;
+      case 'free':
+        this.#log('released', { waitedMs });
+        this.#place();
+        return;
+      case 'refused':
+        this.#fail(STATUS.unavailable, 'quarantined', admission.retryAfterMs);
+        return;
+      default:
+        throw exhaustiveSwitchError(admission);
+    }
+  }
+
   /**
    * Takes the permit for the send. The placement coordinator provides one when an engine advertises
    * a limit, but this host may have learned of the limit since, or have used up its reserve.
@@ -392,7 +444,9 @@
       this.#resume('the stream ended inside an event');
       return;
     }
-    this.#context.quarantine.recordAnswered(this.#parameters.subject);
+    this.#context.quarantine.recordAnswered(this.#parameters.subject, {
+      isSuccess: head.status < STATUS.multipleChoices, trial: this.#parameters.trial,
+    });
     this.#reportToCoordinator('ended');
     if (head.status >= STATUS.multipleChoices) {
       this.#handleErrorAnswer(head);
@@ -406,14 +460,12 @@
   }
 
   #recordBroken(engine: UpstreamEntry): void {
-    const { subject, isTrial } = this.#parameters;
+    const { subject, trial } = this.#parameters;
     this.#log('broken', {
-      upstreamId: engine.id,
-      fingerprint: subject.fingerprint,
-      sharedPartIds: subject.sharedPartIds,
+      upstreamId: engine.id, fingerprint: subject.requestId, partIds: subject.partIds,
     });
     this.#context.quarantine.recordBrokenExchange(subject, engine, {
-      sentAtMs: this.#sentAtMs, isTrial,
+      sentAtMs: this.#sentAtMs, trial,
     });
   }
 
@@ -474,7 +526,7 @@
       && this.#context.quarantine.isFree(subject)
       && this.#tryReserveRetry(RETRY_REASON.broken);
     this.#log(mayRunAgain ? 'resumed' : 'brokenOff', {
-      detail, lastEventId: this.#events.lastEventId, fingerprint: subject.fingerprint,
+      detail, lastEventId: this.#events.lastEventId, fingerprint: subject.requestId,
     });
     if (mayRunAgain) {
       this.#place();
@@ -515,8 +567,9 @@
     clearTimeout(this.#deadlineTimer ?? undefined);
     clearTimeout(this.#pauseTimer ?? undefined);
     this.#retries.release();
-    if (this.#parameters.isTrial && this.#runCount === 0) {
-      this.#context.quarantine.returnTrial(this.#parameters.subject);
+    const { trial } = this.#parameters;
+    if (trial !== null && this.#runCount === 0) {
+      this.#context.quarantine.returnTrial(trial);
     }
     this.#placement?.cancel();
     if (this.#running !== null) {
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -10,6 +10,7 @@
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
 import type { RequestSubject } from '../quarantine/RequestSubject.ts';
+import type { Trial } from '../quarantine/Trial.ts';
 import type { AnswerMemory } from './AnswerMemory.ts';
 import type { ColdStartLimiter } from './ColdStartLimiter.ts';
 import type { HostShares } from './HostShares.ts';
@@ -45,8 +46,8 @@
   readonly poolId: PoolId;
   /** Content of the request, independent of its id. */
   readonly subject: RequestSubject;
-  /** Whether the quarantine admits the request as a trial, which runs only once. */
-  readonly isTrial: boolean;
+  /** The trial as which the quarantine admits the request, which runs only once; else null. */
+  readonly trial: Trial | null;
   readonly account: string | null;
   /** Priority; 0 is the highest. */
   readonly priority: number;
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -61,7 +61,7 @@
       body,
       sharedPartIds: profile.generation?.parts.slice(0, -1).map(({ id }) => id) ?? [],
     }),
-    isTrial: false,
+    trial: null,
     priority: account?.priority ?? route.priority,
     deadlineAtMs: arrivedAtMs + remainingMs,
   };
@@ -140,7 +140,9 @@
         return;
       case 'trial':
         this.#start(exchange, {
-          ...parameters, isTrial: true, route: { ...parameters.route, maxAttempts: 1 },
+          ...parameters,
+          trial: admission.trial,
+          route: { ...parameters.route, maxAttempts: 1 },
         });
         return;
       case 'refused':
