Reset the caller's connection when a stream without length or chunks breaks off

Cause: the answer is as framed as the upstream's, and an abort closed the connection as a complete answer does. relay/unframedStreams failed before; a whole stream of this kind still ends by a plain close.

--- a/src/ingress/CallerExchange.ts
+++ b/src/ingress/CallerExchange.ts
@@ -108,7 +108,12 @@
   /** Aborts the answer so that the caller sees that it is incomplete. */
   abort(): void {
     this.#hasAnswered = true;
-    this.#response.destroy();
+    if (this.#isFramed) {
+      this.#response.destroy();
+    } else {
+      // Without a length or chunks, a plain close would mark the end of a complete answer.
+      this.#response.socket?.resetAndDestroy();
+    }
   }
 
   #begin(status: number, headers: readonly string[], isFramed: boolean): boolean {
