Don't believe a refusal without a request id

Cause: an error without an id was taken for the answer to the running request, also where it promises that the request has not run. Such an answer now counts as a broken exchange: 502 for a request that may run once. relay/foreignBytes: the first test failed before.

--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -40,11 +40,18 @@
 
 const LOWEST_FINAL_STATUS = 200;
 const LOWEST_ERROR_STATUS = 400;
+/** Statuses by which callers are told that a request has not run. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** A success must name its request; an error need not, as the upstream may not have read it. */
+/**
+ * Whether an answer belongs to a request. An error need not name it, as the upstream may not have
+ * read it. A refusal must: on a connection in use again it may be that of an earlier request, while
+ * the upstream runs this one.
+ */
 function isAnswerTo(requestId: string, head: AnswerHead): boolean {
   return head.requestId === requestId
-    || (head.requestId === null && head.status >= LOWEST_ERROR_STATUS);
+    || (head.requestId === null && head.status >= LOWEST_ERROR_STATUS && !head.isNotRun
+      && !PROMISE_STATUSES.has(head.status));
 }
 
 /** One exchange with an upstream; passes the request to a connection at most once. */
