Split the cleared suspects from the table; bound the crashes kept for one suspect; a new era tells no order of records

The crashes kept for a cleared suspect grew without bound for a part that all requests share. Unit tests of parts, joint trials and void trials.

--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -221,6 +221,7 @@
       || this.#table.getUnrecordedCrashCount(suspectId) >= ANNOUNCED_CRASH_COUNT;
     this.#table.clear(suspectId, 0);
     if (isAnnounced) {
+      this.#table.markRecorded(suspectId);
       this.#log('cleared', suspectId, {});
       this.#writer.addCleared(suspectId);
       this.#wakeWaiting();
--- a/src/quarantine/SuspectTable.test.ts
+++ b/src/quarantine/SuspectTable.test.ts
@@ -107,6 +107,54 @@
     equal(table.getDecision(HARMFUL).kind, 'trialDue');
   });
 
+  describe('with parts of prompts', () => {
+    const CRASHING = toId<SuspectId>('part-bad');
+    const SHARED = toId<SuspectId>('part-shared');
+
+    it('does not hold a part that all requests share for crashes under a part among them', () => {
+      table.clear(SHARED, 0);
+      crash(3, [SHARED, CRASHING]);
+      equal(table.getDecision(SHARED).kind, 'free');
+      equal(table.getDecision(CRASHING).kind, 'trialDue');
+    });
+
+    it('holds a part that was answered before once it is at crashes without such a part', () => {
+      table.clear(SHARED, 0);
+      crash(3, [SHARED]);
+      equal(table.getDecision(SHARED).kind, 'trialDue');
+    });
+
+    it('ends the hold of a shared part whose trial met a crash that another part explains', () => {
+      crash(3, [SHARED, CRASHING]);
+      table.setTrialCount(SHARED, 1, 200);
+      equal(table.getDecision(SHARED).kind, 'held');
+      table.clear(SHARED, 300);
+      table.addCrash(createReport('late@1', [SHARED, CRASHING], 5), 400);
+      table.setTrialCount(SHARED, 1, 500);
+      equal(table.getDecision(SHARED).kind, 'free');
+    });
+
+    it('counts the crashes that hosts without answers of their own still count', () => {
+      crash(1, [SHARED]);
+      table.clear(SHARED, 0);
+      table.addCrash(createReport('late@1', [SHARED], 5), 400);
+      equal(table.getUnrecordedCrashCount(SHARED), 2);
+      table.clear(SHARED, 500);
+      equal(table.getUnrecordedCrashCount(SHARED), 0);
+    });
+  });
+
+  it('does not count a trial that left no crash, as its host was killed meanwhile', () => {
+    crash(3);
+    table.setTrialCount(HARMFUL, 1, 200);
+    clock.advance(5_001);
+    const decision = table.getDecision(HARMFUL);
+    equal(decision.kind === 'trialDue' && decision.trialCount, 0);
+    table.addCrash(createReport('late@1', [HARMFUL], 5), 300);
+    const failed = table.getDecision(HARMFUL);
+    equal(failed.kind === 'trialDue' && failed.trialCount, 1);
+  });
+
   describe('in a new era of the store', () => {
     const ERA = 2;
 
--- a/src/quarantine/SuspectTable.ts
+++ b/src/quarantine/SuspectTable.ts
@@ -1,7 +1,8 @@
-import { getEra, getUnbound, type EraBound } from '../directory/EraBound.ts';
+import type { EraBound } from '../directory/EraBound.ts';
 import type { Clock } from '../time/Clock.ts';
 import { countCrashes, type CrashedRun } from './countCrashes.ts';
 import { AnsweredSuspects } from './AnsweredSuspects.ts';
+import { ClearedSuspects } from './ClearedSuspects.ts';
 import { CrashSuspects } from './CrashSuspects.ts';
 import type { CrashReport } from './QuarantineStore.ts';
 import { isPromptPart } from './isPromptPart.ts';
@@ -55,17 +56,6 @@
   readonly revision: EraBound;
 }
 
-/** Record that cleared a request. */
-interface ClearedSuspect {
-  readonly revision: EraBound;
-  /** Crashes from before the record, which don't count even when they are recorded again. */
-  readonly crashIds: ReadonlySet<string>;
-  /** How many of these crashes the other hosts don't count any more, thanks to the record. */
-  readonly recordedCrashCount: number;
-  /** When the entry expires. */
-  readonly untilMs: number;
-}
-
 /** Crashes of a request after which it is sent as a trial only. */
 export const CRASH_LIMIT = 3;
 /**
@@ -88,11 +78,6 @@
 /** Maximum number of suspects; those that are not held are evicted first. */
 const MAX_SUSPECTS = 10_000;
 
-/** Whether two revisions are of one record, which a copy of the store has in a later era. */
-function isSameRecord(known: EraBound, revision: EraBound): boolean {
-  return getEra(known) !== getEra(revision) && getUnbound(known) === getUnbound(revision);
-}
-
 /** Whether the last trial left no crash record, since its host was killed during the trial. */
 function isLastTrialVoid(
   { crashes, trialCount, trialRevision }: SuspectState,
@@ -114,7 +99,7 @@
 
   readonly #suspects = new Map<SuspectId, SuspectState>();
 
-  readonly #cleared = new Map<SuspectId, ClearedSuspect>();
+  readonly #cleared = new ClearedSuspects();
 
   readonly #answeredParts = new AnsweredSuspects();
 
@@ -135,7 +120,7 @@
   /**
    * Decides whether a request may be sent.
    *
-   * @param suspectId - the request
+   * @param suspectId - the suspect
    * @returns the decision
    */
   getDecision(suspectId: SuspectId): SendDecision {
@@ -168,7 +153,7 @@
   /**
    * Counts the crashes of a request.
    *
-   * @param suspectId - the request
+   * @param suspectId - the suspect
    * @returns its crashes since it was last answered
    */
   getCrashCount(suspectId: SuspectId): number {
@@ -183,15 +168,13 @@
    * @returns its crashes since its last record of an answer in the store
    */
   getUnrecordedCrashCount(suspectId: SuspectId): number {
-    const cleared = this.#cleared.get(suspectId);
-    const clearedCount = (cleared?.crashIds.size ?? 0) - (cleared?.recordedCrashCount ?? 0);
-    return clearedCount + this.getCrashCount(suspectId);
+    return this.#cleared.getUnrecordedCount(suspectId) + this.getCrashCount(suspectId);
   }
 
   /**
    * Gets the trial count of a request.
    *
-   * @param suspectId - the request
+   * @param suspectId - the suspect
    * @returns its trials since it was last answered
    */
   getTrialCount(suspectId: SuspectId): number {
@@ -201,7 +184,7 @@
   /**
    * Gets the revision of a request's trial record.
    *
-   * @param suspectId - the request
+   * @param suspectId - the suspect
    * @returns the revision; 0 when there is no record
    */
   getTrialRevision(suspectId: SuspectId): EraBound {
@@ -225,8 +208,8 @@
     const nowMs = this.#clock.getMonotonicMs();
     this.#crashes.add(crashId, suspects.map(({ suspectId }) => suspectId));
     suspects
-      .filter(({ suspectId }) => !this.#isClearedSince(suspectId, revision)
-        && this.#cleared.get(suspectId)?.crashIds.has(crashId) !== true)
+      .filter(({ suspectId }) => !this.#cleared.isClearedSince(suspectId, revision)
+        && !this.#cleared.hasCrash(suspectId, crashId))
       .map(({ suspectId, sentAtMs }) => ({ suspect: this.#getOrCreate(suspectId), sentAtMs }))
       // Each host reports the same crash, with its own time.
       .forEach(({ suspect, sentAtMs }) => {
@@ -254,29 +237,22 @@
       this.#answeredParts.add(suspectId);
     }
     // A record that is read again may be older than the trial record known here.
-    const known = this.#cleared.get(suspectId);
     if (revision > 0 && (revision < this.getTrialRevision(suspectId)
-      || (known !== undefined && isSameRecord(known.revision, revision)))) {
+      || this.#cleared.isKnownRecord(suspectId, revision))) {
       return;
     }
-    const crashIds = new Set([
-      ...known?.crashIds ?? [],
-      ...this.#suspects.get(suspectId)?.crashes.keys() ?? [],
-    ]);
+    const crashIds = [...this.#suspects.get(suspectId)?.crashes.keys() ?? []];
     this.#suspects.delete(suspectId);
-    if (revision > 0 || crashIds.size > 0) {
-      const untilMs = this.#clock.getMonotonicMs() + CRASH_TTL_MS;
-      this.#cleared.delete(suspectId);
-      this.#cleared.set(suspectId, {
-        revision: Math.max(revision, known?.revision ?? NO_REVISION),
-        crashIds,
-        recordedCrashCount: revision > 0 ? crashIds.size : known?.recordedCrashCount ?? 0,
-        untilMs,
-      });
-      this.#evictOldestCleared();
+    if (revision > 0 || crashIds.length > 0) {
+      this.#cleared.add(suspectId, revision, crashIds);
     }
   }
 
+  /** @param suspectId - a cleared suspect whose answer this host is about to record in the store */
+  markRecorded(suspectId: SuspectId): void {
+    this.#cleared.markRecorded(suspectId);
+  }
+
   /**
    * Prepares for a new era of the store, whose copy may lack the newest records: its revisions are
    * not those known here, and a lower trial count in it is outdated.
@@ -286,6 +262,9 @@
       const changed = suspect;
       changed.trialRevision = NO_REVISION;
       changed.isTrialCountRestored = suspect.trialCount > 0;
+      // Revisions of different eras don't tell which record was written first.
+      suspect.crashes.forEach((run, crashId) => (
+        suspect.crashes.set(crashId, { ...run, revision: Infinity })));
     });
   }
 
@@ -306,7 +285,7 @@
    * @param revision - revision of the record
    */
   setTrialCount(suspectId: SuspectId, trialCount: number, revision: EraBound): void {
-    const isNewer = !this.#isClearedSince(suspectId, revision)
+    const isNewer = !this.#cleared.isClearedSince(suspectId, revision)
       && revision > this.getTrialRevision(suspectId);
     if (!isNewer) {
       return;
@@ -335,7 +314,7 @@
    * Changes the trial count of a request while the store is unavailable; the next record from the
    * store replaces it.
    *
-   * @param suspectId - the request
+   * @param suspectId - the suspect
    * @param change - 1 for a trial that begins, -1 for one whose request was not run
    */
   adjustTrialCount(suspectId: SuspectId, change: 1 | -1): void {
@@ -347,7 +326,7 @@
   /**
    * Releases a request whose trial record was removed from the store.
    *
-   * @param suspectId - the request
+   * @param suspectId - the suspect
    */
   releaseTrials(suspectId: SuspectId): void {
     this.#suspects.delete(suspectId);
@@ -395,11 +374,6 @@
     return countCrashes(runs.filter(({ untilMs }) => untilMs > nowMs));
   }
 
-  #isClearedSince(suspectId: SuspectId, revision: EraBound): boolean {
-    const cleared = this.#cleared.get(suspectId);
-    return cleared !== undefined && revision < cleared.revision;
-  }
-
   #getOrCreate(suspectId: SuspectId): SuspectState {
     const known = this.#suspects.get(suspectId);
     if (known !== undefined) {
@@ -436,12 +410,4 @@
       }
     }
   }
-
-  #evictOldestCleared(): void {
-    const nowMs = this.#clock.getMonotonicMs();
-    const oldest = [...this.#cleared].find(([, { untilMs }]) => untilMs > nowMs);
-    if (this.#cleared.size > MAX_SUSPECTS && oldest !== undefined) {
-      this.#cleared.delete(oldest[0]);
-    }
-  }
 }
