--- a/src/quarantine/combineDecisions.test.ts
+++ b/src/quarantine/combineDecisions.test.ts
@@ -33,7 +33,7 @@
     deepEqual(decision, createHeld(5_000, false));
   });
 
-  it('does not blame a sound part for a trial with the crashing one while it may come alone', () => {
+  it('blames no sound part for a trial with the crashing one while it may come alone', () => {
     const decisions = [[FIRST, createDue()], [SECOND, createDue()]] as const;
     deepEqual(combineDecisions(decisions, 1_000), createHeld(10_000, true));
     equal(combineDecisions(decisions, 11_000).kind, 'trialDue');
