--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -15,9 +15,10 @@
 import type { RequestSubject } from './RequestSubject.ts';
 import type { SuspectId } from './SuspectId.ts';
 import {
-  CRASH_LIMIT, SuspectTable, type LostTrials, type SendDecision,
+  CRASH_LIMIT, SuspectTable, type SendDecision,
 } from './SuspectTable.ts';
 import type { Trial } from './Trial.ts';
+import { TrialRecorder } from './TrialRecorder.ts';
 import type { UpstreamCheck } from './UpstreamCheck.ts';
 
 /** Options of a {@link RequestQuarantine}. */
@@ -52,8 +53,6 @@
 
 /** Crashes of a suspect from which on its answer is announced to the other hosts. */
 const ANNOUNCED_CRASH_COUNT = CRASH_LIMIT - 1;
-/** Longest delay before trial counts are written again that the store has lost. */
-const MAX_RESTORE_DELAY_MS = 1_000;
 /** Maximum number of crashes whose times are kept. */
 const MAX_CRASH_TIMES = 1_000;
 
@@ -71,7 +70,7 @@
 
   readonly #writer: QuarantineWriter;
 
-  #isClosed = false;
+  readonly #trials: TrialRecorder;
 
   /** When this host learned of each recent crash. */
   readonly #crashedAtMs = new Map<string, number>();
@@ -86,6 +85,12 @@
     this.#options = options;
     this.#table = new SuspectTable(options.clock);
     this.#writer = new QuarantineWriter(options);
+    this.#trials = new TrialRecorder({
+      ...options,
+      table: this.#table,
+      log: (outcome, suspectId, details) => this.#log(outcome, suspectId, details),
+      onGivenBack: () => this.#wakeWaiting(),
+    });
     this.#crashMonitor = new CrashMonitor({
       ...options,
       onCrash: (report, poolId) => this.#recordCrash(report, poolId),
@@ -234,33 +239,12 @@
    * @param trial - the trial
    */
   returnTrial({ suspectIds }: Trial): void {
-    suspectIds.forEach((suspectId) => this.#returnTrial(suspectId));
-  }
-
-  #returnTrial(suspectId: SuspectId): void {
-    const revision = this.#table.getTrialRevision(suspectId);
-    const trialCount = this.#table.getTrialCount(suspectId) - 1;
-    if (trialCount < 0) {
-      return;
-    }
-    this.#options.store.writeTrials({
-      suspectId, trialCount, expectedRevision: revision, evictedId: null,
-    }).then((newRevision) => {
-      this.#log('trialReturned', suspectId, { trialCount, revision: newRevision });
-      if (newRevision !== null) {
-        this.#table.setTrialCount(suspectId, trialCount, newRevision);
-        this.#wakeWaiting();
-      }
-    }).catch((error: unknown) => {
-      this.#log('trialReturnedAlone', suspectId, { trialCount, error: String(error) });
-      this.#table.adjustTrialCount(suspectId, -1);
-      this.#wakeWaiting();
-    });
+    suspectIds.forEach((suspectId) => this.#trials.giveBack(suspectId));
   }
 
   /** Stops background writes and wakes all waiting requests. */
   close(): void {
-    this.#isClosed = true;
+    this.#trials.close();
     this.#writer.close();
     this.#wakeWaiting();
   }
@@ -296,50 +280,12 @@
     }
   }
 
-  /** @returns the trial of all of them; null when another host was first for one */
   async #takeTrials(
     trials: readonly DueTrial[],
     requestId: string,
   ): Promise<QuarantineDecision | null> {
-    const taken: SuspectId[] = [];
-    for (let index = 0; index < trials.length; index += 1) {
-      const due = trials[index];
-      // eslint-disable-next-line no-await-in-loop -- a trial that another host has ends the series
-      if (due !== undefined && !await this.#takeTrial(due, requestId)) {
-        this.returnTrial({ suspectIds: taken });
-        return null;
-      }
-      taken.push(...due === undefined ? [] : [due.id]);
-    }
-    return { kind: 'trial', trial: { suspectIds: taken } };
-  }
-
-  async #takeTrial(due: DueTrial, requestId: string): Promise<boolean> {
-    const { id } = due;
-    const trialCount = due.trialCount + 1;
-    try {
-      const revision = await this.#options.store.writeTrials({
-        suspectId: id,
-        trialCount,
-        expectedRevision: due.revision,
-        evictedId: this.#table.getOldestTrial(),
-      });
-      this.#log('trialTaken', id, { requestId, trialCount, revision });
-      if (revision === null) {
-        this.#table.recordRemoteTrial(id);
-        return false;
-      }
-      this.#table.setTrialCount(id, trialCount, revision);
-      return true;
-    } catch (error) {
-      // A host without access to the store relies on its own trial count.
-      this.#log('trialAlone', id, { requestId, trialCount, error: String(error) });
-      if (this.#table.getDecision(id).kind !== 'trialDue') {
-        return false;
-      }
-      this.#table.adjustTrialCount(id, 1);
-      return true;
-    }
+    const trial = await this.#trials.take(trials, requestId);
+    return trial === null ? null : { kind: 'trial', trial };
   }
 
   #recordCrash(report: CrashReport, poolId: PoolId): void {
@@ -367,7 +313,7 @@
       case 'storeEraChanged':
         this.#table.startEra();
         this.#writer.restore();
-        this.#scheduleTrialRestore();
+        this.#trials.scheduleRestore();
         break;
       case 'crashRecorded':
         this.#recordCrashTime(change.report.crashId);
@@ -390,38 +336,6 @@
     }
   }
 
-  /** The random delay lets one host write what all of them know. */
-  #scheduleTrialRestore(): void {
-    const { schedule = scheduleTimer, random } = this.#options;
-    schedule(random.getFraction() * MAX_RESTORE_DELAY_MS, () => this.#restoreTrials());
-  }
-
-  /** Writes the trial counts again that a store which came back from an older copy has lost. */
-  #restoreTrials(): void {
-    if (this.#isClosed) {
-      return;
-    }
-    const writes = this.#table.getLostTrials().map((trials) => this.#restoreTrial(trials));
-    Promise.all(writes).catch((error: unknown) => {
-      this.#options.logger.info(
-        { event: 'trialsNotRestored', error: String(error) },
-        'writing trial counts again failed; retrying',
-      );
-      this.#scheduleTrialRestore();
-    });
-  }
-
-  async #restoreTrial({ suspectId, trialCount, revision }: LostTrials): Promise<void> {
-    const newRevision = await this.#options.store.writeTrials({
-      suspectId, trialCount, expectedRevision: revision, evictedId: null,
-    });
-    this.#log('trialsRestored', suspectId, { trialCount, revision: newRevision });
-    // Without a revision another host was first, whose record arrives as a change.
-    if (newRevision !== null) {
-      this.#table.setTrialCount(suspectId, trialCount, newRevision);
-    }
-  }
-
   /** @returns whether a change arrived before the timeout */
   #waitForChange(waitMs: number): Promise<boolean> {
     const { schedule = scheduleTimer } = this.#options;
