--- a/src/directory/DirectoryChange.ts
+++ b/src/directory/DirectoryChange.ts
@@ -39,20 +39,20 @@
     readonly report: CrashReport;
     readonly revision: EraBound;
   }
-  /** A request that was in progress at crashed upstreams has been answered. */
+  /** A suspect that was at crashed upstreams has been answered. */
   | {
     readonly kind: 'suspectCleared';
     readonly suspectId: SuspectId;
     readonly revision: EraBound;
   }
-  /** A request that was in progress at crashed upstreams is sent as a trial, by one host. */
+  /** One host sends a request as the trial of a suspect. */
   | {
     readonly kind: 'suspectTried';
     readonly suspectId: SuspectId;
     readonly trialCount: number;
     readonly revision: EraBound;
   }
-  /** The record of a request's trials was deleted, after an answer or by an operator. */
+  /** The record of a suspect's trials was deleted, after an answer or by an operator. */
   | { readonly kind: 'trialsForgotten'; readonly suspectId: SuspectId }
   /** An upstream's notice that it is leaving, which counts as much as the store's entry. */
   | {
--- a/src/quarantine/SuspectTable.ts
+++ b/src/quarantine/SuspectTable.ts
@@ -8,7 +8,7 @@
 import { isPromptPart } from './isPromptPart.ts';
 import type { SuspectId } from './SuspectId.ts';
 
-/** Decision on whether a request may be sent. */
+/** Decision on whether requests with a suspect may be sent. */
 export type SendDecision =
   | { readonly kind: 'free' }
   /** It may be sent once, by the host that takes the next trial. */
@@ -48,7 +48,7 @@
   crashedAtMs: number;
 }
 
-/** Trials of a request whose record a copy of the store lacks. */
+/** Trials of a suspect whose record a copy of the store lacks. */
 export interface LostTrials {
   readonly suspectId: SuspectId;
   readonly trialCount: number;
@@ -56,11 +56,11 @@
   readonly revision: EraBound;
 }
 
-/** Crashes of a request after which it is sent as a trial only. */
+/** Crashes of a suspect after which requests with it are sent as a trial only. */
 export const CRASH_LIMIT = 3;
 /**
- * Delay before each trial. The first trial follows at once, so that a request that did not cause
- * the crashes is soon cleared; after the last failed trial, only an operator can clear the request.
+ * Delay before each trial. The first trial follows at once, so that a suspect that did not cause
+ * the crashes is soon cleared; after the last failed trial, only an operator can clear it.
  */
 export const TRIAL_DELAYS_MS: readonly number[] = [0, 5_000, 600_000];
 /** The same for a part that was answered before, so that it is less likely to be the cause. */
@@ -69,7 +69,7 @@
 const MAX_TRIAL_MS = 5_000;
 /** How long a crash counts. */
 export const CRASH_TTL_MS = 600_000;
-/** Retry delay advised for a request that has failed its last trial. */
+/** Retry delay advised for a suspect that has failed its last trial. */
 const TRIALS_USED_UP_RETRY_AFTER_MS = 3_600_000;
 /** Maximum number of trial records in the store, where these do not expire. */
 const MAX_TRIAL_RECORDS = 500;
@@ -90,8 +90,9 @@
 }
 
 /**
- * Keeps the requests that were running at upstreams when these crashed. A request that crashes
- * upstreams is never answered, so an answer clears it and only crashes after the last answer count.
+ * Keeps what was at upstreams when these crashed: requests, and parts of their prompts. What
+ * crashes upstreams is never answered, so an answer clears it and only crashes after the last
+ * answer count.
  * Records of all hosts arrive through the store and are ordered by its revisions.
  */
 export class SuspectTable {
@@ -112,13 +113,13 @@
     this.#clock = clock;
   }
 
-  /** Whether no request is suspected. */
+  /** Whether nothing is suspected. */
   get isEmpty(): boolean {
     return this.#suspects.size === 0;
   }
 
   /**
-   * Decides whether a request may be sent.
+   * Decides whether requests with a suspect may be sent.
    *
    * @param suspectId - the suspect
    * @returns the decision
@@ -151,7 +152,7 @@
   }
 
   /**
-   * Counts the crashes of a request.
+   * Counts the crashes of a suspect.
    *
    * @param suspectId - the suspect
    * @returns its crashes since it was last answered
@@ -172,7 +173,7 @@
   }
 
   /**
-   * Gets the trial count of a request.
+   * Gets the trial count of a suspect.
    *
    * @param suspectId - the suspect
    * @returns its trials since it was last answered
@@ -182,7 +183,7 @@
   }
 
   /**
-   * Gets the revision of a request's trial record.
+   * Gets the revision of a suspect's trial record.
    *
    * @param suspectId - the suspect
    * @returns the revision; 0 when there is no record
@@ -191,7 +192,7 @@
     return this.#suspects.get(suspectId)?.trialRevision ?? 0;
   }
 
-  /** @returns the request with the oldest trial record when their maximum is reached; else null */
+  /** @returns the suspect with the oldest trial record when their maximum is reached; else null */
   getOldestTrial(): SuspectId | null {
     const tried = [...this.#suspects].filter(([, { trialCount }]) => trialCount > 0);
     const [oldest] = tried.sort(([, left], [, right]) => left.trialRevision - right.trialRevision);
@@ -199,9 +200,9 @@
   }
 
   /**
-   * Adds a crash to the requests that were running at the upstream.
+   * Adds a crash to the suspects that were at the upstream.
    *
-   * @param report - the crash and the requests
+   * @param report - the crash and the suspects
    * @param revision - revision of the record; infinite for a crash detected by this host
    */
   addCrash({ crashId, endedAtMs, suspects }: CrashReport, revision: EraBound): void {
@@ -268,7 +269,7 @@
     });
   }
 
-  /** @returns the requests whose trial count the store does not have, since it lost the record */
+  /** @returns the suspects whose trial count the store does not have, since it lost the record */
   getLostTrials(): LostTrials[] {
     return [...this.#suspects]
       .filter(([, { isTrialCountRestored }]) => isTrialCountRestored)
@@ -280,7 +281,7 @@
   /**
    * Applies a trial record if it is newer than the known one.
    *
-   * @param suspectId - a request that is or was on trial
+   * @param suspectId - a suspect that is or was on trial
    * @param trialCount - its trials so far
    * @param revision - revision of the record
    */
@@ -304,14 +305,14 @@
   /**
    * Records a trial at another host, whose record is still to arrive from the store.
    *
-   * @param suspectId - the request on trial
+   * @param suspectId - the suspect on trial
    */
   recordRemoteTrial(suspectId: SuspectId): void {
     this.#getOrCreate(suspectId).triedAtMs = this.#clock.getMonotonicMs();
   }
 
   /**
-   * Changes the trial count of a request while the store is unavailable; the next record from the
+   * Changes the trial count of a suspect while the store is unavailable; the next record from the
    * store replaces it.
    *
    * @param suspectId - the suspect
@@ -324,7 +325,7 @@
   }
 
   /**
-   * Releases a request whose trial record was removed from the store.
+   * Releases a suspect whose trial record was removed from the store.
    *
    * @param suspectId - the suspect
    */
@@ -392,7 +393,7 @@
     return suspect;
   }
 
-  /** Evicts requests whose crashes have expired; if none has, the oldest that is not held. */
+  /** Evicts suspects whose crashes have expired; if none has, the oldest that is not held. */
   #evict(): void {
     if (this.#suspects.size < MAX_SUSPECTS) {
       return;
