--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -359,6 +359,7 @@
             failureDomain,
             isDraining: false,
             slots: 1,
+            softwareVersion: 'v1',
             coldRemainingMs: 0,
             startedAtMs: 1,
           },
--- a/src/directory/Directory.test.ts
+++ b/src/directory/Directory.test.ts
@@ -39,6 +39,7 @@
       failureDomain,
       isDraining,
       slots: 1,
+      softwareVersion: 'v1',
       coldRemainingMs: 0,
       startedAtMs,
     },
--- a/src/directory/UpstreamEntry.ts
+++ b/src/directory/UpstreamEntry.ts
@@ -10,6 +10,8 @@
 /** Entry of an upstream in the store. */
 export interface UpstreamEntry extends UpstreamLifetime {
   readonly poolId: PoolId;
+  /** Version of its software; null when not announced. Not the version of its model's weights. */
+  readonly softwareVersion: string | null;
   /** IP address and port. */
   readonly address: string;
   readonly failureDomain: string;
--- a/src/directory/relayedDirectory.test.ts
+++ b/src/directory/relayedDirectory.test.ts
@@ -110,6 +110,7 @@
       failureDomain: 'x',
       isDraining: false,
       slots: 1,
+      softwareVersion: 'v1',
       coldRemainingMs: 0,
       startedAtMs: 1,
     },
--- a/src/ingress/CallerRequest.ts
+++ b/src/ingress/CallerRequest.ts
@@ -27,6 +27,8 @@
   readonly pieceKey: string | null;
   /** Id of the event after which the stream resumes; null for a stream from its start. */
   readonly lastEventId: number | null;
+  /** Id of the client attempt that brought the stream's first event; null for a new stream. */
+  readonly resumedRequestId: string | null;
 }
 
 /** A request of a caller with its whole body. */
--- a/src/placement/PlacementCoordinator.test.ts
+++ b/src/placement/PlacementCoordinator.test.ts
@@ -297,6 +297,7 @@
         failureDomain: 'a',
         isDraining: false,
         slots: 1,
+        softwareVersion: 'v1',
         coldRemainingMs: 0,
         startedAtMs: null,
       },
--- a/src/quarantine/CrashMonitor.test.ts
+++ b/src/quarantine/CrashMonitor.test.ts
@@ -17,6 +17,7 @@
   failureDomain: 'a',
   isDraining: false,
   slots: 4,
+  softwareVersion: 'v1',
   coldRemainingMs: 0,
 };
 
--- a/src/rates/LimitMonitor.test.ts
+++ b/src/rates/LimitMonitor.test.ts
@@ -19,6 +19,7 @@
   failureDomain: 'a',
   isDraining: false,
   slots: 1,
+  softwareVersion: 'v1',
   coldRemainingMs: 0,
 };
 
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -136,7 +136,8 @@
   /** Starts relaying. */
   start(): void {
     this.#context.shares.recordRequest(this.#parameters.poolId);
-    this.#log('accepted', { poolId: this.#parameters.poolId });
+    const { lastEventId, resumedRequestId } = this.#exchange.request.profile;
+    this.#log('accepted', { poolId: this.#parameters.poolId, lastEventId, resumedRequestId });
     this.#exchange.onDisconnect(() => this.#finish('caller-gone'));
     if (this.#exchange.isDisconnected) {
       this.#finish('caller-gone');
@@ -326,6 +327,8 @@
     this.#splitter = new EventSplitter();
     this.#log('sent', {
       ...this.#retries.recordSend(placed.upstreamId),
+      softwareVersion: engine.softwareVersion,
+      lastEventId: this.#events.lastEventId,
       inputCount: placed.inputs.length,
       leave: placed.leave,
     });
--- a/src/relay/UpstreamStateTable.test.ts
+++ b/src/relay/UpstreamStateTable.test.ts
@@ -18,6 +18,7 @@
       failureDomain,
       isDraining: false,
       slots: 6,
+      softwareVersion: 'v1',
       coldRemainingMs: 0,
       startedAtMs: 1,
     },
--- a/src/relay/sendAttempt.test.ts
+++ b/src/relay/sendAttempt.test.ts
@@ -21,6 +21,7 @@
     pieceCounts: [],
     pieceKey: null,
     lastEventId: null,
+    resumedRequestId: null,
   },
   method: 'GET',
   path: '/a/b',
--- a/test/property/LimitedFleetModel.ts
+++ b/test/property/LimitedFleetModel.ts
@@ -98,6 +98,7 @@
     failureDomain: getDomain(index),
     isDraining: false,
     slots: 64,
+    softwareVersion: 'v1',
     coldRemainingMs: 0,
   };
 }
--- a/test/property/QuarantineFleetModel.ts
+++ b/test/property/QuarantineFleetModel.ts
@@ -277,6 +277,7 @@
       failureDomain: 'a',
       isDraining: false,
       slots: 4,
+      softwareVersion: 'v1',
       coldRemainingMs: 0,
     };
   }
--- a/test/property/RelayedFleetModel.ts
+++ b/test/property/RelayedFleetModel.ts
@@ -27,6 +27,7 @@
         failureDomain: 'a',
         isDraining: false,
         slots: 1,
+        softwareVersion: 'v1',
         coldRemainingMs: 0,
         startedAtMs: 1,
       },
--- a/test/property/RestoredStoreModel.ts
+++ b/test/property/RestoredStoreModel.ts
@@ -67,6 +67,7 @@
       failureDomain: this.#pick(['a', 'b']),
       isDraining: false,
       slots: 1,
+      softwareVersion: 'v1',
       coldRemainingMs: 0,
       startedAtMs: this.#upstreamCount,
     };
--- a/test/property/UpstreamClosureModel.ts
+++ b/test/property/UpstreamClosureModel.ts
@@ -132,6 +132,7 @@
       failureDomain: 'a',
       isDraining: false,
       slots: 4,
+      softwareVersion: 'v1',
       coldRemainingMs: 0,
     };
     this.#directory.apply({ kind: 'upstream', entry });
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -204,6 +204,7 @@
         failureDomain,
         isDraining: false,
         slots: 1,
+        softwareVersion: 'v1',
         coldRemainingMs: 0,
         startedAtMs: null,
       },
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -230,6 +230,7 @@
         failureDomain: 'a',
         isDraining: false,
         slots: 4,
+        softwareVersion: 'v1',
         coldRemainingMs: 0,
         startedAtMs: null,
       },
