--- /dev/null
+++ b/src/relay/streamVersions.test.ts
@@ -0,0 +1,92 @@
+import { deepEqual, equal, ok } from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { performance } from 'node:perf_hooks';
+import { readRawAnswer } from '../../test/support/readRawAnswer.ts';
+import { RelayTestBed, type UpstreamHandler } from '../../test/support/RelayTestBed.ts';
+
+const EVENT_COUNT = 4;
+
+let bed: RelayTestBed | null = null;
+
+/** Creates an upstream that breaks new streams off after two events, and completes resumed ones. */
+function createBreakingUpstream(version: string): UpstreamHandler {
+  return (request, response) => {
+    const lastId = Number(request.headers['last-event-id'] ?? 0);
+    const endId = lastId === 0 ? 2 : EVENT_COUNT;
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    for (let id = lastId + 1; id <= endId; id += 1) {
+      response.write(`id: ${id}\ndata: ${version}\n\n`);
+    }
+    if (endId === EVENT_COUNT) {
+      response.end();
+    } else {
+      setTimeout(() => request.socket.resetAndDestroy(), 20);
+    }
+  };
+}
+
+async function startBed(...versions: string[]): Promise<RelayTestBed> {
+  bed = new RelayTestBed();
+  await bed.start(versions.map((version) => createBreakingUpstream(version)), 50, versions);
+  return bed;
+}
+
+function getVersions(text: string): string[] {
+  return [...text.matchAll(/^data: (.*)$/gm)].map(([, version]) => version ?? '');
+}
+
+describe('RelayHost with upstreams of two software versions', () => {
+  afterEach(async () => {
+    await bed?.close();
+  });
+
+  it('resumes a broken stream only at the software version that began it', async () => {
+    const target = await startBed('v1', 'v2', 'v1', 'v2');
+    for (let index = 0; index < 6; index += 1) {
+      // eslint-disable-next-line no-await-in-loop -- sends one request after another
+      const { text } = await target.send('/stream/', { 'x-request-id': `r${index}` });
+      const versions = getVersions(text);
+      deepEqual(versions, Array.from({ length: EVENT_COUNT }, () => versions[0]));
+    }
+  });
+
+  it('breaks a stream off when no other upstream has the version that began it', async () => {
+    const target = await startBed('v1', 'v2');
+    const { text, isReset } = await readRawAnswer(target, '/stream/');
+    equal(getVersions(text).length, 2);
+    equal(isReset, true);
+  });
+
+  it('lets a caller take a stream up only at the software version that began it', async () => {
+    const target = await startBed('v1', 'v2', 'v1', 'v2');
+    for (let index = 0; index < 6; index += 1) {
+      // eslint-disable-next-line no-await-in-loop -- sends one request after another
+      const begun = await target.send('/stream/', { 'x-request-id': `b${index}` });
+      const [version] = getVersions(begun.text);
+      // eslint-disable-next-line no-await-in-loop -- as above
+      const resumed = await target.send('/stream/', {
+        'x-request-id': `t${index}`, resumes: `b${index}`, 'last-event-id': '2',
+      });
+      deepEqual(getVersions(resumed.text), [version, version]);
+    }
+  });
+
+  it('refuses at once to resume a stream whose software version is unknown', async () => {
+    const target = await startBed('v1', 'v2');
+    const startedAtMs = performance.now();
+    const { status, text } = await target.send('/stream/', {
+      resumes: 'begun-elsewhere', 'last-event-id': '2',
+    });
+    equal(status, 503);
+    deepEqual(getVersions(text), []);
+    ok(performance.now() - startedAtMs < 1_000);
+  });
+
+  it('resumes a stream begun elsewhere while only one software version is known', async () => {
+    const target = await startBed('v1', 'v1');
+    const { text } = await target.send('/stream/', {
+      resumes: 'begun-elsewhere', 'last-event-id': '2',
+    });
+    deepEqual(getVersions(text), ['v1', 'v1']);
+  });
+});
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -70,9 +70,15 @@
   /**
    * @param handlers - request handler of each upstream
    * @param retrySlack - number of retries allowed at any load
+   * @param softwareVersions - version of each upstream's software; `v1` where it is missing
    */
-  async start(handlers: readonly UpstreamHandler[], retrySlack = 50): Promise<void> {
-    await Promise.all(handlers.map((handler, index) => this.#addUpstream(`u${index}`, handler)));
+  async start(
+    handlers: readonly UpstreamHandler[],
+    retrySlack = 50,
+    softwareVersions: readonly string[] = [],
+  ): Promise<void> {
+    await Promise.all(handlers.map((handler, index) => (
+      this.#addUpstream(`u${index}`, handler, softwareVersions[index] ?? 'v1'))));
     this.#store.changes.push({
       kind: 'configuration',
       configuration: {
@@ -212,7 +218,11 @@
     });
   }
 
-  async #addUpstream(id: string, handler: UpstreamHandler): Promise<void> {
+  async #addUpstream(
+    id: string,
+    handler: UpstreamHandler,
+    softwareVersion: string,
+  ): Promise<void> {
     const server = createServer((request, response) => {
       response.setHeader('x-request-id', request.headers['x-request-id'] ?? '');
       handler(request, response);
@@ -230,7 +240,7 @@
         failureDomain: 'a',
         isDraining: false,
         slots: 4,
-        softwareVersion: 'v1',
+        softwareVersion,
         coldRemainingMs: 0,
         startedAtMs: null,
       },
