Answer every request before a planned stop ends, and refuse at once what it would cut off

Report of another operator: requests that came late in the grace of a planned stop were passed on and cut with no answer at its end, among them requests that may run once. Here with 4 s of grace: 4 such requests, reset at the end (users' facts).

Cause: a stopping host took requests for a fixed time, whatever they would last, and closed the connections at the end. Now a request is refused at once (503, come back) when neither its deadline nor the longest of its route's last 32 requests ends before the stop does; what still runs 300 ms before the end gets its final answer: 503 if it was not sent, 502 if it may have run. A stream that has begun is still broken off. A request that waits in the quarantine for a trial is not covered.

Tests: npm test -- relay/RelayHost.test, both failed before (reset; sent to the upstream).

--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -6,7 +6,7 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { UpstreamId } from '../lib/ids.ts';
 import type { RetryReservation } from '../retries/RetryWindow.ts';
-import type { RelayContext, RelayParameters } from './RelayContext.ts';
+import type { OpenRelay, RelayContext, RelayParameters } from './RelayContext.ts';
 import { RETRY_REASON, type RetryReason } from './RetryDecision.ts';
 import { getHostSlotShare, getRetryAfterMs } from './getRetryAfterMs.ts';
 import { BufferedAnswer } from './BufferedAnswer.ts';
@@ -57,7 +57,7 @@
 }
 
 /** Relays one request with a buffered answer: tries upstreams until one answers. */
-export class BufferedRelay {
+export class BufferedRelay implements OpenRelay {
   readonly #context: RelayContext;
 
   readonly #parameters: RelayParameters;
@@ -115,6 +115,7 @@
 
   /** Starts relaying. */
   start(): void {
+    this.#context.openRelays.add(this);
     this.#context.shares.recordRequest(this.#parameters.poolId);
     this.#log('accepted', { poolId: this.#parameters.poolId });
     this.#exchange.onDisconnect(() => this.#finish('caller-gone'));
@@ -126,6 +127,11 @@
     this.#send(null);
   }
 
+  /** @inheritdoc */
+  endForStop(): void {
+    this.#fail(STATUS.unavailable, 'leaving');
+  }
+
   get #isRepeatable(): boolean {
     return this.#parameters.route.executionSemantics === EXECUTION_SEMANTICS.repeatable;
   }
@@ -441,6 +447,11 @@
 
   #answer(head: AnswerHead, body: Buffer): void {
     const { status, passedHeaders, isFramed } = head;
+    const { clock, stopDeadline } = this.#context;
+    stopDeadline.recordAnswered(
+      this.#parameters.route.name,
+      clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs,
+    );
     this.#exchange.answer({
       status, headers: passedHeaders, body, isFramed,
     });
@@ -485,6 +496,7 @@
     }
     this.#setWaiting(false);
     this.#isOver = true;
+    this.#context.openRelays.delete(this);
     this.#timers.forEach((timer) => clearTimeout(timer));
     this.#retries.release();
     const { trial } = this.#parameters;
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -10,7 +10,7 @@
 import { createPlacementDemand } from './createPlacementDemand.ts';
 import { EventSequence } from './EventSequence.ts';
 import { EventSplitter, type StreamEvent } from './EventSplitter.ts';
-import type { RelayContext, RelayParameters } from './RelayContext.ts';
+import type { OpenRelay, RelayContext, RelayParameters } from './RelayContext.ts';
 import { RETRY_REASON, type RetryReason } from './RetryDecision.ts';
 import { BufferedAnswer } from './BufferedAnswer.ts';
 import { RelayedStreamVersion } from './RelayedStreamVersion.ts';
@@ -56,7 +56,7 @@
  * Relays one generation: requests its placement, sends it to the engine, forwards its events as
  * they arrive, and resumes a resumable stream on another engine when the exchange breaks.
  */
-export class GenerationRelay {
+export class GenerationRelay implements OpenRelay {
   readonly #context: RelayContext;
 
   #parameters: RelayParameters;
@@ -149,6 +149,7 @@
 
   /** Starts relaying. */
   start(): void {
+    this.#context.openRelays.add(this);
     this.#context.shares.recordRequest(this.#parameters.poolId);
     const { lastEventId, resumedRequestId } = this.#exchange.request.profile;
     this.#log('accepted', { poolId: this.#parameters.poolId, lastEventId, resumedRequestId });
@@ -189,6 +190,11 @@
     this.#place();
   }
 
+  /** @inheritdoc */
+  endForStop(): void {
+    this.#fail(STATUS.unavailable, 'leaving', SHORT_RETRY_AFTER_MS);
+  }
+
   #getRemainingMs(): number {
     return this.#parameters.deadlineAtMs - this.#context.clock.getMonotonicMs();
   }
@@ -526,9 +532,18 @@
       this.#exchange.beginStream(head.status, head.passedHeaders, head.isFramed);
     }
     this.#exchange.end(head.isFramed);
+    this.#recordAnswered();
     this.#finish('answered', { lastEventId: this.#events.lastEventId });
   }
 
+  #recordAnswered(): void {
+    const { clock, stopDeadline } = this.#context;
+    stopDeadline.recordAnswered(
+      this.#parameters.route.name,
+      clock.getMonotonicMs() - this.#arrivedAtMs,
+    );
+  }
+
   #recordBroken(engine: UpstreamEntry): void {
     const { subject, trial } = this.#parameters;
     this.#log('broken', {
@@ -634,6 +649,7 @@
       return;
     }
     this.#isOver = true;
+    this.#context.openRelays.delete(this);
     this.#errorAnswer.release();
     this.#silenceMonitor.stop();
     clearTimeout(this.#deadlineTimer ?? undefined);
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -16,9 +16,16 @@
 import type { ColdStartLimiter } from './ColdStartLimiter.ts';
 import type { HostShares } from './HostShares.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
+import type { StopDeadline } from './StopDeadline.ts';
 import type { UpstreamStateTable } from './UpstreamStateTable.ts';
 import type { UpstreamProtocol } from './UpstreamProtocol.ts';
 
+/** A relay whose request has no final answer yet. */
+export interface OpenRelay {
+  /** Gives the request its final answer, since the host stops. */
+  endForStop(): void;
+}
+
 /** Dependencies that all relays of a host share. */
 export interface RelayContext {
   readonly clock: Clock;
@@ -38,6 +45,9 @@
   /** Knows at which software version each resumable stream began. */
   readonly streamVersions: StreamVersions;
   readonly answerMemory: AnswerMemory;
+  readonly stopDeadline: StopDeadline;
+  /** The relays that have started and not ended. */
+  readonly openRelays: Set<OpenRelay>;
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
   readonly failureDomain: string;
--- a/src/relay/RelayHost.test.ts
+++ b/src/relay/RelayHost.test.ts
@@ -2,7 +2,9 @@
   deepEqual, equal, ok, rejects,
 } from 'node:assert/strict';
 import { request as sendRequest } from 'node:http';
+import { performance } from 'node:perf_hooks';
 import { afterEach, describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   RelayTestBed, type BedAnswer, type UpstreamHandler,
 } from '../../test/support/RelayTestBed.ts';
@@ -162,4 +164,32 @@
     equal((await pending).text, 'late but whole');
     await stopped;
   });
+
+  it('answers a request that is still running at the end of a planned stop', async () => {
+    await startBed(() => {});
+    const pending = send('/once/');
+    await sleep(100);
+    await bed?.stop();
+    equal((await pending).status, 502);
+  });
+
+  it('refuses at once what a planned stop would cut off, and serves the rest', async () => {
+    let receivedCount = 0;
+    await startBed((request, response) => {
+      receivedCount += 1;
+      setTimeout(() => response.end('ran'), request.url === '/once/slow' ? 800 : 10);
+    });
+    equal((await send('/once/slow')).text, 'ran');
+    equal((await send('/safe/')).text, 'ran');
+    const stopped = bed?.stop();
+    const startedAtMs = performance.now();
+    const { status, headers } = await send('/once/slow');
+    equal(status, 503);
+    ok(headers['retry-after'] !== undefined);
+    ok(performance.now() - startedAtMs < 300);
+    equal(receivedCount, 2);
+    equal((await send('/safe/')).text, 'ran');
+    equal((await send('/once/slow', { 'x-deadline-ms': '300' })).status, 504, 'it ends in time');
+    await stopped;
+  });
 });
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -34,6 +34,7 @@
 import type { RelayHostAdapters, RelayHostSettings } from './RelayHostOptions.ts';
 import { RelayMetrics } from './RelayMetrics.ts';
 import { RelayManager } from './RelayManager.ts';
+import { StopDeadline } from './StopDeadline.ts';
 import { UpstreamStateTable } from './UpstreamStateTable.ts';
 
 /** Limits until a configuration is known; requests are refused until then. */
@@ -51,6 +52,7 @@
 /** Time reserved at the end of the grace period for aborting open requests. */
 const ABORT_TIME_MS = 300;
 const STOP_CHECK_MS = 50;
+const ANSWER_CHECK_MS = 10;
 /** A host may have lost an entry confirmed longer ago; a lease lasts half as long again. */
 const MAX_REGISTRATION_AGE_MS = 4_000;
 
@@ -223,6 +225,8 @@
       quarantine: this.#quarantine,
       streamVersions: this.#streamVersions,
       answerMemory: new AnswerMemory(),
+      stopDeadline: new StopDeadline(clock),
+      openRelays: new Set(),
       logger,
       metrics: this.#metrics,
       failureDomain: settings.failureDomain,
@@ -268,6 +272,9 @@
       { event: 'stopping', openRequestCount: this.#ingress.openRequestCount },
       'host is stopping',
     );
+    this.#relayManager.startStopping(
+      this.#stoppingSinceMs + this.#settings.graceMs - ABORT_TIME_MS,
+    );
     this.#ingress.startDraining();
     this.#placementService.coordinator.startHandingOver();
     this.#registration.stop().catch((error: unknown) => {
@@ -277,6 +284,8 @@
       );
     });
     await this.#waitUntilDrained(this.#stoppingSinceMs);
+    this.#relayManager.endOpenRelays();
+    await this.#waitForAnswers();
     await this.#close();
   }
 
@@ -308,6 +317,17 @@
     }
   }
 
+  /** Lets the answers that were just given reach their callers. */
+  async #waitForAnswers(): Promise<void> {
+    const untilMs = this.#clock.getMonotonicMs() + ABORT_TIME_MS / 2;
+    while (this.#ingress.openRequestCount > 0 && this.#clock.getMonotonicMs() < untilMs) {
+      // eslint-disable-next-line no-await-in-loop -- polls until the answers are written
+      await new Promise((resolve) => {
+        setTimeout(resolve, ANSWER_CHECK_MS);
+      });
+    }
+  }
+
   async #close(): Promise<void> {
     this.#logger.info(
       { event: 'stopped', openRequestCount: this.#ingress.openRequestCount },
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -85,6 +85,16 @@
     this.#isRefusing = true;
   }
 
+  /** @param endsAtMs - monotonic time of {@link RelayManager.endOpenRelays} */
+  startStopping(endsAtMs: number): void {
+    this.#context.stopDeadline.set(endsAtMs);
+  }
+
+  /** Gives all open requests their final answers, because the process ends. */
+  endOpenRelays(): void {
+    [...this.#context.openRelays].forEach((relay) => relay.endForStop());
+  }
+
   /** @param exchange - a complete request and the means to answer it */
   relay(exchange: CallerExchange): void {
     const { configuration } = this.#context.directory;
@@ -105,6 +115,11 @@
       return;
     }
     const parameters = getRelayParameters(exchange, route, account);
+    const remainingMs = parameters.deadlineAtMs - this.#context.clock.getMonotonicMs();
+    if (this.#context.stopDeadline.isTooLate(route, remainingMs)) {
+      this.#refuse(exchange, STATUS.unavailable, 'leaving', OTHER_HOST_RETRY_AFTER_MS);
+      return;
+    }
     if (this.#context.quarantine.isFree(parameters.subject)) {
       this.#start(exchange, parameters);
     } else {
--- a/src/streams/StreamVersions.ts
+++ b/src/streams/StreamVersions.ts
@@ -129,23 +129,23 @@
    * @returns the version, or why it is unknown
    */
   async find(poolId: PoolId, requestId: string | null): Promise<StreamVersionAnswer> {
+    const first = await this.#findNow(poolId, requestId);
+    if (first.kind === 'known') {
+      return first;
+    }
+    await this.#waitForRecords();
+    return this.#findNow(poolId, requestId);
+  }
+
+  async #findNow(poolId: PoolId, requestId: string | null): Promise<StreamVersionAnswer> {
     const known = this.#findRecorded(poolId, requestId);
     if (known !== null) {
       return known;
     }
-    if (this.#table.getState(poolId).kind !== 'mixed') {
-      // The store may have a newer record than this host.
-      const answer = await this.#readPool(poolId);
-      if (answer.kind === 'known') {
-        return answer;
-      }
-    }
-    if (requestId === null) {
-      return { kind: 'unknown', detail: 'the request names no attempt that it resumes' };
-    }
-    await this.#waitForRecords();
-    return this.#findRecorded(poolId, requestId)
-      ?? { kind: 'unknown', detail: 'no host has recorded the stream' };
+    // The store may have a newer record than this host.
+    return this.#table.getState(poolId).kind === 'mixed'
+      ? { kind: 'unknown', detail: 'the pool has several versions' }
+      : this.#readPool(poolId);
   }
 
   #findRecorded(poolId: PoolId, requestId: string | null): StreamVersionAnswer | null {
