Place a begun stream by the time until its caller abandons it

Cause: the software version was found each time (53 of 53), but the placement judged a begun stream by the latency target of its first event, which its caller has; 14 were refused at once as too late, 11 of them though more time was left than expected. It now counts as on time while its caller waits. Test: npm test -- createPlacementDemand; the second case failed before.

--- a/src/relay/createPlacementDemand.ts
+++ b/src/relay/createPlacementDemand.ts
@@ -32,6 +32,8 @@
     profile, waitedMs, remainingMs, silentMs, excludedIds, softwareVersion, isPlacedAgain,
   }: PlacementState,
 ): PlacementDemand {
+  // The first event is useless to a caller that has abandoned the stream before.
+  const usefulMs = Math.min(remainingMs, route.callerPatienceMs - silentMs);
   return {
     requestId: profile.id,
     poolId,
@@ -42,9 +44,9 @@
     promptTokens: profile.generation?.promptTokens ?? 0,
     maxOutputTokens: profile.generation?.maxOutputTokens ?? 0,
     priority,
-    onTimeMs: route.targetLatencyMs - waitedMs,
-    // The first event is useless to a caller that has abandoned the stream before.
-    remainingMs: Math.min(remainingMs, route.callerPatienceMs - silentMs),
+    // The latency target is for the first event, which the caller of a begun stream has.
+    onTimeMs: softwareVersion === null ? route.targetLatencyMs - waitedMs : usefulMs,
+    remainingMs: usefulMs,
     excludedIds,
     softwareVersion,
     isPlacedAgain,
