Hand placements over to another host when the coordinator reaches no upstream

Cause: the coordinator sends all stage calls itself. Cut off, it still looked alive to its peers, and its calls hung. A monitor now detects that a host reaches no upstream: several are silent while none answers, or new connections to several fail; probes by new connections then decide, so that a failed service isn't mistaken for it. Such a host hands its placements over at once, those with running calls too, until a probe succeeds.

--- a/src/directory/Directory.ts
+++ b/src/directory/Directory.ts
@@ -226,6 +226,11 @@
       .filter((upstream) => upstream.entry.poolId === poolId && this.#isListed(upstream));
   }
 
+  /** @returns the upstreams of all pools that the store lists as open */
+  getAllListed(): KnownUpstream[] {
+    return [...this.#upstreams.values()].filter((upstream) => this.#isListed(upstream));
+  }
+
   /**
    * @param poolId - the pool
    * @returns the software versions of all its entries, those of leaving upstreams included
--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -13,6 +13,7 @@
 import { PlacementClient } from './PlacementClient.ts';
 import { PlacementCoordinator } from './PlacementCoordinator.ts';
 import type { PlacementDemand } from './PlacementRequest.ts';
+import { HAND_OVER_REASON } from './HAND_OVER_REASON.ts';
 import { PeerServer } from './PeerServer.ts';
 
 const FIRST: RouteStage = { poolId: toId<PoolId>('first'), after: [], resultBytes: 1 };
@@ -126,7 +127,7 @@
     const placement = rig.client.place(DEMAND);
     await completeCalls(oldest, 1);
     const [second] = oldest.takeCalls();
-    oldest.coordinator.startHandingOver();
+    oldest.coordinator.setHandingOver(HAND_OVER_REASON.leaving);
     ok(second);
     oldest.complete(second);
     const result = await placement.result;
@@ -173,7 +174,7 @@
 
   it('refuses as unreachable when its own coordinator is leaving too', async () => {
     rig = new ClientRig();
-    rig.own.coordinator.startHandingOver();
+    rig.own.coordinator.setHandingOver(HAND_OVER_REASON.leaving);
     const result = await rig.client.place(DEMAND).result;
     ok(result.kind === 'refused');
     equal(result.reason, 'unreachable');
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -157,6 +157,11 @@
     setTimeout(() => this.#sendReports(peerAddress), REPORT_DELAY_MS);
   }
 
+  /** Lets this host's own coordinator be chosen again, since the host reaches upstreams again. */
+  restoreOwnCoordinator(): void {
+    this.#isOwnCoordinatorLeaving = false;
+  }
+
   /** Stops the background probes. */
   close(): void {
     this.#monitor.close();
--- a/src/placement/PlacementCoordinator.test.ts
+++ b/src/placement/PlacementCoordinator.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { PlacementTestBed } from '../../test/support/PlacementTestBed.ts';
 import type { RouteStage } from '../directory/ServingConfiguration.ts';
+import { HAND_OVER_REASON } from './HAND_OVER_REASON.ts';
 import { toId, type PoolId, type UpstreamId } from '../lib/ids.ts';
 
 const FIRST: RouteStage = { poolId: toId<PoolId>('first'), after: [], resultBytes: 1_000 };
@@ -142,7 +143,7 @@
     });
     const [call] = bed.takeCalls();
     ok(call);
-    bed.coordinator.startHandingOver();
+    bed.coordinator.setHandingOver(HAND_OVER_REASON.leaving);
     bed.coordinator.finishCall(call, { kind: 'notRun' });
     bed.coordinator.run();
     const wereSent = ['sent', 'waiting'].map((requestId) => {
@@ -191,7 +192,7 @@
     const before = new PlacementTestBed(makers);
     before.place({ requestId: 'r', stages, pieceCounts: [2, 3, 1] });
     before.takeCalls().forEach((call) => before.complete(call));
-    before.coordinator.startHandingOver();
+    before.coordinator.setHandingOver(HAND_OVER_REASON.leaving);
     deepEqual(before.results.size, 0);
     before.takeCalls().forEach((call) => before.complete(call));
     const result = before.results.get('r');
@@ -207,12 +208,27 @@
 
   it('hands over at once a request that arrives while it is leaving', () => {
     const bed = new PlacementTestBed({ first: { makers: 1 } });
-    bed.coordinator.startHandingOver();
+    bed.coordinator.setHandingOver(HAND_OVER_REASON.leaving);
     bed.place({ requestId: 'r', stages: [FIRST], pieceCounts: [1] });
     equal(bed.results.get('r')?.kind, 'handedOver');
     equal(bed.takeCalls().length, 0);
   });
 
+  it('hands over requests with running pieces when its host reaches no upstream', () => {
+    const bed = new PlacementTestBed({ first: { makers: 2 } });
+    bed.place({ requestId: 'r', stages: [FIRST], pieceCounts: [1] });
+    const [call] = bed.takeCalls();
+    ok(call);
+    bed.coordinator.setHandingOver(HAND_OVER_REASON.cutOff);
+    bed.coordinator.run();
+    const result = bed.results.get('r');
+    equal(result?.kind === 'handedOver' && result.wereSent, true);
+    bed.coordinator.finishCall(call, { kind: 'broken', detail: 'timeout' });
+    bed.coordinator.setHandingOver(null);
+    bed.place({ requestId: 'next', stages: [FIRST], pieceCounts: [1] });
+    equal(bed.takeCalls().length, 1);
+  });
+
   it('releases results as soon as they are not needed', () => {
     const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 1 } });
     bed.place({ requestId: 'r', stages: [FIRST, SECOND] });
--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -10,6 +10,7 @@
 import { getGroupUpstreams } from './getGroupUpstreams.ts';
 import type { PieceRetryBudget } from './PieceRetryBudget.ts';
 import type { PlacementRates } from './PlacementRates.ts';
+import { HAND_OVER_REASON, type HandOverReason } from './HAND_OVER_REASON.ts';
 import { PlacementRefusals } from './PlacementRefusals.ts';
 import {
   createPlacementJob, getHandles, getLastStages, hasCrashingPiece, hasSentPieces, isStageDone,
@@ -67,7 +68,8 @@
 
   readonly #jobs = new Map<string, PlacementJob>();
 
-  #isHandingOver = false;
+  /** Why this coordinator hands its requests over; null while it places them. */
+  #handOverReason: HandOverReason | null = null;
 
   /** Moving average of the time from a placement to the first token. */
   #startMs = 0;
@@ -103,7 +105,7 @@
    * @returns a function that withdraws the request; without effect once it is placed
    */
   place(request: PlacementRequest, answer: (result: PlacementResult) => void): () => void {
-    if (this.#isHandingOver) {
+    if (this.#handOverReason !== null) {
       const { standingResults: results, isPlacedAgain: wereSent } = request;
       answer({ kind: 'handedOver', results, wereSent });
       return () => {};
@@ -194,16 +196,20 @@
     this.#options.requestRun();
   }
 
-  /** Starts to hand over the requests that are not placed, each with its existing results. */
-  startHandingOver(): void {
-    this.#isHandingOver = true;
+  /**
+   * Starts or ends handing over the requests that are not placed, each with its existing results.
+   *
+   * @param reason - why other coordinators place from now on; null when this one does again
+   */
+  setHandingOver(reason: HandOverReason | null): void {
+    this.#handOverReason = reason;
     this.#options.requestRun();
   }
 
   /** Refuses expired requests, places requests on engines, and sends calls of stages. */
   run(): void {
     this.#expire();
-    if (this.#isHandingOver) {
+    if (this.#handOverReason !== null) {
       this.#handOver();
       return;
     }
@@ -220,12 +226,16 @@
     this.#scheduler.run();
   }
 
-  /** Hands over each request that has no running piece; the others stay until their calls end. */
+  /**
+   * Hands over each request that has no running piece. The others stay until their calls end,
+   * unless this host is cut off, so that the calls may never end.
+   */
   #handOver(): void {
+    const isCutOff = this.#handOverReason === HAND_OVER_REASON.cutOff;
     this.#jobs.forEach((job, requestId) => {
-      const isMoving = job.state !== 'placed'
-        && !job.stages.some(({ pieces }) => pieces.some(({ state }) => state === 'running'));
-      if (isMoving) {
+      const hasRunning = job.stages
+        .some(({ pieces }) => pieces.some(({ state }) => state === 'running'));
+      if (job.state !== 'placed' && (isCutOff || !hasRunning)) {
         this.#jobs.delete(requestId);
         const wereSent = hasSentPieces(job);
         const results = this.#scheduler.handOver(job);
--- a/src/placement/PlacementService.test.ts
+++ b/src/placement/PlacementService.test.ts
@@ -26,6 +26,7 @@
     notices: new UpstreamNoticeHandler(clock, directory, logger),
     retryBudget: UNLIMITED_RETRIES,
     rates: UNLIMITED_RATES,
+    reachability: { recordSend: () => {}, recordAnswer: () => {}, recordUnreachable: () => {} },
     logger,
   });
   return service;
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import type { Directory } from '../directory/Directory.ts';
 import type { UpstreamNoticeHandler } from '../directory/UpstreamNoticeHandler.ts';
+import type { UpstreamObserver } from '../reachability/ReachabilityMonitor.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { PieceRetryBudget } from './PieceRetryBudget.ts';
 import type { PlacementRates } from './PlacementRates.ts';
@@ -27,6 +28,8 @@
   /** Knows the permits for upstreams that advertise limits. */
   readonly rates: PlacementRates;
   /** Logs the decisions. */
+  /** Learns from calls whether this host reaches upstreams. */
+  readonly reachability: UpstreamObserver;
   readonly logger: Logger;
 }
 
@@ -40,6 +43,8 @@
 
   readonly #directory: Directory;
 
+  readonly #reachability: UpstreamObserver;
+
   readonly #notices: UpstreamNoticeHandler;
 
   /** Null while no request waits, so that an idle host has no timer. */
@@ -54,8 +59,9 @@
    * @param options - see {@link PlacementServiceOptions}
    */
   constructor({
-    clock, directory, caller, notices, retryBudget, rates, logger,
+    clock, directory, caller, notices, retryBudget, rates, reachability, logger,
   }: PlacementServiceOptions) {
+    this.#reachability = reachability;
     this.#directory = directory;
     this.#notices = notices;
     this.#caller = caller;
@@ -119,8 +125,14 @@
 
   #send(call: StageCall): void {
     this.#logRetries(call);
+    this.#reachability.recordSend(call.makerId);
     const mayStart = (): boolean => this.#directory.isUsable(call.makerId);
     this.#caller.run(call, mayStart).then(({ outcome, notice, status }) => {
+      if (status !== null) {
+        this.#reachability.recordAnswer(call.makerId);
+      } else if (outcome.kind === 'notSent') {
+        this.#reachability.recordUnreachable(call.makerId);
+      }
       this.#notices.handle({ id: call.makerId, startedAtMs: call.makerStartedAtMs }, notice, {
         requestId: call.items[0]?.requestId ?? '',
         status: status ?? 0,
--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -232,6 +232,7 @@
     this.#openAttempts.add(attempt);
     this.#runCount += 1;
     upstreamTable.recordSend(id);
+    this.#context.reachability.recordSend(id);
     this.#log('sent', { ...this.#retries.recordSend(id) });
     attempt.running = sendAttempt(
       this.#context.connections.get(url),
@@ -249,6 +250,7 @@
         mayStart: () => this.#context.directory.isUsable(id),
         onHead: (head) => {
           attempt.head = head;
+          this.#context.reachability.recordAnswer(id);
           this.#context.notices.handle(upstream, head.notice, {
             requestId: this.#exchange.request.profile.id,
             status: head.status,
@@ -353,6 +355,7 @@
         return;
       case 'notSent':
         this.#runCount -= 1;
+        this.#context.reachability.recordUnreachable(attempt.upstreamId);
         this.#log('notSent', { upstreamId: attempt.upstreamId, detail: end.detail });
         this.#retryNotRun();
         return;
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -404,6 +404,8 @@
       inputCount: placed.inputs.length,
       leave: placed.leave,
     });
+    const { reachability } = this.#context;
+    reachability.recordSend(engine.id);
     this.#running = sendAttempt(
       this.#context.connections.get(`http://${engine.address}`),
       this.#context.protocol,
@@ -420,6 +422,7 @@
         mayStart: () => this.#context.directory.isUsable(placed.upstreamId),
         onHead: (head) => {
           this.#head = head;
+          reachability.recordAnswer(engine.id);
           this.#context.notices.handle(engine, head.notice, {
             requestId: this.#exchange.request.profile.id,
             status: head.status,
@@ -438,6 +441,7 @@
     if (this.#isOver || this.#head === null) {
       return;
     }
+    this.#context.reachability.recordAnswer(engine.id);
     if (this.#head.status >= STATUS.multipleChoices) {
       if (!this.#errorAnswer.add(chunk)) {
         this.#running?.abort('the answer is too large');
@@ -477,6 +481,9 @@
 
   #endAttempt(engine: UpstreamEntry, end: AttemptResult): void {
     const { id: upstreamId } = engine;
+    if (end.kind === 'notSent') {
+      this.#context.reachability.recordUnreachable(upstreamId);
+    }
     this.#running = null;
     this.#silenceMonitor.stop();
     if (end.kind === 'broken' && !end.isAborted) {
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -8,6 +8,7 @@
 import type { PlacementClient } from '../placement/PlacementClient.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import type { ReachabilityMonitor } from '../reachability/ReachabilityMonitor.ts';
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
 import type { RequestSubject } from '../quarantine/RequestSubject.ts';
 import type { Trial } from '../quarantine/Trial.ts';
@@ -46,6 +47,8 @@
   readonly streamVersions: StreamVersions;
   readonly answerMemory: AnswerMemory;
   readonly stopDeadline: StopDeadline;
+  /** Knows whether this host reaches upstreams at all. */
+  readonly reachability: ReachabilityMonitor;
   /** The relays that have started and not ended. */
   readonly openRelays: Set<OpenRelay>;
   readonly logger: Logger;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -15,7 +15,9 @@
 import { ReadinessServer } from '../ingress/ReadinessServer.ts';
 import { PlacementClient } from '../placement/PlacementClient.ts';
 import { PeerServer } from '../placement/PeerServer.ts';
+import { HAND_OVER_REASON } from '../placement/HAND_OVER_REASON.ts';
 import { PlacementService } from '../placement/PlacementService.ts';
+import { ReachabilityMonitor } from '../reachability/ReachabilityMonitor.ts';
 import { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
 import { NoticeHandlingCheck } from '../quarantine/NoticeHandlingCheck.ts';
 import { HttpPermitTransport } from '../rates/HttpPermitTransport.ts';
@@ -84,6 +86,8 @@
 
   readonly #streamVersions: StreamVersions;
 
+  readonly #reachability: ReachabilityMonitor;
+
   readonly #relayManager: RelayManager;
 
   readonly #limitCoordinators: LimitCoordinators;
@@ -169,8 +173,23 @@
     this.#limitProbe = new LimitMonitor({
       clock, directory, coordinators: this.#limitCoordinators, check,
     });
+    this.#reachability = new ReachabilityMonitor({
+      clock,
+      directory,
+      random: new SystemRandomSource(),
+      probe: (address) => adapters.connections.probe(`http://${address}`),
+      logger,
+      onChange: (isCutOff) => this.#applyReachability(isCutOff),
+    });
     this.#placementService = new PlacementService({
-      clock, directory, caller: adapters.stageCaller, notices, retryBudget: shares, rates, logger,
+      clock,
+      directory,
+      caller: adapters.stageCaller,
+      notices,
+      retryBudget: shares,
+      rates,
+      reachability: this.#reachability,
+      logger,
     });
     this.#peerServer = new PeerServer(this.#placementService.coordinator);
     this.#peerServer.addRoutes((server) => registerDirectoryRoutes(server, this.#follower));
@@ -226,6 +245,7 @@
       streamVersions: this.#streamVersions,
       answerMemory: new AnswerMemory(),
       stopDeadline: new StopDeadline(clock),
+      reachability: this.#reachability,
       openRelays: new Set(),
       logger,
       metrics: this.#metrics,
@@ -252,6 +272,7 @@
     });
     this.#monitorStalls();
     this.#streamVersions.start();
+    this.#reachability.start();
     await Promise.all([
       this.#peerServer.listen(this.#settings.peerAddress),
       this.#ingress.listen(),
@@ -276,7 +297,7 @@
       this.#stoppingSinceMs + this.#settings.graceMs - ABORT_TIME_MS,
     );
     this.#ingress.startDraining();
-    this.#placementService.coordinator.startHandingOver();
+    this.#placementService.coordinator.setHandingOver(HAND_OVER_REASON.leaving);
     this.#registration.stop().catch((error: unknown) => {
       this.#logger.info(
         { event: 'leaseNotEnded', error: String(error) },
@@ -289,6 +310,18 @@
     await this.#close();
   }
 
+  /** Lets other hosts place while this one reaches no upstream. */
+  #applyReachability(isCutOff: boolean): void {
+    if (this.#stoppingSinceMs !== null) {
+      return;
+    }
+    this.#metrics.recordReachability(isCutOff);
+    this.#placementService.coordinator.setHandingOver(isCutOff ? HAND_OVER_REASON.cutOff : null);
+    if (!isCutOff) {
+      this.#placementClient.restoreOwnCoordinator();
+    }
+  }
+
   #isReady(): boolean {
     return this.#directory.configuration !== null && this.#stoppingSinceMs === null;
   }
@@ -340,6 +373,7 @@
     this.#hostCountKeeper.close();
     this.#quarantine.close();
     this.#streamVersions.close();
+    this.#reachability.close();
     this.#limitProbe.close();
     this.#placementClient.close();
     this.#placementService.close();
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -64,6 +64,12 @@
     registers: [this.#registry],
   });
 
+  readonly #cutOff = new Gauge({
+    name: 'parsleylift_cut_off_from_upstreams',
+    help: '1 while this host reaches no upstream, else 0',
+    registers: [this.#registry],
+  });
+
   readonly #crashes = new Counter({
     name: 'parsleylift_upstream_crashes_total',
     help: 'Upstreams that crashed while processing requests of this host, by pool',
@@ -119,6 +125,11 @@
     this.#resumptions.inc({ version });
   }
 
+  /** @param isCutOff - whether this host reaches no upstream */
+  recordReachability(isCutOff: boolean): void {
+    this.#cutOff.set(isCutOff ? 1 : 0);
+  }
+
   /** @param poolId - the pool of an upstream that has crashed */
   recordCrash(poolId: PoolId): void {
     this.#crashes.inc({ pool: poolId });
--- a/src/upstreams/UpstreamConnections.ts
+++ b/src/upstreams/UpstreamConnections.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net';
 import { Pool, type Dispatcher } from 'undici';
 import { limitInformationalResponses } from './limitInformationalResponses.ts';
 import { createConnector } from './createConnector.ts';
@@ -62,6 +63,26 @@
     return dispatcher;
   }
 
+  /**
+   * Tries to open a new connection.
+   *
+   * @param url - base address of an upstream
+   * @returns whether it was opened within the timeout of a connect; it is closed at once
+   */
+  probe(url: string): Promise<boolean> {
+    const { hostname, port } = new URL(url);
+    return new Promise((resolve) => {
+      const socket = connect({ host: hostname, port: Number(port) });
+      const finish = (isOpen: boolean): void => {
+        resolve(isOpen);
+        socket.destroy();
+      };
+      socket.setTimeout(this.#options.connectTimeoutMs, () => finish(false));
+      socket.once('connect', () => finish(true));
+      socket.once('error', () => finish(false));
+    });
+  }
+
   /**
    * Closes the connections to an upstream that left the configuration; running requests end first.
    *
