Serve callers through another host while a host reaches no upstream

Cause: a host had no other way to an upstream than its own. It now passes a request on to the host with the fewest open requests of its own, unchanged but for the time left, on an internal port of that host, which decides as for a caller of its own. The answer comes back as it arrives, a caller's close goes through, a request is passed on once only, and to another host only while it was certainly not taken; a host that fails after it may have taken it leaves 502. Without any host that reaches upstreams the request is refused at once. Nothing is in the way of requests while upstreams are reachable.

Tests: npm test -- strandedHosts: three real hosts, two of them cut off silently or refused; all three failed with the passing on switched off.

--- a/src/directory/HostEntry.ts
+++ b/src/directory/HostEntry.ts
@@ -7,6 +7,8 @@
   readonly failureDomain: string;
   /** IP address and port for requests of peers. */
   readonly peerAddress: string;
+  /** IP address and port for requests that other hosts pass on; absent in earlier versions. */
+  readonly forwardingAddress?: string;
   /** Number of processor cores that the host may use. */
   readonly processorCores: number;
   /** Bandwidth of the host's network link. */
--- /dev/null
+++ b/src/relay/ForwardingRelay.ts
@@ -0,0 +1,165 @@
+import type { CallerExchange } from '../ingress/CallerExchange.ts';
+import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
+import type { HostId } from '../lib/ids.ts';
+import type { ForwardingPeer } from './ForwardingPeers.ts';
+import { PeerExchange, type PeerExchangeEnd } from './PeerExchange.ts';
+import type { OpenRelay, RelayContext } from './RelayContext.ts';
+import type { AnswerHead } from './UpstreamProtocol.ts';
+
+/** Hosts that are asked to take a request, one after the other. */
+const MAX_PEERS = 3;
+/** Retry-After when no other host takes the request. */
+const RETRY_AFTER_MS = 500;
+
+const STATUS = { badGateway: 502, unavailable: 503, timeout: 504 } as const;
+
+/**
+ * Passes a request on to a host that reaches upstreams, and its answer back as it arrives. That
+ * host decides as for a caller of its own and sends to upstreams at most as often as it may; this
+ * one asks another host only while the request was certainly not taken.
+ */
+export class ForwardingRelay implements OpenRelay {
+  readonly #context: RelayContext;
+
+  readonly #exchange: CallerExchange;
+
+  readonly #deadlineAtMs: number;
+
+  readonly #triedIds = new Set<HostId>();
+
+  #peerExchange: PeerExchange | null = null;
+
+  #head: AnswerHead | null = null;
+
+  #isOver = false;
+
+  #deadlineTimer: NodeJS.Timeout | null = null;
+
+  /**
+   * @param context - dependencies shared by all relays
+   * @param exchange - the request and the means to answer it
+   * @param deadlineAtMs - monotonic time after which the caller no longer waits
+   */
+  constructor(context: RelayContext, exchange: CallerExchange, deadlineAtMs: number) {
+    this.#context = context;
+    this.#exchange = exchange;
+    this.#deadlineAtMs = deadlineAtMs;
+  }
+
+  /** Starts relaying. */
+  start(): void {
+    this.#context.openRelays.add(this);
+    this.#exchange.onDisconnect(() => this.#finish('caller-gone'));
+    if (this.#exchange.isDisconnected) {
+      this.#finish('caller-gone');
+      return;
+    }
+    this.#deadlineTimer = setTimeout(
+      () => this.#fail(STATUS.timeout, 'timeout', null),
+      Math.max(0, this.#getRemainingMs()),
+    );
+    this.#sendToNext();
+  }
+
+  /** @inheritdoc */
+  endForStop(): void {
+    this.#fail(STATUS.badGateway, 'leaving', null);
+  }
+
+  #getRemainingMs(): number {
+    return this.#deadlineAtMs - this.#context.clock.getMonotonicMs();
+  }
+
+  #sendToNext(): void {
+    const { forwardingPeers, connections, protocol } = this.#context;
+    const peer = this.#triedIds.size < MAX_PEERS ? forwardingPeers.choose(this.#triedIds) : null;
+    if (peer === null) {
+      this.#fail(STATUS.unavailable, 'no-upstream-reachable', RETRY_AFTER_MS);
+      return;
+    }
+    this.#triedIds.add(peer.hostId);
+    forwardingPeers.recordStart(peer.hostId);
+    this.#log('forwarded', { hostId: peer.hostId });
+    this.#peerExchange = new PeerExchange(protocol, {
+      onHead: (head) => {
+        this.#head = head;
+        if (!this.#isOver) {
+          this.#exchange.beginStream(head.status, head.passedHeaders, head.isFramed);
+        }
+      },
+      onData: (chunk) => this.#forward(chunk),
+      onEnd: (end) => this.#endExchange(peer, end),
+    });
+    this.#peerExchange.send(
+      connections.get(`http://${peer.address}`),
+      this.#exchange.request,
+      this.#getRemainingMs(),
+    );
+  }
+
+  #forward(chunk: Buffer): void {
+    if (!this.#isOver && !this.#exchange.write(chunk)) {
+      this.#peerExchange?.pause();
+      this.#exchange.onWritable(() => this.#peerExchange?.resume());
+    }
+  }
+
+  #endExchange(peer: ForwardingPeer, end: PeerExchangeEnd): void {
+    this.#context.forwardingPeers.recordEnd(peer.hostId, end.kind !== 'notTaken');
+    this.#peerExchange = null;
+    if (this.#isOver) {
+      return;
+    }
+    switch (end.kind) {
+      case 'complete':
+        this.#exchange.end(this.#head?.isFramed ?? true);
+        this.#finish('answered', { status: this.#head?.status ?? null });
+        return;
+      case 'notTaken':
+        this.#log('notTaken', { hostId: peer.hostId, detail: end.detail });
+        this.#sendToNext();
+        return;
+      case 'broken':
+        this.#fail(STATUS.badGateway, 'peer-failed', null);
+        return;
+      default:
+        throw exhaustiveSwitchError(end);
+    }
+  }
+
+  #fail(status: number, reason: string, retryAfterMs: number | null): void {
+    if (this.#isOver) {
+      return;
+    }
+    if (this.#exchange.hasAnswered) {
+      this.#exchange.abort();
+    } else {
+      this.#exchange.answer(createErrorAnswer(status, reason, retryAfterMs));
+    }
+    this.#finish(reason, { status, retryAfterMs });
+  }
+
+  #finish(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
+    if (this.#isOver) {
+      return;
+    }
+    this.#isOver = true;
+    this.#context.openRelays.delete(this);
+    clearTimeout(this.#deadlineTimer ?? undefined);
+    this.#peerExchange?.abort(outcome);
+    const elapsedMs = this.#context.clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs;
+    this.#context.metrics.recordEnd('forwarded', outcome, elapsedMs);
+    this.#log(outcome, details);
+  }
+
+  #log(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
+    this.#context.logger.info({
+      event: 'relay',
+      outcome,
+      requestId: this.#exchange.request.profile.id,
+      remainingMs: Math.round(this.#getRemainingMs()),
+      ...details,
+    }, 'progress of a request that another host serves');
+  }
+}
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -15,6 +15,7 @@
 import type { StreamVersions } from '../streams/StreamVersions.ts';
 import type { AnswerMemory } from './AnswerMemory.ts';
 import type { ColdStartLimiter } from './ColdStartLimiter.ts';
+import type { ForwardingPeers } from './ForwardingPeers.ts';
 import type { HostShares } from './HostShares.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
 import type { StopDeadline } from './StopDeadline.ts';
@@ -45,6 +46,8 @@
   readonly quarantine: RequestQuarantine;
   /** Knows at which software version each resumable stream began. */
   readonly streamVersions: StreamVersions;
+  /** Chooses the hosts that serve requests while this one reaches no upstream. */
+  readonly forwardingPeers: ForwardingPeers;
   readonly answerMemory: AnswerMemory;
   readonly stopDeadline: StopDeadline;
   /** Knows whether this host reaches upstreams at all. */
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -32,6 +32,7 @@
 import type { Clock } from '../time/Clock.ts';
 import { AnswerMemory } from './AnswerMemory.ts';
 import { ColdStartLimiter } from './ColdStartLimiter.ts';
+import { ForwardingPeers } from './ForwardingPeers.ts';
 import { HostShares } from './HostShares.ts';
 import type { RelayHostAdapters, RelayHostSettings } from './RelayHostOptions.ts';
 import { RelayMetrics } from './RelayMetrics.ts';
@@ -98,6 +99,9 @@
 
   readonly #ingress: IngressServer;
 
+  /** Receives the requests that other hosts pass on. */
+  readonly #forwardedIngress: IngressServer;
+
   readonly #readiness: ReadinessServer;
 
   #stoppingSinceMs: number | null = null;
@@ -139,6 +143,7 @@
       id: settings.hostId,
       failureDomain: settings.failureDomain,
       peerAddress: settings.peerAddress,
+      forwardingAddress: settings.forwardingAddress,
       processorCores: settings.processorCores,
       linkMbps: settings.linkMbps,
       ...(directory.configuration === null
@@ -243,6 +248,12 @@
       }),
       quarantine: this.#quarantine,
       streamVersions: this.#streamVersions,
+      forwardingPeers: new ForwardingPeers(
+        clock,
+        settings.hostId,
+        directory,
+        new SystemRandomSource(),
+      ),
       answerMemory: new AnswerMemory(),
       stopDeadline: new StopDeadline(clock),
       reachability: this.#reachability,
@@ -258,6 +269,13 @@
       decodeRequest: (rawHeaders) => adapters.protocol.decodeRequest(rawHeaders),
       onRequest: (exchange) => this.#relayManager.relay(exchange),
     });
+    this.#forwardedIngress = new IngressServer({
+      address: settings.forwardingAddress,
+      clock,
+      getLimits: () => directory.configuration?.callerLimits ?? INITIAL_CALLER_LIMITS,
+      decodeRequest: (rawHeaders) => adapters.protocol.decodeRequest(rawHeaders),
+      onRequest: (exchange) => this.#relayManager.relayForwarded(exchange),
+    });
     this.#readiness = new ReadinessServer(settings.readinessPath, () => this.#isReady());
     this.#subscribeToDirectory();
   }
@@ -276,6 +294,7 @@
     await Promise.all([
       this.#peerServer.listen(this.#settings.peerAddress),
       this.#ingress.listen(),
+      this.#forwardedIngress.listen(),
       this.#readiness.listen(this.#settings.readinessAddress),
       this.#metrics.listen(this.#settings.metricsAddress),
     ]);
@@ -290,13 +309,14 @@
     }
     this.#stoppingSinceMs = this.#clock.getMonotonicMs();
     this.#logger.info(
-      { event: 'stopping', openRequestCount: this.#ingress.openRequestCount },
+      { event: 'stopping', openRequestCount: this.#openRequestCount },
       'host is stopping',
     );
     this.#relayManager.startStopping(
       this.#stoppingSinceMs + this.#settings.graceMs - ABORT_TIME_MS,
     );
     this.#ingress.startDraining();
+    this.#forwardedIngress.startDraining();
     this.#placementService.coordinator.setHandingOver(HAND_OVER_REASON.leaving);
     this.#registration.stop().catch((error: unknown) => {
       this.#logger.info(
@@ -310,6 +330,11 @@
     await this.#close();
   }
 
+  /** Number of requests, of callers and of other hosts, whose answer is not complete yet. */
+  get #openRequestCount(): number {
+    return this.#ingress.openRequestCount + this.#forwardedIngress.openRequestCount;
+  }
+
   /** Lets other hosts place while this one reaches no upstream. */
   #applyReachability(isCutOff: boolean): void {
     if (this.#stoppingSinceMs !== null) {
@@ -333,8 +358,9 @@
       if (elapsedMs >= Math.min(ACCEPT_WHILE_STOPPING_MS, graceMs / 2)) {
         this.#relayManager.startRefusing();
         this.#ingress.closeIdle();
+        this.#forwardedIngress.closeIdle();
         if (
-          this.#ingress.openRequestCount === 0
+          this.#openRequestCount === 0
           && this.#placementService.coordinator.waitingCount === 0
         ) {
           return;
@@ -353,7 +379,7 @@
   /** Lets the answers that were just given reach their callers. */
   async #waitForAnswers(): Promise<void> {
     const untilMs = this.#clock.getMonotonicMs() + ABORT_TIME_MS / 2;
-    while (this.#ingress.openRequestCount > 0 && this.#clock.getMonotonicMs() < untilMs) {
+    while (this.#openRequestCount > 0 && this.#clock.getMonotonicMs() < untilMs) {
       // eslint-disable-next-line no-await-in-loop -- polls until the answers are written
       await new Promise((resolve) => {
         setTimeout(resolve, ANSWER_CHECK_MS);
@@ -363,10 +389,11 @@
 
   async #close(): Promise<void> {
     this.#logger.info(
-      { event: 'stopped', openRequestCount: this.#ingress.openRequestCount },
+      { event: 'stopped', openRequestCount: this.#openRequestCount },
       'host stopped',
     );
     this.#ingress.close();
+    this.#forwardedIngress.close();
     this.#readiness.close();
     this.#metrics.close();
     this.#follower.stop();
@@ -384,6 +411,7 @@
     this.#directory.onChange((change) => {
       if (change.kind === 'configuration') {
         this.#ingress.updateLimits();
+        this.#forwardedIngress.updateLimits();
         this.#logger.info({
           event: 'configurationInForce', version: change.configuration.version,
         }, 'applied a configuration');
--- a/src/relay/RelayHostOptions.ts
+++ b/src/relay/RelayHostOptions.ts
@@ -23,6 +23,8 @@
   readonly readinessPath: string;
   /** IP address and port for the other hosts. */
   readonly peerAddress: string;
+  /** IP address and port for requests that hosts without a path to the upstreams pass on. */
+  readonly forwardingAddress: string;
   /** IP address and port of the metrics endpoint. */
   readonly metricsAddress: string;
   /** IP address and port of the store. */
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -8,6 +8,8 @@
 import type { PoolId } from '../lib/ids.ts';
 import { getRendezvousScore } from '../membership/getRendezvousScore.ts';
 import { RequestSubject } from '../quarantine/RequestSubject.ts';
+import { ForwardingRelay } from './ForwardingRelay.ts';
+import { NOT_TAKEN_STATUS } from './PeerExchange.ts';
 import { GenerationRelay } from './GenerationRelay.ts';
 import type { RelayContext, RelayParameters } from './RelayContext.ts';
 import { BufferedRelay } from './BufferedRelay.ts';
@@ -95,6 +97,16 @@
     [...this.#context.openRelays].forEach((relay) => relay.endForStop());
   }
 
+  /** @param exchange - a request of another host, which reaches no upstream */
+  relayForwarded(exchange: CallerExchange): void {
+    if (this.#context.reachability.isCutOff || this.#isRefusing) {
+      // A request is passed on only once; the other host asks the next one.
+      this.#refuse(exchange, NOT_TAKEN_STATUS, 'no-upstream-reachable', null);
+      return;
+    }
+    this.relay(exchange);
+  }
+
   /** @param exchange - a complete request and the means to answer it */
   relay(exchange: CallerExchange): void {
     const { configuration } = this.#context.directory;
@@ -104,6 +116,11 @@
       return;
     }
     const { request } = exchange;
+    if (this.#context.reachability.isCutOff) {
+      const remainingMs = request.profile.remainingMs ?? DEFAULT_REMAINING_MS;
+      new ForwardingRelay(this.#context, exchange, request.arrivedAtMs + remainingMs).start();
+      return;
+    }
     const route = findRoute(configuration, request.host, request.path);
     if (route === undefined) {
       this.#refuse(exchange, STATUS.notFound, 'no-route', null);
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -15,7 +15,7 @@
 const METRICS_PATH = '/metrics';
 
 /** Kind of relay; a single label, which keeps the number of time series small. */
-export type RelayKind = 'whole' | 'generation';
+export type RelayKind = 'whole' | 'generation' | 'forwarded';
 
 /** Records the metrics of one host and serves them in the Prometheus text format. */
 export class RelayMetrics {
--- a/src/relay/UpstreamProtocol.ts
+++ b/src/relay/UpstreamProtocol.ts
@@ -54,6 +54,12 @@
    * @returns alternating header names and values
    */
   encodeAttempt(request: CallerRequest, details: AttemptDetails): string[];
+  /**
+   * @param request - the caller's request
+   * @param remainingMs - time left until its deadline
+   * @returns alternating header names and values for another host, which decides as for a caller
+   */
+  encodeForwarded(request: CallerRequest, remainingMs: number): string[];
   /**
    * @param status - the HTTP status
    * @param rawHeaders - alternating header names and values
--- /dev/null
+++ b/src/relay/strandedHosts.test.ts
@@ -0,0 +1,71 @@
+import { deepEqual, equal, ok } from 'node:assert/strict';
+import { performance } from 'node:perf_hooks';
+import { afterEach, describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Cut } from '../../test/support/CuttableConnections.ts';
+import { StrandedFleet } from '../../test/support/StrandedFleet.ts';
+
+/** Time after which a host must know that it is cut off. */
+const CONTACT_MS = 3_000;
+const PATHS = ['/safe/', '/once/', '/stream/', '/single/'];
+const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+
+let fleet: StrandedFleet | null = null;
+
+async function startFleet(hostCount: number): Promise<StrandedFleet> {
+  fleet = new StrandedFleet();
+  await fleet.start(hostCount, (request, response) => {
+    response.end(request.url?.startsWith('/s') === true ? EVENTS : 'ran');
+  });
+  // The hosts learn of each other.
+  await sleep(200);
+  return fleet;
+}
+
+/** Sends requests to a host until the time by which it must know that it is cut off. */
+async function sendUntilKnown(target: StrandedFleet, hostIndex: number): Promise<void> {
+  const untilMs = performance.now() + CONTACT_MS;
+  for (let index = 0; performance.now() < untilMs; index += 1) {
+    PATHS.forEach((path) => {
+      target.send(hostIndex, path, `before-${hostIndex}-${index}${path}`).catch(() => {});
+    });
+    // eslint-disable-next-line no-await-in-loop -- requests come at intervals
+    await sleep(100);
+  }
+}
+
+describe('RelayHost without a path to any upstream', () => {
+  afterEach(async () => {
+    await fleet?.close();
+  });
+
+  (['silent', 'refused'] satisfies Cut[]).forEach((cut) => {
+    it(`serves its callers through other hosts while its connections are ${cut}`, async () => {
+      const target = await startFleet(3);
+      target.cut(0, cut);
+      target.cut(1, cut);
+      await Promise.all([sendUntilKnown(target, 0), sendUntilKnown(target, 1)]);
+      const answers = await Promise.all(PATHS.flatMap((path) => [0, 1].map(async (hostIndex) => {
+        const startedAtMs = performance.now();
+        const { status } = await target.send(hostIndex, path, `after-${hostIndex}${path}`);
+        return [status, performance.now() - startedAtMs < 1_000];
+      })));
+      deepEqual(answers, answers.map(() => [200, true]));
+      const once = target.runs.filter((id) => id.includes('/once/') || id.includes('/single/'));
+      equal(new Set(once).size, once.length, 'a request that may run once ran twice');
+    });
+  });
+
+  it('refuses at once while no host reaches an upstream, and serves again later', async () => {
+    const target = await startFleet(2);
+    [0, 1].forEach((hostIndex) => target.cut(hostIndex, 'silent'));
+    await Promise.all([sendUntilKnown(target, 0), sendUntilKnown(target, 1)]);
+    const startedAtMs = performance.now();
+    equal((await target.send(0, '/once/', 'refused')).status, 503);
+    ok(performance.now() - startedAtMs < 500);
+    [0, 1].forEach((hostIndex) => target.cut(hostIndex, 'none'));
+    await sleep(600);
+    equal((await target.send(0, '/once/', 'back')).status, 200);
+    ok(!target.runs.includes('refused'));
+  });
+});
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -6,9 +6,6 @@
 import { PlatformStageCaller } from '../../platform/PlatformStageCaller.ts';
 import { PlatformUpstreamCheck } from '../../platform/PlatformUpstreamCheck.ts';
 import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
-import {
-  EXECUTION_SEMANTICS, type ServingRoute,
-} from '../../src/directory/ServingConfiguration.ts';
 import {
   toId, type HostId, type PoolId, type UpstreamId,
 } from '../../src/lib/ids.ts';
@@ -16,6 +13,7 @@
 import { SystemClock } from '../../src/time/SystemClock.ts';
 import { UpstreamConnections } from '../../src/upstreams/UpstreamConnections.ts';
 import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
+import { createBedConfiguration } from './createBedConfiguration.ts';
 import { getFreePort } from './getFreePort.ts';
 
 /** Pool of all upstreams in the test bed. */
@@ -33,24 +31,6 @@
 /** Answers one request to an upstream of the test bed. */
 export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
-const ROUTE: ServingRoute = {
-  name: 'safe',
-  host: 'a.example',
-  pathPrefix: '/safe/',
-  executionSemantics: EXECUTION_SEMANTICS.repeatable,
-  isStream: false,
-  isResumable: false,
-  timeoutMs: 3_000,
-  targetLatencyMs: 2_000,
-  gapTargetMs: 60,
-  callerPatienceMs: 8_000,
-  priority: 0,
-  maxAttempts: 2,
-  targets: [{ poolId: POOL_ID, weight: 1 }],
-  stages: [],
-  isPublic: false,
-};
-
 /** A real entry host with its callers and upstreams, all in the test's process. */
 export class RelayTestBed {
   readonly #servers: Server[] = [];
@@ -81,44 +61,7 @@
       this.#addUpstream(`u${index}`, handler, softwareVersions[index] ?? 'v1'))));
     this.#store.changes.push({
       kind: 'configuration',
-      configuration: {
-        version: 1,
-        routes: [
-          ROUTE,
-          {
-            ...ROUTE,
-            name: 'once',
-            pathPrefix: '/once/',
-            executionSemantics: EXECUTION_SEMANTICS.once,
-          },
-          {
-            ...ROUTE, name: 'stream', pathPrefix: '/stream/', isStream: true, isResumable: true,
-          },
-          {
-            ...ROUTE,
-            name: 'single',
-            pathPrefix: '/single/',
-            isStream: true,
-            executionSemantics: EXECUTION_SEMANTICS.once,
-            maxAttempts: 1,
-          },
-        ],
-        pools: new Map([[POOL_ID, {
-          id: POOL_ID,
-          healthPath: '/health',
-          maxConnections: 10,
-          coldRequestsPerSecond: 0,
-          batch: null,
-          engine: null,
-        }]]),
-        accountsByKey: new Map([['key', { name: 'account', priority: null }]]),
-        callerLimits: {
-          maxHeaderBytes: 16_384,
-          maxBodyBytes: 100_000,
-          headerTimeoutMs: 3_000,
-          idleTimeoutMs: 5_000,
-        },
-      },
+      configuration: createBedConfiguration(POOL_ID),
     });
     this.#store.changes.push({
       kind: 'host',
@@ -131,8 +74,8 @@
         registeredRevision: 1,
       },
     });
-    const [caller, ready, peer, metrics] = await Promise.all(
-      Array.from({ length: 4 }, () => getFreePort()),
+    const [caller, ready, peer, metrics, forwarding] = await Promise.all(
+      Array.from({ length: 5 }, () => getFreePort()),
     );
     this.url = `http://127.0.0.1:${caller}`;
     this.readinessUrl = `http://127.0.0.1:${ready}/ready`;
@@ -145,6 +88,7 @@
       readinessAddress: `127.0.0.1:${ready}`,
       readinessPath: '/ready',
       peerAddress: `127.0.0.1:${peer}`,
+      forwardingAddress: `127.0.0.1:${forwarding}`,
       metricsAddress: `127.0.0.1:${metrics}`,
       storeAddress: '',
       storeWaitMs: 1_000,
--- /dev/null
+++ b/test/support/StrandedFleet.ts
@@ -0,0 +1,189 @@
+import {
+  createServer, request as sendRequest, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { pino } from 'pino';
+import { PlatformStageCaller } from '../../platform/PlatformStageCaller.ts';
+import { PlatformUpstreamCheck } from '../../platform/PlatformUpstreamCheck.ts';
+import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
+import {
+  toId, type HostId, type PoolId, type UpstreamId,
+} from '../../src/lib/ids.ts';
+import { RelayHost } from '../../src/relay/RelayHost.ts';
+import { SystemClock } from '../../src/time/SystemClock.ts';
+import { CuttableConnections, type Cut } from './CuttableConnections.ts';
+import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
+import { createBedConfiguration } from './createBedConfiguration.ts';
+import { getFreePort } from './getFreePort.ts';
+
+const POOL_ID = toId<PoolId>('pool');
+const UPSTREAM_COUNT = 3;
+interface FleetHost {
+  readonly host: RelayHost;
+  readonly connections: CuttableConnections;
+  readonly port: number;
+}
+
+/** Real entry hosts that share upstreams; each host's path to all of them can be cut. */
+export class StrandedFleet {
+  readonly #store = new MemoryDirectoryStore();
+
+  readonly #servers: Server[] = [];
+
+  readonly #hosts: FleetHost[] = [];
+
+  readonly #upstreamUrls = new Set<string>();
+
+  /** Ids of the requests that upstreams have run, once for each run. */
+  readonly runs: string[] = [];
+
+  /**
+   * @param hostCount - number of hosts
+   * @param handle - answers a request to an upstream
+   */
+  async start(
+    hostCount: number,
+    handle: (request: IncomingMessage, response: ServerResponse) => void,
+  ): Promise<void> {
+    await Promise.all(Array.from(
+      { length: UPSTREAM_COUNT },
+      (_, index) => this.#addUpstream(index, handle),
+    ));
+    this.#store.changes.push({
+      kind: 'configuration', configuration: createBedConfiguration(POOL_ID),
+    });
+    await Promise.all(Array.from({ length: hostCount }, (_, index) => this.#addHost(index)));
+  }
+
+  /**
+   * @param hostIndex - a host
+   * @param cut - how it is cut off from now on
+   */
+  cut(hostIndex: number, cut: Cut): void {
+    this.#getHost(hostIndex).connections.cut = cut;
+  }
+
+  /**
+   * Sends a request on a new connection.
+   *
+   * @param hostIndex - the host that the caller connects to
+   * @param path - path of the request
+   * @param id - id of the request
+   * @returns status and text of the answer
+   */
+  send(
+    hostIndex: number,
+    path: string,
+    id: string,
+  ): Promise<{ readonly status: number; readonly text: string }> {
+    return new Promise((resolve, reject) => {
+      const request = sendRequest({
+        host: '127.0.0.1',
+        port: this.#getHost(hostIndex).port,
+        path,
+        agent: false,
+        headers: {
+          host: 'a.example',
+          'x-request-id': id,
+          authorization: 'Bearer key',
+          'x-deadline-ms': '2500',
+        },
+      }, (response) => {
+        let text = '';
+        response.on('data', (chunk: Buffer) => {
+          text += chunk.toString();
+        });
+        response.on('end', () => resolve({ status: response.statusCode ?? 0, text }));
+        response.on('error', reject);
+      });
+      request.on('error', reject);
+      request.end();
+    });
+  }
+
+  /** Stops all hosts and upstreams. */
+  async close(): Promise<void> {
+    await Promise.all(this.#hosts.map(({ host }) => host.stop()));
+    await Promise.all(this.#hosts.map(({ connections }) => connections.close()));
+    this.#servers.forEach((server) => {
+      server.close();
+      server.closeAllConnections();
+    });
+  }
+
+  #getHost(index: number): FleetHost {
+    const host = this.#hosts[index];
+    if (host === undefined) {
+      throw new RangeError(`there is no host ${index}`);
+    }
+    return host;
+  }
+
+  async #addHost(index: number): Promise<void> {
+    const [caller, ready, peer, metrics, forwarding] = await Promise.all(
+      Array.from({ length: 5 }, () => getFreePort()),
+    );
+    const connections = new CuttableConnections(this.#upstreamUrls);
+    const host = new RelayHost({
+      hostId: toId<HostId>(`host-${index}`),
+      failureDomain: 'a',
+      processorCores: 1,
+      linkMbps: 1_000,
+      callerAddress: `127.0.0.1:${caller}`,
+      readinessAddress: `127.0.0.1:${ready}`,
+      readinessPath: '/ready',
+      peerAddress: `127.0.0.1:${peer}`,
+      forwardingAddress: `127.0.0.1:${forwarding}`,
+      metricsAddress: `127.0.0.1:${metrics}`,
+      storeAddress: '',
+      storeWaitMs: 1_000,
+      relayWaitMs: null,
+      sharedBounds: {
+        retryRatio: 0.2, retrySlack: 50, retryWindowMs: 1, coldOvershoot: 1, coldSlack: 1,
+      },
+      graceMs: 1_000,
+    }, {
+      store: this.#store,
+      protocol: new PlatformUpstreamProtocol(),
+      stageCaller: new PlatformStageCaller(connections),
+      upstreamCheck: new PlatformUpstreamCheck(connections),
+      connections,
+    }, new SystemClock(), pino({ level: 'silent' }));
+    await host.start();
+    this.#hosts[index] = { host, connections, port: Number(caller) };
+  }
+
+  async #addUpstream(
+    index: number,
+    handle: (request: IncomingMessage, response: ServerResponse) => void,
+  ): Promise<void> {
+    const server = createServer((request, response) => {
+      const id = String(request.headers['x-request-id'] ?? '');
+      response.setHeader('x-request-id', id);
+      if (request.url !== '/health') {
+        this.runs.push(id);
+      }
+      handle(request, response);
+    });
+    this.#servers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    this.#upstreamUrls.add(`http://${address}`);
+    this.#store.changes.push({
+      kind: 'upstream',
+      entry: {
+        id: toId<UpstreamId>(`u${index}`),
+        poolId: POOL_ID,
+        softwareVersion: 'v1',
+        address,
+        failureDomain: 'a',
+        isDraining: false,
+        slots: 8,
+        coldRemainingMs: 0,
+        startedAtMs: null,
+      },
+    });
+  }
+}
