--- a/src/explain/explainFromLogs.ts
+++ b/src/explain/explainFromLogs.ts
@@ -21,7 +21,8 @@
   'started', 'stopping', 'stopped', 'paused', 'storeLost', 'storeRegained', 'storeEraChanged',
   'configurationInForce', 'placementCoordinatorChosen', 'placementCoordinatorLost',
   'stageCallEnded', 'upstreamLeaving', 'upstreamBackOff', 'directorySourceChanged',
-  'directoryReaderLost', 'upstreamCrashed', 'upstreamLimit', 'limitCoordinatorChosen',
+  'directoryReaderLost', 'poolVersionRecorded', 'upstreamsLost', 'upstreamsRegained',
+  'upstreamCrashed', 'upstreamLimit', 'limitCoordinatorChosen',
 ]);
 
 /** Cause by the outcome of the `relay` line that ends a request. */
@@ -41,6 +42,12 @@
   'engine-failed': 'The engine answered with a failure, which was relayed to the caller.',
   'engine-broke-off': 'The engine broke off its answer, and the request must not run again.',
   'upstream-failed': 'The upstream broke off or failed, and the request must not run again.',
+  'version-unknown': 'It resumes a stream, and no host knows the software version that began it.',
+  'version-gone': 'No engine has the software version that began its stream.',
+  'versions-not-recorded': 'The store had no record of the software versions of its pool.',
+  'no-upstream-reachable': 'This host reached no upstream, and no other host took the request.',
+  'peer-failed': 'This host reached no upstream; the host that took the request broke off.',
+  leaving: 'The host stopped before it could be answered.',
   'placement-failed': 'The placement failed; see the error in the line.',
 };
 
@@ -73,6 +80,9 @@
       return findLast(lines, (line) => ['broken', 'failed'].includes(getOutcome(line))) ?? endLine;
     case 'no-upstream-open':
       return findLast(lines, (line) => getOutcome(line) === 'poolClosed') ?? endLine;
+    case 'version-unknown':
+    case 'version-gone':
+      return findLast(lines, (line) => getOutcome(line) === 'versionFound') ?? endLine;
     case 'engines-left':
     case 'engines-full':
     case 'upstreams-full':
