--- a/src/streams/StreamVersionTable.ts
+++ b/src/streams/StreamVersionTable.ts
@@ -6,7 +6,7 @@
 import type { StreamDigest } from './StreamDigest.ts';
 import type { PoolVersionRecord } from './StreamVersionStore.ts';
 
-/** What is known of the software versions at which streams of a pool may have begun. */
+/** The known software versions at which streams of a pool may have begun. */
 export type PoolVersionState =
   /** No record is known; no stream may begin. */
   | { readonly kind: 'unrecorded' }
