--- a/review/common/Engine.mjs
+++ b/review/common/Engine.mjs
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { createServer } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 const LOOPBACK = '127.0.0.1';
 const KEEP_ALIVE_MS = 20_000;
@@ -48,9 +49,24 @@
   }
 
   async listen(store) {
-    await new Promise((resolve) => {
-      this.#server.listen(0, LOOPBACK, resolve);
-    });
+    await this.#open(0);
+    store.put(`servers/${this.id}`, this.entry);
+  }
+
+  /**
+   * Crashes, and starts again at the same address under the same id.
+   *
+   * @param store - gets the entry of the new lifetime
+   * @param downMs - how long it is away
+   * @param version - the software version that starts
+   */
+  async restart(store, downMs, version) {
+    const { port } = this.#server.address();
+    this.close();
+    await sleep(downMs);
+    this.born = Date.now();
+    this.softwareVersion = version;
+    await this.#open(port);
     store.put(`servers/${this.id}`, this.entry);
   }
 
@@ -59,6 +75,12 @@
     this.#server.closeAllConnections();
   }
 
+  async #open(port) {
+    await new Promise((resolve) => {
+      this.#server.listen(port, LOOPBACK, resolve);
+    });
+  }
+
   async #handle(request, response) {
     this.onArrival(request);
     const body = await readText(request);
--- a/review/common/Host.mjs
+++ b/review/common/Host.mjs
@@ -89,6 +89,10 @@
     this.#options = options;
   }
 
+  get name() {
+    return this.#options.name;
+  }
+
   get pid() {
     return this.#child.pid;
   }
--- a/review/common/Installation.mjs
+++ b/review/common/Installation.mjs
@@ -20,24 +20,24 @@
  * Starts a store with a manifest, engines, and one entry host in each zone that is named.
  *
  * @param options - `manifest`, `engines`, `zones`, `folder`, `onClose`
- * @returns the store and the hosts
+ * @returns the store, its address for each host, and the hosts
  */
 export async function startInstallation({
   manifest, engines, zones, folder, onClose,
 }) {
   const store = new Store();
-  await store.listen();
   onClose(() => store.close());
   engines.forEach((engine) => onClose(() => engine.close()));
   await Promise.all(engines.map((engine) => engine.listen(store)));
   store.put('op/config', {
     limits: LIMITS, tenants: [{ name: TENANT, api_keys: [KEY] }], ...manifest,
   });
+  const doors = await Promise.all(zones.map(() => store.openDoor()));
   const hosts = zones.map((zone, index) => new Host({
-    name: `front-${zone}-${index + 1}`, zone, storeAddress: store.address, folder,
+    name: `front-${zone}-${index + 1}`, zone, storeAddress: doors[index].address, folder,
   }));
   hosts.forEach((host) => onClose(() => host.stop()));
   await Promise.all(hosts.map((host) => host.start()));
   await sleep(SETTLE_MS);
-  return { store, hosts };
+  return { store, doors, hosts };
 }
--- a/review/common/ModelEngine.mjs
+++ b/review/common/ModelEngine.mjs
@@ -57,7 +57,7 @@
       return;
     }
     const { eventCount, gapMs } = this.options;
-    response.write(`id: ${number}\ndata: ${request.headers['x-request-id']} ${number}\n\n`);
+    response.write(`id: ${number}\ndata: ${this.softwareVersion} ${number}\n\n`);
     if (number >= eventCount) {
       this.onEnded(request);
       response.end();
--- a/review/common/Store.mjs
+++ b/review/common/Store.mjs
@@ -6,7 +6,13 @@
 const LEASE_CHECK_MS = 50;
 const HISTORY_MS = 20_000;
 const STATUS = {
-  ok: 200, badRequest: 400, forbidden: 403, notFound: 404, gone: 410, conflict: 412,
+  ok: 200,
+  badRequest: 400,
+  forbidden: 403,
+  notFound: 404,
+  gone: 410,
+  conflict: 412,
+  unavailable: 503,
 };
 
 /** In-memory stand-in for the platform's store: items, leases, a history, and watches. */
@@ -25,22 +31,32 @@
 
   #leaseCount = 77_000;
 
-  #server = createServer((request, response) => {
-    this.#handle(request, response).catch(() => response.destroy());
-  });
+  #doors = [];
 
   #timer = setInterval(() => this.#expire(), LEASE_CHECK_MS);
 
-  /** IP address and port. */
-  get address() {
-    const { address, port } = this.#server.address();
-    return `${address}:${port}`;
-  }
-
-  async listen() {
+  /**
+   * Opens an address of the store for one machine.
+   *
+   * @returns the door: its `address`, and `isBusy`, which turns the machine away with 503 while it
+   * is true
+   */
+  async openDoor() {
+    const door = { address: '', isBusy: false, server: null };
+    door.server = createServer((request, response) => {
+      if (door.isBusy) {
+        request.resume();
+        response.writeHead(STATUS.unavailable, { 'Store-Era': '1', 'Content-Length': 0 }).end();
+        return;
+      }
+      this.#handle(request, response).catch(() => response.destroy());
+    });
+    this.#doors.push(door);
     await new Promise((resolve) => {
-      this.#server.listen(0, '127.0.0.1', resolve);
+      door.server.listen(0, '127.0.0.1', resolve);
     });
+    door.address = `127.0.0.1:${door.server.address().port}`;
+    return door;
   }
 
   /** Writes a value as the operator or an engine does. */
@@ -57,15 +73,20 @@
     this.#notify();
   }
 
-  /** Tells whether a key with a prefix exists. */
-  has(prefix) {
-    return [...this.#items.keys()].some((key) => key.startsWith(prefix));
+  /** Returns the rest of the key with a prefix that was created first. */
+  getOldest(prefix) {
+    const [oldest] = [...this.#items.values()]
+      .filter(({ key }) => key.startsWith(prefix))
+      .sort((left, right) => left.created - right.created);
+    return oldest?.key.slice(prefix.length);
   }
 
   close() {
     clearInterval(this.#timer);
-    this.#server.close();
-    this.#server.closeAllConnections();
+    this.#doors.forEach(({ server }) => {
+      server.close();
+      server.closeAllConnections();
+    });
   }
 
   async #handle(request, response) {
