--- a/review/common/runCase.mjs
+++ b/review/common/runCase.mjs
@@ -53,6 +53,11 @@
     exitCode = EXIT.notRun;
     finish();
   }, MAX_RUN_MS);
+  process.on('uncaughtException', (error) => {
+    record.add(`the case could not run: ${error.stack ?? error}`);
+    exitCode = EXIT.notRun;
+    finish();
+  });
   record.add(hasTrouble ? 'with the disruption' : 'without the disruption');
   try {
     const broken = await run({
