Refuse a generation at once when each engine has refused it

Callers waited until their deadline (504) for an engine that could not be chosen any more: each engine that refused a request, or that could not be reached, is excluded for it, and the coordinator waits for another one. With each usable engine excluded that is known at once, so a request that has not run is refused with 503 and a time to come back. One that may have run, or has events already, still waits for an engine to join.

npm test -- relay/RelayHost: the new test failed before (504 after 3 s, its deadline) and passes.

--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -214,6 +214,10 @@
       this.#fail(STATUS.unavailable, 'version-gone', null);
       return;
     }
+    if (this.#hasNoEngineLeft()) {
+      this.#fail(STATUS.unavailable, 'engines-full', SHORT_RETRY_AFTER_MS);
+      return;
+    }
     if (this.#version.isAwaitingRecord) {
       this.#waitForRecord();
       return;
@@ -240,6 +244,14 @@
       });
   }
 
+  /** Whether the request has not run, and each engine has refused it or could not be reached. */
+  #hasNoEngineLeft(): boolean {
+    const usable = this.#context.directory.getUsable(this.#parameters.poolId);
+    return this.#runCount === 0
+      && usable.length > 0
+      && usable.every(({ entry }) => this.#excludedIds.has(entry.id));
+  }
+
   /** Waits until the store has recorded at which versions streams of the pool may begin. */
   #waitForRecord(): void {
     const waitedMs = this.#context.clock.getMonotonicMs() - this.#arrivedAtMs;
--- a/src/relay/RelayHost.test.ts
+++ b/src/relay/RelayHost.test.ts
@@ -113,6 +113,15 @@
     deepEqual(seen, [0, 2]);
   });
 
+  it('refuses a generation at once that each engine has refused', async () => {
+    const refuse: UpstreamHandler = (_request, response) => {
+      response.writeHead(503, { 'x-not-executed': '1' }).end();
+    };
+    await startBed(refuse, refuse);
+    // It would be 504 after the time until the deadline.
+    equal((await send('/single/')).status, 503);
+  });
+
   it('aborts a broken stream that may not be resumed, so that it looks incomplete', async () => {
     await startBed((request, response) => {
       response.write('id: 1\ndata: a\n\n');
