--- a/src/ingress/IngressServer.test.ts
+++ b/src/ingress/IngressServer.test.ts
@@ -2,7 +2,7 @@
 import { connect } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
-import { getFreePort } from '../../test/support/getFreePort.ts';
+import { getFreePort, TEST_IP } from '../../test/support/getFreePort.ts';
 import { sendRaw } from '../../test/support/readRawAnswer.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
 import { ManualClock } from '../time/ManualClock.ts';
@@ -22,7 +22,7 @@
   port = await getFreePort();
   const protocol = new PlatformUpstreamProtocol();
   server = new IngressServer({
-    address: `127.0.0.1:${port}`,
+    address: `${TEST_IP}:${port}`,
     clock: new ManualClock(),
     getLimits: () => LIMITS,
     decodeRequest: (rawHeaders) => protocol.decodeRequest(rawHeaders),
@@ -35,7 +35,7 @@
 async function exchangeBytes(bytes: string): Promise<string> {
   return new Promise((resolve) => {
     let text = '';
-    const socket = connect(port, '127.0.0.1', () => socket.write(bytes));
+    const socket = connect(port, TEST_IP, () => socket.write(bytes));
     socket.on('data', (chunk) => {
       text += chunk.toString();
     });
@@ -102,7 +102,7 @@
       setTimeout(() => exchange.abort(), 20);
     });
     const { text, isReset } = await sendRaw(
-      { host: '127.0.0.1', port },
+      { host: TEST_IP, port },
       `GET / HTTP/1.0\r\n${HEAD}\r\n`,
     );
     ok(!/transfer-encoding/i.test(text), text);
--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -4,7 +4,7 @@
 import { PlacementTestBed, ENGINE_POOL_ID } from '../../test/support/PlacementTestBed.ts';
 import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from '../../test/support/UNLIMITED_RETRIES.ts';
-import { getFreePort } from '../../test/support/getFreePort.ts';
+import { getFreePort, TEST_IP } from '../../test/support/getFreePort.ts';
 import { Directory } from '../directory/Directory.ts';
 import type { RouteStage } from '../directory/ServingConfiguration.ts';
 import { toId, type HostId, type PoolId } from '../lib/ids.ts';
@@ -89,7 +89,7 @@
     registeredRevision: number,
     coordinator: PlacementCoordinator,
   ): Promise<void> {
-    const peerAddress = `127.0.0.1:${await getFreePort()}`;
+    const peerAddress = `${TEST_IP}:${await getFreePort()}`;
     const server = new PeerServer(coordinator);
     await server.listen(peerAddress);
     this.#servers.push(server);
@@ -142,7 +142,7 @@
       entry: {
         id: toId<HostId>('gone'),
         failureDomain: 'a',
-        peerAddress: `127.0.0.1:${await getFreePort()}`,
+        peerAddress: `${TEST_IP}:${await getFreePort()}`,
         processorCores: 1,
         linkMbps: 1_000,
         registeredRevision: 1,
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -14,7 +14,7 @@
 import { UpstreamConnections } from '../../src/upstreams/UpstreamConnections.ts';
 import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
 import { createBedConfiguration } from './createBedConfiguration.ts';
-import { getFreePort } from './getFreePort.ts';
+import { getFreePort, TEST_IP } from './getFreePort.ts';
 
 /** Pool of all upstreams in the test bed. */
 const POOL_ID = toId<PoolId>('pool');
@@ -68,7 +68,7 @@
       entry: {
         id: HOST_ID,
         failureDomain: 'a',
-        peerAddress: '127.0.0.1:1',
+        peerAddress: `${TEST_IP}:1`,
         processorCores: 1,
         linkMbps: 1_000,
         registeredRevision: 1,
@@ -77,19 +77,19 @@
     const [caller, ready, peer, metrics, forwarding] = await Promise.all(
       Array.from({ length: 5 }, () => getFreePort()),
     );
-    this.url = `http://127.0.0.1:${caller}`;
-    this.readinessUrl = `http://127.0.0.1:${ready}/ready`;
+    this.url = `http://${TEST_IP}:${caller}`;
+    this.readinessUrl = `http://${TEST_IP}:${ready}/ready`;
     this.#host = new RelayHost({
       hostId: HOST_ID,
       failureDomain: 'a',
       processorCores: 1,
       linkMbps: 1_000,
-      callerAddress: `127.0.0.1:${caller}`,
-      readinessAddress: `127.0.0.1:${ready}`,
+      callerAddress: `${TEST_IP}:${caller}`,
+      readinessAddress: `${TEST_IP}:${ready}`,
       readinessPath: '/ready',
-      peerAddress: `127.0.0.1:${peer}`,
-      forwardingAddress: `127.0.0.1:${forwarding}`,
-      metricsAddress: `127.0.0.1:${metrics}`,
+      peerAddress: `${TEST_IP}:${peer}`,
+      forwardingAddress: `${TEST_IP}:${forwarding}`,
+      metricsAddress: `${TEST_IP}:${metrics}`,
       storeAddress: '',
       storeWaitMs: 1_000,
       relayWaitMs: null,
@@ -173,14 +173,14 @@
     });
     this.#servers.push(server);
     await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
+      server.listen(0, TEST_IP, resolve);
     });
     this.#store.changes.push({
       kind: 'upstream',
       entry: {
         id: toId<UpstreamId>(id),
         poolId: POOL_ID,
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        address: `${TEST_IP}:${(server.address() as AddressInfo).port}`,
         failureDomain: 'a',
         isDraining: false,
         slots: 4,
--- a/test/support/StrandedFleet.ts
+++ b/test/support/StrandedFleet.ts
@@ -14,7 +14,7 @@
 import { CuttableConnections, type Cut } from './CuttableConnections.ts';
 import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
 import { createBedConfiguration } from './createBedConfiguration.ts';
-import { getFreePort } from './getFreePort.ts';
+import { getFreePort, TEST_IP } from './getFreePort.ts';
 
 const POOL_ID = toId<PoolId>('pool');
 const UPSTREAM_COUNT = 3;
@@ -78,7 +78,7 @@
   ): Promise<{ readonly status: number; readonly text: string }> {
     return new Promise((resolve, reject) => {
       const request = sendRequest({
-        host: '127.0.0.1',
+        host: TEST_IP,
         port: this.#getHost(hostIndex).port,
         path,
         agent: false,
@@ -129,12 +129,12 @@
       failureDomain: 'a',
       processorCores: 1,
       linkMbps: 1_000,
-      callerAddress: `127.0.0.1:${caller}`,
-      readinessAddress: `127.0.0.1:${ready}`,
+      callerAddress: `${TEST_IP}:${caller}`,
+      readinessAddress: `${TEST_IP}:${ready}`,
       readinessPath: '/ready',
-      peerAddress: `127.0.0.1:${peer}`,
-      forwardingAddress: `127.0.0.1:${forwarding}`,
-      metricsAddress: `127.0.0.1:${metrics}`,
+      peerAddress: `${TEST_IP}:${peer}`,
+      forwardingAddress: `${TEST_IP}:${forwarding}`,
+      metricsAddress: `${TEST_IP}:${metrics}`,
       storeAddress: '',
       storeWaitMs: 1_000,
       relayWaitMs: null,
@@ -167,9 +167,9 @@
     });
     this.#servers.push(server);
     await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
+      server.listen(0, TEST_IP, resolve);
     });
-    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const address = `${TEST_IP}:${(server.address() as AddressInfo).port}`;
     this.#upstreamUrls.add(`http://${address}`);
     this.#store.changes.push({
       kind: 'upstream',
