Send a request that may run once over no connection that has brought its refusal

An engine refuses such a request, the host sends it again to the same engine over the same kept connection, and a late second copy of the refusal arrives there while the engine runs it. The id is that of the caller's request, the same in both sends, so the copy passes for the answer to the second one.

Cause: only the request's id ties an answer to a send. It tells requests apart, not two sends of one request over one connection.

Change: such a request is not sent to an upstream again that has refused it. When each open upstream has, it is refused at once, as not run. An upstream that closed with its refusal, and opened again while the request waited, is asked over a new connection, which has no bytes of an earlier answer. A generation that may not be resumed excludes an engine after any refusal, not only after 503 and 421. Repeatable requests are sent as before.

--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -68,6 +68,12 @@
 
   readonly #triedIds = new Set<UpstreamId>();
 
+  /** Upstreams that have refused the request and have been open ever since. */
+  readonly #refusingIds = new Set<UpstreamId>();
+
+  /** Upstreams that have refused the request, and may be asked again over a new connection. */
+  readonly #askedAgainIds = new Set<UpstreamId>();
+
   readonly #timers = new Set<NodeJS.Timeout>();
 
   readonly #retries: RequestRetries;
@@ -146,7 +152,12 @@
       return;
     }
     const { upstreamTable } = this.#context;
-    const open = this.#getCandidates();
+    const candidates = this.#getCandidates();
+    const open = candidates.filter(({ entry }) => this.#maySendTo(entry.id));
+    if (open.length === 0 && candidates.length > 0) {
+      this.#fail(STATUS.unavailable, 'upstreams-full');
+      return;
+    }
     const usable = this.#permitFinder.select(open);
     const untried = usable.filter(({ entry }) => !this.#triedIds.has(entry.id));
     const maxSilenceMs = this.#parameters.route.targetLatencyMs * MAX_SILENCE_FACTOR;
@@ -169,6 +180,15 @@
     }, retryPermit);
   }
 
+  /**
+   * Whether the request may be sent to an upstream. Only its id ties a refusal to the request. A
+   * late copy of it would also answer a second send over the same connection, which the upstream
+   * may be running then.
+   */
+  #maySendTo(upstreamId: UpstreamId): boolean {
+    return this.#isRepeatable || !this.#refusingIds.has(upstreamId);
+  }
+
   /** Sends a trial only to an upstream that has just passed a health check. */
   #sendOnceChecked(
     entry: UpstreamEntry,
@@ -234,8 +254,9 @@
     upstreamTable.recordSend(id);
     this.#context.reachability.recordSend(id);
     this.#log('sent', { ...this.#retries.recordSend(id) });
+    const { connections } = this.#context;
     attempt.running = sendAttempt(
-      this.#context.connections.get(url),
+      this.#askedAgainIds.has(id) ? connections.openSingle(url) : connections.get(url),
       this.#context.protocol,
       this.#exchange.request,
       {
@@ -310,6 +331,8 @@
       return;
     }
     this.#setWaiting(true);
+    this.#refusingIds.forEach((id) => this.#askedAgainIds.add(id));
+    this.#refusingIds.clear();
     this.#runAfter(NO_UPSTREAM_RECHECK_MS, () => this.#send(retryPermit));
   }
 
@@ -381,6 +404,7 @@
     if (head.isNotRun) {
       attempt.answer.release();
       this.#runCount -= 1;
+      this.#refusingIds.add(attempt.upstreamId);
       this.#log('notRun', { upstreamId: attempt.upstreamId, status: head.status });
       this.#retryNotRun();
       return;
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -526,7 +526,10 @@
     const head = this.#head;
     if (head !== null && head.isNotRun) {
       this.#runCount -= 1;
-      if (head.status === STATUS.unavailable || head.isWrongUpstream) {
+      // Only its id ties a refusal to the request. A late copy of it would also answer a second
+      // send to the same engine, which may be running the request then.
+      const mayRunTwice = this.#parameters.route.isResumable;
+      if (!mayRunTwice || head.status === STATUS.unavailable || head.isWrongUpstream) {
         this.#excludedIds.add(engine.id);
       }
       this.#placeAgainNotRun(getRefusalReport(head), `status ${head.status}`);
--- a/src/relay/foreignBytes.test.ts
+++ b/src/relay/foreignBytes.test.ts
@@ -57,6 +57,43 @@
     deepEqual(runIds, ['first', 'second']);
   });
 
+  [['once', 503], ['single', 429]].forEach(([route, refusalStatus]) => {
+    it(`runs no request again after a late copy of its refusal, route ${route}`, async () => {
+      const runIds: unknown[] = [];
+      const refusedIds = new Set<unknown>();
+      // Refuses each request. If it comes again it runs, after a late copy of the refusal.
+      const refuseTwice: UpstreamHandler = (request, response) => {
+        const id = request.headers['x-request-id'];
+        if (!refusedIds.has(id)) {
+          refusedIds.add(id);
+          response.writeHead(Number(refusalStatus), { 'x-not-executed': '1' }).end();
+          return;
+        }
+        runIds.push(id);
+        writeRaw(response, REFUSAL.replace('\r\n', `\r\nX-Request-Id: ${String(id)}\r\n`));
+        setTimeout(() => response.end('ran'), 30);
+      };
+      const target = await startBed(refuseTwice);
+      const { status } = await target.send(`/${route}/`, { 'x-request-id': 'first' });
+      equal(status, 503);
+      deepEqual(runIds, [], 'a request that was answered 503 has run');
+    });
+  });
+
+  it('asks an upstream that refused a request again over a new connection', async () => {
+    const sockets: unknown[] = [];
+    const target = await startBed((request, response) => {
+      sockets.push(request.socket);
+      if (sockets.length === 1) {
+        response.writeHead(503, { 'retry-after': '0.2', 'x-not-executed': '1' }).end();
+      } else {
+        response.end('ran');
+      }
+    });
+    equal((await target.send('/once/')).status, 200);
+    equal(new Set(sockets).size, 2);
+  });
+
   [500, 503].forEach((status) => {
     it(`keeps the text of a ${status} out of a stream that broke off before`, async () => {
       let sendCount = 0;
--- a/src/upstreams/UpstreamConnections.ts
+++ b/src/upstreams/UpstreamConnections.ts
@@ -1,5 +1,5 @@
 import { connect } from 'node:net';
-import { Pool, type Dispatcher } from 'undici';
+import { Client, Pool, type Dispatcher } from 'undici';
 import { limitInformationalResponses } from './limitInformationalResponses.ts';
 import { createConnector } from './createConnector.ts';
 
@@ -49,20 +49,31 @@
       return known.dispatcher;
     }
     const pool = new Pool(url, {
-      connections: this.#options.maxConnections,
-      // One request at a time per connection, so that a broken one affects a single attempt.
-      pipelining: 1,
-      connect: createConnector(this.#options.connectTimeoutMs),
-      keepAliveTimeout: this.#options.keepAliveMs,
-      // Attempts carry their own timeout.
-      headersTimeout: 0,
-      bodyTimeout: 0,
+      ...this.#createClientOptions(), connections: this.#options.maxConnections,
     });
     const dispatcher = pool.compose(limitInformationalResponses);
     this.#pools.set(url, { pool, dispatcher });
     return dispatcher;
   }
 
+  /**
+   * Opens a new connection for one request. It carries no late bytes of an earlier answer.
+   *
+   * @param url - base address of an upstream
+   * @returns a dispatcher for the request, which closes the connection after it
+   */
+  openSingle(url: string): Dispatcher {
+    const client = new Client(url, this.#createClientOptions());
+    const dispatchOnce: Dispatcher.DispatcherComposeInterceptor = (dispatch) => (
+      (options, handler) => {
+        const isAccepted = dispatch(options, handler);
+        // Lets the request end first; it has its own error, if any.
+        client.close().catch(() => client.destroy());
+        return isAccepted;
+      });
+    return client.compose(limitInformationalResponses, dispatchOnce);
+  }
+
   /**
    * Tries to open a new connection.
    *
@@ -94,6 +105,18 @@
     await known?.pool.close();
   }
 
+  #createClientOptions(): Client.Options {
+    return {
+      // One request at a time per connection, so that a broken one affects a single attempt.
+      pipelining: 1,
+      connect: createConnector(this.#options.connectTimeoutMs),
+      keepAliveTimeout: this.#options.keepAliveMs,
+      // Attempts carry their own timeout.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+  }
+
   /** Closes all connections at once. */
   async close(): Promise<void> {
     const pools = [...this.#pools.values()];
