Move a stream on from a silent engine only when the engine responds, is gone, or is silent for longer than a sound one

A stream went on at another engine while the engine before still worked on it (TWICE of the model engines).

Cause: silence of one stream was taken for the loss of its engine. The host closed the connection and resumed elsewhere, but an engine that neither reads nor writes notices no close, and works on the request when it goes on.

That it is what the users saw is not shown: their record names no such request.

Change: before a stream moves on, its engine is probed by its report over a new connection. Answered at once: it responds, and drops the request at the close. No connection: it is gone. Answered late: it has just gone on, and the stream waits as long again. Probes are sent only where a retry is left.

--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -71,9 +71,11 @@
 
   #trialCheck: TrialCheck;
 
-  readonly #silenceMonitor = new SilenceMonitor(
-    (silenceMs) => this.#abandonSilentEngine(silenceMs),
-  );
+  readonly #silenceMonitor = new SilenceMonitor((silenceMs) => {
+    this.#checkSilentEngine(silenceMs).catch((error: unknown) => {
+      this.#log('silenceCheckFailed', { error: String(error) });
+    });
+  });
 
   #placement: RunningPlacement | null = null;
 
@@ -706,12 +708,39 @@
     }
   }
 
-  /** Aborts the attempt on a silent engine; without a retry left, keeps waiting for it. */
-  #abandonSilentEngine(silenceMs: number): void {
-    if (this.#running === null || !this.#tryReserveRetry(RETRY_REASON.silent)) {
-      return;
+  /**
+   * Aborts the attempt on a silent engine unless the engine may be sound; without a retry left,
+   * keeps waiting for it.
+   */
+  async #checkSilentEngine(silenceMs: number): Promise<void> {
+    const running = this.#running;
+    const engine = this.#engineId === null
+      ? undefined
+      : this.#context.directory.getUpstream(this.#engineId)?.entry;
+    if (running === null || !this.#tryReserveRetry(RETRY_REASON.silent)) {
+      return;
+    }
+    const { lastEventId } = this.#events;
+    const decision = engine === undefined
+      ? null
+      : await this.#context.silentEngineCheck.decide(engine);
+    if (this.#isOver || this.#running !== running) {
+      return;
+    }
+    this.#log('silenceChecked', { silenceMs, upstreamId: engine?.id, ...decision });
+    if (this.#events.lastEventId !== lastEventId) {
+      this.#releaseRetry();
+    } else if (decision === null || decision.mayMoveOn) {
+      running.abort(`silent for ${Math.round(silenceMs)} ms`);
+    } else {
+      this.#releaseRetry();
+      this.#silenceMonitor.start(silenceMs);
     }
-    this.#running.abort(`silent for ${Math.round(silenceMs)} ms`);
+  }
+
+  #releaseRetry(): void {
+    this.#retryPermit?.release();
+    this.#retryPermit = null;
   }
 
   #log(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -18,6 +18,7 @@
 import type { ForwardingPeers } from './ForwardingPeers.ts';
 import type { HostShares } from './HostShares.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
+import type { SilentEngineCheck } from './SilentEngineCheck.ts';
 import type { StopDeadline } from './StopDeadline.ts';
 import type { UpstreamStateTable } from './UpstreamStateTable.ts';
 import type { UpstreamProtocol } from './UpstreamProtocol.ts';
@@ -50,6 +51,7 @@
   readonly forwardingPeers: ForwardingPeers;
   readonly answerMemory: AnswerMemory;
   readonly stopDeadline: StopDeadline;
+  readonly silentEngineCheck: SilentEngineCheck;
   /** Knows whether this host reaches upstreams at all. */
   readonly reachability: ReachabilityMonitor;
   /** The relays that have started and not ended. */
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -37,6 +37,7 @@
 import type { RelayHostAdapters, RelayHostSettings } from './RelayHostOptions.ts';
 import { RelayMetrics } from './RelayMetrics.ts';
 import { RelayManager } from './RelayManager.ts';
+import { SilentEngineCheck } from './SilentEngineCheck.ts';
 import { StopDeadline } from './StopDeadline.ts';
 import { UpstreamStateTable } from './UpstreamStateTable.ts';
 
@@ -256,6 +257,9 @@
       ),
       answerMemory: new AnswerMemory(),
       stopDeadline: new StopDeadline(clock),
+      silentEngineCheck: new SilentEngineCheck({
+        clock, directory, rates, probe: adapters.engineProbe,
+      }),
       reachability: this.#reachability,
       openRelays: new Set(),
       logger,
--- a/src/relay/RelayHostOptions.ts
+++ b/src/relay/RelayHostOptions.ts
@@ -5,6 +5,7 @@
 import type { StageCaller } from '../placement/StageCaller.ts';
 import type { StreamVersionStore } from '../streams/StreamVersionStore.ts';
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import type { EngineProbe } from './EngineProbe.ts';
 import type { SharedBounds } from './HostShares.ts';
 import type { UpstreamProtocol } from './UpstreamProtocol.ts';
 
@@ -44,5 +45,6 @@
   readonly protocol: UpstreamProtocol;
   readonly stageCaller: StageCaller;
   readonly upstreamCheck: HealthClient;
+  readonly engineProbe: EngineProbe;
   readonly connections: UpstreamConnections;
 }
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -3,6 +3,7 @@
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { pino } from 'pino';
+import { PlatformEngineProbe } from '../../platform/PlatformEngineProbe.ts';
 import { PlatformStageCaller } from '../../platform/PlatformStageCaller.ts';
 import { PlatformUpstreamCheck } from '../../platform/PlatformUpstreamCheck.ts';
 import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
@@ -107,6 +108,7 @@
       protocol: new PlatformUpstreamProtocol(),
       stageCaller: new PlatformStageCaller(this.#connections),
       upstreamCheck: new PlatformUpstreamCheck(this.#connections),
+      engineProbe: new PlatformEngineProbe(this.#connections),
       connections: this.#connections,
     }, new SystemClock(), pino({ level: 'silent' }));
     await this.#host.start();
--- a/test/support/StrandedFleet.ts
+++ b/test/support/StrandedFleet.ts
@@ -3,6 +3,7 @@
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { pino } from 'pino';
+import { PlatformEngineProbe } from '../../platform/PlatformEngineProbe.ts';
 import { PlatformStageCaller } from '../../platform/PlatformStageCaller.ts';
 import { PlatformUpstreamCheck } from '../../platform/PlatformUpstreamCheck.ts';
 import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
@@ -147,6 +148,7 @@
       protocol: new PlatformUpstreamProtocol(),
       stageCaller: new PlatformStageCaller(connections),
       upstreamCheck: new PlatformUpstreamCheck(connections),
+      engineProbe: new PlatformEngineProbe(connections),
       connections,
     }, new SystemClock(), pino({ level: 'silent' }));
     await host.start();
