Let a begun stream go on only at an engine that is proven to run as its entry says

Cause: the version of an engine was taken from the directory, however old that was. X-Expect-Instance does not help, as the id is the same, and the age of the directory does not after a freeze, since the monotonic clock stands still meanwhile.

Change: before a begun stream is sent to an engine, its lifetime is proven. An exchange with that engine which was open when the store last confirmed the directory, and has brought bytes within half a second, proves it: no connection outlives its process. Else the engine's entry is read from the store (one read for all streams that wait for it). Changed, gone or not readable: the engine is left out, and without another one the stream is broken off at once, which its caller sees and may resume at another host.

Price: a host without the store resumes only where an exchange is a proof.

--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -6,6 +6,7 @@
 import type { FinalPlacementResult, RunningPlacement } from '../placement/PlacementSearch.ts';
 import type { PlacementReport } from '../placement/PlacementRequest.ts';
 import type { QuarantineDecision } from '../quarantine/RequestQuarantine.ts';
+import type { EngineContact } from '../streams/EngineLifetimes.ts';
 import type { RetryReservation } from '../retries/RetryWindow.ts';
 import { createPlacementDemand } from './createPlacementDemand.ts';
 import { EventSequence } from './EventSequence.ts';
@@ -87,6 +88,12 @@
 
   #running: RunningAttempt | null = null;
 
+  /** Exchange of the running attempt, as evidence that its engine still runs. */
+  #contact: EngineContact | null = null;
+
+  /** Engine that was proven to run as its entry says, for the next send. */
+  #provenId: UpstreamId | null = null;
+
   /** Time when the running attempt was sent. */
   #sentAtMs = 0;
 
@@ -316,6 +323,10 @@
       this.#holdPlaced();
       return;
     }
+    if (this.#version.required !== null && this.#provenId !== placed.upstreamId) {
+      this.#proveLifetime(placed, upstream.entry);
+      return;
+    }
     if (!this.#trialCheck.isPassed(placed.upstreamId)) {
       this.#trialCheck.check(
         upstream.entry,
@@ -333,6 +344,22 @@
     this.#send(placed, upstream.entry);
   }
 
+  /** Lets a begun stream go on only at an engine that still runs as its entry says. */
+  #proveLifetime(placed: Placed, engine: UpstreamEntry): void {
+    this.#context.engineLifetimes.prove(engine).then((proof) => {
+      this.#log('lifetimeChecked', { upstreamId: engine.id, proof });
+      if (proof === 'exchange' || proof === 'store') {
+        this.#provenId = engine.id;
+        this.#sendWhenPermitted(placed);
+      } else {
+        this.#placeAgainUnsent(engine.id);
+      }
+    }).catch((error: unknown) => {
+      this.#log('lifetimeCheckFailed', { error: String(error) });
+      this.#fail(STATUS.unavailable, 'version-unknown', null);
+    });
+  }
+
   /** Gives its place back when the quarantine began to hold the request while it waited. */
   #holdPlaced(): void {
     const { clock, quarantine } = this.#context;
@@ -418,8 +445,10 @@
       inputCount: placed.inputs.length,
       leave: placed.leave,
     });
-    const { reachability } = this.#context;
+    const { reachability, engineLifetimes } = this.#context;
     reachability.recordSend(engine.id);
+    this.#provenId = null;
+    this.#contact = engineLifetimes.openContact(engine.id);
     this.#running = sendAttempt(
       this.#context.connections.get(`http://${engine.address}`),
       this.#context.protocol,
@@ -456,6 +485,7 @@
       return;
     }
     this.#context.reachability.recordAnswer(engine.id);
+    this.#contact?.recordData();
     if (this.#head.status >= STATUS.multipleChoices) {
       if (!this.#errorAnswer.add(chunk)) {
         this.#running?.abort('the answer is too large');
@@ -498,6 +528,7 @@
       this.#context.reachability.recordUnreachable(upstreamId);
     }
     this.#running = null;
+    this.#contact?.close();
     this.#silenceMonitor.stop();
     if (end.kind === 'broken' && !end.isAborted) {
       this.#recordBroken(engine);
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -12,6 +12,7 @@
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
 import type { RequestSubject } from '../quarantine/RequestSubject.ts';
 import type { Trial } from '../quarantine/Trial.ts';
+import type { EngineLifetimes } from '../streams/EngineLifetimes.ts';
 import type { StreamVersions } from '../streams/StreamVersions.ts';
 import type { AnswerMemory } from './AnswerMemory.ts';
 import type { ColdStartLimiter } from './ColdStartLimiter.ts';
@@ -47,6 +48,8 @@
   readonly quarantine: RequestQuarantine;
   /** Knows at which software version each resumable stream began. */
   readonly streamVersions: StreamVersions;
+  /** Proves that an engine still runs as its entry says, before a stream goes on there. */
+  readonly engineLifetimes: EngineLifetimes;
   /** Chooses the hosts that serve requests while this one reaches no upstream. */
   readonly forwardingPeers: ForwardingPeers;
   readonly answerMemory: AnswerMemory;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -28,6 +28,7 @@
 import { SendRateLimiter } from '../rates/SendRateLimiter.ts';
 import { registerPermitRoutes } from '../rates/registerPermitRoutes.ts';
 import { SystemRandomSource } from '../lib/SystemRandomSource.ts';
+import { EngineLifetimes } from '../streams/EngineLifetimes.ts';
 import { StreamVersions } from '../streams/StreamVersions.ts';
 import type { Clock } from '../time/Clock.ts';
 import { AnswerMemory } from './AnswerMemory.ts';
@@ -249,6 +250,9 @@
       }),
       quarantine: this.#quarantine,
       streamVersions: this.#streamVersions,
+      engineLifetimes: new EngineLifetimes({
+        clock, directory, store: adapters.store, logger,
+      }),
       forwardingPeers: new ForwardingPeers(
         clock,
         settings.hostId,
--- a/src/relay/streamVersions.test.ts
+++ b/src/relay/streamVersions.test.ts
@@ -57,6 +57,22 @@
     ok(!text.endsWith('0\r\n\r\n'), 'the last chunk would make the stream look complete');
   });
 
+  it('joins no stream with an engine that restarted at another version unnoticed', async () => {
+    const target = await startBed('v1', 'v1');
+    target.restartUnnoticed('v2');
+    const { text } = await readRawAnswer(target, '/stream/');
+    equal(getVersions(text).length, 2);
+    ok(!text.endsWith('0\r\n\r\n'), 'the last chunk would make the stream look complete');
+  });
+
+  it('lets no stream go on at an engine that may have restarted with the store away', async () => {
+    const target = await startBed('v1', 'v1');
+    target.turnAway();
+    const { text } = await readRawAnswer(target, '/stream/');
+    equal(getVersions(text).length, 2);
+    ok(!text.endsWith('0\r\n\r\n'), 'the last chunk would make the stream look complete');
+  });
+
   it('lets a caller take a stream up only at the software version that began it', async () => {
     const target = await startBed('v1', 'v2', 'v1', 'v2');
     for (let index = 0; index < 6; index += 1) {
--- a/src/streams/StreamVersionStore.ts
+++ b/src/streams/StreamVersionStore.ts
@@ -1,6 +1,7 @@
 import type { EraBound } from '../directory/EraBound.ts';
 import type { RenewResult, StoreLease } from '../directory/StoreLease.ts';
-import type { PoolId } from '../lib/ids.ts';
+import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import type { PoolId, UpstreamId } from '../lib/ids.ts';
 import type { StreamDigest } from './StreamDigest.ts';
 
 /** The software versions at which streams of a pool may have begun, as the store records them. */
@@ -59,4 +60,11 @@
    * @returns the record; null when there is none
    */
   readPoolVersion(poolId: PoolId): Promise<PoolVersionRecord | null>;
+  /**
+   * Reads the entry of an upstream as it is now.
+   *
+   * @param upstreamId - the upstream
+   * @returns the entry; null when there is none, or none that can be used
+   */
+  readUpstream(upstreamId: UpstreamId): Promise<UpstreamEntry | null>;
 }
--- a/test/support/MemoryDirectoryStore.ts
+++ b/test/support/MemoryDirectoryStore.ts
@@ -3,10 +3,11 @@
 import type {
   BegunStreams, PoolVersionRecord, StreamVersionStore,
 } from '../../src/streams/StreamVersionStore.ts';
-import type { HostId, PoolId } from '../../src/lib/ids.ts';
+import type { HostId, PoolId, UpstreamId } from '../../src/lib/ids.ts';
 import type {
   CrashReport, QuarantineStore, TrialRecord,
 } from '../../src/quarantine/QuarantineStore.ts';
+import type { UpstreamEntry } from '../../src/directory/UpstreamEntry.ts';
 import type { HostEntry } from '../../src/directory/HostEntry.ts';
 import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
 import type {
@@ -19,6 +20,12 @@
 export class MemoryDirectoryStore implements DirectoryStore, QuarantineStore, StreamVersionStore {
   readonly changes: DirectoryChange[] = [];
 
+  /** Entries of upstreams that hosts do not learn of through the changes. */
+  readonly restartedUpstreams = new Map<UpstreamId, UpstreamEntry>();
+
+  /** Whether reads of single entries fail. */
+  isUnavailable = false;
+
   readonly #poolVersions = new Map<PoolId, PoolVersionRecord>();
 
   readonly #trialRevisions = new Map<string, number>();
@@ -121,6 +128,15 @@
     return this.#poolVersions.get(poolId) ?? null;
   }
 
+  async readUpstream(upstreamId: UpstreamId): Promise<UpstreamEntry | null> {
+    if (this.isUnavailable) {
+      throw new Error('the store turns this host away');
+    }
+    const entries = this.changes.flatMap((change) => (
+      change.kind === 'upstream' && change.entry.id === upstreamId ? [change.entry] : []));
+    return this.restartedUpstreams.get(upstreamId) ?? entries.at(-1) ?? null;
+  }
+
   async recordHostCount(count: number): Promise<void> {
     this.changes.push({ kind: 'hostCount', count, revision: this.changes.length });
   }
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -149,6 +149,26 @@
     this.#servers[index]?.closeAllConnections();
   }
 
+  /**
+   * Changes the entries in the store so that the host does not hear of it.
+   *
+   * @param softwareVersion - the version at which all upstreams have started again
+   */
+  restartUnnoticed(softwareVersion: string): void {
+    this.#store.changes.forEach((change) => {
+      if (change.kind === 'upstream') {
+        this.#store.restartedUpstreams.set(change.entry.id, {
+          ...change.entry, softwareVersion, startedAtMs: 2,
+        });
+      }
+    });
+  }
+
+  /** Lets the store answer no reads of single entries. */
+  turnAway(): void {
+    this.#store.isUnavailable = true;
+  }
+
   /** @returns once the host has completed its planned stop */
   async stop(): Promise<void> {
     await this.#host?.stop();
