Cut no answer in a planned stop that its caller still reads

Cause: from then on the host closes idle connections every 50 ms, and Node's closeIdleConnections counts one as idle as soon as end() of its answer was called, although most of its bytes are still in the process.

Change: the ingress knows for each connection whether an answer is still being written, and closes those that have brought nothing since their last answer left the process. A connection that has had no answer yet stays open until the host closes.

--- a/src/ingress/IngressServer.test.ts
+++ b/src/ingress/IngressServer.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
 import { getFreePort, TEST_IP } from '../../test/support/getFreePort.ts';
+import { looksComplete } from '../../test/support/looksComplete.ts';
 import { sendRaw } from '../../test/support/readRawAnswer.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
 import { ManualClock } from '../time/ManualClock.ts';
@@ -109,6 +110,29 @@
     equal(isReset, true);
   });
 
+  it('cuts no answer that a slow caller still reads when it closes idle connections', async () => {
+    const body = Buffer.alloc(8_000_000, 'x');
+    await startServer((exchange) => {
+      exchange.answer({ status: 200, headers: [], body });
+      setTimeout(() => server?.closeIdle(), 50);
+    });
+    const answer = await sendRaw(
+      { host: TEST_IP, port },
+      `GET / HTTP/1.1\r\nConnection: close\r\n${HEAD}\r\n`,
+      { pauseMs: 200 },
+    );
+    equal(looksComplete(answer), true);
+  });
+
+  it('closes a connection that has been idle since its answer', async () => {
+    await startServer((exchange) => {
+      exchange.answer({ status: 200, headers: [], body: Buffer.from('text') });
+      setTimeout(() => server?.closeIdle(), 50);
+    });
+    const { text } = await sendRaw({ host: TEST_IP, port }, `GET / HTTP/1.1\r\n${HEAD}\r\n`);
+    ok(text.endsWith('text'), text);
+  });
+
   it('refuses a body over the limit, a request without an id, and oversized headers', async () => {
     await startServer(() => {});
     const large = `POST / HTTP/1.1\r\n${HEAD}Content-Length: 11\r\n\r\n01234567890`;
--- a/src/ingress/IngressServer.ts
+++ b/src/ingress/IngressServer.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import type { Clock } from '../time/Clock.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
+import { CallerConnections } from './CallerConnections.ts';
 import { CallerExchange } from './CallerExchange.ts';
 import type { RequestProfile } from './CallerRequest.ts';
 import { createErrorAnswer } from './createErrorAnswer.ts';
@@ -66,6 +67,8 @@
 
   readonly #server: Server;
 
+  readonly #connections = new CallerConnections();
+
   #openRequestCount = 0;
 
   #isDraining = false;
@@ -84,7 +87,10 @@
     });
     this.#server.on('request', (request, response) => this.#readRequest(request, response));
     this.#server.on('clientError', (_error, socket) => answerClientError(socket as Socket));
-    this.#server.on('connection', (socket) => socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS));
+    this.#server.on('connection', (socket) => {
+      socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+      this.#connections.add(socket);
+    });
     this.updateLimits();
   }
 
@@ -116,7 +122,7 @@
 
   /** Closes the connections without a request in progress. */
   closeIdle(): void {
-    this.#server.closeIdleConnections();
+    this.#connections.closeIdle();
   }
 
   /** Stops accepting connections and closes the open ones at once. */
@@ -128,6 +134,7 @@
   #readRequest(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = this.#options.clock.getMonotonicMs();
     this.#openRequestCount += 1;
+    this.#connections.recordRequest(request.socket, response);
     response.once('close', () => {
       this.#openRequestCount -= 1;
     });
