Let a second stop signal change nothing

A second SIGTERM ended the process at once and cut the requests that ran (review, seen but no case): stop() returned at once while the first stop still drained, and the process exits when it returns. Each call now returns the one stop in progress.

npm test -- relay/RelayHost: the new test failed before (the request was not answered when the second stop resolved), and passes.

--- a/src/relay/RelayHost.test.ts
+++ b/src/relay/RelayHost.test.ts
@@ -182,6 +182,24 @@
     equal((await pending).status, 502);
   });
 
+  it('cuts no request off when a second stop signal arrives', async () => {
+    await startBed((_request, response) => {
+      setTimeout(() => response.end('ran'), 400);
+    });
+    let isAnswered = false;
+    const pending = send('/once/').then(({ text }) => {
+      isAnswered = true;
+      return text;
+    });
+    await sleep(100);
+    const first = bed?.stop();
+    // The process ends when any of the stops resolves.
+    await bed?.stop();
+    equal(isAnswered, true, 'the second stop ended before the request');
+    equal(await pending, 'ran');
+    await first;
+  });
+
   it('refuses at once what a planned stop would cut off, and serves the rest', async () => {
     let receivedCount = 0;
     await startBed((request, response) => {
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -108,6 +108,8 @@
 
   #stoppingSinceMs: number | null = null;
 
+  #stopped: Promise<void> | null = null;
+
   /**
    * @param settings - identity and addresses of the host
    * @param adapters - access to the store and the upstreams
@@ -310,11 +312,17 @@
     this.#logger.info({ event: 'started', settings: this.#settings }, 'host started');
   }
 
-  /** Stops gracefully: accepts no new connections, answers open requests, then closes. */
-  async stop(): Promise<void> {
-    if (this.#stoppingSinceMs !== null) {
-      return;
-    }
+  /**
+   * Stops gracefully: accepts no new connections, answers open requests, then closes.
+   *
+   * @returns a promise that resolves when the host has closed, also for a call while it stops
+   */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     this.#stoppingSinceMs = this.#clock.getMonotonicMs();
     this.#logger.info(
       { event: 'stopping', openRequestCount: this.#openRequestCount },
