--- a/src/relay/EventSplitter.ts
+++ b/src/relay/EventSplitter.ts
@@ -1,3 +1,4 @@
+import type { AnswerMemory } from './AnswerMemory.ts';
 import { AnswerTooLargeError } from '../upstreams/AnswerTooLargeError.ts';
 import { CHUNK_OVERHEAD_BYTES } from '../upstreams/MAX_ANSWER_BYTES.ts';
 
@@ -37,6 +38,8 @@
 
 /** Splits a stream of server-sent events into complete events and buffers the rest. */
 export class EventSplitter {
+  readonly #memory: AnswerMemory;
+
   /** Chunks of an incomplete event; joined when its end arrives. */
   #chunks: Buffer[] = [];
 
@@ -45,6 +48,13 @@
   /** Last bytes of the chunks, where the end of an event may have started. */
   #tail: Buffer = Buffer.alloc(0);
 
+  /**
+   * @param memory - limits the memory of all answers and events that the host buffers
+   */
+  constructor(memory: AnswerMemory) {
+    this.#memory = memory;
+  }
+
   /** Whether an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
     return this.#partBytes > 0;
@@ -53,7 +63,8 @@
   /**
    * @param chunk - the next bytes of the stream
    * @returns the events that the chunk completes
-   * @throws AnswerTooLargeError when an event exceeds its maximum size
+   * @throws AnswerTooLargeError when an event exceeds its maximum size, or the host has no memory
+   *   left for it
    */
   add(chunk: Buffer): StreamEvent[] {
     const events: StreamEvent[] = [];
@@ -63,7 +74,7 @@
     let end = findEventEnd(searched, 0);
     while (end > 0) {
       events.push(toEvent(Buffer.concat([...this.#chunks, searched.subarray(start, end)])));
-      this.#clear();
+      this.release();
       start = end;
       end = findEventEnd(searched, start);
     }
@@ -75,15 +86,21 @@
     if (rest.length === 0) {
       return;
     }
-    this.#partBytes += rest.length + CHUNK_OVERHEAD_BYTES;
-    if (this.#partBytes > MAX_EVENT_BYTES) {
+    const moreBytes = rest.length + CHUNK_OVERHEAD_BYTES;
+    if (this.#partBytes + moreBytes > MAX_EVENT_BYTES) {
       throw new AnswerTooLargeError('an event', `${MAX_EVENT_BYTES} bytes`);
     }
+    if (!this.#memory.tryReserve(this.#partBytes, moreBytes)) {
+      throw new AnswerTooLargeError('an event', 'the memory that the host has left');
+    }
+    this.#partBytes += moreBytes;
     this.#chunks.push(rest);
     this.#tail = Buffer.concat([this.#tail, rest]).subarray(-END_BYTES);
   }
 
-  #clear(): void {
+  /** Drops the incomplete event and releases its memory. */
+  release(): void {
+    this.#memory.release(this.#partBytes);
     this.#chunks = [];
     this.#partBytes = 0;
     this.#tail = Buffer.alloc(0);
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -97,7 +97,7 @@
   /** Time when the running attempt was sent. */
   #sentAtMs = 0;
 
-  #splitter = new EventSplitter();
+  #splitter: EventSplitter;
 
   #head: AnswerHead | null = null;
 
@@ -146,6 +146,7 @@
     this.#arrivedAtMs = exchange.request.arrivedAtMs;
     this.#lastEventAtMs = this.#arrivedAtMs;
     this.#errorAnswer = new BufferedAnswer(context.answerMemory);
+    this.#splitter = new EventSplitter(context.answerMemory);
     this.#trialCheck = new TrialCheck(context.quarantine, parameters.trial !== null);
     this.#retries = new RequestRetries({
       clock: context.clock,
@@ -437,7 +438,8 @@
     this.#head = null;
     this.#errorAnswer.release();
     this.#events.startAttempt();
-    this.#splitter = new EventSplitter();
+    this.#splitter.release();
+    this.#splitter = new EventSplitter(this.#context.answerMemory);
     this.#log('sent', {
       ...this.#retries.recordSend(placed.upstreamId),
       softwareVersion: engine.softwareVersion,
@@ -703,6 +705,7 @@
     this.#isOver = true;
     this.#context.openRelays.delete(this);
     this.#errorAnswer.release();
+    this.#splitter.release();
     this.#silenceMonitor.stop();
     clearTimeout(this.#deadlineTimer ?? undefined);
     clearTimeout(this.#pauseTimer ?? undefined);
--- a/src/relay/endlessAnswers.test.ts
+++ b/src/relay/endlessAnswers.test.ts
@@ -7,6 +7,11 @@
 /** Data that loopback sockets may buffer in addition to what a host reads. */
 const SOCKET_BYTES = 16 * 1024 * 1024;
 const REQUEST_COUNT = 6;
+/** Streams that stall at once, inside an event of this size. */
+const STALLED_COUNT = 300;
+const STALLED_EVENT_BYTES = 896 * 1024;
+/** A host has 350 MB, of which its heap and its program take a half. */
+const MAX_STALLED_BYTES = 150 * 1024 * 1024;
 const BLOCK = Buffer.alloc(64 * 1024, 'x');
 
 /** Data that an upstream sends once, and data that it then repeats without end. */
@@ -135,6 +140,31 @@
     });
   });
 
+  it('bounds the memory of many endless events at once', async () => {
+    // Each stays just under the limit of one event and never ends.
+    const head = 'id: 1\ndata: ';
+    const stall: UpstreamHandler = (request, response) => {
+      response.write(head);
+      for (let sentBytes = 0; sentBytes < STALLED_EVENT_BYTES; sentBytes += BLOCK.length) {
+        response.write(BLOCK);
+      }
+    };
+    bed = new RelayTestBed();
+    await bed.start([stall]);
+    const target = bed;
+    const answers = Promise.all(Array.from({ length: STALLED_COUNT }, (_, index) => (
+      target.send('/single/', { 'x-request-id': `r${index}` }))));
+    const beforeBytes = process.memoryUsage().arrayBuffers;
+    let mostBytes = 0;
+    const timer = setInterval(() => {
+      mostBytes = Math.max(mostBytes, process.memoryUsage().arrayBuffers - beforeBytes);
+    }, 10);
+    const statuses = (await answers).map(({ status }) => status);
+    clearInterval(timer);
+    ok(statuses.every((status) => status >= 500), statuses.join(' '));
+    ok(mostBytes <= MAX_STALLED_BYTES, `${mostBytes} bytes were buffered`);
+  });
+
   STREAM_FLOODS.forEach(([name, createFlood]) => {
     it(`aborts the attempt in a stream and resumes on another engine: ${name}`, async () => {
       checkFlood(await runFlood('/stream/', createFlood));
