Hand on no refusal that does not say that the request has not run

A request that may run once and that ran could be answered 408, 421, 429 or 503, which promise to its caller that it has not run and never will (REFUSED): its upstream failed it with such a status, without the header that says so.

Cause: only the header was asked before a retry, and the status was handed on as it came.

Change: such an answer to a request that may run once, and to any generation, becomes the host's own 502, which promises nothing and bears no signature. Failures of repeatable requests are handed on as before.

npm test -- foreignBytes: the two new tests failed before (503), and pass.

--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -10,6 +10,7 @@
 import { RETRY_REASON, type RetryReason } from './RetryDecision.ts';
 import { getHostSlotShare, getRetryAfterMs } from './getRetryAfterMs.ts';
 import { BufferedAnswer } from './BufferedAnswer.ts';
+import { isRefusalStatus } from './isRefusalStatus.ts';
 import { PermitFinder } from './PermitFinder.ts';
 import { RequestRetries } from './RequestRetries.ts';
 import { sendAttempt, type AttemptResult, type RunningAttempt } from './sendAttempt.ts';
@@ -419,6 +420,11 @@
       this.#retryRun(RETRY_REASON.failed);
       return;
     }
+    if (!this.#isRepeatable && isRefusalStatus(head.status)) {
+      // The upstream does not say that the request has not run, as the status would to the caller.
+      this.#fail(STATUS.badGateway, 'upstream-failed');
+      return;
+    }
     this.#answer(head, body);
   }
 
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -14,6 +14,7 @@
 import type { OpenRelay, RelayContext, RelayParameters } from './RelayContext.ts';
 import { RETRY_REASON, type RetryReason } from './RetryDecision.ts';
 import { BufferedAnswer } from './BufferedAnswer.ts';
+import { isRefusalStatus } from './isRefusalStatus.ts';
 import { RelayedStreamVersion } from './RelayedStreamVersion.ts';
 import { RequestRetries } from './RequestRetries.ts';
 import { SilenceMonitor } from './SilenceMonitor.ts';
@@ -612,7 +613,8 @@
 
   /** Forwards the engine's error answer unchanged, unless a stream has started. */
   #handleErrorAnswer(head: AnswerHead): void {
-    if (this.#exchange.hasAnswered) {
+    // The engine does not say that the request has not run, as such a status would to the caller.
+    if (this.#exchange.hasAnswered || isRefusalStatus(head.status)) {
       this.#fail(STATUS.badGateway, 'engine-failed', null);
       return;
     }
--- a/src/relay/foreignBytes.test.ts
+++ b/src/relay/foreignBytes.test.ts
@@ -94,6 +94,17 @@
     equal(new Set(sockets).size, 2);
   });
 
+  ['once', 'single'].forEach((route) => {
+    it(`gives no promise that a request has not run which its upstream ran, ${route}`, async () => {
+      const target = await startBed((_request, response) => {
+        response.writeHead(503, { 'x-response-signature': 's' }).end('ran, and failed');
+      });
+      const { status, headers } = await target.send(`/${route}/`);
+      equal(status, 502);
+      equal(headers['x-response-signature'], undefined);
+    });
+  });
+
   [500, 503].forEach((status) => {
     it(`keeps the text of a ${status} out of a stream that broke off before`, async () => {
       let sendCount = 0;
--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { CallerRequest } from '../ingress/CallerRequest.ts';
+import { isRefusalStatus } from './isRefusalStatus.ts';
 import type { AnswerHead, AttemptDetails, UpstreamProtocol } from './UpstreamProtocol.ts';
 
 /** Result of an attempt. */
@@ -40,8 +41,6 @@
 
 const LOWEST_FINAL_STATUS = 200;
 const LOWEST_ERROR_STATUS = 400;
-/** Statuses by which callers are told that a request has not run. */
-const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /**
  * Whether an answer belongs to a request. An error need not name it, as the upstream may not have
@@ -51,7 +50,7 @@
 function isAnswerTo(requestId: string, head: AnswerHead): boolean {
   return head.requestId === requestId
     || (head.requestId === null && head.status >= LOWEST_ERROR_STATUS && !head.isNotRun
-      && !PROMISE_STATUSES.has(head.status));
+      && !isRefusalStatus(head.status));
 }
 
 /** One exchange with an upstream; passes the request to a connection at most once. */
