Probe all upstreams before a host counts itself as cut off from them

Callers got 503 no-upstream-reachable, or their requests went to other hosts, although upstreams could be reached: when several had crashed, the four random ones that a host probed were all among these at times (with 6 of 8 crashed in 15 of 70 draws).

Change: when the first four fail, up to 28 further upstreams are probed, and one that is reached decides. A host that counts as cut off probes four each time, as before.

--- a/src/reachability/ReachabilityMonitor.test.ts
+++ b/src/reachability/ReachabilityMonitor.test.ts
@@ -75,6 +75,18 @@
     deepEqual(changes, [true, false]);
   });
 
+  it('blames upstreams that have crashed, not its path, while a single one runs', async () => {
+    reachable.add('u5');
+    const crashed = IDS.slice(0, 5);
+    const record = (id: UpstreamId): void => monitor.recordUnreachable(id);
+    for (let round = 0; round < 20; round += 1) {
+      crashed.forEach(record);
+      // eslint-disable-next-line no-await-in-loop -- one probe after another, of random upstreams
+      await pass(1_200);
+    }
+    deepEqual(changes, []);
+  });
+
   it('blames silent upstreams, not its path, while any upstream can be reached', async () => {
     ['u3', 'u4', 'u5'].forEach((address) => reachable.add(address));
     sendTo(0, 1, 2);
--- a/src/reachability/ReachabilityMonitor.ts
+++ b/src/reachability/ReachabilityMonitor.ts
@@ -46,6 +46,8 @@
 /** Shortest time between two probes while this host counts as connected. */
 const MIN_PROBE_INTERVAL_MS = 1_000;
 const PROBE_COUNT = 4;
+/** Upstreams that are probed besides, before this host counts as cut off. */
+const FURTHER_PROBE_COUNT = 28;
 /** Fewer upstreams tell nothing: they may have failed on their own. */
 const MIN_PROBE_COUNT = 2;
 
@@ -159,9 +161,16 @@
       this.#setCutOff(false, targets.length, 0);
       return;
     }
+    const first = targets.slice(0, PROBE_COUNT);
+    // The first ones may all have crashed while others run.
+    const further = this.#isCutOff ? [] : targets.slice(PROBE_COUNT);
+    const reachedCount = await this.#countReached(first) || await this.#countReached(further);
+    this.#setCutOff(reachedCount === 0, first.length + further.length, reachedCount);
+  }
+
+  async #countReached(targets: readonly UpstreamEntry[]): Promise<number> {
     const results = await Promise.all(targets.map(({ address }) => this.#options.probe(address)));
-    const reachedCount = results.filter((isReached) => isReached).length;
-    this.#setCutOff(reachedCount === 0, targets.length, reachedCount);
+    return results.filter((isReached) => isReached).length;
   }
 
   /** Chooses upstreams of as many pools as possible, so that one failed service decides nothing. */
@@ -176,7 +185,7 @@
       !seenPools.has(poolId) && seenPools.add(poolId).size > 0);
     const firsts = shuffled.filter(isNewPool);
     const others = shuffled.filter((entry) => !firsts.includes(entry));
-    return [...firsts, ...others].slice(0, PROBE_COUNT);
+    return [...firsts, ...others].slice(0, PROBE_COUNT + FURTHER_PROBE_COUNT);
   }
 
   #setCutOff(isCutOff: boolean, probedCount: number, reachedCount: number): void {
