--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -2,20 +2,15 @@
   createServer, request as sendRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { pino } from 'pino';
-import { PlatformEngineProbe } from '../../platform/PlatformEngineProbe.ts';
-import { PlatformStageCaller } from '../../platform/PlatformStageCaller.ts';
-import { PlatformUpstreamCheck } from '../../platform/PlatformUpstreamCheck.ts';
-import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
 import {
   toId, type HostId, type PoolId, type UpstreamId,
 } from '../../src/lib/ids.ts';
-import { RelayHost } from '../../src/relay/RelayHost.ts';
-import { SystemClock } from '../../src/time/SystemClock.ts';
+import type { RelayHost } from '../../src/relay/RelayHost.ts';
 import { UpstreamConnections } from '../../src/upstreams/UpstreamConnections.ts';
 import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
 import { createBedConfiguration } from './createBedConfiguration.ts';
-import { getFreePort, TEST_IP } from './getFreePort.ts';
+import { TEST_IP } from './getFreePort.ts';
+import { startTestHost } from './startTestHost.ts';
 
 /** Pool of all upstreams in the test bed. */
 const POOL_ID = toId<PoolId>('pool');
@@ -75,43 +70,12 @@
         registeredRevision: 1,
       },
     });
-    const [caller, ready, peer, metrics, forwarding] = await Promise.all(
-      Array.from({ length: 5 }, () => getFreePort()),
-    );
-    this.url = `http://${TEST_IP}:${caller}`;
-    this.readinessUrl = `http://${TEST_IP}:${ready}/ready`;
-    this.#host = new RelayHost({
-      hostId: HOST_ID,
-      failureDomain: 'a',
-      processorCores: 1,
-      linkMbps: 1_000,
-      callerAddress: `${TEST_IP}:${caller}`,
-      readinessAddress: `${TEST_IP}:${ready}`,
-      readinessPath: '/ready',
-      peerAddress: `${TEST_IP}:${peer}`,
-      forwardingAddress: `${TEST_IP}:${forwarding}`,
-      metricsAddress: `${TEST_IP}:${metrics}`,
-      storeAddress: '',
-      storeWaitMs: 1_000,
-      relayWaitMs: null,
-      sharedBounds: {
-        retryRatio: 0.2,
-        retrySlack,
-        // A host may use its share of the slack one window after it is first seen.
-        retryWindowMs: 1,
-        coldOvershoot: 1,
-        coldSlack: 1,
-      },
-      graceMs: 1_000,
-    }, {
-      store: this.#store,
-      protocol: new PlatformUpstreamProtocol(),
-      stageCaller: new PlatformStageCaller(this.#connections),
-      upstreamCheck: new PlatformUpstreamCheck(this.#connections),
-      engineProbe: new PlatformEngineProbe(this.#connections),
-      connections: this.#connections,
-    }, new SystemClock(), pino({ level: 'silent' }));
-    await this.#host.start();
+    const { host, callerPort, readinessPort } = await startTestHost({
+      hostId: HOST_ID, store: this.#store, connections: this.#connections, retrySlack,
+    });
+    this.#host = host;
+    this.url = `http://${TEST_IP}:${callerPort}`;
+    this.readinessUrl = `http://${TEST_IP}:${readinessPort}/ready`;
   }
 
   /**
--- a/test/support/StrandedFleet.ts
+++ b/test/support/StrandedFleet.ts
@@ -2,23 +2,20 @@
   createServer, request as sendRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { pino } from 'pino';
-import { PlatformEngineProbe } from '../../platform/PlatformEngineProbe.ts';
-import { PlatformStageCaller } from '../../platform/PlatformStageCaller.ts';
-import { PlatformUpstreamCheck } from '../../platform/PlatformUpstreamCheck.ts';
-import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
 import {
   toId, type HostId, type PoolId, type UpstreamId,
 } from '../../src/lib/ids.ts';
-import { RelayHost } from '../../src/relay/RelayHost.ts';
-import { SystemClock } from '../../src/time/SystemClock.ts';
+import type { RelayHost } from '../../src/relay/RelayHost.ts';
 import { CuttableConnections, type Cut } from './CuttableConnections.ts';
 import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
 import { createBedConfiguration } from './createBedConfiguration.ts';
-import { getFreePort, TEST_IP } from './getFreePort.ts';
+import { TEST_IP } from './getFreePort.ts';
+import { startTestHost } from './startTestHost.ts';
 
 const POOL_ID = toId<PoolId>('pool');
 const UPSTREAM_COUNT = 3;
+const RETRY_SLACK = 50;
+
 interface FleetHost {
   readonly host: RelayHost;
   readonly connections: CuttableConnections;
@@ -121,38 +118,14 @@
   }
 
   async #addHost(index: number): Promise<void> {
-    const [caller, ready, peer, metrics, forwarding] = await Promise.all(
-      Array.from({ length: 5 }, () => getFreePort()),
-    );
     const connections = new CuttableConnections(this.#upstreamUrls);
-    const host = new RelayHost({
+    const { host, callerPort } = await startTestHost({
       hostId: toId<HostId>(`host-${index}`),
-      failureDomain: 'a',
-      processorCores: 1,
-      linkMbps: 1_000,
-      callerAddress: `${TEST_IP}:${caller}`,
-      readinessAddress: `${TEST_IP}:${ready}`,
-      readinessPath: '/ready',
-      peerAddress: `${TEST_IP}:${peer}`,
-      forwardingAddress: `${TEST_IP}:${forwarding}`,
-      metricsAddress: `${TEST_IP}:${metrics}`,
-      storeAddress: '',
-      storeWaitMs: 1_000,
-      relayWaitMs: null,
-      sharedBounds: {
-        retryRatio: 0.2, retrySlack: 50, retryWindowMs: 1, coldOvershoot: 1, coldSlack: 1,
-      },
-      graceMs: 1_000,
-    }, {
       store: this.#store,
-      protocol: new PlatformUpstreamProtocol(),
-      stageCaller: new PlatformStageCaller(connections),
-      upstreamCheck: new PlatformUpstreamCheck(connections),
-      engineProbe: new PlatformEngineProbe(connections),
       connections,
-    }, new SystemClock(), pino({ level: 'silent' }));
-    await host.start();
-    this.#hosts[index] = { host, connections, port: Number(caller) };
+      retrySlack: RETRY_SLACK,
+    });
+    this.#hosts[index] = { host, connections, port: callerPort };
   }
 
   async #addUpstream(
