Let the soak's upstream answer the call for its state without running it

Traced: a host probed a silent engine by its report, a call that the users' page lists and that the stand-in did not know; it took any call for a request. It answers the report now, as the health check, and counts it as a call beside the limit.

--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -46,6 +46,11 @@
   return typeof value === 'string' ? value : null;
 }
 
+/** Whether a call asks for the state of the upstream, and runs nothing. */
+function isStateCall({ url }: IncomingMessage): boolean {
+  return url === HEALTH_PATH || url === UPSTREAM_PATHS.report;
+}
+
 /** Describes wrong inputs of a generation that needs one piece of one stage; null if correct. */
 function describeInputFault(requestId: string, inputs: string | null): string | null {
   if (inputs === null) {
@@ -180,6 +185,8 @@
       response.end();
     } else if (isMisdirected) {
       response.writeHead(MISDIRECTED, { 'X-Not-Executed': '1' }).end();
+    } else if (request.url === UPSTREAM_PATHS.report) {
+      response.end('{}');
     } else if (this.fault === 'backOff') {
       this.#recordNotice('backOff', requestId, performance.now() + BACK_OFF_MS);
       response.writeHead(UNAVAILABLE, {
@@ -217,11 +224,13 @@
     }));
   }
 
-  #getLimitedKind({ url }: IncomingMessage): LimitedKind {
-    if (url === UPSTREAM_PATHS.runStage) {
+  #getLimitedKind(request: IncomingMessage): LimitedKind {
+    if (request.url === UPSTREAM_PATHS.runStage) {
       return LIMITED_KIND.stageCall;
     }
-    return this.kind === 'stage' || url === HEALTH_PATH ? LIMITED_KIND.other : LIMITED_KIND.request;
+    return this.kind === 'stage' || isStateCall(request)
+      ? LIMITED_KIND.other
+      : LIMITED_KIND.request;
   }
 
   #crashOnRequest(requestId: string): void {
@@ -241,7 +250,7 @@
       const { items } = JSON.parse(body) as { items: StageItem[] };
       items.forEach(({ id, stage, piece }) => (
         note(ARRIVAL_KIND.piece, id, `${id}-${stage}-${piece}`)));
-    } else if (this.kind !== 'stage' && request.url !== HEALTH_PATH) {
+    } else if (this.kind !== 'stage' && !isStateCall(request)) {
       const isStream = this.kind === REQUEST_KIND.stream;
       note(isStream ? ARRIVAL_KIND.generation : ARRIVAL_KIND.whole, requestId, requestId);
     }
