Mark no end of an unframed answer whose upstream has crashed

Cause: an answer without a length or chunks ends with its connection, and an upstream that crashes in the middle closes it in order too. Until the caller got it without a mark; now the host marked its end, which it did not know.

Change: as for answers that another host passes on, an unframed answer that ends counts as complete only if its upstream still accepts connections. A crashed one takes seconds to come back. Else the attempt is broken: retried, resumed, or 502.

npm test -- unframedAnswers sendAttempt: four new tests failed before, and pass.

--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -466,6 +466,7 @@
       },
       {
         mayStart: () => this.#context.directory.isUsable(placed.upstreamId),
+        probe: () => this.#context.connections.probe(`http://${engine.address}`),
         onHead: (head) => {
           this.#head = head;
           reachability.recordAnswer(engine.id);
--- a/src/relay/PeerExchange.ts
+++ b/src/relay/PeerExchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { CallerRequest } from '../ingress/CallerRequest.ts';
+import { isFramed } from './isFramed.ts';
 import type { AnswerHead, UpstreamProtocol } from './UpstreamProtocol.ts';
 
 /** Result of passing a request on to another host. */
@@ -35,8 +36,6 @@
 /** Status by which a host declines a request, since it reaches no upstream either. */
 export const NOT_TAKEN_STATUS = 421;
 const LOWEST_FINAL_STATUS = 200;
-/** Headers that mark where a body ends, in lower case. */
-const FRAMING_HEADERS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
 
 /** One exchange with another host that serves a request for this one. */
 export class PeerExchange implements Dispatcher.DispatchHandler {
@@ -112,8 +111,7 @@
     if (!this.#isDeclined) {
       const rawHeaders = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
       const texts = rawHeaders.map((text) => text.toString('latin1'));
-      this.#isFramed = texts.some((text, index) => (
-        index % 2 === 0 && FRAMING_HEADERS.has(text.toLowerCase())));
+      this.#isFramed = isFramed(texts);
       this.#options.receiver.onHead(this.#options.protocol.decodeAnswerHead(status, texts));
     }
   }
--- a/src/relay/sendAttempt.test.ts
+++ b/src/relay/sendAttempt.test.ts
@@ -49,6 +49,7 @@
         lastEventId: null,
       }, {
         mayStart,
+        probe: async () => connections?.probe(url) ?? false,
         onHead: () => {},
         onData: (chunk) => chunks.push(chunk),
         onEnd: resolve,
@@ -73,6 +74,14 @@
     deepEqual(await runAttempt(url), { end: { kind: 'complete' }, text: 'whole' });
   });
 
+  it('reports an answer without a length as broken when its upstream has crashed', async () => {
+    const url = await startUpstream((socket) => {
+      server?.close();
+      socket.end(`${UNFRAMED_HEAD}half`);
+    });
+    equal((await runAttempt(url)).end.kind, 'broken');
+  });
+
   it('reports an answer without a length as broken when its connection is reset', async () => {
     const url = await startUpstream((socket) => {
       socket.write(`${UNFRAMED_HEAD}half`);
--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { CallerRequest } from '../ingress/CallerRequest.ts';
+import { isFramed } from './isFramed.ts';
 import { isRefusalStatus } from './isRefusalStatus.ts';
 import type { AnswerHead, AttemptDetails, UpstreamProtocol } from './UpstreamProtocol.ts';
 
@@ -25,6 +26,8 @@
   onHead(head: AnswerHead): void;
   /** @param chunk - bytes of the body */
   onData(chunk: Buffer): void;
+  /** @returns whether the upstream accepts connections; asked when an answer ends without a mark */
+  probe(): Promise<boolean>;
   /** @param end - the result of the attempt; called once, after all other methods */
   onEnd(end: AttemptResult): void;
 }
@@ -67,6 +70,9 @@
 
   #isSent = false;
 
+  /** Whether the head of the answer tells where its body ends. */
+  #isFramed = true;
+
   #hasEnded = false;
 
   constructor(requestId: string, protocol: UpstreamProtocol, receiver: AnswerReceiver) {
@@ -118,6 +124,7 @@
       this.abort(`the answer belongs to request ${head.requestId ?? '(none)'}`);
       return;
     }
+    this.#isFramed = isFramed(texts);
     this.#receiver.onHead(head);
   }
 
@@ -128,7 +135,25 @@
   }
 
   onResponseEnd(): void {
-    this.#end({ kind: 'complete' });
+    if (this.#isFramed || this.#hasEnded) {
+      this.#end({ kind: 'complete' });
+    } else {
+      this.#endUnframed();
+    }
+  }
+
+  /** Tells the end of an answer without a mark from the end of an upstream that crashed. */
+  #endUnframed(): void {
+    this.#receiver.probe().then(
+      (isRunning) => {
+        if (isRunning) {
+          this.#end({ kind: 'complete' });
+        } else {
+          this.#endWithoutAnswer('the upstream ended, and the answer marks no end');
+        }
+      },
+      (error: unknown) => this.#endWithoutAnswer(String(error)),
+    );
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
--- a/src/relay/unframedAnswers.test.ts
+++ b/src/relay/unframedAnswers.test.ts
@@ -58,6 +58,19 @@
     equal(looksComplete(answer), true);
   });
 
+  ['safe', 'once', 'single'].forEach((route) => {
+    it(`marks no end of an answer whose upstream crashed, route ${route}`, async () => {
+      const target = await startBed((request, response) => {
+        response.socket?.write(
+          `${getUnframedHead(request.headers['x-request-id'])}id: 1\ndata: a\n\n`,
+        );
+        setTimeout(() => target.endUpstream(0), 20);
+      });
+      const answer = await readRawAnswer(target, `/${route}/`);
+      ok(!looksComplete(answer) || answer.text.startsWith('HTTP/1.1 502'), answer.text);
+    });
+  });
+
   it('completes a stream that begins with chunks and goes on without them', async () => {
     const answerHalf: UpstreamHandler = (request, response) => {
       if (request.headers['last-event-id'] === undefined) {
