Hand a small answer on without a mark when its upstream marked no end

Cause: nobody but the upstream knows the end of such an answer. A stream tells by the end of an event; a whole answer does not.

Change: a whole answer whose upstream marked no end is handed on without a mark, as before, if the operating system takes it in one write (16 KiB): the end of this process cannot cut it then. Streams keep their chunks.

--- a/src/ingress/CallerExchange.ts
+++ b/src/ingress/CallerExchange.ts
@@ -7,15 +7,23 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Whether the body is known to be whole; false when its upstream marked no end. */
+  readonly isEndMarked?: boolean;
 }
 
+/**
+ * Size up to which the operating system takes an answer at once, so that the end of this process
+ * cannot cut it. A larger one gets its length even if its upstream marked no end.
+ */
+const MAX_UNMARKED_BYTES = 16_384;
+
 /** Statuses of answers that have neither a body nor a length (RFC 9110, section 8.6). */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
- * A request of a caller with the means to answer it. Each answer marks its own end by its length or
- * by chunks, whatever the upstream's answer had: the connection may also close because this process
- * was killed, and the caller must see then that its answer is incomplete.
+ * A request of a caller with the means to answer it. A stream or a large answer marks its own end
+ * by chunks or by its length, whatever the upstream's answer had: the connection may also close
+ * because this process was killed, and the caller must see then that its answer is incomplete.
  */
 export class CallerExchange {
   readonly #response: ServerResponse;
@@ -58,11 +66,18 @@
   }
 
   /** @param answer - the answer; sent at once */
-  answer(answer: WholeAnswer): void {
-    const hasBody = this.request.method !== 'HEAD' && !BODILESS_STATUSES.has(answer.status);
-    const lengthHeader = hasBody ? ['Content-Length', String(answer.body.length)] : [];
-    if (this.#begin(answer.status, [...answer.headers, ...lengthHeader])) {
-      this.#response.end(answer.body);
+  answer({
+    status, headers, body, isEndMarked = true,
+  }: WholeAnswer): void {
+    const hasBody = this.request.method !== 'HEAD' && !BODILESS_STATUSES.has(status);
+    const isMarked = isEndMarked || body.length > MAX_UNMARKED_BYTES;
+    if (hasBody && !isMarked) {
+      // Without a length or chunks the answer ends with its connection, as that of the upstream.
+      this.#response.useChunkedEncodingByDefault = false;
+    }
+    const lengthHeader = hasBody && isMarked ? ['Content-Length', String(body.length)] : [];
+    if (this.#begin(status, [...headers, ...lengthHeader])) {
+      this.#response.end(body);
     }
   }
 
--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -376,7 +376,7 @@
     }
     switch (end.kind) {
       case 'complete':
-        this.#handleAnswer(attempt);
+        this.#handleAnswer(attempt, end.isEndMarked);
         return;
       case 'notSent':
         this.#runCount -= 1;
@@ -397,7 +397,7 @@
     }
   }
 
-  #handleAnswer(attempt: OpenAttempt): void {
+  #handleAnswer(attempt: OpenAttempt, isEndMarked: boolean): void {
     const { head } = attempt;
     if (head === null) {
       this.#retryRun(RETRY_REASON.broken);
@@ -426,7 +426,7 @@
       this.#fail(STATUS.badGateway, 'upstream-failed');
       return;
     }
-    this.#answer(head, body);
+    this.#answer(head, body, isEndMarked);
   }
 
   /** Retries after an attempt that did not run. */
@@ -479,14 +479,16 @@
     }
   }
 
-  #answer(head: AnswerHead, body: Buffer): void {
+  #answer(head: AnswerHead, body: Buffer, isEndMarked = true): void {
     const { status, passedHeaders } = head;
     const { clock, stopDeadline } = this.#context;
     stopDeadline.recordAnswered(
       this.#parameters.route.name,
       clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs,
     );
-    this.#exchange.answer({ status, headers: passedHeaders, body });
+    this.#exchange.answer({
+      status, headers: passedHeaders, body, isEndMarked,
+    });
     this.#finish('answered', { status: head.status });
   }
 
--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -6,8 +6,8 @@
 
 /** Result of an attempt. */
 export type AttemptResult =
-  /** The receiver has the complete answer. */
-  | { readonly kind: 'complete' }
+  /** The receiver has the answer; without a mark, the upstream may have ended it early. */
+  | { readonly kind: 'complete'; readonly isEndMarked: boolean }
   /** No byte of the request was passed to a connection. */
   | { readonly kind: 'notSent'; readonly detail: string }
   /** The request may have run, but no complete answer arrived. */
@@ -136,7 +136,7 @@
 
   onResponseEnd(): void {
     if (this.#isFramed || this.#hasEnded) {
-      this.#end({ kind: 'complete' });
+      this.#end({ kind: 'complete', isEndMarked: true });
     } else {
       this.#endUnframed();
     }
@@ -147,7 +147,7 @@
     this.#receiver.probe().then(
       (isRunning) => {
         if (isRunning) {
-          this.#end({ kind: 'complete' });
+          this.#end({ kind: 'complete', isEndMarked: false });
         } else {
           this.#endWithoutAnswer('the upstream ended, and the answer marks no end');
         }
