--- a/src/quarantine/ClearedSuspects.ts
+++ b/src/quarantine/ClearedSuspects.ts
@@ -1,7 +1,7 @@
 import { getEra, getUnbound, type EraBound } from '../directory/EraBound.ts';
 import type { SuspectId } from './SuspectId.ts';
 
-/** What is remembered of a suspect that was answered. */
+/** Crashes that no longer count against a suspect, since it was answered after them. */
 interface ClearedSuspect {
   /** Revision of the newest record of an answer in the store; 0 for none. */
   readonly revision: EraBound;
