Log how an upstream's answer ended, from which upstream, and why an exchange broke

The lines of a stream that ended early could not tell an end by the last chunk from an end by a close, did not name the engine, and the line `broken` gave no reason. PeerExchange now reports the mark as sendAttempt does; its tests ask for it.

--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -489,7 +489,7 @@
     this.#exchange.answer({
       status, headers: passedHeaders, body, isEndMarked,
     });
-    this.#finish('answered', { status: head.status });
+    this.#finish('answered', { status: head.status, isEndMarked });
   }
 
   /**
--- a/src/relay/ForwardingRelay.ts
+++ b/src/relay/ForwardingRelay.ts
@@ -116,7 +116,9 @@
     switch (end.kind) {
       case 'complete':
         this.#exchange.end();
-        this.#finish('answered', { status: this.#head?.status ?? null });
+        this.#finish('answered', {
+          hostId: peer.hostId, status: this.#head?.status ?? null, isEndMarked: end.isEndMarked,
+        });
         return;
       case 'notTaken':
         this.#log('notTaken', { hostId: peer.hostId, detail: end.detail });
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -535,14 +535,14 @@
     this.#contact?.close();
     this.#silenceMonitor.stop();
     if (end.kind === 'broken' && !end.isAborted) {
-      this.#recordBroken(engine);
+      this.#recordBroken(engine, end.detail);
     }
     if (this.#isOver) {
       return;
     }
     switch (end.kind) {
       case 'complete':
-        this.#handleComplete(engine);
+        this.#handleComplete(engine, end.isEndMarked);
         return;
       case 'notSent':
         this.#runCount -= 1;
@@ -559,7 +559,7 @@
     }
   }
 
-  #handleComplete(engine: UpstreamEntry): void {
+  #handleComplete(engine: UpstreamEntry, isEndMarked: boolean): void {
     const head = this.#head;
     if (head !== null && head.isNotRun) {
       this.#runCount -= 1;
@@ -573,9 +573,10 @@
       return;
     }
     if (head === null || (head.status < STATUS.multipleChoices && this.#splitter.hasPartialEvent)) {
-      this.#recordBroken(engine);
+      const detail = 'the stream ended inside an event';
+      this.#recordBroken(engine, detail);
       this.#reportToCoordinator('failed');
-      this.#resume('the stream ended inside an event');
+      this.#resume(detail);
       return;
     }
     this.#context.quarantine.recordAnswered(this.#parameters.subject, {
@@ -591,7 +592,9 @@
     }
     this.#exchange.end();
     this.#recordAnswered();
-    this.#finish('answered', { lastEventId: this.#events.lastEventId });
+    this.#finish('answered', {
+      upstreamId: engine.id, lastEventId: this.#events.lastEventId, isEndMarked,
+    });
   }
 
   #recordAnswered(): void {
@@ -602,10 +605,10 @@
     );
   }
 
-  #recordBroken(engine: UpstreamEntry): void {
+  #recordBroken(engine: UpstreamEntry, detail: string): void {
     const { subject, trial } = this.#parameters;
     this.#log('broken', {
-      upstreamId: engine.id, fingerprint: subject.requestId, partIds: subject.partIds,
+      upstreamId: engine.id, detail, fingerprint: subject.requestId, partIds: subject.partIds,
     });
     this.#context.quarantine.recordBrokenExchange(subject, engine, {
       sentAtMs: this.#sentAtMs, trial,
--- a/src/relay/PeerExchange.test.ts
+++ b/src/relay/PeerExchange.test.ts
@@ -65,7 +65,7 @@
 
   it('completes an answer without length or chunks of a host that runs on', async () => {
     const { end, text } = await runExchange((socket) => socket.end(UNFRAMED));
-    deepEqual(end, { kind: 'complete' });
+    deepEqual(end, { kind: 'complete', isEndMarked: false });
     equal(text, 'id: 1\ndata: a\n\n');
   });
 
@@ -83,6 +83,6 @@
 
   it('completes an answer with its last chunk', async () => {
     const { end } = await runExchange((socket) => socket.end(`${CHUNKED}0\r\n\r\n`));
-    deepEqual(end, { kind: 'complete' });
+    deepEqual(end, { kind: 'complete', isEndMarked: true });
   });
 });
--- a/src/relay/PeerExchange.ts
+++ b/src/relay/PeerExchange.ts
@@ -5,8 +5,8 @@
 
 /** Result of passing a request on to another host. */
 export type PeerExchangeEnd =
-  /** The whole answer has arrived. */
-  | { readonly kind: 'complete' }
+  /** The whole answer has arrived; without a mark, its upstream may have ended it early. */
+  | { readonly kind: 'complete'; readonly isEndMarked: boolean }
   /** The host has not taken the request. */
   | { readonly kind: 'notTaken'; readonly detail: string }
   /** The request may have run, but no complete answer arrived. */
@@ -128,7 +128,7 @@
     if (this.#isDeclined) {
       this.#end({ kind: 'notTaken', detail: 'it reaches no upstream either' });
     } else if (this.#isFramed) {
-      this.#end({ kind: 'complete' });
+      this.#end({ kind: 'complete', isEndMarked: true });
     } else {
       this.#endUnframed();
     }
@@ -147,7 +147,7 @@
   #endUnframed(): void {
     this.#options.probe().then(
       (isRunning) => this.#end(isRunning
-        ? { kind: 'complete' }
+        ? { kind: 'complete', isEndMarked: false }
         : { kind: 'broken', detail: 'the host ended, and the answer marks no end' }),
       (error: unknown) => this.#end({ kind: 'broken', detail: String(error) }),
     );
