Take no reset that arrives with the last bytes for the end of an answer

Whatever has neither a length nor chunks ends with its connection, and Node's socket reports a reset as an end in order when it arrives together with the last bytes: libuv reads the bytes, sees the hang-up and ends the stream without reading the error.

Answers with a length or chunks are complete without the end of the connection.

--- a/src/relay/unframedAnswers.test.ts
+++ b/src/relay/unframedAnswers.test.ts
@@ -48,6 +48,20 @@
     equal(looksComplete(answer), false);
   });
 
+  ['stream', 'single', 'safe', 'once'].forEach((route) => {
+    it(`leaves an answer that was reset after its bytes incomplete, route ${route}`, async () => {
+      const resetAtOnce: UpstreamHandler = (request, response) => {
+        response.socket?.write(
+          `${getUnframedHead(request.headers['x-request-id'])}id: 1\ndata: a\n\n`,
+        );
+        response.socket?.resetAndDestroy();
+      };
+      const target = await startBed(resetAtOnce, resetAtOnce);
+      const answer = await readRawAnswer(target, `/${route}/`);
+      ok(!looksComplete(answer) || answer.text.startsWith('HTTP/1.1 502'), answer.text);
+    });
+  });
+
   it('marks the end of a whole stream by the last chunk', async () => {
     const target = await startBed((request, response) => {
       response.socket?.end(`${getUnframedHead(request.headers['x-request-id'])}id: 1\ndata: a\n\n`);
--- a/src/upstreams/createConnector.ts
+++ b/src/upstreams/createConnector.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net';
-import { buildConnector } from 'undici';
+import { buildConnector, errors } from 'undici';
 import { AnswerTooLargeError } from './AnswerTooLargeError.ts';
 
 /** Replaces `ECONNRESET`, which undici would take for the end of an answer without a length. */
@@ -16,6 +16,22 @@
   }
 }
 
+/**
+ * Ends a connection with an error when its end is a reset. Node reports a reset that arrives
+ * together with the last bytes as an end in order; only the missing peer tells them apart.
+ */
+function reportLateResets(socket: Socket): void {
+  const push = socket.push.bind(socket);
+  socket.push = (chunk, encoding) => {
+    // Asked for at the end only, since Node remembers the peer's address once it has read it.
+    if (chunk === null && socket.remoteAddress === undefined) {
+      socket.destroy(new errors.SocketError('the connection was reset'));
+      return false;
+    }
+    return push(chunk, encoding);
+  };
+}
+
 /** Closes a connection that receives more for one request than {@link MAX_EXCHANGE_BYTES}. */
 function limitExchangeBytes(socket: Socket): void {
   let bytesWritten = 0;
@@ -47,6 +63,7 @@
       const [error, socket] = result;
       if (error === null) {
         socket.prependListener('error', renameReset);
+        reportLateResets(socket);
         limitExchangeBytes(socket);
       }
       callback(...result);
