Mark no end of an upstream's error that had no mark itself

An error answer without a length or chunks got a length from the host, so that callers took it for whole although its upstream may have broken it off (MIXED): the failure that a repeatable request keeps for its end, and the error that a stream meets, lost the flag on the way, since it had a default. The flag is now required.

`npm test -- unframedAnswers`: 3 of its 4 tests of errors failed before.

--- a/src/ingress/CallerExchange.ts
+++ b/src/ingress/CallerExchange.ts
@@ -8,7 +8,7 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   /** Whether the body is known to be whole; false when its upstream marked no end. */
-  readonly isEndMarked?: boolean;
+  readonly isEndMarked: boolean;
 }
 
 /**
@@ -67,7 +67,7 @@
 
   /** @param answer - the answer; sent at once */
   answer({
-    status, headers, body, isEndMarked = true,
+    status, headers, body, isEndMarked,
   }: WholeAnswer): void {
     const hasBody = this.request.method !== 'HEAD' && !BODILESS_STATUSES.has(status);
     const isMarked = isEndMarked || body.length > MAX_UNMARKED_BYTES;
--- a/src/ingress/IngressServer.test.ts
+++ b/src/ingress/IngressServer.test.ts
@@ -63,7 +63,7 @@
 
   it('gives a whole answer its length, so that a caller sees when it is cut', async () => {
     await startServer((exchange) => exchange.answer({
-      status: 200, headers: ['X-Of', 'upstream'], body: Buffer.from('text'),
+      status: 200, headers: ['X-Of', 'upstream'], body: Buffer.from('text'), isEndMarked: true,
     }));
     const text = await exchangeBytes(`GET / HTTP/1.1\r\nConnection: close\r\n${HEAD}\r\n`);
     ok(text.endsWith('\r\n\r\ntext'), text);
@@ -72,7 +72,7 @@
 
   it('gives no length to an answer without a body', async () => {
     await startServer((exchange) => exchange.answer({
-      status: 204, headers: [], body: Buffer.alloc(0),
+      status: 204, headers: [], body: Buffer.alloc(0), isEndMarked: true,
     }));
     const text = await exchangeBytes(`GET / HTTP/1.1\r\nConnection: close\r\n${HEAD}\r\n`);
     match(text, /^HTTP\/1.1 204 /);
@@ -113,7 +113,9 @@
   it('cuts no answer that a slow caller still reads when it closes idle connections', async () => {
     const body = Buffer.alloc(8_000_000, 'x');
     await startServer((exchange) => {
-      exchange.answer({ status: 200, headers: [], body });
+      exchange.answer({
+        status: 200, headers: [], body, isEndMarked: true,
+      });
       setTimeout(() => server?.closeIdle(), 50);
     });
     const answer = await sendRaw(
@@ -126,7 +128,9 @@
 
   it('closes a connection that has been idle since its answer', async () => {
     await startServer((exchange) => {
-      exchange.answer({ status: 200, headers: [], body: Buffer.from('text') });
+      exchange.answer({
+        status: 200, headers: [], body: Buffer.from('text'), isEndMarked: true,
+      });
       setTimeout(() => server?.closeIdle(), 50);
     });
     const { text } = await sendRaw({ host: TEST_IP, port }, `GET / HTTP/1.1\r\n${HEAD}\r\n`);
--- a/src/ingress/createErrorAnswer.ts
+++ b/src/ingress/createErrorAnswer.ts
@@ -22,5 +22,6 @@
     status,
     headers: ['Content-Type', 'application/json', ...retryHeaders],
     body: Buffer.from(JSON.stringify({ reason })),
+    isEndMarked: true,
   };
 }
--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -27,6 +27,14 @@
   readonly answer: BufferedAnswer;
 }
 
+/** Answer of an upstream that has ended. */
+interface UpstreamAnswer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+  /** Whether a length or the last chunk marked its end. */
+  readonly isEndMarked: boolean;
+}
+
 /** Fraction of the target latency after which a hedged send goes to a second upstream. */
 const HEDGE_FRACTION = 0.6;
 /** Silence, in multiples of the target latency, after which an upstream is avoided. */
@@ -93,7 +101,7 @@
 
   #isOver = false;
 
-  #lastFailure: { head: AnswerHead; body: Buffer } | null = null;
+  #lastFailure: UpstreamAnswer | null = null;
 
   /**
    * @param context - dependencies shared by all relays
@@ -416,7 +424,7 @@
     });
     const body = attempt.answer.take();
     if (head.status >= STATUS.error && this.#isRepeatable) {
-      this.#lastFailure = { head, body };
+      this.#lastFailure = { head, body, isEndMarked };
       this.#log('failed', { upstreamId: attempt.upstreamId, status: head.status });
       this.#retryRun(RETRY_REASON.failed);
       return;
@@ -426,7 +434,7 @@
       this.#fail(STATUS.badGateway, 'upstream-failed');
       return;
     }
-    this.#answer(head, body, isEndMarked);
+    this.#answer({ head, body, isEndMarked });
   }
 
   /** Retries after an attempt that did not run. */
@@ -479,7 +487,7 @@
     }
   }
 
-  #answer(head: AnswerHead, body: Buffer, isEndMarked = true): void {
+  #answer({ head, body, isEndMarked }: UpstreamAnswer): void {
     const { status, passedHeaders } = head;
     const { clock, stopDeadline } = this.#context;
     stopDeadline.recordAnswered(
@@ -513,7 +521,7 @@
       return;
     }
     if (this.#lastFailure !== null) {
-      this.#answer(this.#lastFailure.head, this.#lastFailure.body);
+      this.#answer(this.#lastFailure);
       return;
     }
     // Only a request that certainly has not run gets 503; one that may have run gets 502.
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -593,7 +593,7 @@
     });
     this.#reportToCoordinator('ended');
     if (head.status >= STATUS.multipleChoices) {
-      this.#handleErrorAnswer(head);
+      this.#handleErrorAnswer(head, isEndMarked);
       return;
     }
     if (!this.#exchange.hasAnswered) {
@@ -625,7 +625,7 @@
   }
 
   /** Forwards the engine's error answer unchanged, unless a stream has started. */
-  #handleErrorAnswer(head: AnswerHead): void {
+  #handleErrorAnswer(head: AnswerHead, isEndMarked: boolean): void {
     // The engine does not say that the request has not run, as such a status would to the caller.
     if (this.#exchange.hasAnswered || isRefusalStatus(head.status)) {
       this.#fail(STATUS.badGateway, 'engine-failed', null);
@@ -633,8 +633,10 @@
     }
     const body = this.#errorAnswer.take();
     const { status, passedHeaders } = head;
-    this.#exchange.answer({ status, headers: passedHeaders, body });
-    this.#finish('engine-failed', { status });
+    this.#exchange.answer({
+      status, headers: passedHeaders, body, isEndMarked,
+    });
+    this.#finish('engine-failed', { status, isEndMarked });
   }
 
   /** Requests another placement without using a retry, because nothing was sent. */
--- a/src/relay/unframedAnswers.test.ts
+++ b/src/relay/unframedAnswers.test.ts
@@ -133,6 +133,19 @@
     equal(looksComplete(answer), true);
   });
 
+  ['safe', 'once', 'stream', 'single'].forEach((route) => {
+    it(`marks no end of an error that the upstream did not mark, route ${route}`, async () => {
+      const fail: UpstreamHandler = (request, response) => {
+        const head = getUnframedHead(request.headers['x-request-id']);
+        response.socket?.end(`${head.replace('200 OK', '500 Error')}failed`);
+      };
+      const answer = await readRawAnswer(await startBed(fail, fail), `/${route}/`);
+      ok(answer.text.startsWith('HTTP/1.1 500'), answer.text);
+      ok(!/content-length|transfer-encoding/i.test(answer.text), answer.text);
+      ok(answer.text.endsWith('\r\n\r\nfailed'));
+    });
+  });
+
   ['safe', 'once'].forEach((route) => {
     it(`marks no end that the upstream did not mark, route ${route}`, async () => {
       const target = await startBed((request, response) => {
