Hand a small answer without a mark on as it came, also through another host

A host that reaches no upstream passed such answers on in chunks and so marked an end that their upstream had not marked (MIXED where that upstream had broken them off). PeerExchange now says whether the head tells the end; ForwardingRelay holds up to 16 KiB of an answer that does not, and hands it on like BufferedRelay. Streams pass at once.

`npm test -- strandedHosts`: its new test failed before (chunks). The test's cut of a host from its upstreams no longer cuts its path to other hosts too.

--- a/src/ingress/CallerExchange.ts
+++ b/src/ingress/CallerExchange.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { CallerRequest } from './CallerRequest.ts';
+import { MAX_UNMARKED_BYTES } from './MAX_UNMARKED_BYTES.ts';
 
 /** A complete answer, as opposed to a stream. */
 export interface WholeAnswer {
@@ -11,12 +12,6 @@
   readonly isEndMarked: boolean;
 }
 
-/**
- * Size up to which the operating system takes an answer at once, so that the end of this process
- * cannot cut it. A larger one gets its length even if its upstream marked no end.
- */
-const MAX_UNMARKED_BYTES = 16_384;
-
 /** Statuses of answers that have neither a body nor a length (RFC 9110, section 8.6). */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
--- a/src/relay/ForwardingRelay.ts
+++ b/src/relay/ForwardingRelay.ts
@@ -1,7 +1,9 @@
 import type { CallerExchange } from '../ingress/CallerExchange.ts';
+import { MAX_UNMARKED_BYTES } from '../ingress/MAX_UNMARKED_BYTES.ts';
 import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { HostId } from '../lib/ids.ts';
+import { BufferedAnswer } from './BufferedAnswer.ts';
 import type { ForwardingPeer } from './ForwardingPeers.ts';
 import { PeerExchange, type PeerExchangeEnd } from './PeerExchange.ts';
 import type { OpenRelay, RelayContext } from './RelayContext.ts';
@@ -12,7 +14,9 @@
 /** Retry-After when no other host takes the request. */
 const RETRY_AFTER_MS = 500;
 
-const STATUS = { badGateway: 502, unavailable: 503, timeout: 504 } as const;
+const STATUS = {
+  multipleChoices: 300, badGateway: 502, unavailable: 503, timeout: 504,
+} as const;
 
 /**
  * Passes a request on to a host that reaches upstreams, and its answer back as it arrives. That
@@ -32,6 +36,11 @@
 
   #head: AnswerHead | null = null;
 
+  /** Beginning of an answer whose end the other host does not mark. */
+  readonly #unmarked: BufferedAnswer;
+
+  #unmarkedBytes = 0;
+
   #isOver = false;
 
   #deadlineTimer: NodeJS.Timeout | null = null;
@@ -45,6 +54,7 @@
     this.#context = context;
     this.#exchange = exchange;
     this.#deadlineAtMs = deadlineAtMs;
+    this.#unmarked = new BufferedAnswer(context.answerMemory);
   }
 
   /** Starts relaying. */
@@ -86,13 +96,13 @@
       connections: connections.get(url),
       protocol,
       receiver: {
-        onHead: (head) => {
+        onHead: (head, marksEnd) => {
           this.#head = head;
-          if (!this.#isOver) {
-            this.#exchange.beginStream(head.status, head.passedHeaders);
+          if (marksEnd || this.#isStream(head)) {
+            this.#beginStream();
           }
         },
-        onData: (chunk) => this.#forward(chunk),
+        onData: (chunk) => this.#handleData(chunk),
         onEnd: (end) => this.#endExchange(peer, end),
       },
       probe: () => connections.probe(url),
@@ -100,13 +110,49 @@
     this.#peerExchange.send(this.#exchange.request, this.#getRemainingMs());
   }
 
+  #isStream({ status }: AnswerHead): boolean {
+    return this.#exchange.request.profile.generation !== null && status < STATUS.multipleChoices;
+  }
+
+  /** Passes bytes on; those of a small answer without a mark wait for its end. */
+  #handleData(chunk: Buffer): void {
+    if (this.#isOver || this.#exchange.hasAnswered) {
+      this.#forward(chunk);
+      return;
+    }
+    this.#unmarkedBytes += chunk.length;
+    if (this.#unmarkedBytes > MAX_UNMARKED_BYTES || !this.#unmarked.add(chunk)) {
+      this.#beginStream();
+      this.#forward(chunk);
+    }
+  }
+
+  #beginStream(): void {
+    if (this.#head !== null && !this.#isOver) {
+      this.#exchange.beginStream(this.#head.status, this.#head.passedHeaders);
+      this.#forward(this.#unmarked.take());
+    }
+  }
+
   #forward(chunk: Buffer): void {
-    if (!this.#isOver && !this.#exchange.write(chunk)) {
+    if (!this.#isOver && chunk.length > 0 && !this.#exchange.write(chunk)) {
       this.#peerExchange?.pause();
       this.#exchange.onWritable(() => this.#peerExchange?.resume());
     }
   }
 
+  /** Ends the answer; a small one without a mark is handed on as it came. */
+  #endAnswer(isEndMarked: boolean): void {
+    if (this.#exchange.hasAnswered || this.#head === null) {
+      this.#exchange.end();
+      return;
+    }
+    const { status, passedHeaders } = this.#head;
+    this.#exchange.answer({
+      status, headers: passedHeaders, body: this.#unmarked.take(), isEndMarked,
+    });
+  }
+
   #endExchange(peer: ForwardingPeer, end: PeerExchangeEnd): void {
     this.#context.forwardingPeers.recordEnd(peer.hostId, end.kind !== 'notTaken');
     this.#peerExchange = null;
@@ -115,7 +161,7 @@
     }
     switch (end.kind) {
       case 'complete':
-        this.#exchange.end();
+        this.#endAnswer(end.isEndMarked);
         this.#finish('answered', {
           hostId: peer.hostId, status: this.#head?.status ?? null, isEndMarked: end.isEndMarked,
         });
@@ -151,6 +197,7 @@
     this.#isOver = true;
     this.#context.openRelays.delete(this);
     clearTimeout(this.#deadlineTimer ?? undefined);
+    this.#unmarked.release();
     this.#peerExchange?.abort(outcome);
     const elapsedMs = this.#context.clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs;
     this.#context.metrics.recordEnd('forwarded', outcome, elapsedMs);
--- a/src/relay/PeerExchange.ts
+++ b/src/relay/PeerExchange.ts
@@ -25,8 +25,11 @@
 
 /** Receives the answer of the other host. */
 export interface PeerAnswerReceiver {
-  /** @param head - the head of the answer */
-  onHead(head: AnswerHead): void;
+  /**
+   * @param head - the head of the answer
+   * @param marksEnd - whether it tells where the body ends
+   */
+  onHead(head: AnswerHead, marksEnd: boolean): void;
   /** @param chunk - bytes of the body */
   onData(chunk: Buffer): void;
   /** @param end - the result; called once, after all other methods */
@@ -112,7 +115,10 @@
       const rawHeaders = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
       const texts = rawHeaders.map((text) => text.toString('latin1'));
       this.#isFramed = isFramed(texts);
-      this.#options.receiver.onHead(this.#options.protocol.decodeAnswerHead(status, texts));
+      this.#options.receiver.onHead(
+        this.#options.protocol.decodeAnswerHead(status, texts),
+        this.#isFramed,
+      );
     }
   }
 
--- a/src/relay/strandedHosts.test.ts
+++ b/src/relay/strandedHosts.test.ts
@@ -56,6 +56,26 @@
     });
   });
 
+  it('marks no end of a small answer that its upstream did not mark', async () => {
+    fleet = new StrandedFleet();
+    await fleet.start(2, (request, response) => {
+      response.socket?.end([
+        'HTTP/1.1 200 OK',
+        `X-Request-Id: ${String(request.headers['x-request-id'])}`,
+        'Connection: close',
+        '',
+        'ran',
+      ].join('\r\n'));
+    });
+    await sleep(200);
+    fleet.cut(0, 'refused');
+    await sendUntilKnown(fleet, 0);
+    const { text } = await fleet.sendRaw(0, '/once/', 'unmarked');
+    ok(text.startsWith('HTTP/1.1 200'), text);
+    ok(!/content-length|transfer-encoding/i.test(text), text);
+    ok(text.endsWith('\r\n\r\nran'), text);
+  });
+
   it('refuses at once while no host reaches an upstream, and serves again later', async () => {
     const target = await startFleet(2);
     [0, 1].forEach((hostIndex) => target.cut(hostIndex, 'silent'));
--- a/test/support/CuttableConnections.ts
+++ b/test/support/CuttableConnections.ts
@@ -42,6 +42,7 @@
 
   /** @inheritdoc */
   override async probe(url: string): Promise<boolean> {
-    return this.cut === 'none' && super.probe(url);
+    const isCut = this.cut !== 'none' && this.#upstreamUrls.has(url);
+    return !isCut && super.probe(url);
   }
 }
--- a/test/support/StrandedFleet.ts
+++ b/test/support/StrandedFleet.ts
@@ -10,6 +10,7 @@
 import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
 import { createBedConfiguration } from './createBedConfiguration.ts';
 import { TEST_IP } from './getFreePort.ts';
+import { sendRaw, type RawAnswer } from './readRawAnswer.ts';
 import { startTestHost } from './startTestHost.ts';
 
 const POOL_ID = toId<PoolId>('pool');
@@ -61,6 +62,27 @@
     this.#getHost(hostIndex).connections.cut = cut;
   }
 
+  /**
+   * Sends a request without a body on a new connection.
+   *
+   * @param hostIndex - the host that the caller connects to
+   * @param path - path of the request
+   * @param id - id of the request
+   * @returns the answer as its bytes arrived
+   */
+  sendRaw(hostIndex: number, path: string, id: string): Promise<RawAnswer> {
+    return sendRaw({ host: TEST_IP, port: this.#getHost(hostIndex).port }, [
+      `POST ${path} HTTP/1.1`,
+      'Host: a.example',
+      `X-Request-Id: ${id}`,
+      'Authorization: Bearer key',
+      'Content-Length: 0',
+      'Connection: close',
+      '',
+      '',
+    ].join('\r\n'));
+  }
+
   /**
    * Sends a request on a new connection.
    *
