Let the store's stand-in serve single items

It answered 404, so that each host of a soak or process test took every engine for changed and let streams go on only where another exchange proved the engine: the way through the store was never tested (found by the users' facts).

--- a/standins/store/StoreStandin.ts
+++ b/standins/store/StoreStandin.ts
@@ -65,6 +65,8 @@
    */
   constructor(pageSize = PAGE_SIZE) {
     this.#pageSize = pageSize;
+    this.#route('GET', STORE_PATHS.item, (request, reply) => (
+      this.#getItem(request.query as Query, reply)));
     this.#route('GET', STORE_PATHS.range, (request) => this.#getRange(request.query as Query));
     this.#route('GET', STORE_PATHS.watch, (request, reply) => (
       this.#watch(request.query as Query, reply)));
@@ -147,6 +149,14 @@
     });
   }
 
+  #getItem({ key = '' }: Query, reply: FastifyReply): unknown {
+    const item = this.state.getItem(key);
+    if (item === undefined) {
+      reply.code(STATUS.notFound);
+    }
+    return { ...item, as_of: this.state.revision };
+  }
+
   #getRange(query: Query): unknown {
     const { items, hasMore } = this.state.getRange(
       query.prefix ?? '',
--- a/standins/store/StoreState.ts
+++ b/standins/store/StoreState.ts
@@ -135,6 +135,14 @@
     return { items: items.slice(0, limit), hasMore: items.length > limit };
   }
 
+  /**
+   * @param key - a key
+   * @returns its item; undefined when there is none
+   */
+  getItem(key: string): StoreItem | undefined {
+    return this.#items.get(key);
+  }
+
   /**
    * @param prefix - prefix of the keys
    * @param after - a revision
