Take a silent engine for the same process when its stream ends without a mark

Only positive evidence counts now: another start, another upstream at the address, or no connection. A report has 500 ms.

--- a/src/relay/checkUnmarkedEnd.ts
+++ b/src/relay/checkUnmarkedEnd.ts
@@ -1,4 +1,5 @@
 import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
+import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { EngineProbe, ProbeResult } from './EngineProbe.ts';
 
 /** What is known of an engine whose answer ended without a mark. */
@@ -9,16 +10,29 @@
   readonly result: ProbeResult;
 }
 
-/** Longest time for which a sound engine does not respond. */
-const MAX_SOUND_SILENCE_MS = 1_500;
+/** Time for a report, which an engine gives at once. */
+const REPORT_TIMEOUT_MS = 500;
 
 /** Probes of one engine; a sound engine may break off one of its answers, as it did before. */
 const MAX_PROBES = 2;
 
-/** Whether the process that answered a probe may be the one that an entry describes. */
+/**
+ * Whether a probe shows no other process than the one that an entry describes. One that accepts
+ * connections and is silent counts as the same: it may stand still for a second.
+ */
 function mayBeSameProcess(result: ProbeResult, { startedAtMs }: UpstreamEntry): boolean {
-  return result.kind === 'answered'
-    && (result.startedAtMs === null || startedAtMs === null || result.startedAtMs === startedAtMs);
+  switch (result.kind) {
+    case 'answered':
+      return result.startedAtMs === null || startedAtMs === null
+        || result.startedAtMs === startedAtMs;
+    case 'silent':
+      return true;
+    case 'other':
+    case 'unreachable':
+      return false;
+    default:
+      throw exhaustiveSwitchError(result);
+  }
 }
 
 /**
@@ -35,10 +49,10 @@
   probe: EngineProbe,
   entry: UpstreamEntry,
 ): Promise<UnmarkedEndProof> {
-  let result = await probe.probe(entry, MAX_SOUND_SILENCE_MS);
+  let result = await probe.probe(entry, REPORT_TIMEOUT_MS);
   for (let count = 1; result.kind === 'unreachable' && count < MAX_PROBES; count += 1) {
     // eslint-disable-next-line no-await-in-loop -- only after the probe before has failed
-    result = await probe.probe(entry, MAX_SOUND_SILENCE_MS);
+    result = await probe.probe(entry, REPORT_TIMEOUT_MS);
   }
   return { isWhole: mayBeSameProcess(result, entry), result };
 }
