Let the soak's upstreams mark no ends, reset connections after bytes, restart at once

The soak's upstreams marked the end of every answer, and its proxies never reset a connection right after bytes, so that it missed streams that ended early and looked whole.

--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -12,7 +12,7 @@
 
 /*
  * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H] [--rate R] [--retries C]
- * [--slack B] [--profile all|repeats|closures|limits|copies] [--faults S] [--crashing]
+ * [--slack B] [--profile all|repeats|closures|limits|copies|endings] [--faults S] [--crashing]
  * [--one-sided]`: runs entry hosts as processes on loopback and injects faults. Counts repeated
  * arrivals at each service, arrivals at upstreams that leave, ask for a back-off or advertise a
  * limit, and the upstreams that a request crashes.
--- a/scripts/soak/SoakFaultInjector.ts
+++ b/scripts/soak/SoakFaultInjector.ts
@@ -218,6 +218,13 @@
       setFault([placed.upstream], 'none');
       return;
     }
+    if (how === 'restart') {
+      placed.upstream.restartUnderId();
+      // The store hears of it later.
+      await sleep(durationMs);
+      this.register(placed, 'ready');
+      return;
+    }
     const { id } = placed.upstream;
     if (how === 'drain') {
       this.register(placed, 'draining');
--- a/scripts/soak/SoakProxy.ts
+++ b/scripts/soak/SoakProxy.ts
@@ -3,10 +3,15 @@
 } from 'node:net';
 
 /** Fault that a proxy applies to its traffic. */
-export type ProxyFault = 'none' | 'delay' | 'hold' | 'silent' | 'cutAnswers';
+export type ProxyFault =
+  | 'none' | 'delay' | 'hold' | 'silent' | 'cutAnswers'
+  /** Resets a connection right after some bytes of an answer. */
+  | 'resetAnswers';
 
 const LOOPBACK = '127.0.0.1';
 const DELAY_MS = 150;
+/** Most parts of answers that a connection passes before it is reset. */
+const MAX_PARTS_BEFORE_RESET = 6;
 
 /** Destroys a socket that is ending: if it were reset, Node would wait for it forever at exit. */
 function resetSocket(socket: Socket): void {
@@ -30,6 +35,8 @@
 
   #fault: ProxyFault = 'none';
 
+  #connectionCount = 0;
+
   /** Writes and ends that are delayed while traffic is held, as for a suspended process. */
   readonly #heldActions: (() => void)[] = [];
 
@@ -88,7 +95,16 @@
     caller.on('close', () => this.#closeTarget(target));
     target.on('close', () => caller.destroy());
     caller.on('data', (chunk: Buffer) => this.#forward(chunk, target, ['silent']));
-    target.on('data', (chunk: Buffer) => this.#forward(chunk, caller, ['silent', 'cutAnswers']));
+    const partsBeforeReset = 1 + (this.#connectionCount % MAX_PARTS_BEFORE_RESET);
+    this.#connectionCount += 1;
+    let partCount = 0;
+    target.on('data', (chunk: Buffer) => {
+      this.#forward(chunk, caller, ['silent', 'cutAnswers']);
+      partCount += 1;
+      if (this.#fault === 'resetAnswers' && partCount >= partsBeforeReset) {
+        resetSocket(caller);
+      }
+    });
   }
 
   /** A suspended target reads all data sent before it sees the end of the connection. */
--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -1,5 +1,5 @@
 import { describe, it } from 'node:test';
-import { SOAK_PROFILE } from './createSoakPlan.ts';
+import { SOAK_PROFILE, type PlannedFault } from './createSoakPlan.ts';
 import { MIXED_RUN, checkSoakRun, type SoakTestOptions } from '../../test/support/checkSoakRun.ts';
 import { REGRESSION_RUNS } from './REGRESSION_RUNS.ts';
 
@@ -48,6 +48,32 @@
   ],
 };
 
+/** Upstreams that mark no ends reset connections or restart at once, and hosts are killed. */
+const ENDING_RUN: SoakTestOptions = {
+  ...MIXED_RUN,
+  profile: SOAK_PROFILE.endings,
+  plan: Array.from({ length: 12 }, (_, index): PlannedFault[] => [
+    {
+      atMs: 400 * index,
+      durationMs: 1_000,
+      targetNumber: index,
+      fault: { kind: 'connection', how: 'resetAnswers', target: 'upstream' },
+    },
+    {
+      atMs: 400 * index + 200,
+      durationMs: 300,
+      targetNumber: index + 5,
+      fault: { kind: 'upstream', how: 'restart' },
+    },
+    {
+      atMs: 400 * index + 300,
+      durationMs: 0,
+      targetNumber: index,
+      fault: { kind: 'host', how: index % 4 === 0 ? 'kill' : 'reload' },
+    },
+  ]).flat(),
+};
+
 describe('SoakRun', () => {
   it('stops sending requests that crash their upstreams', async () => {
     await checkSoakRun(CRASHING_RUN, NETWORK);
@@ -57,6 +83,10 @@
     await checkSoakRun(UPSTREAM_CRASH_RUN, NETWORK);
   });
 
+  it('takes no answer that ended early for whole, without marks at their ends', async () => {
+    await checkSoakRun(ENDING_RUN, NETWORK);
+  });
+
   const runs = [
     MIXED_RUN, STORE_COPY_RUN, ...REGRESSION_RUNS.filter(({ isShort }) => isShort),
   ];
--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -14,7 +14,9 @@
 import { countRepeats, type RepeatReport } from './countRepeats.ts';
 import { SOAK_POOLS } from './createSoakManifest.ts';
 import { createSoakRecord } from './createSoakRecord.ts';
-import { createSoakPlan, type PlannedFault, type SoakProfile } from './createSoakPlan.ts';
+import {
+  createSoakPlan, SOAK_PROFILE, type PlannedFault, type SoakProfile,
+} from './createSoakPlan.ts';
 import { measureClosures, type ClosureReport } from './measureClosures.ts';
 import { measureCrashes, type CrashReport } from './measureCrashes.ts';
 import { measureLimits, type LimitReport } from './measureLimits.ts';
@@ -211,6 +213,7 @@
         this.#faultInjector.restartAfterCrash(crash.upstreamId);
       },
     }, this.#clock);
+    upstream.marksEnds = this.#options.profile !== SOAK_PROFILE.endings;
     await upstream.listen();
     const proxy = new SoakProxy(upstream.port);
     await proxy.listen();
--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -22,6 +22,7 @@
 const MISDIRECTED = 421;
 const UNAVAILABLE = 503;
 const FAILED = 500;
+const STATUS_OK = 200;
 /** Duration of the back-off that an upstream asks for. */
 const BACK_OFF_MS = 1_500;
 const MS_PER_SECOND = 1_000;
@@ -89,6 +90,9 @@
   /** Fault that is active now. */
   fault: UpstreamFault = 'none';
 
+  /** Whether answers have a length or chunks; others end with their connection. */
+  marksEnds = true;
+
   #openCount = 0;
 
   /** Span of the advertised limit; null if there is none. */
@@ -160,6 +164,12 @@
     this.startedAtMs = Math.floor(this.#clock.getWallMs());
   }
 
+  /** Closes all connections and restarts under its id; it accepts connections again at once. */
+  restartUnderId(): void {
+    this.#server.closeAllConnections();
+    this.startedAtMs = Math.max(this.startedAtMs + 1, Math.floor(this.#clock.getWallMs()));
+  }
+
   /** Stops listening and closes all connections. */
   close(): void {
     this.#server.close();
@@ -186,7 +196,7 @@
     } else if (isMisdirected) {
       response.writeHead(MISDIRECTED, { 'X-Not-Executed': '1' }).end();
     } else if (request.url === UPSTREAM_PATHS.report) {
-      response.end('{}');
+      response.end(JSON.stringify({ born: this.startedAtMs }));
     } else if (this.fault === 'backOff') {
       this.#recordNotice('backOff', requestId, performance.now() + BACK_OFF_MS);
       response.writeHead(UNAVAILABLE, {
@@ -308,16 +318,23 @@
       account: getHeader(request, HEADERS.account),
     });
     response.setHeader('X-Response-Signature', `signed-${this.id}`);
+    if (!this.marksEnds) {
+      response.useChunkedEncodingByDefault = false;
+      response.setHeader('Connection', 'close');
+    }
     if (this.fault === 'hang' || isCrashing) {
       return;
     }
     if (this.fault === 'fail') {
       response.writeHead(FAILED).end('failed');
     } else if (isStream) {
-      response.writeHead(200, { 'Content-Type': 'text/event-stream' });
+      response.writeHead(STATUS_OK, { 'Content-Type': 'text/event-stream' });
       this.#sendEvents(response, (lastEventId ?? 0) + 1);
     } else {
-      setTimeout(() => response.end(`answer to ${requestId}`), WORK_MS);
+      setTimeout(() => {
+        // Without its head sent before, Node gives an answer its length.
+        response.writeHead(STATUS_OK).end(`answer to ${requestId}`);
+      }, WORK_MS);
     }
   }
 
--- a/scripts/soak/createSoakPlan.ts
+++ b/scripts/soak/createSoakPlan.ts
@@ -4,14 +4,17 @@
 export type SoakFault =
   | { readonly kind: 'host'; readonly how: 'terminate' | 'kill' | 'pause' | 'reload' }
   | { readonly kind: 'allHosts'; readonly how: 'terminate' | 'kill' }
-  | { readonly kind: 'upstream'; readonly how: 'crash' | 'drain' | 'hold' | 'leave' | 'backOff' }
+  | {
+    readonly kind: 'upstream';
+    readonly how: 'crash' | 'drain' | 'hold' | 'leave' | 'backOff' | 'restart';
+  }
   | {
     readonly kind: 'pool';
     readonly how: 'refuse' | 'fail' | 'hang' | 'break' | 'hold' | 'backOff';
   }
   | {
     readonly kind: 'connection';
-    readonly how: 'delay' | 'silent' | 'cutAnswers' | 'reset';
+    readonly how: 'delay' | 'silent' | 'cutAnswers' | 'resetAnswers' | 'reset';
     readonly target: 'upstream' | 'store';
   }
   | { readonly kind: 'store'; readonly how: 'down' | 'answersLost' | 'slow' | 'forget' }
@@ -142,14 +145,39 @@
   { kind: 'manifest' },
 ];
 
+/** Whatever ends answers early; upstreams mark no ends meanwhile. */
+const ENDING_FAULTS: readonly SoakFault[] = [
+  { kind: 'connection', how: 'resetAnswers', target: 'upstream' },
+  { kind: 'connection', how: 'resetAnswers', target: 'upstream' },
+  { kind: 'connection', how: 'resetAnswers', target: 'upstream' },
+  { kind: 'connection', how: 'reset', target: 'upstream' },
+  { kind: 'connection', how: 'silent', target: 'store' },
+  { kind: 'upstream', how: 'restart' },
+  { kind: 'upstream', how: 'restart' },
+  { kind: 'upstream', how: 'restart' },
+  { kind: 'upstream', how: 'crash' },
+  { kind: 'upstream', how: 'drain' },
+  { kind: 'host', how: 'kill' },
+  { kind: 'host', how: 'kill' },
+  { kind: 'host', how: 'terminate' },
+  { kind: 'host', how: 'pause' },
+  { kind: 'allHosts', how: 'kill' },
+];
+
 /**
  * Sets of faults to draw from. `all` keeps its original faults, so that its seeds always draw the
  * same ones; `repeats` has faults that cause retries; `closures` has upstreams that leave or ask
  * for a back-off; `limits` has upstreams that advertise a limit; `copies` has a store that comes
- * back from older copies.
+ * back from older copies; `endings` has whatever ends answers early that have no mark at
+ * their end.
  */
 export const SOAK_PROFILE = {
-  all: 'all', repeats: 'repeats', closures: 'closures', limits: 'limits', copies: 'copies',
+  all: 'all',
+  repeats: 'repeats',
+  closures: 'closures',
+  limits: 'limits',
+  copies: 'copies',
+  endings: 'endings',
 } as const;
 
 /** A member of {@link SOAK_PROFILE}. */
@@ -161,6 +189,7 @@
   closures: CLOSURE_FAULTS,
   limits: LIMIT_FAULTS,
   copies: COPY_FAULTS,
+  endings: ENDING_FAULTS,
 };
 
 const MIN_DURATION_MS = 300;
