--- a/scripts/soak/SoakRecord.ts
+++ b/scripts/soak/SoakRecord.ts
@@ -38,6 +38,8 @@
   readonly requestId: string;
   readonly kind: RequestKind;
   readonly upstreamId: string;
+  /** Method and path of the call that started it. */
+  readonly call: string;
   readonly atMs: number;
   /** Last event that the caller had already received; null for a run from the start. */
   readonly lastEventId: number | null;
--- a/scripts/soak/SoakUpstream.ts
+++ b/scripts/soak/SoakUpstream.ts
@@ -310,6 +310,7 @@
       requestId,
       kind,
       upstreamId: this.id,
+      call: `${request.method ?? ''} ${request.url ?? ''}`,
       atMs: performance.now(),
       lastEventId,
       inputFault: isStream
--- a/scripts/soak/findViolations.test.ts
+++ b/scripts/soak/findViolations.test.ts
@@ -32,6 +32,7 @@
   upstreamId: 'u',
   atMs: 5,
   lastEventId: null,
+  call: 'POST /once/x',
   inputFault: null,
   account: SOAK_ACCOUNT,
 };
--- a/scripts/soak/findViolations.ts
+++ b/scripts/soak/findViolations.ts
@@ -49,7 +49,8 @@
   return [...runs].flatMap(([requestId, own]): Violation[] => {
     const caller = callers.get(requestId);
     if (caller === undefined) {
-      return [{ promise: 'asked', requestId, detail: `ran at ${own[0]?.upstreamId ?? ''}` }];
+      return own.slice(0, 1).map(({ upstreamId, call }) => (
+        { promise: 'asked', requestId, detail: `ran at ${upstreamId}: ${call}` }));
     }
     const found = own.flatMap(({ inputFault, account }): Violation[] => [
       ...inputFault === null ? [] : [{ promise: 'inputs' as const, requestId, detail: inputFault }],
