--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -5,7 +5,7 @@
 import { hideBin } from 'yargs/helpers';
 import { SoakRun, type SoakRunOptions } from './soak/SoakRun.ts';
 import { REGRESSION_RUNS } from './soak/REGRESSION_RUNS.ts';
-import { SOAK_PROFILE } from './soak/createSoakPlan.ts';
+import { SOAK_PROFILE } from './soak/SOAK_PROFILE.ts';
 import { formatLimits } from './soak/formatLimits.ts';
 import { formatRepeats } from './soak/formatRepeats.ts';
 import { readLoggedRepeats } from './soak/readLoggedRepeats.ts';
--- a/scripts/soak/REGRESSION_RUNS.ts
+++ b/scripts/soak/REGRESSION_RUNS.ts
@@ -1,4 +1,5 @@
-import { SOAK_PROFILE, type PlannedFault } from './createSoakPlan.ts';
+import type { PlannedFault } from './SoakFault.ts';
+import { SOAK_PROFILE } from './SOAK_PROFILE.ts';
 import type { SoakRunOptions } from './SoakRun.ts';
 
 /** A run that has violated a promise in the past. */
--- a/scripts/soak/SoakFaultInjector.ts
+++ b/scripts/soak/SoakFaultInjector.ts
@@ -9,7 +9,7 @@
 import type { LinkSpan, StoreSpan } from './SoakRecord.ts';
 import type { SoakUpstream, UpstreamFault } from './SoakUpstream.ts';
 import { createSoakManifest } from './createSoakManifest.ts';
-import type { PlannedFault, SoakFault } from './createSoakPlan.ts';
+import type { PlannedFault, SoakFault } from './SoakFault.ts';
 
 /** An upstream behind its proxy. */
 export interface PlacedUpstream {
--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
-import { SOAK_PROFILE, type PlannedFault } from './createSoakPlan.ts';
+import type { PlannedFault } from './SoakFault.ts';
+import { SOAK_PROFILE } from './SOAK_PROFILE.ts';
 import { MIXED_RUN, checkSoakRun, type SoakTestOptions } from '../../test/support/checkSoakRun.ts';
 import { REGRESSION_RUNS } from './REGRESSION_RUNS.ts';
 
--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -14,9 +14,9 @@
 import { countRepeats, type RepeatReport } from './countRepeats.ts';
 import { SOAK_POOLS } from './createSoakManifest.ts';
 import { createSoakRecord } from './createSoakRecord.ts';
-import {
-  createSoakPlan, SOAK_PROFILE, type PlannedFault, type SoakProfile,
-} from './createSoakPlan.ts';
+import { createSoakPlan } from './createSoakPlan.ts';
+import type { PlannedFault } from './SoakFault.ts';
+import { SOAK_PROFILE, type SoakProfile } from './SOAK_PROFILE.ts';
 import { measureClosures, type ClosureReport } from './measureClosures.ts';
 import { measureCrashes, type CrashReport } from './measureCrashes.ts';
 import { measureLimits, type LimitReport } from './measureLimits.ts';
--- a/scripts/soak/limitedRuns.test.ts
+++ b/scripts/soak/limitedRuns.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { MIXED_RUN, checkSoakRun, type SoakTestOptions } from '../../test/support/checkSoakRun.ts';
 import { SOAK_POOLS } from './createSoakManifest.ts';
-import type { PlannedFault } from './createSoakPlan.ts';
+import type { PlannedFault } from './SoakFault.ts';
 import type { SoakRun } from './SoakRun.ts';
 
 /** A loopback network of its own for each test process; `SoakRun.test.ts` uses lower numbers. */
--- a/test/support/checkSoakRun.ts
+++ b/test/support/checkSoakRun.ts
@@ -2,7 +2,7 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { SOAK_PROFILE } from '../../scripts/soak/createSoakPlan.ts';
+import { SOAK_PROFILE } from '../../scripts/soak/SOAK_PROFILE.ts';
 import { SoakRun, type SoakRunOptions } from '../../scripts/soak/SoakRun.ts';
 
 /** Options of a soak run, except for its folder and network on this machine. */
