Count only an engine that accepts connections as silent at the end of a stream

The probe of an engine gave up after 500 ms, before a connect times out (1 s), so that an engine that could not be reached at all counted as silent, and its stream without a mark as whole. Found by reading. A report has 1.5 s now, as in SilentEngineCheck; the check of a silent engine's kind is in PlatformEngineProbe's tests.

--- a/src/relay/checkUnmarkedEnd.ts
+++ b/src/relay/checkUnmarkedEnd.ts
@@ -10,8 +10,11 @@
   readonly result: ProbeResult;
 }
 
-/** Time for a report, which an engine gives at once. */
-const REPORT_TIMEOUT_MS = 500;
+/**
+ * Time for a report, which an engine gives at once. It is longer than a connect may take, so that
+ * only an engine that accepts connections counts as silent.
+ */
+const REPORT_TIMEOUT_MS = 1_500;
 
 /** Probes of one engine; a sound engine may break off one of its answers, as it did before. */
 const MAX_PROBES = 2;
