--- a/src/relay/checkUnmarkedEnd.test.ts
+++ b/src/relay/checkUnmarkedEnd.test.ts
@@ -1,7 +1,8 @@
-import { deepEqual, equal } from 'node:assert/strict';
+import { deepEqual, equal, ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
 import { toId, type PoolId, type UpstreamId } from '../lib/ids.ts';
+import { DEFAULT_UPSTREAM_CONNECTIONS_OPTIONS } from '../upstreams/UpstreamConnections.ts';
 import { checkUnmarkedEnd } from './checkUnmarkedEnd.ts';
 import type { EngineProbe, ProbeResult } from './EngineProbe.ts';
 
@@ -21,11 +22,15 @@
 class ScriptedProbe implements EngineProbe {
   readonly #results: ProbeResult[];
 
+  /** Timeouts of the probes. */
+  readonly timeoutsMs: number[] = [];
+
   constructor(...results: ProbeResult[]) {
     this.#results = results;
   }
 
-  async probe(): Promise<ProbeResult> {
+  async probe(_entry: UpstreamEntry, timeoutMs: number): Promise<ProbeResult> {
+    this.timeoutsMs.push(timeoutMs);
     return this.#results.shift() ?? { kind: 'unreachable' };
   }
 }
@@ -60,6 +65,13 @@
     equal((await checkUnmarkedEnd(probe, ENTRY)).isWhole, true);
   });
 
+  it('does not take an engine whose connections hang for one that accepts them', async () => {
+    const probe = new ScriptedProbe();
+    await checkUnmarkedEnd(probe, ENTRY);
+    const { connectTimeoutMs } = DEFAULT_UPSTREAM_CONNECTIONS_OPTIONS;
+    ok(probe.timeoutsMs.every((timeoutMs) => timeoutMs > connectTimeoutMs));
+  });
+
   it('takes no answer for whole whose engine cannot be reached', async () => {
     equal((await checkUnmarkedEnd(new ScriptedProbe(), ENTRY)).isWhole, false);
   });
