--- a/src/relay/checkUnmarkedEnd.ts
+++ b/src/relay/checkUnmarkedEnd.ts
@@ -2,7 +2,7 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { EngineProbe, ProbeResult } from './EngineProbe.ts';
 
-/** What is known of an engine whose answer ended without a mark. */
+/** Evidence on whether an answer without an end mark is whole. */
 export interface UnmarkedEndProof {
   /** Whether the engine has ended the answer; otherwise it may itself have ended in the middle. */
   readonly isWhole: boolean;
