--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,9 @@
 # the deploy file has installed. This checks that all of them load, the project's own too.
 set -e
 cd "$(dirname "$0")/.."
-for module in review/common-2/*.mjs standins/store/StoreStandin.ts; do
+for program in review/common-2/*Worker.mjs; do
+  node --check "$program"
+done
+for module in review/common-2/[A-Z]*.mjs review/common-2/record.mjs review/common-2/sendRequest.mjs; do
   node --import tsx --input-type=module -e "await import('./$module')"
 done
--- a/review/common-2/StreamEngine.mjs
+++ b/review/common-2/StreamEngine.mjs
@@ -133,6 +133,10 @@
           'X-Weight-Versions': '1',
         });
       }
+      if (number > this.eventCount) {
+        response.end();
+        return;
+      }
       response.write(`id: ${number}\ndata: ${version} of ${this.id}\n\n`);
       if (number < this.eventCount) {
         setTimeout(() => send(number + 1), this.gapMs);
