--- a/review/common-2/StreamEngine.mjs
+++ b/review/common-2/StreamEngine.mjs
@@ -19,13 +19,23 @@
 
   #active = new Set();
 
+  /**
+   * @param {object} options as named;
+   *   `crash`: a part of a prompt that crashes the engine as it begins to write an answer on it,
+   *   how long it is down then, and who is told; it is back under a new id
+   */
   constructor({
     id, ip, port = 8_080, zone, service, version, store, record, eventCount, gapMs, firstMs,
+    crash = null,
   }) {
     Object.assign(this, {
       id, ip, port, zone, service, version, store, record, eventCount, gapMs, firstMs,
     });
     this.born = 0;
+    this.name = id;
+    this.crashOn = crash;
+    this.startCount = 0;
+    this.isUp = false;
   }
 
   get address() {
@@ -33,6 +43,8 @@
   }
 
   async start() {
+    this.startCount += 1;
+    this.isUp = true;
     this.born = Math.max(this.born + 1, Date.now());
     this.#sequence = 0;
     this.#server = createServer((request, response) => this.#handle(request, response));
@@ -48,6 +60,7 @@
 
   /** Ends as a process does that crashes: it sends nothing, and its channels close. */
   crash() {
+    this.isUp = false;
     clearInterval(this.#timer);
     this.record.add(`engine ${this.id} crashes active=${this.#active.size}`);
     this.#server.close(DISCARD);
@@ -63,6 +76,20 @@
     await this.start();
   }
 
+  /** Crashes on a request; the store removes the entry after three heartbeats of silence. */
+  async #crashOnPart(requestId) {
+    if (!this.isUp) {
+      return;
+    }
+    const { id } = this;
+    this.crash();
+    this.crashOn.onCrash(requestId);
+    setTimeout(() => this.store.remove(`servers/${id}`), HEARTBEAT_MS * 3);
+    await sleep(this.crashOn.downMs);
+    this.id = `${this.name}-${this.startCount}`;
+    await this.start();
+  }
+
   #register() {
     this.#sequence += 1;
     const isWritten = this.store.put(`servers/${this.id}`, {
@@ -122,6 +149,13 @@
     const run = { id };
     this.#active.add(run);
     response.once('close', () => this.#active.delete(run));
+    const parts = (request.headers['x-prompt-prefix'] ?? '').split(',')
+      .map((part) => part.split(':')[0]);
+    if (this.crashOn !== null && parts.slice(0, -1).includes(this.crashOn.part)) {
+      this.crashOn.onArrival(id);
+      setTimeout(() => this.#crashOnPart(id), this.firstMs);
+      return;
+    }
     const send = (number) => {
       if (response.destroyed) {
         return;
