--- a/review/9/run.mjs
+++ b/review/10/run.mjs
@@ -25,7 +25,8 @@
 const FIRST_TOKEN_MS = 600;
 const WAVE_COUNT = 5;
 const WAVE_INTERVAL_MS = 6_000;
-const SOUND_PER_S = 8;
+/** The part is in one of 21 requests, under the share of 0.05 that the users' day has. */
+const SOUND_PER_S = 20;
 const WARM_UP_MS = 4_000;
 const DEADLINE_MS = 6_000;
 /** Crashes after which the part has to be known, and arrivals that are allowed from then on. */
@@ -84,8 +85,8 @@
   const id = randomBytes(8).toString('hex');
   const own = `${randomBytes(4).toString('hex')}:400`;
   const parts = isCrashing
-    ? [FIRST_PART, `${CRASHING_PART}:400`, own]
-    : [FIRST_PART, `${randomBytes(4).toString('hex')}:400`, own];
+    ? [FIRST_PART, `${CRASHING_PART}:60`, own]
+    : [FIRST_PART, `${randomBytes(4).toString('hex')}:60`, own];
   sentAt.set(id, now());
   record.add(`client sends ${id} to ${host.name} ${isCrashing ? 'with the part' : 'sound'}`);
   const answer = await sendRequest({
--- a/review/common-2/Host.mjs
+++ b/review/common-2/Host.mjs
@@ -6,11 +6,13 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import process from 'node:process';
+import { setTimeout } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 const START_TIMEOUT_MS = 20_000;
+const MAX_RUN_MS = 110_000;
 const PORTS = { front: 18_625, ready: 18_621, peers: 17_740 };
 const children = new Set();
 
@@ -21,6 +23,9 @@
 }
 
 process.on('exit', killAll);
+['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => process.on(signal, () => process.exit(2)));
+// A run that hangs ends as one that could not run.
+setTimeout(() => process.exit(2), MAX_RUN_MS).unref();
 
 /** @returns {string[]} the words of the line `run` of the deploy file */
 function getRunCommand() {
--- a/review/common-2/SupervisedEngine.mjs
+++ b/review/common-2/SupervisedEngine.mjs
@@ -57,6 +57,12 @@
     this.#child.kill('SIGKILL');
   }
 
+  /** @param {number} garbledEvery each answer of this number is broken off; 0 for none */
+  garble(garbledEvery) {
+    this.record.add(`engine ${this.id} breaks off one of ${garbledEvery} answers`);
+    this.#child.send({ garbledEvery });
+  }
+
   close() {
     this.#isClosed = true;
     clearInterval(this.#timer);
--- a/review/common-2/serviceWorker.mjs
+++ b/review/common-2/serviceWorker.mjs
@@ -6,13 +6,17 @@
 import { setTimeout } from 'node:timers';
 
 const [id, bodyBytes, workMs] = process.argv.slice(2);
+/** Each answer of this number is broken off after its first half, in order; 0 for none. */
+let garbledEvery = 0;
+let answerCount = 0;
 const SOCKET = 3;
 /** Share of the work after which the first half of an answer is written. */
 const FIRST_HALF_AT = 1 / 3;
 
 /** The body of the answer to a request: as long as asked for, with a last line. */
 function createBody(requestId) {
-  const text = `seat of ${requestId} `.repeat(100).slice(0, Number(bodyBytes) - 4);
+  const text = `seat of ${requestId} `.repeat(Math.ceil(Number(bodyBytes) / 10))
+    .slice(0, Number(bodyBytes) - 4);
   return Buffer.from(`${text}end\n`);
 }
 
@@ -21,6 +25,8 @@
   process.send({ kind: 'run', detail: requestId });
   const body = createBody(requestId);
   const half = Math.floor(body.length / 2);
+  answerCount += 1;
+  const isGarbled = garbledEvery > 0 && answerCount % garbledEvery === 0;
   setTimeout(() => {
     response.useChunkedEncodingByDefault = false;
     response.writeHead(200, {
@@ -30,8 +36,8 @@
     });
     response.write(body.subarray(0, half));
     setTimeout(() => {
-      response.end(body.subarray(half));
-      process.send({ kind: 'answered', detail: requestId });
+      response.end(isGarbled ? undefined : body.subarray(half));
+      process.send({ kind: isGarbled ? 'broken off' : 'answered', detail: requestId });
     }, Number(workMs) * (1 - FIRST_HALF_AT));
   }, Number(workMs) * FIRST_HALF_AT);
 }
@@ -50,4 +56,7 @@
   }
 });
 server.listen({ fd: SOCKET }, () => process.send({ kind: 'ready' }));
+process.on('message', (command) => {
+  garbledEvery = command.garbledEvery;
+});
 process.on('disconnect', () => process.exit(0));
