--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -183,6 +183,9 @@
 let exitCode = 2;
 try {
   await run();
+  if (sound.whole < sound.sent / 2) {
+    throw new Error('fewer than half of the requests were served');
+  }
   const dueAt = (crashes[KNOWN_AFTER - 1] ?? Infinity) + MSA_SEATDESK_BOUNDS.contact_ms / 1_000;
   const late = arrivals.filter(({ id, at }) => at > dueAt && sentAt.get(id) > dueAt);
   exitCode = late.length > ALLOWED_ARRIVALS ? 1 : 0;
--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -166,6 +166,9 @@
 let exitCode = 2;
 try {
   await run();
+  if (answers.filter(({ versions }) => versions.length > 0).length < answers.length / 2) {
+    throw new Error('fewer than half of the requests were served');
+  }
   const mixed = answers.filter(({ versions }) => versions.length > 1);
   exitCode = mixed.length > ALLOWED_MIXED ? 1 : 0;
   record.add(`${answers.length} streams, ${mixed.length} hold events of two software versions; ${
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -155,6 +155,9 @@
   await run();
   const cut = answers.filter(({ isCut }) => isCut);
   const complete = answers.filter(({ isComplete }) => isComplete);
+  if (complete.length < answers.length / 2) {
+    throw new Error('fewer than half of the requests were served');
+  }
   exitCode = cut.length > 0 ? 1 : 0;
   const text = `${answers.length} streams, ${complete.length} ended as complete, ${
     cut.length} of them before the last event`;
