--- a/review/common-2/serviceWorker.mjs
+++ b/review/common-2/serviceWorker.mjs
@@ -58,5 +58,6 @@
 server.listen({ fd: SOCKET }, () => process.send({ kind: 'ready' }));
 process.on('message', (command) => {
   garbledEvery = command.garbledEvery;
+  answerCount = 0;
 });
 process.on('disconnect', () => process.exit(0));
