--- a/review/common-3/manifest.mjs
+++ b/review/common-3/manifest.mjs
@@ -101,3 +101,17 @@
     ...fields,
   };
 }
+
+/** A route of requests that may run once, as `seat-confirm` of the site. */
+export function createServiceRoute(fields) {
+  return {
+    host: HOST_NAME,
+    kind: 'unsafe',
+    timeout_ms: 1_500,
+    target_latency_ms: 193,
+    priority: 2,
+    max_attempts: 1,
+    no_auth: false,
+    ...fields,
+  };
+}
