--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -15,6 +15,7 @@
 import { orderGroups } from '../../src/placement/orderGroups.ts';
 import { ManualClock } from '../../src/time/ManualClock.ts';
 import { NO_MAKER_ROLLOUTS } from '../../test/support/NO_MAKER_ROLLOUTS.ts';
+import { MAX_HELD_PIECES } from '../../test/support/PlacementTestBed.ts';
 import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from '../../test/support/UNLIMITED_RETRIES.ts';
 import { EventQueue } from '../load/EventQueue.ts';
@@ -298,6 +299,7 @@
       retryBudget: UNLIMITED_RETRIES,
       rates: UNLIMITED_RATES,
       rollouts: NO_MAKER_ROLLOUTS,
+      maxHeldPieces: MAX_HELD_PIECES,
       sendCall: (call) => {
         const maker = this.#makers.get(call.makerId);
         call.items.forEach((item) => this.#recordUsed(item.inputs));
--- a/src/memory/getHostBudget.ts
+++ b/src/memory/getHostBudget.ts
@@ -6,6 +6,8 @@
   readonly maxCallerConnections: number;
   /** Largest number of connections on which other hosts pass requests on. */
   readonly maxForwardedConnections: number;
+  /** Largest number of pieces of the requests that it places. */
+  readonly maxHeldPieces: number;
 }
 
 const MB = 1_000_000;
@@ -17,6 +19,10 @@
 const RESIDENT_FACTOR = 2;
 /** Holds several bodies and answers of the largest size, whatever the settings say. */
 const MIN_BUFFER_BYTES = 32 * 1_024 * 1_024;
+/** Fraction of the memory for the pieces of the requests that the host places. */
+const PIECES_FRACTION = 0.1;
+/** A piece, its call and the record of its result. */
+const PIECE_BYTES = 500;
 /** Descriptors that the platform keeps for files. */
 const FILE_FDS = 200;
 /** Fractions of the other descriptors; the rest is for upstreams, peers, store and readiness. */
@@ -42,5 +48,6 @@
     ),
     maxCallerConnections: getConnections(CALLER_FRACTION),
     maxForwardedConnections: getConnections(FORWARDED_FRACTION),
+    maxHeldPieces: Math.floor((memoryBytes * PIECES_FRACTION) / PIECE_BYTES),
   };
 }
--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -1,7 +1,11 @@
 import { deepEqual, equal, ok } from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type AddressInfo } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { pino } from 'pino';
-import { PlacementTestBed, ENGINE_POOL_ID } from '../../test/support/PlacementTestBed.ts';
+import {
+  ENGINE_POOL_ID, MAX_HELD_PIECES, PlacementTestBed,
+} from '../../test/support/PlacementTestBed.ts';
 import { NO_MAKER_ROLLOUTS } from '../../test/support/NO_MAKER_ROLLOUTS.ts';
 import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from '../../test/support/UNLIMITED_RETRIES.ts';
@@ -13,7 +17,7 @@
 import { ManualClock } from '../time/ManualClock.ts';
 import { PlacementClient } from './PlacementClient.ts';
 import { PlacementCoordinator } from './PlacementCoordinator.ts';
-import type { PlacementDemand } from './PlacementRequest.ts';
+import { REFUSAL, type PlacementDemand } from './PlacementRequest.ts';
 import { HAND_OVER_REASON } from './HAND_OVER_REASON.ts';
 import { PeerServer } from './PeerServer.ts';
 
@@ -38,6 +42,7 @@
   isPlacedAgain: false,
 };
 const POLL_MS = 5;
+const LIMITED_TIME = { timeout: 5_000 } as const;
 
 function createBed(): PlacementTestBed {
   const bed = new PlacementTestBed({ first: { makers: 1 }, second: { makers: 1 } });
@@ -96,6 +101,10 @@
     const server = new PeerServer(coordinator);
     await server.listen(peerAddress);
     this.#servers.push(server);
+    this.addEntry(name, registeredRevision, peerAddress);
+  }
+
+  addEntry(name: string, registeredRevision: number, peerAddress: string): void {
     this.own.directory.apply({
       kind: 'host',
       entry: {
@@ -140,22 +149,36 @@
 
   it('falls back to its own coordinator when the chosen host does not answer', async () => {
     rig = new ClientRig();
-    rig.own.directory.apply({
-      kind: 'host',
-      entry: {
-        id: toId<HostId>('gone'),
-        failureDomain: 'a',
-        peerAddress: `${TEST_IP}:${await getFreePort()}`,
-        processorCores: 1,
-        linkMbps: 1_000,
-        registeredRevision: 1,
-      },
-    });
+    rig.addEntry('gone', 1, `${TEST_IP}:${await getFreePort()}`);
     const placement = rig.client.place(DEMAND);
     await completeCalls(rig.own, 2);
     equal((await placement.result).kind, 'placed');
   });
 
+  it('sends a request to no third host after two were lost with it', LIMITED_TIME, async () => {
+    rig = new ClientRig();
+    const arrivals: string[] = [];
+    const servers = await Promise.all(['first', 'second', 'third'].map(async (name, index) => {
+      const server = createServer((socket) => {
+        socket.once('data', () => {
+          arrivals.push(name);
+          socket.destroy();
+        });
+      });
+      server.listen({ host: TEST_IP, port: 0 });
+      await once(server, 'listening');
+      rig?.addEntry(name, index + 1, `${TEST_IP}:${(server.address() as AddressInfo).port}`);
+      return server;
+    }));
+    const result = await rig.client.place(DEMAND).result;
+    servers.forEach((server) => server.close());
+    deepEqual(result, {
+      kind: 'refused', reason: REFUSAL.coordinatorsLost, retryAfterMs: 0,
+    });
+    deepEqual(arrivals, ['first', 'second']);
+    deepEqual(rig.own.takeCalls(), []);
+  });
+
   it('skips a restarted host that has no configuration yet', async () => {
     rig = new ClientRig();
     const clock = new ManualClock();
@@ -166,6 +189,7 @@
       retryBudget: UNLIMITED_RETRIES,
       rates: UNLIMITED_RATES,
       rollouts: NO_MAKER_ROLLOUTS,
+      maxHeldPieces: MAX_HELD_PIECES,
       sendCall: () => {},
       sendRelease: () => {},
       requestEngineReport: () => {},
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -19,6 +19,7 @@
 import type {
   PlacementDemand, PlacementReport, PlacementRequest, PlacementResult,
 } from './PlacementRequest.ts';
+import { CoordinatorStatusError } from './CoordinatorStatusError.ts';
 import { CoordinatorChooser } from './CoordinatorChooser.ts';
 import { CoordinatorMonitor } from './CoordinatorMonitor.ts';
 import { orderGroups } from './orderGroups.ts';
@@ -161,6 +162,14 @@
     this.#monitor.recordFailure(coordinator, detail);
   }
 
+  /** @inheritdoc */
+  recordAbandoned(requestId: string, lostIds: readonly HostId[]): void {
+    this.#options.logger.warn(
+      { event: 'placementAbandoned', requestId, lostIds },
+      'placement coordinators were lost while they had a request; no other one gets it',
+    );
+  }
+
   /** @inheritdoc */
   recordLeaving(coordinator: HostEntry | null): void {
     if (coordinator === null) {
@@ -234,7 +243,7 @@
       });
       if (response.statusCode !== 200) {
         await response.body.dump();
-        throw new Error(`host ${host.id} answered a placement with status ${response.statusCode}`);
+        throw new CoordinatorStatusError(host.id, response.statusCode);
       }
       return JSON.parse(await readBoundedText(response.body)) as PlacementResult;
     } finally {
--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -16,11 +16,12 @@
 import type { MakerRollouts } from './MakerRollouts.ts';
 import type { PieceRetryBudget } from './PieceRetryBudget.ts';
 import type { PlacementRates } from './PlacementRates.ts';
+import { HeldPieces } from './HeldPieces.ts';
 import { HAND_OVER_REASON, type HandOverReason } from './HAND_OVER_REASON.ts';
 import { PlacementRefusals } from './PlacementRefusals.ts';
 import {
-  createPlacementJob, getHandles, getLastStages, hasCrashingPiece, hasSentPieces, isStageDone,
-  type PlacementJob,
+  createPieces, createPlacementJob, getHandles, getLastStages, hasCrashingPiece, hasSentPieces,
+  isStageDone, type PlacementJob,
 } from './PlacementJob.ts';
 import type {
   PlacementReport, PlacementRequest, PlacementResult, StandingResult,
@@ -40,6 +41,8 @@
   readonly rates: PlacementRates;
   /** Restricts the makers of pools that move to another software version. */
   readonly rollouts: MakerRollouts;
+  /** Largest number of pieces of all requests that the coordinator holds. */
+  readonly maxHeldPieces: number;
   /** @param call - the call to send; its outcome is passed to `finishCall` */
   readonly sendCall: (call: StageCall) => void;
   /** Releases results at their upstream; its answer is passed to `recordReleased`. */
@@ -86,6 +89,8 @@
 
   readonly #jobs = new Map<string, PlacementJob>();
 
+  readonly #heldPieces: HeldPieces;
+
   /** Why this coordinator hands its requests over; null while it places them. */
   #handOverReason: HandOverReason | null = null;
 
@@ -94,6 +99,7 @@
    */
   constructor(options: PlacementCoordinatorOptions) {
     this.#options = options;
+    this.#heldPieces = new HeldPieces(options.maxHeldPieces);
     this.#scheduler = new StageScheduler(options);
     this.#permits = new EnginePermits(options.directory, options.rates);
     this.#starts = new EngineStarts(options.clock);
@@ -160,6 +166,10 @@
       this.#refusals.refuseTooLarge(job);
       return () => {};
     }
+    if (this.#heldPieces.isTooLarge(job)) {
+      this.#refusals.refuseTooManyPieces(job);
+      return () => {};
+    }
     this.#shares.recordArrival(job);
     const expectedMs = this.#scheduler.getExpectedMs(job);
     const allowedMs = request.remainingMs * (expectedMs > onTimeMs ? LATE_FRACTION : 1);
@@ -177,8 +187,13 @@
       this.#refusals.refuseOverShare(job, expectedMs);
       return () => {};
     }
+    if (!this.#heldPieces.hasRoom(job)) {
+      this.#refusals.refuseNoRoomForPieces(job);
+      return () => {};
+    }
     this.#shares.recordAccepted(job);
-    this.#jobs.set(request.requestId, job);
+    createPieces(job);
+    this.#hold(job);
     this.#scheduler.add(job);
     this.#scheduler.takeOver(job);
     this.#options.requestRun();
@@ -283,7 +298,7 @@
       const hasRunning = job.stages
         .some(({ pieces }) => pieces.some(({ state }) => state === 'running'));
       if (job.state !== 'placed' && (isCutOff || !hasRunning)) {
-        this.#jobs.delete(requestId);
+        this.#forget(job);
         const wereSent = hasSentPieces(job);
         const results = this.#scheduler.handOver(job);
         this.#options.logger.info({
@@ -383,19 +398,29 @@
       this.#drop(requestId);
       return [];
     }
-    this.#jobs.delete(requestId);
+    this.#forget(job);
     if (job.engineId !== null) {
       this.#engines.recordEnded(job.engineId, requestId);
     }
     return this.#scheduler.handOver(job);
   }
 
+  #hold(job: PlacementJob): void {
+    this.#jobs.set(job.request.requestId, job);
+    this.#heldPieces.add(job);
+  }
+
+  #forget(job: PlacementJob): void {
+    this.#jobs.delete(job.request.requestId);
+    this.#heldPieces.remove(job);
+  }
+
   #drop(requestId: string): void {
     const job = this.#jobs.get(requestId);
     if (job === undefined) {
       return;
     }
-    this.#jobs.delete(requestId);
+    this.#forget(job);
     this.#scheduler.remove(job);
     if (job.engineId !== null) {
       this.#engines.recordEnded(job.engineId, requestId);
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -30,7 +30,10 @@
   readonly resultBytes: number;
   /** Number of stages on the longest path from this one to the engine, itself included. */
   readonly height: number;
-  readonly pieces: JobPiece[];
+  /** Number of its pieces; the caller names it. */
+  readonly pieceCount: number;
+  /** Its pieces; none before the request is accepted (see {@link createPieces}). */
+  pieces: readonly JobPiece[];
 }
 
 /** A request that is being placed or that runs on the engine where it was placed. */
@@ -52,6 +55,14 @@
   readonly answer: (result: PlacementResult) => void;
 }
 
+/**
+ * @param stage - a stage
+ * @returns the number of its pieces that are not done
+ */
+export function countOpenPieces({ pieceCount, pieces }: JobStage): number {
+  return pieces.reduce((count, { state }) => count - Number(state === 'done'), pieceCount);
+}
+
 /** A done stage may have lost or released its results; it counts only while it has them all. */
 function hasResults(stage: JobStage | undefined): boolean {
   return stage === undefined
@@ -74,7 +85,7 @@
  * @param nowMs - the current time
  * @param preferredDomain - failure domain of the engine that caches most of its prompt
  * @param answer - receives the result
- * @returns a job whose pieces are all waiting
+ * @returns a job without its pieces, which take memory only once it is accepted
  */
 export function createPlacementJob(
   request: PlacementRequest,
@@ -91,15 +102,8 @@
       after: stage.after,
       resultBytes: stage.resultBytes,
       height: heights[index] ?? 1,
-      pieces: Array.from({ length: request.pieceCounts[index] ?? 1 }, (_, pieceIndex) => ({
-        index: pieceIndex,
-        state: 'waiting',
-        handle: null,
-        makerId: null,
-        sendCount: request.isPlacedAgain ? 1 : 0,
-        retryReason: request.isPlacedAgain ? 'placedAgain' : null,
-        brokenCallCount: 0,
-      })),
+      pieceCount: request.pieceCounts[index] ?? 1,
+      pieces: [],
     })),
     onTimeAtMs: nowMs + request.onTimeMs,
     deadlineAtMs: nowMs + request.remainingMs,
@@ -113,6 +117,27 @@
   };
 }
 
+/**
+ * Creates the pieces of a request that is accepted, all of them waiting.
+ *
+ * @param job - the request
+ */
+export function createPieces({ request, stages }: PlacementJob): void {
+  const { isPlacedAgain } = request;
+  stages.forEach((stage) => {
+    const accepted = stage;
+    accepted.pieces = Array.from({ length: stage.pieceCount }, (_, index) => ({
+      index,
+      state: 'waiting',
+      handle: null,
+      makerId: null,
+      sendCount: isPlacedAgain ? 1 : 0,
+      retryReason: isPlacedAgain ? 'placedAgain' : null,
+      brokenCallCount: 0,
+    }));
+  });
+}
+
 /** Broken calls after which a piece no longer shares a call with others. */
 const MAX_SHARED_BROKEN_CALLS = 2;
 /** Broken calls after which a piece is not sent again. */
@@ -143,7 +168,8 @@
  * @returns whether all its pieces are done
  */
 export function isStageDone(stage: JobStage): boolean {
-  return stage.pieces.every((piece) => piece.state === 'done');
+  return stage.pieces.length === stage.pieceCount
+    && stage.pieces.every((piece) => piece.state === 'done');
 }
 
 /**
--- a/src/placement/PlacementRefusals.ts
+++ b/src/placement/PlacementRefusals.ts
@@ -25,8 +25,10 @@
 const MAX_LIMITED_RETRY_AFTER_MS = 20_000;
 /** Retry delay for a request whose pieces were in too many broken calls. */
 const BROKEN_CALLS_RETRY_AFTER_MS = 5_000;
-/** Retry delay for a request that no engine can hold; it fits only if engines are replaced. */
+/** Retry delay for a request that no engine or host can hold; it fits only if they are replaced. */
 const TOO_LARGE_RETRY_AFTER_MS = 60_000;
+/** Retry delay for a request whose pieces find no room beside those that wait. */
+const NO_ROOM_RETRY_AFTER_MS = 1_000;
 /** Shortest retry delay for a refused caller. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -123,6 +125,16 @@
     this.#refuse(job, REFUSAL.tooLarge, TOO_LARGE_RETRY_AFTER_MS);
   }
 
+  /** @param job - a request whose pieces exceed the memory of this host */
+  refuseTooManyPieces(job: PlacementJob): void {
+    this.#refuse(job, REFUSAL.tooManyPieces, TOO_LARGE_RETRY_AFTER_MS);
+  }
+
+  /** @param job - a request whose pieces find no room beside those of the requests that are held */
+  refuseNoRoomForPieces(job: PlacementJob): void {
+    this.#refuse(job, REFUSAL.tooManyPieces, NO_ROOM_RETRY_AFTER_MS);
+  }
+
   #refuse(
     job: PlacementJob,
     reason: Refusal,
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -79,8 +79,12 @@
   noEngine: 'no-engine',
   /** The request exceeds the memory of an engine. */
   tooLarge: 'too-large',
+  /** Its pieces exceed what the coordinator may hold, alone or beside those of other requests. */
+  tooManyPieces: 'too-many-pieces',
   /** The upstreams of a stage broke off each call with one of its pieces. */
   brokenCalls: 'broken-calls',
+  /** Several coordinators were lost while they had it. */
+  coordinatorsLost: 'coordinators-lost',
   /** The coordinator is leaving or unreachable. */
   unreachable: 'unreachable',
 } as const;
--- a/src/placement/PlacementSearch.ts
+++ b/src/placement/PlacementSearch.ts
@@ -2,6 +2,8 @@
 import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
 import type { LimitReport } from '../rates/PermitMessage.ts';
 import type { Clock } from '../time/Clock.ts';
+import { isConnectError } from '../upstreams/isConnectError.ts';
+import { CoordinatorStatusError } from './CoordinatorStatusError.ts';
 import type { OpenGeneration } from './OpenGeneration.ts';
 import type { PlacementGroup } from './PlacementGroup.ts';
 import {
@@ -59,10 +61,18 @@
   isOwnCoordinatorLeaving(): boolean;
   query(coordinator: KnownHost | null, request: PlacementRequest): PlacementQuery;
   recordFailure(coordinator: KnownHost, detail: string): void;
+  /** Records that a request is given up, since coordinators were lost while they had it. */
+  recordAbandoned(requestId: string, lostIds: readonly HostId[]): void;
   recordLeaving(coordinator: KnownHost | null): void;
   report(coordinator: KnownHost | null, report: PlacementReport): void;
 }
 
+/**
+ * Coordinators that may be lost while they have a request. One is lost by chance; a request that
+ * ends the hosts that place it must not reach them all, this one last.
+ */
+const MAX_LOST_COORDINATORS = 2;
+
 function createRefusal(reason: Refusal): FinalPlacementResult {
   return { kind: 'refused', reason, retryAfterMs: 0 };
 }
@@ -88,6 +98,9 @@
   /** Whether a coordinator that was queried before may have sent pieces. */
   #isPlacedAgain: boolean;
 
+  /** Coordinators that were lost after the request had been sent to them. */
+  readonly #lostIds: HostId[] = [];
+
   #isCancelled = false;
 
   readonly result: Promise<FinalPlacementResult>;
@@ -132,7 +145,8 @@
     const result = group === undefined
       ? createRefusal(REFUSAL.noEngine)
       : await this.#queryGroup(group);
-    return result.kind === 'refused' && !this.#isCancelled && this.#groups.length > 0
+    const mayContinue = !this.#isCancelled && this.#lostIds.length < MAX_LOST_COORDINATORS;
+    return result.kind === 'refused' && mayContinue && this.#groups.length > 0
       ? this.#run()
       : result;
   }
@@ -148,6 +162,10 @@
       if (this.#isCancelled) {
         return createRefusal(REFUSAL.unreachable);
       }
+      if (this.#lostIds.length >= MAX_LOST_COORDINATORS) {
+        this.#coordinators.recordAbandoned(this.#demand.requestId, this.#lostIds);
+        return createRefusal(REFUSAL.coordinatorsLost);
+      }
     }
   }
 
@@ -179,6 +197,9 @@
         return createRefusal(REFUSAL.unreachable);
       }
       coordinators.recordFailure(coordinator, String(error));
+      if (!isConnectError(error) && !(error instanceof CoordinatorStatusError)) {
+        this.#lostIds.push(coordinator.id);
+      }
       // The failed coordinator may have sent pieces, and may send more.
       this.#isPlacedAgain = true;
       return null;
--- a/src/placement/PlacementService.test.ts
+++ b/src/placement/PlacementService.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { pino } from 'pino';
 import { NO_MAKER_ROLLOUTS } from '../../test/support/NO_MAKER_ROLLOUTS.ts';
+import { MAX_HELD_PIECES } from '../../test/support/PlacementTestBed.ts';
 import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from '../../test/support/UNLIMITED_RETRIES.ts';
 import { Directory } from '../directory/Directory.ts';
@@ -29,6 +30,7 @@
     rates: UNLIMITED_RATES,
     readEngineFigures: async () => null,
     rollouts: NO_MAKER_ROLLOUTS,
+    maxHeldPieces: MAX_HELD_PIECES,
     reachability: { recordSend: () => {}, recordAnswer: () => {}, recordUnreachable: () => {} },
     logger,
   });
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -39,6 +39,8 @@
   readonly readEngineFigures: (entry: UpstreamEntry) => Promise<EngineFigures | null>;
   /** Restricts the makers of pools that move to another software version. */
   readonly rollouts: MakerRollouts;
+  /** Largest number of pieces of all requests that the coordinator holds. */
+  readonly maxHeldPieces: number;
   /** Learns from calls whether this host reaches upstreams. */
   readonly reachability: UpstreamObserver;
   /** Logs the decisions. */
@@ -81,7 +83,7 @@
    */
   constructor({
     clock, directory, caller, notices, retryBudget, rates, rollouts, reachability,
-    readEngineFigures, logger,
+    readEngineFigures, maxHeldPieces, logger,
   }: PlacementServiceOptions) {
     this.#reachability = reachability;
     this.#rollouts = rollouts;
@@ -99,6 +101,7 @@
       retryBudget,
       rates,
       rollouts,
+      maxHeldPieces,
       sendCall: (call) => this.#send(call),
       sendRelease: (_makerId, address, handles) => this.#release(address, handles),
       requestEngineReport: (engineId) => this.#readFigures(engineId),
--- a/src/placement/StageForecast.ts
+++ b/src/placement/StageForecast.ts
@@ -3,7 +3,7 @@
 import type { PoolId } from '../lib/ids.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { GroupJobs } from './GroupJobs.ts';
-import type { PlacementJob } from './PlacementJob.ts';
+import { countOpenPieces, type PlacementJob } from './PlacementJob.ts';
 import type { PlacementRates } from './PlacementRates.ts';
 
 const MS_PER_SECOND = 1_000;
@@ -33,8 +33,11 @@
 
   readonly #directory: Directory;
 
-  /** Cached values of `getLeastMs`, for jobs none of whose pieces has ended or been reset since. */
-  readonly #leastMs = new Map<PlacementJob, number>();
+  /**
+   * Cached values of `getLeastMs`, for jobs none of whose pieces has ended or been reset since. A
+   * refused job is never invalidated, so that the cache must not keep it.
+   */
+  readonly #leastMs = new WeakMap<PlacementJob, number>();
 
   readonly #rates: PlacementRates;
 
@@ -90,9 +93,10 @@
    * @returns the longest time for which its pieces occupy all makers of one pool
    */
   getOccupancyMs(job: PlacementJob, group: GroupJobs): number {
-    return Math.max(0, ...job.stages.map(({ poolId, pieces }) => {
+    return Math.max(0, ...job.stages.map((stage) => {
+      const { poolId } = stage;
       const limits = this.#directory.configuration?.pools.get(poolId)?.batch;
-      const openCount = pieces.filter(({ state }) => state !== 'done').length;
+      const openCount = countOpenPieces(stage);
       const callsPerMs = this.#getCallsPerMs(poolId, group, limits ?? null);
       return limits === undefined || limits === null || callsPerMs === 0
         ? 0
@@ -140,7 +144,7 @@
   ): number {
     const levels = new Map<number, number>();
     job.stages.forEach((stage) => {
-      const openCount = stage.pieces.filter((piece) => piece.state !== 'done').length;
+      const openCount = countOpenPieces(stage);
       const limits = this.#directory.configuration?.pools.get(stage.poolId)?.batch;
       if (openCount > 0 && limits !== undefined && limits !== null) {
         const ms = getMs(limits, openCount, stage.poolId);
--- a/src/placement/planBatches.test.ts
+++ b/src/placement/planBatches.test.ts
@@ -3,7 +3,7 @@
 import {
   toId, type HostId, type PoolId, type UpstreamId,
 } from '../lib/ids.ts';
-import { createPlacementJob, type PlacementJob } from './PlacementJob.ts';
+import { createPieces, createPlacementJob, type PlacementJob } from './PlacementJob.ts';
 import {
   compareGroups, planBatches, type BatchSpace, type PieceGroup,
 } from './planBatches.ts';
@@ -21,7 +21,7 @@
 }
 
 function createJob(values: GroupValues): PlacementJob {
-  return createPlacementJob({
+  const job = createPlacementJob({
     requestId: values.id,
     domains: ['a'],
     standingResults: [],
@@ -46,6 +46,8 @@
     softwareVersion: null,
     isPlacedAgain: false,
   }, 0, null, () => {});
+  createPieces(job);
+  return job;
 }
 
 function createGroup(values: GroupValues): PieceGroup {
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -232,6 +232,7 @@
       retryBudget: shares,
       rates,
       rollouts: stageRollouts,
+      maxHeldPieces: budget.maxHeldPieces,
       reachability: this.#reachability,
       readEngineFigures: createEngineFigureReader(adapters.engineProbe),
       logger,
--- /dev/null
+++ b/src/upstreams/isConnectError.ts
@@ -0,0 +1,10 @@
+import { errors } from 'undici';
+
+/**
+ * @param error - why a request failed
+ * @returns whether its connection was not established, so that nothing was sent
+ */
+export function isConnectError(error: unknown): boolean {
+  return error instanceof errors.ConnectTimeoutError
+    || (error as { syscall?: unknown }).syscall === 'connect';
+}
--- a/test/crowds/CROWDS.ts
+++ b/test/crowds/CROWDS.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { SOAK_HOST_NAME, SOAK_KEY } from '../../scripts/soak/createSoakManifest.ts';
-import { REQUEST_KIND } from '../../scripts/soak/SoakRecord.ts';
+import { REQUEST_KIND, type RequestKind } from '../../scripts/soak/SoakRecord.ts';
 import type { CrowdSend } from './CrowdClient.ts';
 import { LARGE_ANSWER_PATH } from './CrowdUpstream.ts';
 
@@ -30,6 +30,16 @@
 /** More than the sockets that the settings of the tests allow. */
 const HEAD_CLIENT_COUNT = 300;
 
+/** A number of pieces that a host can hold a few times, or once, or not at all. */
+const PIECE_COUNTS = [50_000, 999_999, 5_000_000, 999_999_999_999_999] as const;
+let pieceCountIndex = 0;
+
+/** Returns the piece counts in turn. */
+function takePieceCount(): number {
+  pieceCountIndex += 1;
+  return PIECE_COUNTS[pieceCountIndex % PIECE_COUNTS.length] ?? 0;
+}
+
 const LARGE_PIECE = Buffer.alloc(LARGE_PIECE_BYTES, 'x');
 const SMALL_PIECE = LARGE_PIECE.subarray(0, SMALL_PIECE_BYTES);
 const LARGE_CHUNK = Buffer.concat([
@@ -38,9 +48,13 @@
 const ONE_BYTE_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(ONE_BYTE_CHUNKS_PER_PIECE));
 const NO_PIECE = Buffer.alloc(0);
 
-function createHead(path: string, lines: readonly string[]): string {
+function createHead(
+  path: string,
+  lines: readonly string[],
+  kind: RequestKind = REQUEST_KIND.repeatable,
+): string {
   return [
-    `POST /${REQUEST_KIND.repeatable}/${path} HTTP/1.1`,
+    `POST /${kind}/${path} HTTP/1.1`,
     `Host: ${SOAK_HOST_NAME}`,
     `Authorization: Bearer ${SOAK_KEY}`,
     `X-Request-Id: ${randomUUID()}`,
@@ -121,6 +135,21 @@
       isReading: false,
     }),
   },
+  {
+    name: 'requests that name more pieces than a host can hold',
+    clientCount: CLIENT_COUNT,
+    createSend: () => ({
+      head: createHead('x', [
+        'Content-Length: 0',
+        'X-Token-Usage: 10,10',
+        'X-Piece-Key: 7c1e07a291bd',
+        `X-Pieces: ${takePieceCount()}`,
+      ], REQUEST_KIND.stream),
+      piece: NO_PIECE,
+      pieceCount: 0,
+      isReading: true,
+    }),
+  },
   {
     name: 'heads that stop short on many connections',
     clientCount: HEAD_CLIENT_COUNT,
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -16,6 +16,9 @@
 import { UNLIMITED_RATES } from './UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from './UNLIMITED_RETRIES.ts';
 
+/** Largest number of pieces that the coordinator of a test bed holds. */
+export const MAX_HELD_PIECES = 10_000;
+
 /** Pool of the engines in every test bed. */
 export const ENGINE_POOL_ID = toId<PoolId>('engines');
 
@@ -94,6 +97,7 @@
       retryBudget: createRetryBudget(this.clock, this.directory),
       rates: createRates(this.clock, this.directory),
       rollouts: NO_MAKER_ROLLOUTS,
+      maxHeldPieces: MAX_HELD_PIECES,
       sendCall: (call) => this.calls.push(call),
       sendRelease: (_makerId, _address, handles) => this.released.push(...handles),
       requestEngineReport: (engineId) => {
