--- a/src/relay/EngineExchange.ts
+++ b/src/relay/EngineExchange.ts
@@ -1,7 +1,6 @@
 import type { KnownUpstream } from '../directory/Directory.ts';
 import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
 import type { RolloutAttempt, RolloutRequest } from '../rollouts/RolloutRequest.ts';
-import type { EngineContact } from '../streams/EngineLifetimes.ts';
 import type { RelayContext } from './RelayContext.ts';
 import { getAttemptVerdict } from './getAttemptVerdict.ts';
 import type { AttemptResult } from './sendAttempt.ts';
@@ -10,21 +9,18 @@
 /** What an exchange with an engine is evidence for. */
 export type EngineExchangeContext = Pick<
   RelayContext,
-  'directory' | 'engineLifetimes' | 'reachability'
+  'directory' | 'reachability'
 >;
 
 /**
- * One exchange of a generation with an engine, as evidence: that the engine still runs, that this
- * host reaches upstreams, and of how well the engine's software version serves.
+ * One exchange of a generation with an engine, as evidence that this host reaches upstreams, and of
+ * how well the engine's software version serves.
  */
 export class EngineExchange {
   readonly #context: EngineExchangeContext;
 
   readonly #engine: UpstreamEntry;
 
-  /** Shows that the engine still runs. */
-  readonly #contact: EngineContact;
-
   readonly #rolloutAttempt: RolloutAttempt | null;
 
   #head: AnswerHead | null = null;
@@ -43,7 +39,6 @@
       ?? { entry: engine, coldUntilMs: 0 };
     this.#context = context;
     this.#engine = engine;
-    this.#contact = context.engineLifetimes.openContact(engine.id);
     this.#rolloutAttempt = rollout?.startAttempt(known) ?? null;
     context.reachability.recordSend(engine.id);
   }
@@ -57,7 +52,6 @@
   /** Records that bytes of the answer have arrived. */
   recordData(): void {
     this.#context.reachability.recordAnswer(this.#engine.id);
-    this.#contact.recordData();
     this.#rolloutAttempt?.recordData();
   }
 
@@ -66,7 +60,6 @@
     if (result.kind === 'notSent') {
       this.#context.reachability.recordUnreachable(this.#engine.id);
     }
-    this.#contact.close();
     this.#rolloutAttempt?.end(getAttemptVerdict(this.#head, result));
   }
 }
--- a/src/relay/EngineProbe.ts
+++ b/src/relay/EngineProbe.ts
@@ -1,7 +1,7 @@
 import type { UpstreamEntry } from '../directory/UpstreamEntry.ts';
 import type { EngineFigures } from '../placement/EngineRoom.ts';
 
-/** Result of a probe of an engine over a new connection. */
+/** Result of a probe of an engine. */
 export type ProbeResult =
   /** The engine has answered, so it notices what happens to its connections. */
   | {
@@ -28,4 +28,12 @@
    * @returns the result
    */
   probe(entry: UpstreamEntry, timeoutMs: number): Promise<ProbeResult>;
+  /**
+   * Sends the same call over a kept connection, and opens one only if none is free.
+   *
+   * @param entry - the engine
+   * @param timeoutMs - time for the connection and the answer
+   * @returns the result
+   */
+  probeKept(entry: UpstreamEntry, timeoutMs: number): Promise<ProbeResult>;
 }
--- a/src/relay/EventForwarder.ts
+++ b/src/relay/EventForwarder.ts
@@ -111,9 +111,10 @@
     }
     if (!exchange.hasAnswered) {
       exchange.beginStream(head.status, head.passedHeaders);
-      this.#options.version.recordEvent(engine);
+      this.#options.version.recordFirstEvent(engine);
       this.#options.onStarted();
     }
+    this.#options.version.recordEvent(engine);
     this.#lastEventAtMs = clock.getMonotonicMs();
     if (!exchange.write(event.bytes)) {
       attempt.pause();
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -100,6 +100,7 @@
     const version = new RelayedStreamVersion({
       directory: context.directory,
       streamVersions: context.streamVersions,
+      lifetimes: context.engineLifetimes,
       profile,
       poolId: parameters.poolId,
       route: parameters.route,
@@ -151,6 +152,7 @@
       getRunning: () => this.#running,
       getEngineId: () => this.#placement.engineId,
       getLastEventId: () => this.#events.lastEventId,
+      mayGoOn: () => this.#version.mayGoOn,
       tryReserveRetry: () => this.#tryReserveRetry(RETRY_REASON.silent),
       log,
     });
@@ -376,7 +378,7 @@
       case 'broken':
         this.#placement.exclude(engine.id);
         this.#placement.report('failed');
-        this.#resume(end.detail);
+        this.#resumeOnceSettled(end.detail);
         return;
       default:
         throw exhaustiveSwitchError(end);
@@ -393,7 +395,7 @@
       const detail = 'the stream ended inside an event';
       this.#recordBroken(engine, detail);
       this.#placement.report('failed');
-      this.#resume(detail);
+      this.#resumeOnceSettled(detail);
       return;
     }
     this.#context.quarantine.recordAnswered(this.#parameters.subject, {
@@ -490,6 +492,18 @@
     this.#place();
   }
 
+  /** Resumes the stream once it is known which process of the engine began it. */
+  #resumeOnceSettled(detail: string): void {
+    this.#version.settle().then(() => {
+      if (!this.#isOver) {
+        this.#resume(detail);
+      }
+    }).catch((error: unknown) => {
+      this.#log('versionNotFound', { error: String(error) });
+      this.#fail(STATUS.badGateway, 'engine-broke-off', null);
+    });
+  }
+
   /** Resumes the stream after an attempt that ran or may have run. */
   #resume(detail: string): void {
     const { route, subject } = this.#parameters;
--- a/src/relay/PlacedEngineCheck.ts
+++ b/src/relay/PlacedEngineCheck.ts
@@ -148,7 +148,7 @@
     const { context, log, listener } = this.#options;
     context.engineLifetimes.prove(engine).then((proof) => {
       log('lifetimeChecked', { upstreamId: engine.id, proof });
-      if (proof === 'exchange' || proof === 'store') {
+      if (proof === 'report' || proof === 'store') {
         this.#provenId = engine.id;
         this.#check(placed);
       } else {
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -291,7 +291,14 @@
       quarantine: this.#quarantine,
       streamVersions: this.#streamVersions,
       engineLifetimes: new EngineLifetimes({
-        clock, directory, store: adapters.store, logger,
+        clock,
+        directory,
+        store: adapters.store,
+        probe: adapters.engineProbe,
+        getConnectCount: (address) => adapters.connections.getConnectCount(`http://${address}`),
+        mayAsk: (entry) => directory.isUsable(entry.id) && rates.tryTakePermit(entry),
+        onUnlisted: (poolId) => this.#streamVersions.recordUnlisted(poolId),
+        logger,
       }),
       forwardingPeers: new ForwardingPeers(
         clock,
--- a/src/relay/RelayedStreamVersion.ts
+++ b/src/relay/RelayedStreamVersion.ts
@@ -5,12 +5,14 @@
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
 import type { RolloutRequest } from '../rollouts/RolloutRequest.ts';
 import type { Rollouts } from '../rollouts/Rollouts.ts';
+import type { EngineLifetimes } from '../streams/EngineLifetimes.ts';
 import type { StreamVersionAnswer, StreamVersions } from '../streams/StreamVersions.ts';
 
 /** Options of a {@link RelayedStreamVersion}. */
 export interface RelayedStreamVersionOptions {
   readonly directory: Directory;
   readonly streamVersions: StreamVersions;
+  readonly lifetimes: Pick<EngineLifetimes, 'findVersion' | 'isAwaiting'>;
   readonly profile: RequestProfile;
   readonly poolId: PoolId;
   readonly route: Pick<ServingRoute, 'name' | 'isResumable'>;
@@ -20,7 +22,7 @@
 
 type BeginState =
   | { readonly kind: 'notBegun' }
-  /** The caller has an event; the version is null when unknown. */
+  /** The caller has an event; the version is null while or when it is unknown. */
   | { readonly kind: 'begun'; readonly softwareVersion: string | null };
 
 /** The software version at which one relayed stream began, and the engines where it may go on. */
@@ -29,6 +31,12 @@
 
   #state: BeginState = { kind: 'notBegun' };
 
+  /** Whether it is being found out which process of the engine began the stream. */
+  #isFindingVersion = false;
+
+  /** Resolves once the engine that began the stream has been asked; null if it need not be. */
+  #asking: Promise<void> | null = null;
+
   #rollout: RolloutRequest | null = null;
 
   /**
@@ -60,6 +68,11 @@
     return this.#state.kind === 'begun' ? this.#state.softwareVersion : null;
   }
 
+  /** Resolves once {@link mayGoOn} no longer depends on the answer of an engine. */
+  async settle(): Promise<void> {
+    await this.#asking;
+  }
+
   /** Whether the stream may go on at an engine other than the one that began it. */
   get mayGoOn(): boolean {
     return this.#state.kind === 'notBegun' || this.#state.softwareVersion !== null;
@@ -71,14 +84,24 @@
    * @returns the version, or why it is unknown
    */
   async find(): Promise<StreamVersionAnswer> {
-    const { streamVersions, poolId, profile } = this.#options;
-    const answer = await streamVersions.find(poolId, profile.resumedRequestId);
+    const answer = await this.#findRecord();
     this.#state = {
       kind: 'begun', softwareVersion: answer.kind === 'known' ? answer.softwareVersion : null,
     };
     return answer;
   }
 
+  /** Finds the record; that of the pool leaves out engines whose restart it doesn't show yet. */
+  async #findRecord(): Promise<StreamVersionAnswer> {
+    const {
+      streamVersions, lifetimes, poolId, profile,
+    } = this.#options;
+    const answer = await streamVersions.find(poolId, profile.resumedRequestId);
+    return answer.kind === 'known' && answer.source === 'pool' && lifetimes.isAwaiting(poolId)
+      ? { kind: 'unknown', detail: 'an engine of the pool has started again' }
+      : answer;
+  }
+
   /**
    * @param engine - an engine
    * @returns whether the stream may begin or go on there
@@ -137,32 +160,50 @@
   }
 
   /**
-   * Records that the caller gets an event of an engine.
+   * Records that the caller gets the first event of its answer.
    *
    * @param engine - the engine's entry when the request was sent to it
    */
-  recordEvent(engine: UpstreamEntry): void {
-    const {
-      route: { isResumable }, streamVersions, poolId, profile,
-    } = this.#options;
-    if (!isResumable) {
+  recordFirstEvent(engine: UpstreamEntry): void {
+    if (!this.#options.route.isResumable) {
       return;
     }
     if (this.#state.kind === 'notBegun') {
-      this.#state = { kind: 'begun', softwareVersion: this.#getVersion(engine) };
+      this.#state = { kind: 'begun', softwareVersion: null };
+      this.#findVersion(engine);
+    } else {
+      this.#recordBegun();
     }
-    const { softwareVersion } = this.#state;
-    const begunId = this.isResumption ? profile.resumedRequestId : profile.id;
-    if (softwareVersion !== null && begunId !== null) {
-      streamVersions.recordBegun(poolId, begunId, softwareVersion);
+  }
+
+  /**
+   * Records that the caller gets an event. A stream whose version is unknown can't go on at another
+   * engine, so that the events come from the one that began it, which is asked again.
+   *
+   * @param engine - the engine's entry when the request was sent to it
+   */
+  recordEvent(engine: UpstreamEntry): void {
+    const isUnknown = this.#state.kind === 'begun' && this.#state.softwareVersion === null;
+    if (isUnknown && !this.isResumption && !this.#isFindingVersion) {
+      this.#findVersion(engine);
     }
   }
 
-  /** An engine that restarted under its id since then may have had either version. */
-  #getVersion({ id, softwareVersion }: UpstreamEntry): string | null {
-    const current = this.#options.directory.getUpstream(id)?.entry;
-    return current === undefined || current.softwareVersion === softwareVersion
-      ? softwareVersion
-      : null;
+  /** Finds the version of the process that sent the last event. */
+  #findVersion(engine: UpstreamEntry): void {
+    this.#isFindingVersion = true;
+    this.#asking = this.#options.lifetimes.findVersion(engine, (softwareVersion) => {
+      this.#isFindingVersion = false;
+      this.#state = { kind: 'begun', softwareVersion };
+      this.#recordBegun();
+    });
+  }
+
+  #recordBegun(): void {
+    const { streamVersions, poolId, profile } = this.#options;
+    const begunId = this.isResumption ? profile.resumedRequestId : profile.id;
+    if (this.#state.kind === 'begun' && this.#state.softwareVersion !== null && begunId !== null) {
+      streamVersions.recordBegun(poolId, begunId, this.#state.softwareVersion);
+    }
   }
 }
--- a/src/relay/StreamSilence.ts
+++ b/src/relay/StreamSilence.ts
@@ -14,6 +14,8 @@
   readonly getEngineId: () => UpstreamId | null;
   /** @returns the last event that the caller has */
   readonly getLastEventId: () => number | null;
+  /** @returns whether the stream may go on at another engine */
+  readonly mayGoOn: () => boolean;
   /** @returns whether a retry of the request is reserved, now or before */
   readonly tryReserveRetry: () => boolean;
   /** Logs an event of the request. */
@@ -53,11 +55,15 @@
 
   async #check(silenceMs: number): Promise<void> {
     const {
-      context, retry, getRunning, getEngineId, getLastEventId, tryReserveRetry, log,
+      context, retry, getRunning, getEngineId, getLastEventId, mayGoOn, tryReserveRetry, log,
     } = this.#options;
     const running = getRunning();
     const engineId = getEngineId();
     const engine = engineId === null ? undefined : context.directory.getUpstream(engineId)?.entry;
+    if (running !== null && !mayGoOn()) {
+      this.#monitor.start(silenceMs);
+      return;
+    }
     if (running === null || !tryReserveRetry()) {
       return;
     }
--- a/src/relay/checkUnmarkedEnd.test.ts
+++ b/src/relay/checkUnmarkedEnd.test.ts
@@ -19,7 +19,7 @@
 };
 
 /** Answers each probe by the next of the given results. */
-class ScriptedProbe implements EngineProbe {
+class ScriptedProbe implements Pick<EngineProbe, 'probe'> {
   readonly #results: ProbeResult[];
 
   /** Timeouts of the probes. */
--- a/src/relay/checkUnmarkedEnd.ts
+++ b/src/relay/checkUnmarkedEnd.ts
@@ -49,7 +49,7 @@
  * @returns whether the answer is whole, and what shows it
  */
 export async function checkUnmarkedEnd(
-  probe: EngineProbe,
+  probe: Pick<EngineProbe, 'probe'>,
   entry: UpstreamEntry,
 ): Promise<UnmarkedEndProof> {
   let result = await probe.probe(entry, REPORT_TIMEOUT_MS);
--- a/src/relay/silentEngines.test.ts
+++ b/src/relay/silentEngines.test.ts
@@ -3,9 +3,14 @@
 import { afterEach, describe, it } from 'node:test';
 import { looksComplete } from '../../test/support/looksComplete.ts';
 import { readRawAnswer, type RawAnswer } from '../../test/support/readRawAnswer.ts';
-import { RelayTestBed, type UpstreamHandler } from '../../test/support/RelayTestBed.ts';
+import {
+  RelayTestBed, STARTED_AT_MS, type UpstreamHandler,
+} from '../../test/support/RelayTestBed.ts';
 
 const REPORT_PATH = '/-/report';
+const REPORT = JSON.stringify({ born: STARTED_AT_MS });
+/** Time after its first event in which the engine still answers. */
+const SOUND_AFTER_EVENT_MS = 50;
 /** Silence that a sound engine may show; several times the one after which a stream moves on. */
 const SOUND_SILENCE_MS = 1_000;
 const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n'];
@@ -22,19 +27,21 @@
   readonly goesOn: boolean;
 }
 
-/** An engine that writes the first event of a stream and then falls silent. */
+/** An engine that writes the first event of a stream and falls silent soon after. */
 class SilentEngine {
   readonly #silence: Silence;
 
   readonly #waitingProbes: ServerResponse[] = [];
 
+  #isSilent = false;
+
   constructor(silence: Silence) {
     this.#silence = silence;
   }
 
   answerProbe(response: ServerResponse): void {
-    if (this.#silence.answersProbes) {
-      response.end('{}');
+    if (this.#silence.answersProbes || !this.#isSilent) {
+      response.end(REPORT);
     } else {
       this.#waitingProbes.push(response);
     }
@@ -42,13 +49,16 @@
 
   answerStream(response: ServerResponse): void {
     response.write(EVENTS[0]);
+    setTimeout(() => {
+      this.#isSilent = true;
+    }, SOUND_AFTER_EVENT_MS);
     if (this.#silence.silenceMs !== null) {
       setTimeout(() => this.#endSilence(response), this.#silence.silenceMs);
     }
   }
 
   #endSilence(stream: ServerResponse): void {
-    this.#waitingProbes.forEach((probe) => probe.end('{}'));
+    this.#waitingProbes.forEach((probe) => probe.end(REPORT));
     if (this.#silence.goesOn) {
       stream.end(EVENTS.slice(1).join(''));
     }
@@ -66,7 +76,11 @@
   let silentIndex: number | null = null;
   const createHandler = (index: number): UpstreamHandler => (request, response) => {
     if (request.url === REPORT_PATH) {
-      silentEngine.answerProbe(response);
+      if (index === silentIndex) {
+        silentEngine.answerProbe(response);
+      } else {
+        response.end(REPORT);
+      }
       return;
     }
     const lastId = Number(request.headers['last-event-id'] ?? 0);
@@ -79,6 +93,7 @@
     }
   };
   bed = new RelayTestBed();
+  bed.reports = 'handlers';
   await bed.start([createHandler(0), createHandler(1)]);
   return { answer: await readRawAnswer(bed, '/stream/'), sends };
 }
--- a/src/relay/unframedAnswers.test.ts
+++ b/src/relay/unframedAnswers.test.ts
@@ -16,6 +16,7 @@
 async function startBed(...handlers: UpstreamHandler[]): Promise<RelayTestBed> {
   const started = new RelayTestBed();
   bed = started;
+  started.reports = 'handlers';
   await started.start(handlers);
   return started;
 }
--- a/src/streams/PoolVersionRecorder.test.ts
+++ b/src/streams/PoolVersionRecorder.test.ts
@@ -126,6 +126,18 @@
     equal(await getSoleVersion(), 'v2');
   });
 
+  it('records several versions once an engine serves at one that is not known', async () => {
+    list('u1', 'v1');
+    await pass(1_000);
+    recorder.recordUnlisted(POOL_ID);
+    await new Promise(setImmediate);
+    equal(await getSoleVersion(), null);
+    await pass(STREAM_TTL_MS + SETTLE_MS - 2_000);
+    equal(await getSoleVersion(), null);
+    await pass(4_000);
+    equal(await getSoleVersion(), 'v1');
+  });
+
   it('does not trust a time in which it did not follow the store', async () => {
     list('u1', 'v1');
     list('u2', 'v2');
--- a/src/streams/PoolVersionRecorder.ts
+++ b/src/streams/PoolVersionRecorder.ts
@@ -53,6 +53,9 @@
 
   readonly #writing = new Set<PoolId>();
 
+  /** When an engine of a pool last served streams at a version that was not known. */
+  readonly #unlistedAtMs = new Map<PoolId, number>();
+
   /** The pools of a configuration, found once for each. */
   #streamPools: {
     readonly configuration: ServingConfiguration | null;
@@ -88,6 +91,30 @@
     this.#timers.clear();
   }
 
+  /**
+   * Records that an engine serves streams at a version that can't be known yet, so that the pool
+   * may have several.
+   *
+   * @param poolId - its pool
+   */
+  recordUnlisted(poolId: PoolId): void {
+    this.#unlistedAtMs.set(poolId, this.#options.clock.getMonotonicMs());
+    if (this.#getDue(poolId) !== null && !this.#writing.has(poolId)) {
+      // Other hosts may not know of that engine's process.
+      clearTimeout(this.#timers.get(poolId));
+      this.#write(poolId);
+    }
+  }
+
+  /**
+   * @param poolId - a pool
+   * @returns whether callers may resume streams that began at a version not known then
+   */
+  hasUnlisted(poolId: PoolId): boolean {
+    const atMs = this.#unlistedAtMs.get(poolId) ?? -Infinity;
+    return this.#options.clock.getMonotonicMs() - atMs < STREAM_TTL_MS;
+  }
+
   #check(): void {
     this.#getStreamPools().forEach((poolId) => {
       this.#watchSettling(poolId);
@@ -122,6 +149,9 @@
 
   /** Finds the only version of the entries of a pool; null for several, for none or an unknown. */
   #getOnlyVersion(poolId: PoolId): string | null {
+    if (this.hasUnlisted(poolId)) {
+      return null;
+    }
     const versions = this.#options.directory.getSoftwareVersions(poolId);
     const [version] = versions;
     return versions.size === 1 && version !== undefined ? version : null;
--- a/src/streams/StreamVersions.ts
+++ b/src/streams/StreamVersions.ts
@@ -121,6 +121,15 @@
     }
   }
 
+  /**
+   * Records that an engine of a pool serves streams at a version that can't be known yet.
+   *
+   * @param poolId - the pool
+   */
+  recordUnlisted(poolId: PoolId): void {
+    this.#recorder.recordUnlisted(poolId);
+  }
+
   /**
    * Finds the software version that began a stream.
    *
@@ -143,7 +152,7 @@
       return known;
     }
     // The store may have a newer record than this host.
-    return this.#table.getState(poolId).kind === 'mixed'
+    return this.#table.getState(poolId).kind === 'mixed' || this.#recorder.hasUnlisted(poolId)
       ? { kind: 'unknown', detail: 'the pool has several versions' }
       : this.#readPool(poolId);
   }
--- a/src/upstreams/UpstreamConnections.ts
+++ b/src/upstreams/UpstreamConnections.ts
@@ -32,6 +32,8 @@
 
   readonly #pools = new Map<string, Connections>();
 
+  readonly #connectCounts = new Map<string, number>();
+
   /**
    * @param options - overrides of the defaults
    */
@@ -51,11 +53,20 @@
     const pool = new Pool(url, {
       ...this.#createClientOptions(), connections: this.#options.maxConnections,
     });
+    pool.on('connect', () => this.#connectCounts.set(url, this.getConnectCount(url) + 1));
     const dispatcher = pool.compose(limitInformationalResponses);
     this.#pools.set(url, { pool, dispatcher });
     return dispatcher;
   }
 
+  /**
+   * @param url - base address of an upstream
+   * @returns the number of its kept connections that were opened so far
+   */
+  getConnectCount(url: string): number {
+    return this.#connectCounts.get(url) ?? 0;
+  }
+
   /**
    * Opens a new connection for one request. It carries no late bytes of an earlier answer.
    *
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -2,6 +2,7 @@
   createServer, request as sendRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { UPSTREAM_PATHS } from '../../platform/WIRE.ts';
 import {
   toId, type HostId, type PoolId, type UpstreamId,
 } from '../../src/lib/ids.ts';
@@ -19,6 +20,8 @@
 /** Start of each upstream's process by its entry. */
 export const STARTED_AT_MS = 1;
 
+const RESTARTED_AT_MS = STARTED_AT_MS + 1;
+
 const HOST_ID = toId<HostId>('host');
 
 /** Answer as its caller received it. */
@@ -28,6 +31,9 @@
   readonly headers: IncomingMessage['headers'];
 }
 
+/** Who answers the reports of upstreams: the bed, their handlers, or nobody. */
+export type ReportSource = 'bed' | 'handlers' | 'nobody';
+
 /** Answers one request to an upstream of the test bed. */
 export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
@@ -44,6 +50,12 @@
   /** Base URL for callers. */
   url = '';
 
+  /** Who answers the reports of upstreams. */
+  reports: ReportSource = 'bed';
+
+  /** Start of upstreams' processes by their reports, where it differs from the entries. */
+  readonly #restartedAtMs = new Map<string, number>();
+
   /** URL of the host's readiness check. */
   readinessUrl = '';
 
@@ -131,8 +143,35 @@
   restartUnnoticed(softwareVersion: string): void {
     this.#store.changes.forEach((change) => {
       if (change.kind === 'upstream') {
+        this.#restartedAtMs.set(change.entry.id, RESTARTED_AT_MS);
         this.#store.restartedUpstreams.set(change.entry.id, {
-          ...change.entry, softwareVersion, startedAtMs: STARTED_AT_MS + 1,
+          ...change.entry, softwareVersion, startedAtMs: RESTARTED_AT_MS,
+        });
+      }
+    });
+  }
+
+  /**
+   * Starts one upstream again under its id while it is cut off from the store.
+   *
+   * @param index - index of the upstream
+   */
+  restartCutOff(index: number): void {
+    this.#restartedAtMs.set(`u${index}`, RESTARTED_AT_MS);
+  }
+
+  /**
+   * Lets the store have the entry of an upstream that started again.
+   *
+   * @param index - index of the upstream
+   * @param softwareVersion - its version now
+   */
+  announceRestart(index: number, softwareVersion: string): void {
+    this.#store.changes.forEach((change) => {
+      if (change.kind === 'upstream' && change.entry.id === `u${index}`) {
+        this.#store.changes.push({
+          kind: 'upstream',
+          entry: { ...change.entry, softwareVersion, startedAtMs: RESTARTED_AT_MS },
         });
       }
     });
@@ -192,7 +231,13 @@
   ): Promise<void> {
     const server = createServer((request, response) => {
       response.setHeader('x-request-id', request.headers['x-request-id'] ?? '');
-      handler(request, response);
+      if (request.url !== UPSTREAM_PATHS.report || this.reports === 'handlers') {
+        handler(request, response);
+      } else if (this.reports === 'bed') {
+        response.end(JSON.stringify({ born: this.#restartedAtMs.get(id) ?? STARTED_AT_MS }));
+      } else {
+        request.socket.destroy();
+      }
     });
     this.#servers.push(server);
     await new Promise<void>((resolve) => {
