--- a/test/faults/processes/streamVersions.test.ts
+++ b/test/faults/processes/streamVersions.test.ts
@@ -11,7 +11,7 @@
 import { STORE_KEYS } from '../../../platform/WIRE.ts';
 import { StoreStandin } from '../../../standins/store/StoreStandin.ts';
 import { takeStream } from '../../support/StreamTaker.ts';
-import { VersionedEngine } from '../../support/VersionedEngine.ts';
+import { ENGINE_STARTED_AT_MS, VersionedEngine } from '../../support/VersionedEngine.ts';
 
 const HOST_COUNT = 3;
 const VERSIONS = ['v1', 'v2', 'v1', 'v2'];
@@ -50,7 +50,7 @@
     await Promise.all(engines.map((engine) => engine.listen()));
     putManifest(store);
     engines.forEach((engine) => store.put(`${STORE_KEYS.upstreamPrefix}${engine.id}`, {
-      ...engine.entry, born: 1,
+      ...engine.entry, born: ENGINE_STARTED_AT_MS,
     }));
     const folder = mkdtempSync(join(tmpdir(), 'stream-versions-'));
     hosts = Array.from({ length: HOST_COUNT }, (_, index) => new SoakHost({
--- a/test/support/VersionedEngine.ts
+++ b/test/support/VersionedEngine.ts
@@ -8,6 +8,9 @@
 const EVENT_GAP_MS = 80;
 const MISDIRECTED = 421;
 
+/** Start of each engine's process. */
+export const ENGINE_STARTED_AT_MS = 1;
+
 /** Number of events of a whole stream. */
 export const STREAM_EVENT_COUNT = 10;
 
@@ -69,7 +72,7 @@
     response.setHeader(HEADERS.upstreamId, this.id);
     request.resume();
     if (request.method === 'GET') {
-      response.end();
+      response.end(JSON.stringify({ born: ENGINE_STARTED_AT_MS }));
       return;
     }
     if ((request.headers[HEADERS.expectedUpstream] ?? this.id) !== this.id) {
