--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -16,6 +16,7 @@
 import { ManualClock } from '../../src/time/ManualClock.ts';
 import { NO_MAKER_ROLLOUTS } from '../../test/support/NO_MAKER_ROLLOUTS.ts';
 import { MAX_HELD_PIECES } from '../../test/support/PlacementTestBed.ts';
+import { UNLIMITED_QUOTAS } from '../../test/support/UNLIMITED_QUOTAS.ts';
 import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from '../../test/support/UNLIMITED_RETRIES.ts';
 import { EventQueue } from '../load/EventQueue.ts';
@@ -299,6 +300,7 @@
       retryBudget: UNLIMITED_RETRIES,
       rates: UNLIMITED_RATES,
       rollouts: NO_MAKER_ROLLOUTS,
+      quotas: UNLIMITED_QUOTAS,
       maxHeldPieces: MAX_HELD_PIECES,
       sendCall: (call) => {
         const maker = this.#makers.get(call.makerId);
--- a/src/placement/PLACEMENT_PATHS.ts
+++ b/src/placement/PLACEMENT_PATHS.ts
@@ -3,4 +3,5 @@
   place: '/placements',
   reports: '/placement-notes',
   alive: '/alive',
+  leases: '/quota-leases',
 } as const;
--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -7,6 +7,7 @@
   ENGINE_POOL_ID, MAX_HELD_PIECES, PlacementTestBed,
 } from '../../test/support/PlacementTestBed.ts';
 import { NO_MAKER_ROLLOUTS } from '../../test/support/NO_MAKER_ROLLOUTS.ts';
+import { UNLIMITED_QUOTAS } from '../../test/support/UNLIMITED_QUOTAS.ts';
 import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from '../../test/support/UNLIMITED_RETRIES.ts';
 import { getFreePort, TEST_IP } from '../../test/support/getFreePort.ts';
@@ -81,6 +82,7 @@
       directory: this.own.directory,
       coordinator: this.own.coordinator,
       rates: { createReports: () => [], applyReports: () => {} },
+      lender: { recordEnded: () => {} },
       connections: this.connections,
       logger: pino({ level: 'silent' }),
     });
@@ -189,6 +191,7 @@
       retryBudget: UNLIMITED_RETRIES,
       rates: UNLIMITED_RATES,
       rollouts: NO_MAKER_ROLLOUTS,
+      quotas: UNLIMITED_QUOTAS,
       maxHeldPieces: MAX_HELD_PIECES,
       sendCall: () => {},
       sendRelease: () => {},
--- a/src/placement/PlacementClient.ts
+++ b/src/placement/PlacementClient.ts
@@ -3,9 +3,11 @@
 import type { HostEntry, KnownHost } from '../directory/HostEntry.ts';
 import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
 import type { LimitReport } from '../rates/PermitMessage.ts';
+import type { QuotaLender } from '../quotas/QuotaLender.ts';
 import type { SendRateLimiter } from '../rates/SendRateLimiter.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
+import { isConnectionRefused } from '../upstreams/isConnectError.ts';
 import { readBoundedText } from '../upstreams/readBoundedText.ts';
 import { getGroupUpstreams } from './getGroupUpstreams.ts';
 import type { OpenGeneration } from './OpenGeneration.ts';
@@ -33,6 +35,8 @@
   readonly coordinator: PlacementCoordinator;
   /** Knows the limits that upstreams advertise. */
   readonly rates: Pick<SendRateLimiter, 'createReports' | 'applyReports'>;
+  /** Learns which coordinators use no leased quota any more. */
+  readonly lender: Pick<QuotaLender, 'recordEnded'>;
   readonly connections: UpstreamConnections;
   readonly logger: Logger;
 }
@@ -124,6 +128,13 @@
     return this.#chooser.choose(group);
   }
 
+  /** @returns the placement groups, at least one, each with its coordinator; null for this host */
+  listCoordinators(): { readonly group: PlacementGroup; readonly coordinator: KnownHost | null }[] {
+    this.#groups ??= findPlacementGroups(this.#options.directory);
+    const groups = this.#groups.length === 0 ? [NO_GROUP] : this.#groups;
+    return groups.map((group) => ({ group, coordinator: this.choose(group) }));
+  }
+
   /** @inheritdoc */
   listPlacedByOthers(
     coordinator: KnownHost | null,
@@ -175,6 +186,7 @@
     if (coordinator === null) {
       this.#isOwnCoordinatorLeaving = true;
     } else {
+      this.#options.lender.recordEnded(coordinator.id);
       this.#monitor.recordFailure(coordinator, 'the host is leaving');
     }
   }
@@ -246,6 +258,11 @@
         throw new CoordinatorStatusError(host.id, response.statusCode);
       }
       return JSON.parse(await readBoundedText(response.body)) as PlacementResult;
+    } catch (error) {
+      if (isConnectionRefused(error)) {
+        this.#options.lender.recordEnded(host.id);
+      }
+      throw error;
     } finally {
       stopWatching();
     }
--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -4,6 +4,7 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
 import { PrefillLoads } from '../prefill/PrefillLoads.ts';
+import type { QuotaBorrower } from '../quotas/QuotaBorrower.ts';
 import { FairShares } from '../shares/FairShares.ts';
 import type { Clock } from '../time/Clock.ts';
 import { chooseEngine } from './chooseEngine.ts';
@@ -39,6 +40,8 @@
   readonly retryBudget: PieceRetryBudget;
   /** Knows the permits for upstreams that advertise limits. */
   readonly rates: PlacementRates;
+  /** Grants sends to upstreams with a cold start limit. */
+  readonly quotas: Pick<QuotaBorrower, 'isOpenTo' | 'setOpen' | 'take'>;
   /** Restricts the makers of pools that move to another software version. */
   readonly rollouts: MakerRollouts;
   /** Largest number of pieces of all requests that the coordinator holds. */
@@ -263,6 +266,7 @@
    */
   setHandingOver(reason: HandOverReason | null): void {
     this.#handOverReason = reason;
+    this.#options.quotas.setOpen(reason === null);
     this.#options.requestRun();
   }
 
@@ -330,6 +334,7 @@
       this.#refusals.recordHeld(job, engines);
     }
     const candidates = open
+      .filter(({ entry }) => this.#options.quotas.isOpenTo(entry, request.hostId))
       .map(({ entry }) => ({
         engine: this.#engines.get(entry.id),
         failureDomain: entry.failureDomain,
@@ -354,8 +359,14 @@
     this.#prefills.recordPlaced(getPrefillTokens(this.#engines.get(engineId), request), nowMs);
     this.room.place(engineId, request);
     this.#starts.recordPlaced(this.#engines.get(engineId), request.requestId);
+    const chosen = directory.getUpstream(engineId)?.entry;
     job.answer({
-      kind: 'placed', upstreamId: engineId, inputs, ...this.#permits.take(engineId),
+      kind: 'placed',
+      upstreamId: engineId,
+      inputs,
+      ...this.#permits.take(engineId),
+      quota: chosen === undefined ? null : this.#options.quotas.take(chosen, request.hostId),
+      heldMs: nowMs - job.arrivedAtMs,
     });
   }
 
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -40,6 +40,7 @@
 export interface PlacementJob {
   readonly request: PlacementRequest;
   readonly stages: readonly JobStage[];
+  readonly arrivedAtMs: number;
   readonly onTimeAtMs: number;
   readonly deadlineAtMs: number;
   /** Failure domain of the engine that caches most of its prompt; null if there is none. */
@@ -105,6 +106,7 @@
       pieceCount: request.pieceCounts[index] ?? 1,
       pieces: [],
     })),
+    arrivedAtMs: nowMs,
     onTimeAtMs: nowMs + request.onTimeMs,
     deadlineAtMs: nowMs + request.remainingMs,
     preferredDomain,
--- a/src/placement/PlacementRequest.ts
+++ b/src/placement/PlacementRequest.ts
@@ -1,6 +1,7 @@
 import type { RouteStage } from '../directory/ServingConfiguration.ts';
 import type { PromptPart } from '../ingress/CallerRequest.ts';
 import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
+import type { QuotaSource } from '../quotas/QuotaBorrower.ts';
 import type { LimitReport } from '../rates/PermitMessage.ts';
 import type { OpenGeneration } from './OpenGeneration.ts';
 
@@ -103,6 +104,10 @@
     readonly leave: PermitSource | null;
     /** The engine's limit as known to the coordinator; empty if it never advertised one. */
     readonly limitReports: readonly LimitReport[];
+    /** Whose quota it uses; null without a cold start limit, absent from earlier versions. */
+    readonly quota?: QuotaSource | null;
+    /** Time from the arrival of the request at the coordinator to this decision. */
+    readonly heldMs?: number;
   }
   | {
     readonly kind: 'refused';
--- a/src/placement/PlacementSearch.ts
+++ b/src/placement/PlacementSearch.ts
@@ -12,7 +12,12 @@
 } from './PlacementRequest.ts';
 
 /** The final result of a placement, after any handover. */
-export type FinalPlacementResult = Exclude<PlacementResult, { kind: 'handedOver' }>;
+export type FinalPlacementResult =
+  | Extract<PlacementResult, { kind: 'refused' }>
+  | (Extract<PlacementResult, { kind: 'placed' }> & {
+    /** Time at or before the coordinator's decision. */
+    readonly grantedAtMs: number;
+  });
 
 /** What an engine has told of its load in an answer. */
 export type ToldLoad = Pick<PlacementReport, 'heldCount' | 'workTimeFactor'>;
@@ -178,12 +183,14 @@
       return createRefusal(REFUSAL.unreachable);
     }
     const request = this.#createRequest(group, coordinator);
+    const sentAtMs = this.#clock.getMonotonicMs();
     this.#query = coordinators.query(coordinator, request);
     try {
       const result = await this.#query.result;
       if (result.kind === 'placed') {
         coordinators.applyLimitReports(coordinator, result.limitReports);
         coordinators.recordPlaced(coordinator, request, result.upstreamId);
+        return { ...result, grantedAtMs: sentAtMs + (result.heldMs ?? 0) };
       }
       if (result.kind === 'handedOver') {
         this.#standingResults = result.results;
--- a/src/placement/PlacementService.test.ts
+++ b/src/placement/PlacementService.test.ts
@@ -3,6 +3,7 @@
 import { pino } from 'pino';
 import { NO_MAKER_ROLLOUTS } from '../../test/support/NO_MAKER_ROLLOUTS.ts';
 import { MAX_HELD_PIECES } from '../../test/support/PlacementTestBed.ts';
+import { UNLIMITED_QUOTAS } from '../../test/support/UNLIMITED_QUOTAS.ts';
 import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from '../../test/support/UNLIMITED_RETRIES.ts';
 import { Directory } from '../directory/Directory.ts';
@@ -30,6 +31,7 @@
     rates: UNLIMITED_RATES,
     readEngineFigures: async () => null,
     rollouts: NO_MAKER_ROLLOUTS,
+    quotas: UNLIMITED_QUOTAS,
     maxHeldPieces: MAX_HELD_PIECES,
     reachability: { recordSend: () => {}, recordAnswer: () => {}, recordUnreachable: () => {} },
     logger,
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -4,6 +4,7 @@
 import type { UpstreamNoticeHandler } from '../directory/UpstreamNoticeHandler.ts';
 import type { UpstreamId } from '../lib/ids.ts';
 import type { UpstreamObserver } from '../reachability/ReachabilityMonitor.ts';
+import type { QuotaBorrower } from '../quotas/QuotaBorrower.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { EngineFigures } from './EngineRoom.ts';
 import type { MakerRollouts } from './MakerRollouts.ts';
@@ -39,6 +40,8 @@
   readonly readEngineFigures: (entry: UpstreamEntry) => Promise<EngineFigures | null>;
   /** Restricts the makers of pools that move to another software version. */
   readonly rollouts: MakerRollouts;
+  /** Grants sends to upstreams with a cold start limit. */
+  readonly quotas: Pick<QuotaBorrower, 'isOpenTo' | 'setOpen' | 'take'>;
   /** Largest number of pieces of all requests that the coordinator holds. */
   readonly maxHeldPieces: number;
   /** Learns from calls whether this host reaches upstreams. */
@@ -83,7 +86,7 @@
    */
   constructor({
     clock, directory, caller, notices, retryBudget, rates, rollouts, reachability,
-    readEngineFigures, maxHeldPieces, logger,
+    readEngineFigures, quotas, maxHeldPieces, logger,
   }: PlacementServiceOptions) {
     this.#reachability = reachability;
     this.#rollouts = rollouts;
@@ -101,6 +104,7 @@
       retryBudget,
       rates,
       rollouts,
+      quotas,
       maxHeldPieces,
       sendCall: (call) => this.#send(call),
       sendRelease: (_makerId, address, handles) => this.#release(address, handles),
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -125,7 +125,11 @@
       version,
       listener: {
         onPassed: (placed, engine) => this.#send(placed, engine),
-        onEngineLost: (engineId) => this.#placeAgainUnsent(engineId),
+        onEngineLost: (engineId) => {
+          this.#placement.exclude(engineId);
+          this.#placeAgainUnsent(engineId, 'engine-left');
+        },
+        onQuotaExpired: (engineId) => this.#placeAgainUnsent(engineId, 'quota-expired'),
         onQuarantined: () => this.#holdPlaced(),
         onVersionUnknown: () => this.#fail(STATUS.unavailable, 'version-unknown', null),
       },
@@ -461,10 +465,9 @@
   }
 
   /** Requests another placement without using a retry, because nothing was sent. */
-  #placeAgainUnsent(upstreamId: UpstreamId): void {
-    this.#placement.exclude(upstreamId);
+  #placeAgainUnsent(upstreamId: UpstreamId, detail: string): void {
     this.#refusedCount += 1;
-    this.#log('placedAgain', { detail: 'engine-left', upstreamId });
+    this.#log('placedAgain', { detail, upstreamId });
     if (this.#refusedCount > MAX_REFUSED_SENDS) {
       this.#placement.report('ended');
       this.#fail(STATUS.unavailable, 'engines-left', SHORT_RETRY_AFTER_MS);
--- a/src/relay/HostShares.test.ts
+++ b/src/relay/HostShares.test.ts
@@ -122,30 +122,4 @@
     const sum = retryFor(clock, [...hosts, ...joined], WINDOW_MS);
     ok(sum > SLACK / 2 && sum <= SLACK, `${sum} retries`);
   });
-
-  it('keeps the cold start limit when there are more hosts than allowed requests', () => {
-    const names = Array.from({ length: 62 }, (_, index) => `host-${index}`);
-    const host = new TestHost(new ManualClock(), 'host-0').addHosts(...names);
-    host.directory.apply({
-      kind: 'configuration',
-      configuration: {
-        version: 1,
-        routes: [],
-        pools: new Map([[POOL_ID, {
-          id: POOL_ID,
-          healthPath: '/health',
-          maxConnections: 10,
-          coldRequestsPerSecond: 9,
-          batch: null,
-          engine: null,
-        }]]),
-        accountsByKey: null,
-        callerLimits: {
-          maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
-        },
-      },
-    });
-    const sum = host.shares.getColdStartShare(POOL_ID) * names.length;
-    ok(sum <= 10, `${sum} requests per second`);
-  });
 });
--- a/src/relay/HostShares.ts
+++ b/src/relay/HostShares.ts
@@ -2,6 +2,7 @@
 import type { Directory } from '../directory/Directory.ts';
 import type { HostId, PoolId, UpstreamId } from '../lib/ids.ts';
 import type { PieceRetryBudget } from '../placement/PieceRetryBudget.ts';
+import type { ColdStartBounds } from '../quotas/SendQuotas.ts';
 import type { RetryReservation } from '../retries/RetryWindow.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
@@ -9,16 +10,12 @@
 import { RetryWindowTable } from './RetryWindowTable.ts';
 
 /** Limits that apply to all entry hosts together. */
-export interface SharedBounds {
+export interface SharedBounds extends ColdStartBounds {
   /** Retries as a fraction of the requests to a pool. */
   readonly retryRatio: number;
   /** Retries within a window that are allowed at any load. */
   readonly retrySlack: number;
   readonly retryWindowMs: number;
-  /** Multiple of its cold start limit that a cold upstream may receive in a second. */
-  readonly coldOvershoot: number;
-  /** Further requests that it may receive in a second. */
-  readonly coldSlack: number;
 }
 
 /** Options of {@link HostShares}. */
@@ -116,20 +113,6 @@
     return this.#pieceRetries.get(poolId).remaining;
   }
 
-  /**
-   * @param poolId - a pool
-   * @returns requests per second that this host may send to an upstream of it; 0 for no limit
-   */
-  getColdStartShare(poolId: PoolId): number {
-    const { bounds, directory } = this.#options;
-    const perSecond = directory.configuration?.pools.get(poolId)?.coldRequestsPerSecond ?? 0;
-    if (perSecond === 0) {
-      return 0;
-    }
-    const allowed = perSecond * bounds.coldOvershoot + bounds.coldSlack;
-    return Math.max(1, Math.floor(allowed / directory.largestHostCount));
-  }
-
   #createRetryWindows(): RetryWindowTable {
     const { bounds, clock } = this.#options;
     return new RetryWindowTable({
--- a/src/relay/PlacedEngineCheck.ts
+++ b/src/relay/PlacedEngineCheck.ts
@@ -15,6 +15,8 @@
   readonly onPassed: (placed: Placed, engine: UpstreamEntry) => void;
   /** @param engineId - an engine that must not get the request */
   readonly onEngineLost: (engineId: UpstreamId) => void;
+  /** @param engineId - an engine for which the quota has expired; it may be chosen again */
+  readonly onQuotaExpired: (engineId: UpstreamId) => void;
   /** Called when the quarantine has begun to hold the request. */
   readonly onQuarantined: () => void;
   /** Called when it can't be found out whether the engine still has the stream's version. */
@@ -25,8 +27,7 @@
 export interface PlacedEngineCheckOptions {
   readonly context: Pick<
     RelayContext,
-    | 'clock' | 'coldStartLimiter' | 'directory' | 'engineLifetimes' | 'metrics' | 'quarantine'
-    | 'rates' | 'shares'
+    'clock' | 'directory' | 'engineLifetimes' | 'metrics' | 'ownQuota' | 'quarantine' | 'rates'
   >;
   readonly parameters: RelayParameters;
   /** The engines at which the stream may begin or go on. */
@@ -36,6 +37,8 @@
   readonly log: (outcome: string, details?: Readonly<Record<string, unknown>>) => void;
 }
 
+/** Validity of a quota from the placement coordinator; see {@link QUOTA_WINDOW_MS}. */
+const MAX_GRANT_AGE_MS = 100;
 /** Validity of a permit from the placement coordinator. */
 const PERMIT_TTL_MS = 500;
 
@@ -93,15 +96,9 @@
     }
     const {
       context: {
-        coldStartLimiter, directory, quarantine, shares,
+        directory, quarantine, ownQuota,
       }, parameters, version, listener, log,
     } = this.#options;
-    const share = shares.getColdStartShare(parameters.poolId);
-    const waitMs = share === 0 ? 0 : coldStartLimiter.getWaitMs(placed.upstreamId, share);
-    if (waitMs > 0) {
-      this.#timer = setTimeout(() => this.#check(placed), waitMs);
-      return;
-    }
     const engine = directory.getUpstream(placed.upstreamId)?.entry;
     if (
       engine === undefined
@@ -132,7 +129,10 @@
       listener.onEngineLost(placed.upstreamId);
       return;
     }
-    coldStartLimiter.recordSend(placed.upstreamId);
+    if (!this.#tryTakeQuota(placed, engine)) {
+      this.#waitForQuota(placed, ownQuota.getWaitMs(engine));
+      return;
+    }
     this.#provenId = null;
     listener.onPassed(placed, engine);
   }
@@ -160,6 +160,31 @@
     });
   }
 
+  /** Takes the quota for the send to an engine with a cold start limit. */
+  #tryTakeQuota({ quota, grantedAtMs }: Placed, engine: UpstreamEntry): boolean {
+    const { clock, ownQuota } = this.#options.context;
+    const ageMs = clock.getMonotonicMs() - grantedAtMs;
+    if (quota === 'leased' && ageMs <= MAX_GRANT_AGE_MS) {
+      return true;
+    }
+    if (!ownQuota.maySend(engine)) {
+      return false;
+    }
+    ownQuota.recordSend(engine);
+    return true;
+  }
+
+  /** A coordinator of an earlier version grants no quota, so that the host waits for its own. */
+  #waitForQuota(placed: Placed, waitMs: number): void {
+    const { listener, log } = this.#options;
+    if (placed.quota === undefined && Number.isFinite(waitMs)) {
+      this.#timer = setTimeout(() => this.#check(placed), waitMs);
+      return;
+    }
+    log('quotaExpired', { upstreamId: placed.upstreamId, quota: placed.quota, waitMs });
+    listener.onQuotaExpired(placed.upstreamId);
+  }
+
   /**
    * Takes the permit for the send. The placement coordinator provides one when an engine advertises
    * a limit, but this host may have learned of the limit since, or have used up its reserve.
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -14,9 +14,9 @@
 import type { Trial } from '../quarantine/Trial.ts';
 import type { EngineLifetimes } from '../streams/EngineLifetimes.ts';
 import type { Rollouts } from '../rollouts/Rollouts.ts';
+import type { OwnQuota } from '../quotas/OwnQuota.ts';
 import type { StreamVersions } from '../streams/StreamVersions.ts';
 import type { AnswerMemory } from './AnswerMemory.ts';
-import type { ColdStartLimiter } from './ColdStartLimiter.ts';
 import type { EngineProbe } from './EngineProbe.ts';
 import type { ForwardingPeers } from './ForwardingPeers.ts';
 import type { HostShares } from './HostShares.ts';
@@ -46,7 +46,7 @@
   readonly notices: UpstreamNoticeHandler;
   readonly upstreamTable: UpstreamStateTable;
   readonly shares: HostShares;
-  readonly coldStartLimiter: ColdStartLimiter;
+  readonly ownQuota: OwnQuota;
   /** Decides whether this host may send to an upstream that advertises a limit. */
   readonly rates: SendRateLimiter;
   /** Requests permits for such sends from other hosts. */
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -17,8 +17,14 @@
 import { PlacementClient } from '../placement/PlacementClient.ts';
 import { PeerServer } from '../placement/PeerServer.ts';
 import { HAND_OVER_REASON } from '../placement/HAND_OVER_REASON.ts';
+import { QuotaRenewal } from '../placement/QuotaRenewal.ts';
+import { registerLeaseRoutes } from '../placement/registerLeaseRoutes.ts';
 import { PlacementService } from '../placement/PlacementService.ts';
 import { ReachabilityMonitor } from '../reachability/ReachabilityMonitor.ts';
+import { OwnQuota } from '../quotas/OwnQuota.ts';
+import { QuotaBorrower } from '../quotas/QuotaBorrower.ts';
+import { QuotaLender } from '../quotas/QuotaLender.ts';
+import { SendQuotas } from '../quotas/SendQuotas.ts';
 import { RequestQuarantine } from '../quarantine/RequestQuarantine.ts';
 import { NoticeHandlingCheck } from '../quarantine/NoticeHandlingCheck.ts';
 import { HttpPermitTransport } from '../rates/HttpPermitTransport.ts';
@@ -38,7 +44,6 @@
 import { registerRolloutRoutes } from '../rollouts/registerRolloutRoutes.ts';
 import type { Clock } from '../time/Clock.ts';
 import { AnswerMemory } from './AnswerMemory.ts';
-import { ColdStartLimiter } from './ColdStartLimiter.ts';
 import { createEngineFigureReader } from './createEngineFigureReader.ts';
 import type { OpenRelay } from './RelayContext.ts';
 import { ForwardingPeers } from './ForwardingPeers.ts';
@@ -91,6 +96,8 @@
 
   readonly #placementClient: PlacementClient;
 
+  readonly #quotaRenewal: QuotaRenewal;
+
   readonly #peerServer: PeerServer;
 
   readonly #quarantine: RequestQuarantine;
@@ -224,6 +231,10 @@
       logger,
     });
     const { leader, rollouts, stageRollouts } = this.#rolloutParts;
+    const quotas = new SendQuotas(directory, settings.sharedBounds);
+    const lender = new QuotaLender(clock, settings.hostId);
+    const borrower = new QuotaBorrower(clock, directory, quotas);
+    const ownQuota = new OwnQuota(clock, quotas, settings.hostId, lender);
     this.#placementService = new PlacementService({
       clock,
       directory,
@@ -232,6 +243,7 @@
       retryBudget: shares,
       rates,
       rollouts: stageRollouts,
+      quotas: borrower,
       maxHeldPieces: budget.maxHeldPieces,
       reachability: this.#reachability,
       readEngineFigures: createEngineFigureReader(adapters.engineProbe),
@@ -241,12 +253,24 @@
     this.#peerServer.addRoutes((server) => registerDirectoryRoutes(server, this.#follower));
     this.#peerServer.addRoutes((server) => registerPermitRoutes(server, rates));
     this.#peerServer.addRoutes((server) => registerRolloutRoutes(server, leader));
+    this.#peerServer.addRoutes((server) => registerLeaseRoutes(server, borrower));
     this.#placementClient = new PlacementClient({
       clock,
       hostId: settings.hostId,
       directory,
       coordinator: this.#placementService.coordinator,
       rates,
+      lender,
+      connections: adapters.connections,
+      logger,
+    });
+    this.#quotaRenewal = new QuotaRenewal({
+      hostId: settings.hostId,
+      directory,
+      quotas,
+      lender,
+      borrower,
+      client: this.#placementClient,
       connections: adapters.connections,
       logger,
     });
@@ -278,7 +302,7 @@
       notices,
       upstreamTable: new UpstreamStateTable(clock, settings.failureDomain),
       shares,
-      coldStartLimiter: new ColdStartLimiter(clock),
+      ownQuota,
       rates,
       permitClient: new PermitClient({
         clock,
@@ -351,6 +375,7 @@
     });
     this.#monitorStalls();
     this.#streamVersions.start();
+    this.#quotaRenewal.start();
     this.#rolloutParts.reporter.start();
     this.#reachability.start();
     await Promise.all([
@@ -471,6 +496,7 @@
     this.#rolloutParts.reporter.close();
     this.#reachability.close();
     this.#limitProbe.close();
+    this.#quotaRenewal.close();
     this.#placementClient.close();
     this.#placementService.close();
     await this.#peerServer.close();
--- a/src/upstreams/isConnectError.ts
+++ b/src/upstreams/isConnectError.ts
@@ -8,3 +8,11 @@
   return error instanceof errors.ConnectTimeoutError
     || (error as { syscall?: unknown }).syscall === 'connect';
 }
+
+/**
+ * @param error - why a request failed
+ * @returns whether nothing listens at the address, so that the process there has ended
+ */
+export function isConnectionRefused(error: unknown): boolean {
+  return (error as { code?: unknown }).code === 'ECONNREFUSED';
+}
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -13,6 +13,7 @@
 import type { PieceOutcome, StageCall } from '../../src/placement/StageCall.ts';
 import { ManualClock } from '../../src/time/ManualClock.ts';
 import { NO_MAKER_ROLLOUTS } from './NO_MAKER_ROLLOUTS.ts';
+import { UNLIMITED_QUOTAS } from './UNLIMITED_QUOTAS.ts';
 import { UNLIMITED_RATES } from './UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from './UNLIMITED_RETRIES.ts';
 
@@ -97,6 +98,7 @@
       retryBudget: createRetryBudget(this.clock, this.directory),
       rates: createRates(this.clock, this.directory),
       rollouts: NO_MAKER_ROLLOUTS,
+      quotas: UNLIMITED_QUOTAS,
       maxHeldPieces: MAX_HELD_PIECES,
       sendCall: (call) => this.calls.push(call),
       sendRelease: (_makerId, _address, handles) => this.released.push(...handles),
