--- a/src/relay/PeerExchange.ts
+++ b/src/relay/PeerExchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { CallerRequest } from '../ingress/CallerRequest.ts';
+import { Upload } from '../upstreams/Upload.ts';
 import { isFramed } from './isFramed.ts';
 import type { AnswerHead, UpstreamProtocol } from './UpstreamProtocol.ts';
 
@@ -70,11 +71,12 @@
    */
   send(request: CallerRequest, remainingMs: number): void {
     const { connections, protocol } = this.#options;
+    const upload = new Upload(request.body);
     connections.dispatch({
       path: request.path,
       method: request.method,
-      headers: protocol.encodeForwarded(request, remainingMs),
-      body: request.body.length > 0 ? request.body : null,
+      headers: [...protocol.encodeForwarded(request, remainingMs), ...upload.headers],
+      body: upload.body,
       idempotent: false,
     }, this);
   }
--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { CallerRequest } from '../ingress/CallerRequest.ts';
+import { Upload } from '../upstreams/Upload.ts';
 import { isFramed } from './isFramed.ts';
 import { isRefusalStatus } from './isRefusalStatus.ts';
 import type { AnswerHead, AttemptDetails, UpstreamProtocol } from './UpstreamProtocol.ts';
@@ -74,13 +75,27 @@
 
   #isSent = false;
 
+  readonly #upload: Upload;
+
   /** Whether the head of the answer tells where its body ends. */
   #isFramed = true;
 
+  /**
+   * Whether a success began before the upstream can have had the request. Without a mark, its
+   * connection ends with it, so that the upstream has not shown that it worked on the request.
+   */
+  #isEarlySuccess = false;
+
   #hasEnded = false;
 
-  constructor(requestId: string, protocol: UpstreamProtocol, receiver: AnswerReceiver) {
+  constructor(
+    requestId: string,
+    protocol: UpstreamProtocol,
+    upload: Upload,
+    receiver: AnswerReceiver,
+  ) {
     this.#requestId = requestId;
+    this.#upload = upload;
     this.#protocol = protocol;
     this.#receiver = receiver;
   }
@@ -129,6 +144,7 @@
       return;
     }
     this.#isFramed = isFramed(texts);
+    this.#isEarlySuccess = status < LOWEST_ERROR_STATUS && !this.#upload.isWritten;
     this.#receiver.onHead(head);
   }
 
@@ -141,6 +157,8 @@
   onResponseEnd(): void {
     if (this.#isFramed || this.#hasEnded) {
       this.#end({ kind: 'complete', isEndMarked: true });
+    } else if (this.#isEarlySuccess) {
+      this.#endWithoutAnswer('the upstream answered before it had the request, without a mark');
     } else {
       this.#endUnframed();
     }
@@ -194,12 +212,13 @@
   details: AttemptDetails,
   receiver: AnswerReceiver,
 ): RunningAttempt {
-  const attempt = new Attempt(request.profile.id, protocol, receiver);
+  const upload = new Upload(request.body);
+  const attempt = new Attempt(request.profile.id, protocol, upload, receiver);
   connections.dispatch({
     path: request.path,
     method: request.method,
-    headers: protocol.encodeAttempt(request, details),
-    body: request.body.length > 0 ? request.body : null,
+    headers: [...protocol.encodeAttempt(request, details), ...upload.headers],
+    body: upload.body,
     // Without this, undici retries idempotent methods under its own conditions.
     idempotent: false,
   }, attempt);
--- a/test/support/RelayTestBed.ts
+++ b/test/support/RelayTestBed.ts
@@ -105,12 +105,18 @@
    *
    * @param path - path of the request
    * @param headers - headers that differ from a request with a valid key
+   * @param body - body of the request
    * @returns the complete answer
    */
-  send(path: string, headers: Readonly<Record<string, string>> = {}): Promise<BedAnswer> {
+  send(
+    path: string,
+    headers: Readonly<Record<string, string>> = {},
+    body: Buffer | null = null,
+  ): Promise<BedAnswer> {
     return new Promise((resolve, reject) => {
       const request = sendRequest(`${this.url}${path}`, {
         agent: false,
+        method: body === null ? 'GET' : 'POST',
         headers: {
           host: 'a.example', 'x-request-id': 'r1', authorization: 'Bearer key', ...headers,
         },
@@ -125,7 +131,7 @@
         response.on('error', reject);
       });
       request.on('error', reject);
-      request.end();
+      request.end(body);
     });
   }
 
--- a/test/support/createBedConfiguration.ts
+++ b/test/support/createBedConfiguration.ts
@@ -62,7 +62,7 @@
     accountsByKey: new Map([['key', { name: 'account', priority: null }]]),
     callerLimits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 100_000,
+      maxBodyBytes: 4_194_304,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 5_000,
     },
