--- a/src/relay/PeerExchange.ts
+++ b/src/relay/PeerExchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { CallerRequest } from '../ingress/CallerRequest.ts';
+import { HIGHEST_STATUS } from '../upstreams/HIGHEST_STATUS.ts';
 import { Upload } from '../upstreams/Upload.ts';
 import { isFramed } from './isFramed.ts';
 import type { AnswerHead, UpstreamProtocol } from './UpstreamProtocol.ts';
@@ -112,6 +113,10 @@
     if (status < LOWEST_FINAL_STATUS || this.#hasEnded) {
       return;
     }
+    if (status > HIGHEST_STATUS) {
+      this.abort(`the status ${status} is not one of HTTP`);
+      return;
+    }
     this.#isDeclined = status === NOT_TAKEN_STATUS;
     if (!this.#isDeclined) {
       const rawHeaders = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
--- a/src/relay/earlyAnswers.test.ts
+++ b/src/relay/earlyAnswers.test.ts
@@ -85,4 +85,18 @@
     equal((await sendUpload(target, '/once/'))?.text, 'ok');
     deepEqual(hashes, [createHash('sha256').update(UPLOAD).digest('hex')]);
   });
+
+  ['000', '099', '600', '999'].forEach((status) => {
+    ROUTES.forEach((route) => {
+      it(`passes on no answer of status ${status}, route ${route}`, async () => {
+        const target = await startBed((request) => {
+          request.resume();
+          request.on('end', () => request.socket.write(
+            `HTTP/1.1 ${status} Odd\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok`,
+          ));
+        });
+        equal((await sendUpload(target, `/${route}/`))?.status, 502);
+      });
+    });
+  });
 });
--- a/src/relay/sendAttempt.ts
+++ b/src/relay/sendAttempt.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import type { CallerRequest } from '../ingress/CallerRequest.ts';
+import { HIGHEST_STATUS } from '../upstreams/HIGHEST_STATUS.ts';
 import { Upload } from '../upstreams/Upload.ts';
 import { isFramed } from './isFramed.ts';
 import { isRefusalStatus } from './isRefusalStatus.ts';
@@ -136,6 +137,10 @@
     if (status < LOWEST_FINAL_STATUS || this.#hasEnded) {
       return;
     }
+    if (status > HIGHEST_STATUS) {
+      this.abort(`the status ${status} is not one of HTTP`);
+      return;
+    }
     const rawHeaders = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
     const texts = rawHeaders.map((text) => text.toString('latin1'));
     const head = this.#protocol.decodeAnswerHead(status, texts);
