--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -15,7 +15,7 @@
 import { orderGroups } from '../../src/placement/orderGroups.ts';
 import { ManualClock } from '../../src/time/ManualClock.ts';
 import { NO_MAKER_ROLLOUTS } from '../../test/support/NO_MAKER_ROLLOUTS.ts';
-import { MAX_HELD_PIECES } from '../../test/support/PlacementTestBed.ts';
+import { MAX_CACHED_PARTS, MAX_HELD_PIECES } from '../../test/support/PlacementTestBed.ts';
 import { UNLIMITED_QUOTAS } from '../../test/support/UNLIMITED_QUOTAS.ts';
 import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from '../../test/support/UNLIMITED_RETRIES.ts';
@@ -302,6 +302,7 @@
       rollouts: NO_MAKER_ROLLOUTS,
       quotas: UNLIMITED_QUOTAS,
       maxHeldPieces: MAX_HELD_PIECES,
+      maxCachedParts: MAX_CACHED_PARTS,
       sendCall: (call) => {
         const maker = this.#makers.get(call.makerId);
         call.items.forEach((item) => this.#recordUsed(item.inputs));
--- a/src/memory/getHostBudget.ts
+++ b/src/memory/getHostBudget.ts
@@ -8,6 +8,8 @@
   readonly maxForwardedConnections: number;
   /** Largest number of pieces of the requests that it places. */
   readonly maxHeldPieces: number;
+  /** Largest number of prompt parts that it takes for cached at engines. */
+  readonly maxCachedParts: number;
 }
 
 const MB = 1_000_000;
@@ -23,6 +25,10 @@
 const PIECES_FRACTION = 0.1;
 /** A piece, its call and the record of its result. */
 const PIECE_BYTES = 500;
+/** Fraction of the memory for the prompt parts that engines cache. */
+const CACHED_PARTS_FRACTION = 0.06;
+/** The id of a part and its entry in a table. */
+const CACHED_PART_BYTES = 150;
 /** Descriptors that the platform keeps for files. */
 const FILE_FDS = 200;
 /** Fractions of the other descriptors; the rest is for upstreams, peers, store and readiness. */
@@ -48,6 +54,7 @@
     ),
     maxCallerConnections: getConnections(CALLER_FRACTION),
     maxForwardedConnections: getConnections(FORWARDED_FRACTION),
+    maxCachedParts: Math.floor((memoryBytes * CACHED_PARTS_FRACTION) / CACHED_PART_BYTES),
     maxHeldPieces: Math.floor((memoryBytes * PIECES_FRACTION) / PIECE_BYTES),
   };
 }
--- a/src/placement/EngineTable.ts
+++ b/src/placement/EngineTable.ts
@@ -16,6 +16,8 @@
   readonly generations: Map<string, PlacedGeneration>;
   /** Tokens of the prompt parts that it likely caches, by part, the least recently used first. */
   readonly cachedParts: Map<string, number>;
+  /** Sum of the tokens of these parts. */
+  cachedTokens: number;
   failureCount: number;
   /** It gets no new generation before this time. */
   avoidUntilMs: number;
@@ -51,10 +53,43 @@
   return promptTokens - getCachedTokens(engine, parts);
 }
 
+/** Adds a prompt to the cached parts of an engine, as the most recently used ones. */
+function addParts(engine: EngineRecord, parts: readonly PromptPart[]): void {
+  const record = engine;
+  parts.forEach(({ id, tokens }) => {
+    record.cachedTokens += tokens - (record.cachedParts.get(id) ?? 0);
+    record.cachedParts.delete(id);
+    record.cachedParts.set(id, tokens);
+  });
+}
+
+/** Evicts the least recently used parts of an engine beyond both bounds. */
+function evictParts(engine: EngineRecord, maxTokens: number, maxParts: number): void {
+  const record = engine;
+  // eslint-disable-next-line no-restricted-syntax -- ends at the first part that stays
+  for (const [id, tokens] of record.cachedParts) {
+    if (record.cachedTokens <= maxTokens && record.cachedParts.size <= maxParts) {
+      return;
+    }
+    record.cachedParts.delete(id);
+    record.cachedTokens -= tokens;
+  }
+}
+
 /** Tracks the generations and the cached prompt parts of model engines. */
 export class EngineTable {
   readonly #engines = new Map<UpstreamId, EngineRecord>();
 
+  /** Largest number of cached parts of all engines together. */
+  readonly #maxParts: number;
+
+  /**
+   * @param maxParts - largest number of cached parts of all engines together
+   */
+  constructor(maxParts: number) {
+    this.#maxParts = maxParts;
+  }
+
   /**
    * @param id - an engine
    * @returns its record, created on first use
@@ -68,6 +103,7 @@
       id,
       generations: new Map(),
       cachedParts: new Map(),
+      cachedTokens: 0,
       failureCount: 0,
       avoidUntilMs: 0,
     };
@@ -100,18 +136,8 @@
     const promptTokens = parts.reduce((sum, part) => sum + part.tokens, 0);
     const prefillTokens = promptTokens - getCachedTokens(engine, parts);
     engine.generations.set(requestId, { prefillTokens, memoryTokens, hasStarted: false });
-    parts.forEach((part) => {
-      engine.cachedParts.delete(part.id);
-      engine.cachedParts.set(part.id, part.tokens);
-    });
-    let keptTokens = [...engine.cachedParts.values()].reduce((sum, tokens) => sum + tokens, 0);
-    [...engine.cachedParts].some(([partId, tokens]) => {
-      if (keptTokens > capacityTokens) {
-        engine.cachedParts.delete(partId);
-        keptTokens -= tokens;
-      }
-      return keptTokens <= capacityTokens;
-    });
+    addParts(engine, parts);
+    evictParts(engine, capacityTokens, this.#maxParts / this.#engines.size);
   }
 
   /**
--- a/src/placement/PlacementClient.test.ts
+++ b/src/placement/PlacementClient.test.ts
@@ -4,7 +4,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { pino } from 'pino';
 import {
-  ENGINE_POOL_ID, MAX_HELD_PIECES, PlacementTestBed,
+  ENGINE_POOL_ID, MAX_CACHED_PARTS, MAX_HELD_PIECES, PlacementTestBed,
 } from '../../test/support/PlacementTestBed.ts';
 import { NO_MAKER_ROLLOUTS } from '../../test/support/NO_MAKER_ROLLOUTS.ts';
 import { UNLIMITED_QUOTAS } from '../../test/support/UNLIMITED_QUOTAS.ts';
@@ -193,6 +193,7 @@
       rollouts: NO_MAKER_ROLLOUTS,
       quotas: UNLIMITED_QUOTAS,
       maxHeldPieces: MAX_HELD_PIECES,
+      maxCachedParts: MAX_CACHED_PARTS,
       sendCall: () => {},
       sendRelease: () => {},
       requestEngineReport: () => {},
--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -22,7 +22,7 @@
 import { PlacementRefusals } from './PlacementRefusals.ts';
 import {
   createPieces, createPlacementJob, getHandles, getLastStages, hasCrashingPiece, hasSentPieces,
-  isStageDone, type PlacementJob,
+  isStageDone, releasePrompt, type PlacementJob,
 } from './PlacementJob.ts';
 import type {
   PlacementReport, PlacementRequest, PlacementResult, StandingResult,
@@ -46,6 +46,8 @@
   readonly rollouts: MakerRollouts;
   /** Largest number of pieces of all requests that the coordinator holds. */
   readonly maxHeldPieces: number;
+  /** Largest number of prompt parts that it takes for cached, of all engines together. */
+  readonly maxCachedParts: number;
   /** @param call - the call to send; its outcome is passed to `finishCall` */
   readonly sendCall: (call: StageCall) => void;
   /** Releases results at their upstream; its answer is passed to `recordReleased`. */
@@ -75,7 +77,7 @@
 
   readonly #scheduler: StageScheduler;
 
-  readonly #engines = new EngineTable();
+  readonly #engines: EngineTable;
 
   /** The memory that is promised at the engines. */
   readonly room: EngineRoom;
@@ -102,6 +104,7 @@
    */
   constructor(options: PlacementCoordinatorOptions) {
     this.#options = options;
+    this.#engines = new EngineTable(options.maxCachedParts);
     this.#heldPieces = new HeldPieces(options.maxHeldPieces);
     this.#scheduler = new StageScheduler(options);
     this.#permits = new EnginePermits(options.directory, options.rates);
@@ -358,6 +361,7 @@
     job.placedAtMs = nowMs;
     this.#prefills.recordPlaced(getPrefillTokens(this.#engines.get(engineId), request), nowMs);
     this.room.place(engineId, request);
+    releasePrompt(job);
     this.#starts.recordPlaced(this.#engines.get(engineId), request.requestId);
     const chosen = directory.getUpstream(engineId)?.entry;
     job.answer({
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -38,7 +38,7 @@
 
 /** A request that is being placed or that runs on the engine where it was placed. */
 export interface PlacementJob {
-  readonly request: PlacementRequest;
+  request: PlacementRequest;
   readonly stages: readonly JobStage[];
   readonly arrivedAtMs: number;
   readonly onTimeAtMs: number;
@@ -140,6 +140,16 @@
   });
 }
 
+/**
+ * Releases the parts of a prompt, which nothing needs after an engine was chosen.
+ *
+ * @param job - a request that is placed
+ */
+export function releasePrompt(job: PlacementJob): void {
+  const placed = job;
+  placed.request = { ...job.request, parts: [] };
+}
+
 /** Broken calls after which a piece no longer shares a call with others. */
 const MAX_SHARED_BROKEN_CALLS = 2;
 /** Broken calls after which a piece is not sent again. */
--- a/src/placement/PlacementService.test.ts
+++ b/src/placement/PlacementService.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { pino } from 'pino';
 import { NO_MAKER_ROLLOUTS } from '../../test/support/NO_MAKER_ROLLOUTS.ts';
-import { MAX_HELD_PIECES } from '../../test/support/PlacementTestBed.ts';
+import { MAX_CACHED_PARTS, MAX_HELD_PIECES } from '../../test/support/PlacementTestBed.ts';
 import { UNLIMITED_QUOTAS } from '../../test/support/UNLIMITED_QUOTAS.ts';
 import { UNLIMITED_RATES } from '../../test/support/UNLIMITED_RATES.ts';
 import { UNLIMITED_RETRIES } from '../../test/support/UNLIMITED_RETRIES.ts';
@@ -33,6 +33,7 @@
     rollouts: NO_MAKER_ROLLOUTS,
     quotas: UNLIMITED_QUOTAS,
     maxHeldPieces: MAX_HELD_PIECES,
+    maxCachedParts: MAX_CACHED_PARTS,
     reachability: { recordSend: () => {}, recordAnswer: () => {}, recordUnreachable: () => {} },
     logger,
   });
--- a/src/placement/PlacementService.ts
+++ b/src/placement/PlacementService.ts
@@ -44,6 +44,8 @@
   readonly quotas: Pick<QuotaBorrower, 'isOpenTo' | 'setOpen' | 'take'>;
   /** Largest number of pieces of all requests that the coordinator holds. */
   readonly maxHeldPieces: number;
+  /** Largest number of prompt parts that it takes for cached, of all engines together. */
+  readonly maxCachedParts: number;
   /** Learns from calls whether this host reaches upstreams. */
   readonly reachability: UpstreamObserver;
   /** Logs the decisions. */
@@ -86,7 +88,7 @@
    */
   constructor({
     clock, directory, caller, notices, retryBudget, rates, rollouts, reachability,
-    readEngineFigures, quotas, maxHeldPieces, logger,
+    readEngineFigures, quotas, maxHeldPieces, maxCachedParts, logger,
   }: PlacementServiceOptions) {
     this.#reachability = reachability;
     this.#rollouts = rollouts;
@@ -106,6 +108,7 @@
       rollouts,
       quotas,
       maxHeldPieces,
+      maxCachedParts,
       sendCall: (call) => this.#send(call),
       sendRelease: (_makerId, address, handles) => this.#release(address, handles),
       requestEngineReport: (engineId) => this.#readFigures(engineId),
--- a/src/placement/chooseEngine.test.ts
+++ b/src/placement/chooseEngine.test.ts
@@ -1,5 +1,6 @@
 import { equal } from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { MAX_CACHED_PARTS } from '../../test/support/PlacementTestBed.ts';
 import { toId, type UpstreamId } from '../lib/ids.ts';
 import { chooseEngine } from './chooseEngine.ts';
 import { EngineTable } from './EngineTable.ts';
@@ -12,7 +13,7 @@
 
 /** Chooses between a busy engine that caches the shared part and an idle engine. */
 function choose(waitingTokens: number): UpstreamId | null {
-  const table = new EngineTable();
+  const table = new EngineTable(MAX_CACHED_PARTS);
   table.place(KEEPER, 'before', [SHARED], SHARED.tokens, MEMORY_TOKENS);
   table.recordEnded(KEEPER, 'before');
   table.place(KEEPER, 'waiting', [{ id: 'w', tokens: waitingTokens }], 1, MEMORY_TOKENS);
--- a/src/placement/manyPieces.test.ts
+++ b/src/placement/manyPieces.test.ts
@@ -1,7 +1,6 @@
 import { deepEqual, equal, ok } from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
+import { measureHeapGrowth } from '../../test/support/measureHeapGrowth.ts';
 import { MAX_HELD_PIECES, PlacementTestBed } from '../../test/support/PlacementTestBed.ts';
 import type { RouteStage } from '../directory/ServingConfiguration.ts';
 import { toId, type PoolId } from '../lib/ids.ts';
@@ -10,18 +9,6 @@
 const STAGE: RouteStage = { poolId: toId<PoolId>('first'), after: [], resultBytes: 1_000 };
 const MAX_GROWTH_BYTES = 20_000_000;
 
-setFlagsFromString('--expose-gc');
-const collectGarbage = runInNewContext('gc') as () => void;
-
-/** Returns how much the heap has grown over an action, without garbage. */
-function measureGrowth(act: () => void): number {
-  collectGarbage();
-  const beforeBytes = process.memoryUsage().heapUsed;
-  act();
-  collectGarbage();
-  return process.memoryUsage().heapUsed - beforeBytes;
-}
-
 /** Places requests with equal numbers of pieces; returns the reasons of the refusals. */
 function placeMany(bed: PlacementTestBed, requestCount: number, pieceCount: number): string[] {
   return Array.from({ length: requestCount }, (_, index) => {
@@ -36,7 +23,7 @@
   it('refuses a request with more pieces than a host holds, without memory for them', () => {
     const bed = new PlacementTestBed({ first: { makers: 1 } });
     const counts = [MAX_HELD_PIECES + 1, 999_999, 5_000_000];
-    const growthBytes = measureGrowth(() => {
+    const growthBytes = measureHeapGrowth(() => {
       counts.forEach((count) => (
         deepEqual(placeMany(bed, 1, count), [REFUSAL.tooManyPieces])));
     });
@@ -46,7 +33,7 @@
 
   it('keeps no memory for the pieces of requests that it refuses', () => {
     const bed = new PlacementTestBed({ first: { makers: 1 } });
-    const growthBytes = measureGrowth(() => {
+    const growthBytes = measureHeapGrowth(() => {
       const reasons = placeMany(bed, 100, MAX_HELD_PIECES);
       ok(reasons.every((reason) => reason === REFUSAL.tooLate));
     });
--- a/src/prefill/longAndShortPrompts.test.ts
+++ b/src/prefill/longAndShortPrompts.test.ts
@@ -1,5 +1,6 @@
 import { equal, ok } from 'node:assert/strict';
 import { describe, it, mock } from 'node:test';
+import { MAX_CACHED_PARTS } from '../../test/support/PlacementTestBed.ts';
 import {
   PromptReplay, type PromptKind, type PromptOutcome,
 } from '../../test/support/PromptReplay.ts';
@@ -98,7 +99,7 @@
 
 describe('PrefillLoads', () => {
   function createLoaded(): EngineTable {
-    const table = new EngineTable();
+    const table = new EngineTable(MAX_CACHED_PARTS);
     table.place(ID, 'waiting', [{ id: 'waiting', tokens: 20_000 }], 20_000, 100_000);
     return table;
   }
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -245,6 +245,7 @@
       rollouts: stageRollouts,
       quotas: borrower,
       maxHeldPieces: budget.maxHeldPieces,
+      maxCachedParts: budget.maxCachedParts,
       reachability: this.#reachability,
       readEngineFigures: createEngineFigureReader(adapters.engineProbe),
       logger,
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -20,6 +20,9 @@
 /** Largest number of pieces that the coordinator of a test bed holds. */
 export const MAX_HELD_PIECES = 10_000;
 
+/** Largest number of prompt parts that the coordinator of a test bed takes for cached. */
+export const MAX_CACHED_PARTS = 50_000;
+
 /** Pool of the engines in every test bed. */
 export const ENGINE_POOL_ID = toId<PoolId>('engines');
 
@@ -100,6 +103,7 @@
       rollouts: NO_MAKER_ROLLOUTS,
       quotas: UNLIMITED_QUOTAS,
       maxHeldPieces: MAX_HELD_PIECES,
+      maxCachedParts: MAX_CACHED_PARTS,
       sendCall: (call) => this.calls.push(call),
       sendRelease: (_makerId, _address, handles) => this.released.push(...handles),
       requestEngineReport: (engineId) => {
@@ -149,6 +153,8 @@
 
   /** @param request - fields that differ from a request without stages */
   place(request: Partial<PlacementRequest> & { readonly requestId: string }): () => void {
+    // The answer must not keep the whole request in memory.
+    const { requestId } = request;
     return this.coordinator.place({
       domains: ['a', 'b', 'c'],
       standingResults: [],
@@ -171,7 +177,7 @@
       softwareVersion: null,
       isPlacedAgain: false,
       ...request,
-    }, (result) => this.results.set(request.requestId, result));
+    }, (result) => this.results.set(requestId, result));
   }
 
   /** @param name - id of an engine that joins now */
