--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -156,53 +156,11 @@
     }
     this.#options.rates.applyReports(request.limitReports, request.hostId);
     this.room.recordRequest(request);
-    const nowMs = this.#options.clock.getMonotonicMs();
-    const standingResults = [
-      ...request.standingResults, ...this.#reclaimResults(request.requestId),
-    ];
-    const onTimeMs = request.onTimeMs - this.#starts.averageMs;
-    const preferredDomain = getPreferredDomain(this.#options.directory, this.#engines, request);
-    const job = createPlacementJob(
-      { ...request, onTimeMs, standingResults },
-      nowMs,
-      preferredDomain,
-      answer,
-    );
-    if (!this.room.canHold(request)) {
-      this.#refusals.refuseTooLarge(job);
-      return () => {};
-    }
-    if (this.#heldPieces.isTooLarge(job)) {
-      this.#refusals.refuseTooManyPieces(job);
-      return () => {};
-    }
-    this.#shares.recordArrival(job);
-    const expectedMs = this.#scheduler.getExpectedMs(job);
-    const allowedMs = request.remainingMs * (expectedMs > onTimeMs ? LATE_FRACTION : 1);
-    const engineWaitMs = this.#permits.getWaitMs(request, this.#jobs.values());
-    if (engineWaitMs > Math.max(onTimeMs, expectedMs) && standingResults.length === 0) {
-      this.#refusals.refuseLimited(job);
+    const job = this.#createJob(request, answer);
+    if (this.#refuseIfHopeless(job)) {
       return () => {};
     }
-    // Results that exist already are not discarded.
-    if (expectedMs > allowedMs && standingResults.length === 0) {
-      this.#refusals.refuseTooLate(job, expectedMs, allowedMs);
-      return () => {};
-    }
-    if (this.#shares.isRefused(job, this.#scheduler.getLeastMs(job), expectedMs)) {
-      this.#refusals.refuseOverShare(job, expectedMs);
-      return () => {};
-    }
-    if (!this.#heldPieces.hasRoom(job)) {
-      this.#refusals.refuseNoRoomForPieces(job);
-      return () => {};
-    }
-    this.#shares.recordAccepted(job);
-    createPieces(job);
-    this.#hold(job);
-    this.#scheduler.add(job);
-    this.#scheduler.takeOver(job);
-    this.#options.requestRun();
+    this.#accept(job);
     return () => {
       if (this.#jobs.get(request.requestId) === job && job.state !== 'placed') {
         this.#drop(request.requestId);
@@ -295,6 +253,72 @@
     this.#scheduler.run();
   }
 
+  #createJob(
+    request: PlacementRequest,
+    answer: (result: PlacementResult) => void,
+  ): PlacementJob {
+    const { clock, directory } = this.#options;
+    const standingResults = [
+      ...request.standingResults, ...this.#reclaimResults(request.requestId),
+    ];
+    const onTimeMs = request.onTimeMs - this.#starts.averageMs;
+    return createPlacementJob(
+      { ...request, onTimeMs, standingResults },
+      clock.getMonotonicMs(),
+      getPreferredDomain(directory, this.#engines, request),
+      answer,
+    );
+  }
+
+  /**
+   * Refuses a request that arrives and that can't be held, or not be done in time. Results that
+   * exist already are not discarded.
+   *
+   * @returns whether it is refused
+   */
+  #refuseIfHopeless(job: PlacementJob): boolean {
+    const { request } = job;
+    const hasResults = request.standingResults.length > 0;
+    if (!this.room.canHold(request)) {
+      this.#refusals.refuseTooLarge(job);
+      return true;
+    }
+    if (this.#heldPieces.isTooLarge(job)) {
+      this.#refusals.refuseTooManyPieces(job);
+      return true;
+    }
+    this.#shares.recordArrival(job);
+    const expectedMs = this.#scheduler.getExpectedMs(job);
+    const allowedMs = request.remainingMs * (expectedMs > request.onTimeMs ? LATE_FRACTION : 1);
+    const engineWaitMs = this.#permits.getWaitMs(request, this.#jobs.values());
+    if (!hasResults && engineWaitMs > Math.max(request.onTimeMs, expectedMs)) {
+      this.#refusals.refuseLimited(job);
+      return true;
+    }
+    if (!hasResults && expectedMs > allowedMs) {
+      this.#refusals.refuseTooLate(job, expectedMs, allowedMs);
+      return true;
+    }
+    if (this.#shares.isRefused(job, this.#scheduler.getLeastMs(job), expectedMs)) {
+      this.#refusals.refuseOverShare(job, expectedMs);
+      return true;
+    }
+    if (!this.#heldPieces.hasRoom(job)) {
+      this.#refusals.refuseNoRoomForPieces(job);
+      return true;
+    }
+    return false;
+  }
+
+  #accept(job: PlacementJob): void {
+    this.#shares.recordAccepted(job);
+    createPieces(job);
+    this.#hold(job);
+    this.#scheduler.add(job);
+    this.#scheduler.takeOver(job);
+    this.#options.requestRun();
+  }
+
   /**
    * Hands over each request that has no running piece. The others stay until their calls end,
    * unless this host is cut off, so that the calls may never end.
