Compute the places and sums of send quotas less often

A host that is known changes its entry at each new configuration; its place among the hosts doesn't change by it. The sum of leased quotas of an upstream holds for 100 ms, as a lease that ends sooner does not count.

--- a/src/quotas/QuotaBorrower.ts
+++ b/src/quotas/QuotaBorrower.ts
@@ -25,7 +25,7 @@
 }
 
 /** Time for which the sum of the leased quotas of an upstream is not computed again. */
-const COUNT_TTL_MS = 20;
+const COUNT_TTL_MS = 100;
 
 /** Grants sends to upstreams with a cold start limit, within the quotas that hosts have leased. */
 export class QuotaBorrower {
--- a/src/quotas/SendQuotas.ts
+++ b/src/quotas/SendQuotas.ts
@@ -46,6 +46,9 @@
 
   readonly #bounds: ColdStartBounds;
 
+  /** The hosts whose places are computed. */
+  #hostIds: ReadonlySet<HostId> = new Set();
+
   /** Place of each host in the order of an upstream; empty after the hosts have changed. */
   readonly #ranks = new Map<UpstreamId, ReadonlyMap<HostId, number>>();
 
@@ -56,9 +59,12 @@
   constructor(directory: Directory, bounds: ColdStartBounds) {
     this.#directory = directory;
     this.#bounds = bounds;
-    directory.onChange(({ kind }) => {
-      if (kind === 'host' || kind === 'hostGone') {
+    directory.onChange((change) => {
+      // A host that is known changes its entry often, and its place never.
+      const isNew = change.kind === 'host' && !this.#hostIds.has(change.entry.id);
+      if (isNew || change.kind === 'hostGone') {
         this.#ranks.clear();
+        this.#hostIds = new Set(directory.hosts.keys());
       }
     });
   }
