--- a/src/quotas/QuotaBorrower.ts
+++ b/src/quotas/QuotaBorrower.ts
@@ -21,11 +21,18 @@
 
 interface BorrowedCount {
   readonly count: number;
-  readonly atMs: number;
+  readonly untilMs: number;
 }
 
 /** Time for which the sum of the leased quotas of an upstream is not computed again. */
-const COUNT_TTL_MS = 100;
+const MAX_COUNT_TTL_MS = 100;
+
+/** Returns the end of the last lease of a host that covers a failure domain; 0 for none. */
+function getLeaseEnd(leases: ReadonlyMap<string, BorrowedLease>, failureDomain: string): number {
+  return Math.max(0, ...[...leases.values()]
+    .filter(({ domains }) => domains.length === 0 || domains.includes(failureDomain))
+    .map(({ untilMs }) => untilMs));
+}
 
 /** Grants sends to upstreams with a cold start limit, within the quotas that hosts have leased. */
 export class QuotaBorrower {
@@ -151,18 +158,23 @@
     return this.#grants.getWaitMs(entry.id, this.#getLeasedCount(entry), QUOTA_WINDOW_MS) === 0;
   }
 
+  /** Adds up the quotas that are leased; the sum holds until the first of the leases ends. */
   #getLeasedCount(entry: UpstreamEntry): number {
     const nowMs = this.#clock.getMonotonicMs();
     const known = this.#counts.get(entry.id);
-    if (known !== undefined && nowMs - known.atMs < COUNT_TTL_MS) {
+    if (known !== undefined && nowMs < known.untilMs) {
       return known.count;
     }
-    const count = [...this.#leases]
-      .filter(([, leases]) => [...leases.values()].some(({ domains, untilMs }) => (
-        untilMs > nowMs + COUNT_TTL_MS
-        && (domains.length === 0 || domains.includes(entry.failureDomain)))))
-      .reduce((sum, [hostId]) => sum + this.#quotas.get(entry, hostId).leasedCount, 0);
-    this.#counts.set(entry.id, { count, atMs: nowMs });
+    let count = 0;
+    let untilMs = nowMs + MAX_COUNT_TTL_MS;
+    this.#leases.forEach((leases, hostId) => {
+      const leasedUntilMs = getLeaseEnd(leases, entry.failureDomain);
+      if (leasedUntilMs > nowMs) {
+        count += this.#quotas.get(entry, hostId).leasedCount;
+        untilMs = Math.min(untilMs, leasedUntilMs);
+      }
+    });
+    this.#counts.set(entry.id, { count, untilMs });
     return count;
   }
 }
