Take send quotas back from a coordinator that no longer places at their upstreams

Suspected: placement groups merge then, and a quota stayed leased to the old coordinator for 3 s. The host now asks for it back; the coordinator refuses offers of before. The model of leasedQuotas draws this too.

--- a/src/placement/QuotaRenewal.ts
+++ b/src/placement/QuotaRenewal.ts
@@ -4,7 +4,7 @@
 import type { HostId } from '../lib/ids.ts';
 import type { CoordinatorMoment, LeaseOffer } from '../quotas/QuotaLease.ts';
 import type { QuotaBorrower } from '../quotas/QuotaBorrower.ts';
-import type { QuotaLender } from '../quotas/QuotaLender.ts';
+import type { Lease, QuotaLender } from '../quotas/QuotaLender.ts';
 import { QUOTA_WINDOW_MS, type SendQuotas } from '../quotas/SendQuotas.ts';
 import { isConnectionRefused } from '../upstreams/isConnectError.ts';
 import { readBoundedText } from '../upstreams/readBoundedText.ts';
@@ -68,16 +68,48 @@
   }
 
   #renewAll(): void {
-    const { directory, quotas, client } = this.#options;
+    const {
+      hostId, directory, quotas, lender, client,
+    } = this.#options;
     const poolIds = [...directory.configuration?.pools.keys() ?? []];
-    if (poolIds.some((poolId) => quotas.isBounded(poolId))) {
-      client.listCoordinators().forEach(({ group: { domains }, coordinator }) => {
-        if (coordinator === null) {
-          this.#renewOwn(domains);
-        } else {
-          this.#renew(coordinator, domains);
-        }
-      });
+    if (!poolIds.some((poolId) => quotas.isBounded(poolId))) {
+      return;
+    }
+    const current = client.listCoordinators();
+    lender.findOutdated(current.map(({ group: { domains }, coordinator }) => ({
+      coordinatorId: coordinator?.id ?? hostId, domains,
+    }))).forEach((lease) => this.#takeBack(lease));
+    current.forEach(({ group: { domains }, coordinator }) => {
+      if (coordinator === null) {
+        this.#renewOwn(domains);
+      } else {
+        this.#renew(coordinator, domains);
+      }
+    });
+  }
+
+  /** Takes quotas back from a coordinator that no longer places at their upstreams. */
+  #takeBack(lease: Lease): void {
+    const {
+      hostId, directory, lender, borrower, logger,
+    } = this.#options;
+    const offer: LeaseOffer = {
+      hostId, domains: lease.domains, since: null, isReturned: true,
+    };
+    const coordinator = directory.hosts.get(lease.coordinatorId);
+    if (lease.coordinatorId === hostId) {
+      lender.recordMoment(hostId, borrower.accept(offer));
+      lender.recordReturned(lease);
+    } else if (coordinator !== undefined) {
+      this.#send(coordinator, offer)
+        .then((moment) => {
+          lender.recordMoment(coordinator.id, moment);
+          lender.recordReturned(lease);
+        })
+        .catch((error: unknown) => logger.info(
+          { event: 'quotaNotReturned', hostId: coordinator.id, error: String(error) },
+          'a coordinator did not give this host\'s send quotas back; the lease ends by itself',
+        ));
     }
   }
 
--- a/src/quotas/QuotaBorrower.ts
+++ b/src/quotas/QuotaBorrower.ts
@@ -17,6 +17,8 @@
 interface BorrowedLease {
   readonly domains: readonly string[];
   readonly untilMs: number;
+  /** When the host last took its quotas back; offers of before may still arrive. */
+  readonly returnedAtMs: number;
 }
 
 interface BorrowedCount {
@@ -54,6 +56,9 @@
 
   #isOpen = true;
 
+  /** When it was last opened; leases that start before are not used. */
+  #openedAtMs = -Infinity;
+
   readonly #counts = new Map<UpstreamId, BorrowedCount>();
 
   /**
@@ -82,6 +87,7 @@
   /** @param isOpen - whether it takes leases from now on; those of before are not used again */
   setOpen(isOpen: boolean): void {
     this.#isOpen = isOpen;
+    this.#openedAtMs = this.#clock.getMonotonicMs();
     this.#leases.clear();
     this.#counts.clear();
   }
@@ -97,16 +103,31 @@
    * @param offer - the offer
    * @returns the moment for the host's next offer
    */
-  accept({ hostId, domains, since }: LeaseOffer): CoordinatorMoment {
+  accept({
+    hostId, domains, since, isReturned = false,
+  }: LeaseOffer): CoordinatorMoment {
     const { moment } = this;
-    if (since !== null && since.processId === this.#processId && since.atMs <= moment.atMs) {
-      const leases = this.#leases.get(hostId) ?? new Map<string, BorrowedLease>();
-      leases.set(domains[0] ?? '', { domains, untilMs: since.atMs + LEASE_MS });
-      this.#leases.set(hostId, leases);
+    const leases = this.#leases.get(hostId) ?? new Map<string, BorrowedLease>();
+    this.#leases.set(hostId, leases);
+    const key = domains[0] ?? '';
+    const returnedAtMs = leases.get(key)?.returnedAtMs ?? -Infinity;
+    if (isReturned) {
+      leases.set(key, { domains, untilMs: -Infinity, returnedAtMs: moment.atMs });
+      this.#counts.clear();
+    } else if (this.#isStart(since) && since.atMs >= returnedAtMs) {
+      leases.set(key, { domains, untilMs: since.atMs + LEASE_MS, returnedAtMs });
     }
     return moment;
   }
 
+  /** Whether a moment is one of this process. */
+  #isStart(since: CoordinatorMoment | null): since is CoordinatorMoment {
+    return since !== null
+      && since.processId === this.#processId
+      && since.atMs >= this.#openedAtMs
+      && since.atMs <= this.#clock.getMonotonicMs();
+  }
+
   /**
    * @param entry - an upstream
    * @param hostId - the host that sends
--- a/src/quotas/QuotaLease.ts
+++ b/src/quotas/QuotaLease.ts
@@ -21,6 +21,8 @@
    * however late the offer arrives. Null when the host only asks for a moment.
    */
   readonly since: CoordinatorMoment | null;
+  /** Whether the host takes its quotas back instead, since another coordinator places there. */
+  readonly isReturned?: boolean;
 }
 
 /**
--- a/src/quotas/QuotaLender.test.ts
+++ b/src/quotas/QuotaLender.test.ts
@@ -44,6 +44,18 @@
     equal(leaseTo(NEXT), true);
   });
 
+  it('takes back what a coordinator has that no longer places there', () => {
+    leaseTo(FIRST);
+    const current = [{ coordinatorId: NEXT, domains: ['a', 'b'] }];
+    const [outdated] = lender.findOutdated(current);
+    equal(outdated?.coordinatorId, FIRST);
+    lender.recordReturned(outdated);
+    equal(lender.findOutdated(current).length, 0);
+    equal(leaseTo(NEXT), false);
+    clock.advance(QUOTA_WINDOW_MS);
+    equal(leaseTo(NEXT), true);
+  });
+
   it('takes a coordinator that started again for another one', () => {
     leaseTo(FIRST);
     lender.recordMoment(FIRST, { processId: 'again', atMs: 0 });
--- a/src/quotas/QuotaLender.ts
+++ b/src/quotas/QuotaLender.ts
@@ -5,7 +5,8 @@
 } from './QuotaLease.ts';
 import { QUOTA_WINDOW_MS } from './SendQuotas.ts';
 
-interface Lease {
+/** A lease of this host's quotas. */
+export interface Lease {
   readonly coordinatorId: HostId;
   /** The coordinator's process, which alone knows what it has granted. */
   readonly processId: string;
@@ -82,6 +83,29 @@
     return known?.processId !== moment.processId;
   }
 
+  /**
+   * @param current - the coordinators that place now, with the domains of their groups
+   * @returns the leases of other coordinators at the same upstreams, one for each
+   */
+  findOutdated(current: readonly Pick<Lease, 'coordinatorId' | 'domains'>[]): Lease[] {
+    const nowMs = this.#clock.getMonotonicMs();
+    const outdated = this.#leases.filter((lease) => lease.untilMs > nowMs
+      && current.some(({ coordinatorId, domains }) => (
+        coordinatorId !== lease.coordinatorId && areOverlapping(domains, lease.domains))));
+    return [...new Map(outdated.map((lease) => (
+      [`${lease.coordinatorId} ${lease.domains[0] ?? ''}`, lease]))).values()];
+  }
+
+  /** @param returned - a lease that its coordinator no longer uses */
+  recordReturned(returned: Lease): void {
+    const nowMs = this.#clock.getMonotonicMs();
+    this.#leases = this.#leases.map((lease) => (
+      lease.processId === returned.processId && lease.domains[0] === returned.domains[0]
+        ? { ...lease, untilMs: Math.min(lease.untilMs, nowMs) }
+        : lease));
+    this.#endedListener?.();
+  }
+
   /**
    * @param domain - a failure domain
    * @returns whether this host may use its quotas there that it would lease: no coordinator has or
--- a/test/property/LeasedQuotaModel.ts
+++ b/test/property/LeasedQuotaModel.ts
@@ -158,6 +158,7 @@
 
   #renew(host: LeasedQuotaHost): void {
     const coordinator = this.#getCoordinator(host);
+    this.#takeBack(host, coordinator);
     const offer = host.lender.createOffer(coordinator.id, []);
     const { maxOfferDelayMs } = this.#faults;
     this.#post(maxOfferDelayMs, () => {
@@ -166,6 +167,24 @@
     });
   }
 
+  /** Takes leases back from the coordinators that the host followed before. */
+  #takeBack(host: LeasedQuotaHost, coordinator: LeasedQuotaHost): void {
+    const { maxOfferDelayMs } = this.#faults;
+    const current = [{ coordinatorId: coordinator.id, domains: [] }];
+    host.lender.findOutdated(current).forEach((lease) => {
+      const before = this.#hosts.find(({ id }) => id === lease.coordinatorId) as LeasedQuotaHost;
+      this.#post(maxOfferDelayMs, () => {
+        const moment = before.borrower.accept({
+          hostId: host.id, domains: [], since: null, isReturned: true,
+        });
+        this.#post(maxOfferDelayMs, () => {
+          host.lender.recordMoment(before.id, moment);
+          host.lender.recordReturned(lease);
+        });
+      });
+    });
+  }
+
   /** Sends once the coordinator has granted it, if that is not too long ago. */
   #send(host: LeasedQuotaHost): void {
     const coordinator = this.#getCoordinator(host);
