--- a/src/quotas/QuotaBorrower.ts
+++ b/src/quotas/QuotaBorrower.ts
@@ -17,7 +17,7 @@
 interface BorrowedLease {
   readonly domains: readonly string[];
   readonly untilMs: number;
-  /** When the host last took its quotas back; offers of before may still arrive. */
+  /** When the host last took its quotas back; offers that it made before may still arrive. */
   readonly returnedAtMs: number;
 }
 
@@ -40,8 +40,6 @@
 export class QuotaBorrower {
   readonly #clock: Clock;
 
-  readonly #directory: Directory;
-
   readonly #quotas: SendQuotas;
 
   readonly #processId = randomUUID();
@@ -49,6 +47,7 @@
   /** By host and the first failure domain of the group. */
   readonly #leases = new Map<HostId, Map<string, BorrowedLease>>();
 
+  /** Grants by leased quotas. */
   readonly #grants: ReserveSends;
 
   /** Grants by the own quotas of the hosts that send. */
@@ -59,16 +58,16 @@
   /** When it was last opened; leases that start before are not used. */
   #openedAtMs = -Infinity;
 
+  /** Sums of the leased quotas. */
   readonly #counts = new Map<UpstreamId, BorrowedCount>();
 
   /**
    * @param clock - the monotonic time
-   * @param directory - the known hosts
+   * @param directory - tells when hosts are gone
    * @param quotas - the quotas of the hosts
    */
   constructor(clock: Clock, directory: Directory, quotas: SendQuotas) {
     this.#clock = clock;
-    this.#directory = directory;
     this.#quotas = quotas;
     this.#grants = new ReserveSends(clock);
     directory.onChange((change) => {
