--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -8,6 +8,7 @@
 import { FairShares } from '../shares/FairShares.ts';
 import type { Clock } from '../time/Clock.ts';
 import { chooseEngine } from './chooseEngine.ts';
+import { describePlacement } from './describePlacement.ts';
 import { EnginePermits } from './EnginePermits.ts';
 import { EngineRoom } from './EngineRoom.ts';
 import { EngineStarts } from './EngineStarts.ts';
@@ -116,6 +117,7 @@
     this.#refusals = new PlacementRefusals({
       ...options,
       scheduler: this.#scheduler,
+      starts: this.#starts,
       permits: this.#permits,
       shares: this.#shares,
       jobs: this.#jobs,
@@ -387,6 +389,14 @@
     this.room.place(engineId, request);
     releasePrompt(job);
     this.#starts.recordPlaced(this.#engines.get(engineId), request.requestId);
+    this.#options.logger.info(
+      {
+        event: 'placementMade',
+        startMs: Math.round(this.#starts.averageMs),
+        ...describePlacement(job, nowMs),
+      },
+      'chose an engine for a request',
+    );
     const chosen = directory.getUpstream(engineId)?.entry;
     job.answer({
       kind: 'placed',
--- a/src/placement/PlacementJob.ts
+++ b/src/placement/PlacementJob.ts
@@ -34,6 +34,12 @@
   readonly pieceCount: number;
   /** Its pieces; none before the request is accepted (see {@link createPieces}). */
   pieces: readonly JobPiece[];
+  /** When its pieces could first be sent; null before. */
+  openedAtMs: number | null;
+  /** When its first piece was sent; null before. */
+  sentAtMs: number | null;
+  /** When its last piece was done; null before. */
+  doneAtMs: number | null;
 }
 
 /** A request that is being placed or that runs on the engine where it was placed. */
@@ -105,6 +111,9 @@
       height: heights[index] ?? 1,
       pieceCount: request.pieceCounts[index] ?? 1,
       pieces: [],
+      openedAtMs: null,
+      sentAtMs: null,
+      doneAtMs: null,
     })),
     arrivedAtMs: nowMs,
     onTimeAtMs: nowMs + request.onTimeMs,
--- a/src/placement/PlacementRefusals.ts
+++ b/src/placement/PlacementRefusals.ts
@@ -2,6 +2,7 @@
 import type { Directory, KnownUpstream } from '../directory/Directory.ts';
 import type { Clock } from '../time/Clock.ts';
 import type { EnginePermits } from './EnginePermits.ts';
+import type { EngineStarts } from './EngineStarts.ts';
 import type { FairShares } from '../shares/FairShares.ts';
 import type { PlacementJob } from './PlacementJob.ts';
 import { REFUSAL, type Refusal } from './PlacementRequest.ts';
@@ -14,6 +15,8 @@
   readonly directory: Directory;
   readonly logger: Logger;
   readonly scheduler: StageScheduler;
+  /** How long generations take to start at an engine. */
+  readonly starts: Pick<EngineStarts, 'averageMs'>;
   readonly permits: EnginePermits;
   /** The shares of client accounts. */
   readonly shares: FairShares;
@@ -84,7 +87,7 @@
       workMs: scheduler.getOccupancyMs(job),
       usefulMs: job.deadlineAtMs - nowMs - scheduler.getLeastMs(job),
     }, nowMs);
-    this.#refuse(job, REFUSAL.tooLate, retryAfterMs, expectedMs);
+    this.#refuse(job, REFUSAL.tooLate, retryAfterMs, expectedMs, allowedMs);
   }
 
   /**
@@ -140,18 +143,27 @@
     reason: Refusal,
     retryAfterMs: number,
     expectedMs = this.#options.scheduler.getLeastMs(job),
+    allowedMs: number | null = null,
   ): void {
     const {
-      clock, directory, logger, scheduler, permits, shares, jobs,
+      clock, directory, logger, scheduler, starts, permits, shares, jobs,
     } = this.#options;
     const waitMs = Math.max(MIN_RETRY_AFTER_MS, retryAfterMs);
     logger.info({
       event: 'placementRefused',
       requestId: job.request.requestId,
       reason,
+      kind: job.request.kind,
+      priority: job.request.priority,
+      // Left until it has to be sent to an engine to meet its target.
+      onTimeMs: Math.round(job.onTimeAtMs - clock.getMonotonicMs()),
+      startMs: Math.round(starts.averageMs),
+      state: job.state,
       remainingMs: Math.round(job.deadlineAtMs - clock.getMonotonicMs()),
       leastMs: Math.round(scheduler.getLeastMs(job)),
       expectedMs: Math.round(expectedMs),
+      allowedMs: allowedMs === null ? null : Math.round(allowedMs),
+      ...scheduler.describeQueue(job),
       engineWaitMs: Math.round(permits.getWaitMs(job.request, jobs.values())),
       ...shares.describe(job),
       version: directory.configuration?.version ?? null,
--- a/src/placement/StageForecast.ts
+++ b/src/placement/StageForecast.ts
@@ -18,9 +18,38 @@
   readonly rates: PlacementRates;
 }
 
+/** The requests of one priority class that wait for stages. */
+export interface WaitingClass {
+  readonly priority: number;
+  readonly count: number;
+  /** How many of them can still be on time. */
+  readonly onTimeCount: number;
+  /** Pieces that wait, by pool. */
+  readonly pieceCounts: Readonly<Record<string, number>>;
+}
+
+/** What waits when a request is judged, for the log. */
+export interface QueueDescription {
+  /** Time that its stages take behind the requests that go before it while it can be on time. */
+  readonly firstMs: number;
+  /** Time that its stages take behind all that waits. */
+  readonly lastMs: number;
+  readonly waiting: readonly WaitingClass[];
+}
+
 /** Selects the waiting requests that go before the one whose time is estimated. */
 type JobFilter = (job: PlacementJob) => boolean;
 
+/** Counts the pieces that wait, by pool. */
+function countWaitingPieces(jobs: readonly PlacementJob[]): Map<PoolId, number> {
+  const counts = new Map<PoolId, number>();
+  jobs.forEach(({ stages }) => stages.forEach(({ poolId, pieces }) => {
+    const count = pieces.reduce((sum, { state }) => sum + Number(state === 'waiting'), 0);
+    counts.set(poolId, (counts.get(poolId) ?? 0) + count);
+  }));
+  return counts;
+}
+
 /**
  * Estimates how long the stages of a request still take.
  *
@@ -77,16 +106,46 @@
    * @returns the time that its stages take behind those requests
    */
   getExpectedMs(job: PlacementJob, group: GroupJobs): number {
-    const nowMs = this.#clock.getMonotonicMs();
-    const onTimeMs = this.#getMsBehind(job, group, (other) => (
-      (other.request.priority < job.request.priority
-        || (other.request.priority === job.request.priority && other.shareRank <= job.shareRank))
-      && nowMs + this.getLeastMs(other) <= other.onTimeAtMs));
-    return nowMs + onTimeMs <= job.onTimeAtMs
+    const onTimeMs = this.#getFirstMs(job, group);
+    return this.#clock.getMonotonicMs() + onTimeMs <= job.onTimeAtMs
       ? onTimeMs
       : this.#getMsBehind(job, group, () => true);
   }
 
+  /**
+   * @param job - a request, in the group or not
+   * @param group - the requests that wait already
+   * @returns what waits, by priority class
+   */
+  describe(job: PlacementJob, group: GroupJobs): QueueDescription {
+    const priorities = new Set([...group.jobs].map(({ request }) => request.priority));
+    return {
+      firstMs: Math.round(this.#getFirstMs(job, group)),
+      lastMs: Math.round(this.#getMsBehind(job, group, () => true)),
+      waiting: [...priorities].sort((left, right) => left - right).map((priority) => {
+        const jobs = [...group.jobs].filter(({ request }) => request.priority === priority);
+        return {
+          priority,
+          count: jobs.length,
+          onTimeCount: jobs.filter((other) => this.#canBeOnTime(other)).length,
+          pieceCounts: Object.fromEntries(countWaitingPieces(jobs)),
+        };
+      }),
+    };
+  }
+
+  #canBeOnTime(job: PlacementJob): boolean {
+    return this.#clock.getMonotonicMs() + this.getLeastMs(job) <= job.onTimeAtMs;
+  }
+
+  /** Time behind the requests that go before one that can be on time. */
+  #getFirstMs(job: PlacementJob, group: GroupJobs): number {
+    return this.#getMsBehind(job, group, (other) => (
+      (other.request.priority < job.request.priority
+        || (other.request.priority === job.request.priority && other.shareRank <= job.shareRank))
+      && this.#canBeOnTime(other)));
+  }
+
   /**
    * @param job - a request, in the group or not
    * @param group - the group whose makers would run its stages
@@ -117,15 +176,7 @@
   }
 
   #getMsBehind(job: PlacementJob, group: GroupJobs, isFirst: JobFilter): number {
-    const waitingCounts = new Map<PoolId, number>();
-    group.jobs.forEach((other) => {
-      if (isFirst(other)) {
-        other.stages.forEach(({ poolId, pieces }) => {
-          const count = pieces.reduce((sum, { state }) => sum + Number(state === 'waiting'), 0);
-          waitingCounts.set(poolId, (waitingCounts.get(poolId) ?? 0) + count);
-        });
-      }
-    });
+    const waitingCounts = countWaitingPieces([...group.jobs].filter(isFirst));
     return this.getLeastMs(job) + this.#sumLevels(job, (limits, _count, poolId) => {
       const waitingCount = waitingCounts.get(poolId) ?? 0;
       if (group.getUsable(poolId).length === 0) {
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -8,7 +8,7 @@
 import type { MakerRollouts } from './MakerRollouts.ts';
 import { MakerTable, type MakerRecord } from './MakerTable.ts';
 import {
-  isStageDone, isStageOpen, type PlacementJob,
+  isStageDone, isStageOpen, type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
 import {
   compareGroups, planBatches, type PieceGroup, type PlannedPiece,
@@ -19,7 +19,7 @@
 import type { PlacementRates } from './PlacementRates.ts';
 import type { StandingResult } from './PlacementRequest.ts';
 import { createStageItem } from './createStageItem.ts';
-import { StageForecast } from './StageForecast.ts';
+import { StageForecast, type QueueDescription } from './StageForecast.ts';
 import { StageResults } from './StageResults.ts';
 import { resetPiece } from './resetPiece.ts';
 import { getBusyMakers, getIdleMakers } from './selectMakers.ts';
@@ -42,6 +42,17 @@
   readonly sendRelease: (makerId: UpstreamId, address: string, handles: readonly string[]) => void;
 }
 
+/** The state of the usable makers of a pool, for the log. */
+export interface MakerDescription {
+  readonly poolId: PoolId;
+  readonly count: number;
+  readonly idleCount: number;
+  /** Those that get no call now, after a failure or for want of memory. */
+  readonly avoidedCount: number;
+  /** Memory that is free for results, of all of them together. */
+  readonly freeBytes: number;
+}
+
 /** A call times out after this multiple of the duration by its pool's batch limits. */
 const TIMEOUT_FACTOR = 3;
 /** Smallest timeout of a call. */
@@ -66,6 +77,19 @@
   return pieces.reduce((sum, { stage }) => sum + stage.resultBytes, 0);
 }
 
+function recordOpened(stage: JobStage, nowMs: number): JobStage {
+  const opened = stage;
+  opened.openedAtMs ??= nowMs;
+  return opened;
+}
+
+function recordDone(stage: JobStage, nowMs: number): void {
+  if (isStageDone(stage)) {
+    const done = stage;
+    done.doneAtMs = nowMs;
+  }
+}
+
 function getFreeBytes(maker: MakerRecord, limits: BatchLimits): number {
   return limits.roomBytes * USABLE_ROOM_FRACTION - maker.heldBytes - maker.promisedBytes;
 }
@@ -156,6 +180,19 @@
     return this.#forecast.getExpectedMs(job, this.#getGroup(job));
   }
 
+  /**
+   * @param job - a request, added or not
+   * @returns what waits before it, for the log
+   */
+  describeQueue(job: PlacementJob): QueueDescription & { readonly makers: MakerDescription[] } {
+    const group = this.#getGroup(job);
+    const makers = [...new Set(job.stages.map(({ poolId }) => poolId))].flatMap((poolId) => {
+      const limits = this.#options.directory.configuration?.pools.get(poolId)?.batch ?? null;
+      return limits === null ? [] : [this.#describeMakers(poolId, group, limits)];
+    });
+    return { ...this.#forecast.describe(job, group), makers };
+  }
+
   /**
    * @param job - a request, added or not
    * @returns the longest time for which its pieces occupy all makers of one pool
@@ -274,6 +311,18 @@
     return group;
   }
 
+  #describeMakers(poolId: PoolId, group: GroupJobs, limits: BatchLimits): MakerDescription {
+    const makers = group.getUsable(poolId).map(({ entry }) => this.#makers.get(entry.id));
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return {
+      poolId,
+      count: makers.length,
+      idleCount: makers.filter(({ callCount }) => callCount < limits.callSlots).length,
+      avoidedCount: makers.filter(({ avoidUntilMs }) => avoidUntilMs > nowMs).length,
+      freeBytes: Math.round(makers.reduce((sum, maker) => sum + getFreeBytes(maker, limits), 0)),
+    };
+  }
+
   #runGroup(group: GroupJobs): void {
     const pools = this.#options.directory.configuration?.pools;
     const chooser = new DomainChooser(this.#options.directory, group);
@@ -332,7 +381,7 @@
       .filter((stage) => stage.poolId === pool.id && isStageOpen(job, stage))
       .map((stage) => ({
         job,
-        stage,
+        stage: recordOpened(stage, nowMs),
         pieces: stage.pieces.filter((piece) => piece.state === 'waiting'
           && (piece.sendCount === 0 || takeRetry())),
       }))
@@ -369,7 +418,9 @@
     const retryCount = pieces.filter(({ piece }) => piece.sendCount > 0).length;
     const firstCount = pieces.length - retryCount;
     this.#options.retryBudget.recordSent(upstream.entry.poolId, maker.id, firstCount, retryCount);
-    pieces.forEach(({ piece }) => {
+    pieces.forEach(({ stage, piece }) => {
+      const sent = stage;
+      sent.sentAtMs ??= nowMs;
       piece.state = 'running';
       piece.sendCount += 1;
       piece.makerId = maker.id;
@@ -407,6 +458,7 @@
       this.#makers.hold(call.makerId, outcome.handle, stage.resultBytes, expiresAtMs);
       piece.state = 'done';
       piece.handle = outcome.handle;
+      recordDone(stage, nowMs);
       if (this.#groups.get(getGroupKey(job))?.jobs.has(job) !== true) {
         this.#results.releasePiece(piece);
       } else if (isStageDone(stage)) {
--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -535,7 +535,7 @@
     }
     this.#openAttempts.forEach((attempt) => attempt.running?.abort(outcome));
     const elapsedMs = this.#context.clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs;
-    this.#context.metrics.recordEnd('whole', outcome, elapsedMs);
+    this.#context.metrics.recordEnd('whole', outcome, elapsedMs, this.#parameters.priority);
     this.#log(outcome, details);
   }
 
--- a/src/relay/ForwardingRelay.ts
+++ b/src/relay/ForwardingRelay.ts
@@ -208,7 +208,7 @@
     this.#unmarked.release();
     this.#peerExchange?.abort(outcome);
     const elapsedMs = this.#context.clock.getMonotonicMs() - this.#exchange.request.arrivedAtMs;
-    this.#context.metrics.recordEnd('forwarded', outcome, elapsedMs);
+    this.#context.metrics.recordEnd('forwarded', outcome, elapsedMs, null);
     this.#log(outcome, details);
   }
 
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -72,6 +72,9 @@
   /** Time when the running attempt was sent. */
   #sentAtMs = 0;
 
+  /** Time from the last send to its first event; null before the first event. */
+  #startMs: number | null = null;
+
   #head: AnswerHead | null = null;
 
   /** Number of attempts that ran or may have run. */
@@ -140,7 +143,10 @@
       answerMemory: context.answerMemory,
       exchange,
       version,
-      onStarted: () => this.#placement.report('started'),
+      onStarted: () => {
+        this.#startMs = context.clock.getMonotonicMs() - this.#sentAtMs;
+        this.#placement.report('started');
+      },
     });
     this.#retries = new RequestRetries({
       clock: context.clock,
@@ -416,7 +422,10 @@
     this.#exchange.end();
     this.#recordAnswered();
     this.#finish('answered', {
-      upstreamId: engine.id, lastEventId: this.#events.lastEventId, isEndMarked,
+      upstreamId: engine.id,
+      lastEventId: this.#events.lastEventId,
+      isEndMarked,
+      startMs: this.#startMs === null ? null : Math.round(this.#startMs),
     });
   }
 
@@ -565,7 +574,8 @@
     this.#running?.abort(outcome);
     this.#placement.report('ended');
     const elapsedMs = this.#context.clock.getMonotonicMs() - this.#arrivedAtMs;
-    this.#context.metrics.recordEnd('generation', outcome, elapsedMs);
+    const { priority } = this.#parameters;
+    this.#context.metrics.recordEnd('generation', outcome, elapsedMs, priority);
     this.#log(outcome, details);
   }
 
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -26,7 +26,7 @@
   readonly #ends = new Counter({
     name: 'parsleylift_relay_ends_total',
     help: 'Relayed requests by outcome',
-    labelNames: ['kind', 'outcome'],
+    labelNames: ['kind', 'outcome', 'priority'],
     registers: [this.#registry],
   });
 
@@ -134,9 +134,10 @@
    * @param kind - kind of relay
    * @param outcome - outcome of the relay; one of a few codes
    * @param elapsedMs - time since the request arrived
+   * @param priority - the priority class of the request; null where this host does not know it
    */
-  recordEnd(kind: RelayKind, outcome: string, elapsedMs: number): void {
-    this.#ends.inc({ kind, outcome });
+  recordEnd(kind: RelayKind, outcome: string, elapsedMs: number, priority: number | null): void {
+    this.#ends.inc({ kind, outcome, priority: priority ?? '-' });
     this.#latency.observe({ kind }, elapsedMs / MS_PER_SECOND);
   }
 
--- a/test/support/PlacementTestBed.ts
+++ b/test/support/PlacementTestBed.ts
@@ -72,6 +72,13 @@
 
   readonly coordinator: PlacementCoordinator;
 
+  /** The log lines of the coordinator since `startLogging`. */
+  readonly lines: Record<string, unknown>[] = [];
+
+  readonly #logger = pino({ level: 'silent' }, {
+    write: (line: string) => this.lines.push(JSON.parse(line) as Record<string, unknown>),
+  });
+
   readonly #pools: ReadonlyMap<PoolId, ServingPool>;
 
   #handleCount = 0;
@@ -97,7 +104,7 @@
     this.coordinator = new PlacementCoordinator({
       clock: this.clock,
       directory: this.directory,
-      logger: pino({ level: 'silent' }),
+      logger: this.#logger,
       retryBudget: createRetryBudget(this.clock, this.directory),
       rates: createRates(this.clock, this.directory),
       rollouts: NO_MAKER_ROLLOUTS,
@@ -180,6 +187,11 @@
     }, (result) => this.results.set(requestId, result));
   }
 
+  /** Keeps the log lines of the coordinator from now on. */
+  startLogging(): void {
+    this.#logger.level = 'info';
+  }
+
   /** @param name - id of an engine that joins now */
   addEngine(name: string): void {
     this.#addUpstream(ENGINE_POOL_ID, name, 'a');
