Forecast the wait of a request by the order in which it is served

Cause: the priority of client accounts overrides that of routes, so that all kinds share a class. Within a class the scheduler sends what has the least slack first, while the forecast, which decides on admission, counted all of the class as going first. So a request with 0.7 s of slack was judged by 3.8 s of queue, all of it behind it: too late to be on time, then too late at all (half of 6.0 s). Requests with a target of 4.0 s kept the queue just under that. Class of fault: one rule, who goes first, stood in two places that differ.

Evidence: of 379 refusals firstMs was 3,134 to 4,097, onTimeMs 1,363 to 1,435, startMs 88 to 188 (so not the average start), priority 1 as for the kind with the long target.

Change: Precedence holds the order once; the scheduler sorts by it and the forecast counts by it, for a request that will be late as well.

'refuses at once only a late request ...' built its queue of requests with a longer target, which the request in question passes; the queue now has a shorter target and is as long.

--- a/bench/placement/PlacementDeployment.ts
+++ b/bench/placement/PlacementDeployment.ts
@@ -135,6 +135,64 @@
   ];
 }
 
+/**
+ * Creates three classes of one priority, as when the priority of client accounts overrides that of
+ * routes. Two need the same chain of stages: one has a short target and few requests, the other one
+ * a long target and many.
+ */
+function createUnequalClasses(perSecond: number): RequestClass[] {
+  const chain = (first: number): RouteStage[] => [
+    createStage(FETCH, [], SHORT_RESULT_BYTES),
+    createStage(MATCH, [first], MIDDLE_RESULT_BYTES),
+    createStage(ENCODE, [first + 1], SMALL_RESULT_BYTES),
+  ];
+  const chainPieces = [{ mean: 1, share: 1 }, { mean: 6, share: 1 }, { mean: 10, share: 1 }];
+  return [
+    {
+      name: 'long prompt',
+      perSecond: perSecond * 0.44,
+      priority: 1,
+      onTimeMs: 1_000,
+      deadlineMs: 4_000,
+      worth: 3.9,
+      lateWorth: 0.23,
+      stages: [createStage(FETCH, [], LARGE_RESULT_BYTES)],
+      pieces: [{ mean: 2.5, share: 0.7 }],
+      sharedParts: [{ tokens: 2_500, variants: 4 }, { tokens: 3_800, variants: 900 }],
+      ownTokens: 2_900,
+      outputTokens: 56,
+    },
+    {
+      name: 'short target',
+      perSecond: perSecond * 0.1,
+      priority: 1,
+      onTimeMs: 1_500,
+      deadlineMs: 6_000,
+      worth: 1,
+      lateWorth: 0.15,
+      stages: [createStage(FETCH, [], LARGE_RESULT_BYTES), ...chain(1)],
+      pieces: [{ mean: 1.5, share: 0.4 }, ...chainPieces],
+      sharedParts: [{ tokens: 100, variants: 40 }, { tokens: 70, variants: 500 }],
+      ownTokens: 540,
+      outputTokens: 280,
+    },
+    {
+      name: 'long target',
+      perSecond: perSecond * 0.46,
+      priority: 1,
+      onTimeMs: 4_000,
+      deadlineMs: 6_000,
+      worth: 0.64,
+      lateWorth: 0.15,
+      stages: chain(0),
+      pieces: chainPieces,
+      sharedParts: [{ tokens: 340, variants: 16 }, { tokens: 230, variants: 900 }],
+      ownTokens: 1_800,
+      outputTokens: 24,
+    },
+  ];
+}
+
 const ENGINE_SPEED = {
   limits: { slots: 64, memoryTokens: 320_000 },
   promptTokensPerMs: 42,
@@ -142,7 +200,7 @@
   stepMsPerRunning: 0.03,
 };
 
-/** Fleets like those that users run, and two that no user has. */
+/** Fleets like those that users run, and three that no user has. */
 export const PLACEMENT_DEPLOYMENTS: readonly PlacementDeployment[] = [
   {
     name: 'small',
@@ -177,6 +235,20 @@
     engines: { ...ENGINE_SPEED, counts: [2, 4] },
     classes: createClasses(22),
   },
+  {
+    // Requests with a short target and with a long one need the same stages, in one priority class.
+    name: 'unequal',
+    domains: ['a', 'b', 'c'],
+    stagePools: [
+      createPool(FETCH, [5, 4, 4], { maxPieces: 19, pieceMs: 9, roomBytes: 48_000_000 }),
+      createPool(MATCH, [4, 4, 3], { maxPieces: 46, pieceMs: 3.8, roomBytes: 6_000_000 }),
+      createPool(ENCODE, [5, 4, 4], { maxPieces: 64, pieceMs: 2.7, roomBytes: 840_000 }),
+    ],
+    engines: {
+      ...ENGINE_SPEED, limits: { slots: 12, memoryTokens: 400_000 }, counts: [33, 33, 32],
+    },
+    classes: createUnequalClasses(237),
+  },
   {
     // The last stage has lost half of its upstreams, and its results fill the memory of the rest.
     name: 'scarce',
--- a/bench/placement/PlacementRun.test.ts
+++ b/bench/placement/PlacementRun.test.ts
@@ -21,6 +21,13 @@
     });
   });
 
+  it('does not refuse a short target more often than a long one that waits behind it', () => {
+    const { classes } = runPlacement('unequal', 'groups');
+    const [short, long] = ['short target', 'long target'].map((name) => classes.get(name));
+    ok(short && long);
+    ok(short.refusedFraction <= long.refusedFraction + 0.05, JSON.stringify([short, long]));
+  });
+
   it('earns nearly as much with a host for each placement group on a large fleet', () => {
     ok(runPlacement('large', 'groups').worthFraction
       > 0.9 * runPlacement('large', 'one').worthFraction);
--- a/bench/placement/PlacementRun.ts
+++ b/bench/placement/PlacementRun.ts
@@ -39,6 +39,8 @@
   readonly untilMs: number;
   /** Multiple of the usual rate. */
   readonly factor: number;
+  /** The only class whose rate increases; all of them if it is absent. */
+  readonly className?: string;
 }
 
 /** Options of a run. */
@@ -52,17 +54,33 @@
   readonly seed: number;
 }
 
-/** Results of a run. */
-export interface PlacementFigures {
-  /** Earned worth as a fraction of the worth of all requests if answered on time. */
+/** Results of one class of requests. */
+export interface ClassFigures {
+  /** Earned worth as a fraction of the worth of all its requests if answered on time. */
   readonly worthFraction: number;
   readonly onTimeFraction: number;
   readonly lateFraction: number;
+  /** Fraction of its requests that were refused in the end. */
   readonly refusedFraction: number;
+}
+
+interface ClassSums {
+  arrived: number;
+  onTime: number;
+  late: number;
+  refused: number;
+  owed: number;
+  earned: number;
+}
+
+/** Results of a run. */
+export interface PlacementFigures extends ClassFigures {
   /** Fraction of the stage upstreams' busy time spent on results that were never used. */
   readonly wastedFraction: number;
   /** Elapsed time in the placement code per request, in milliseconds. */
   readonly coordinatorMsPerRequest: number;
+  /** Results by the name of the class. */
+  readonly classes: ReadonlyMap<string, ClassFigures>;
 }
 
 interface GenerationRequest {
@@ -82,6 +100,29 @@
 /** Callers wait before a retry for at most this fraction of their remaining time. */
 const MAX_RETRY_WAIT_FRACTION = 1 / 3;
 
+function createSums(): ClassSums {
+  return {
+    arrived: 0, onTime: 0, late: 0, refused: 0, owed: 0, earned: 0,
+  };
+}
+
+function sumClasses(classes: readonly ClassSums[]): ClassSums {
+  const total = createSums();
+  classes.forEach((sums) => (Object.keys(total) as (keyof ClassSums)[]).forEach((key) => {
+    total[key] += sums[key];
+  }));
+  return total;
+}
+
+function getClassFigures(sums: ClassSums): ClassFigures {
+  return {
+    worthFraction: sums.earned / sums.owed,
+    onTimeFraction: sums.onTime / sums.arrived,
+    lateFraction: sums.late / sums.arrived,
+    refusedFraction: sums.refused / sums.arrived,
+  };
+}
+
 /**
  * Runs the real placement coordinators with simulated callers, stage upstreams and engines.
  */
@@ -108,11 +149,11 @@
 
   #requestCount = 0;
 
+  #arrivedCount = 0;
+
   #coordinatorMs = 0;
 
-  readonly #sums = {
-    arrived: 0, onTime: 0, late: 0, refused: 0, owed: 0, earned: 0,
-  };
+  readonly #sums = new Map<RequestClass, ClassSums>();
 
   /**
    * @param options - see {@link PlacementRunOptions}
@@ -139,17 +180,21 @@
     const makers = [...this.#makers.values()];
     const busyMs = makers.reduce((sum, maker) => sum + maker.busyMs, 0);
     const wastedMs = makers.reduce((sum, maker) => sum + maker.wastedMs, 0);
-    const sums = this.#sums;
+    const all = sumClasses([...this.#sums.values()]);
     return {
-      worthFraction: sums.earned / sums.owed,
-      onTimeFraction: sums.onTime / sums.arrived,
-      lateFraction: sums.late / sums.arrived,
-      refusedFraction: sums.refused / sums.arrived,
+      ...getClassFigures(all),
       wastedFraction: wastedMs / busyMs,
-      coordinatorMsPerRequest: this.#coordinatorMs / sums.arrived,
+      coordinatorMsPerRequest: this.#coordinatorMs / all.arrived,
+      classes: new Map([...this.#sums].map(([{ name }, sums]) => [name, getClassFigures(sums)])),
     };
   }
 
+  #getSums(requestClass: RequestClass): ClassSums {
+    const sums = this.#sums.get(requestClass) ?? createSums();
+    this.#sums.set(requestClass, sums);
+    return sums;
+  }
+
   #tick(): void {
     this.#coordinators.forEach((coordinator) => this.#measure(() => coordinator.run()));
     if (this.#events.nowMs < this.#options.durationMs * 2) {
@@ -167,8 +212,11 @@
   #scheduleNext(requestClass: RequestClass): void {
     const { load, bursts, durationMs } = this.#options;
     const { nowMs } = this.#events;
-    const burst = bursts.find(({ fromMs, untilMs }) => fromMs <= nowMs && nowMs < untilMs);
-    const perSecond = requestClass.perSecond * load * (burst?.factor ?? 1);
+    const factor = bursts
+      .filter(({ fromMs, untilMs, className }) => fromMs <= nowMs && nowMs < untilMs
+        && (className ?? requestClass.name) === requestClass.name)
+      .reduce((product, burst) => product * burst.factor, 1);
+    const perSecond = requestClass.perSecond * load * factor;
     const gapMs = (-Math.log(1 - this.#random.getFraction()) * MS_PER_SECOND) / perSecond;
     this.#events.after(gapMs, () => {
       if (this.#events.nowMs < durationMs) {
@@ -183,12 +231,14 @@
       id: `${requestClass.name}-${index}-${Math.floor(this.#random.getFraction() * variants)}`,
       tokens,
     }));
-    this.#sums.arrived += 1;
-    this.#sums.owed += requestClass.worth;
+    const sums = this.#getSums(requestClass);
+    sums.arrived += 1;
+    sums.owed += requestClass.worth;
+    this.#arrivedCount += 1;
     return {
       requestClass,
       arrivedAtMs: this.#events.nowMs,
-      parts: [...shared, { id: `own-${this.#sums.arrived}`, tokens: requestClass.ownTokens }],
+      parts: [...shared, { id: `own-${this.#arrivedCount}`, tokens: requestClass.ownTokens }],
       pieceCounts: requestClass.pieces.map(({ mean, share }) => (
         this.#random.getFraction() < share
           ? Math.max(1, Math.round(mean * (0.5 + this.#random.getFraction())))
@@ -212,7 +262,7 @@
       limitReports: [],
       openGenerations: [],
       account: null,
-      kind: '',
+      kind: requestClass.name,
       poolId: ENGINE_POOL_ID,
       stages: requestClass.stages,
       pieceCounts: request.pieceCounts,
@@ -253,7 +303,7 @@
   #retryOrRefuse(request: GenerationRequest, retryAfterMs: number): void {
     const leftMs = request.arrivedAtMs + request.requestClass.deadlineMs - this.#events.nowMs;
     if (request.hasRetried || leftMs <= 0) {
-      this.#sums.refused += 1;
+      this.#getSums(request.requestClass).refused += 1;
       return;
     }
     const retried = request;
@@ -266,12 +316,13 @@
 
   #recordAnswer({ requestClass, arrivedAtMs }: GenerationRequest): void {
     const elapsedMs = this.#events.nowMs - arrivedAtMs;
+    const sums = this.#getSums(requestClass);
     if (elapsedMs <= requestClass.onTimeMs) {
-      this.#sums.onTime += 1;
-      this.#sums.earned += requestClass.worth;
+      sums.onTime += 1;
+      sums.earned += requestClass.worth;
     } else if (elapsedMs <= requestClass.deadlineMs) {
-      this.#sums.late += 1;
-      this.#sums.earned += requestClass.lateWorth;
+      sums.late += 1;
+      sums.earned += requestClass.lateWorth;
     }
   }
 
--- a/src/placement/PlacementCoordinator.test.ts
+++ b/src/placement/PlacementCoordinator.test.ts
@@ -176,7 +176,7 @@
         requestId, stages: [FIRST], pieceCounts: [5], onTimeMs, remainingMs,
       });
     };
-    Array.from({ length: 12 }, (_, index) => place(`before-${index}`, 9_000, 10_000));
+    Array.from({ length: 12 }, (_, index) => place(`before-${index}`, 900, 10_000));
     place('doomed', 1_000, 5_000);
     place('late', 1_000, 9_000);
     place('onTime', 4_500, 5_000);
@@ -185,6 +185,20 @@
     equal(bed.results.get('onTime'), undefined);
   });
 
+  it('does not refuse a request for a queue that it goes before', () => {
+    const bed = new PlacementTestBed({ first: { makers: 1, batch: { maxPieces: 5 } } });
+    const place = (requestId: string, onTimeMs: number): void => {
+      bed.place({
+        requestId, stages: [FIRST], pieceCounts: [5], onTimeMs, remainingMs: 5_000,
+      });
+    };
+    Array.from({ length: 12 }, (_, index) => place(`before-${index}`, 4_500));
+    place('pressed', 1_000);
+    equal(bed.results.get('pressed'), undefined);
+    bed.takeCalls().forEach((call) => bed.complete(call));
+    deepEqual(bed.takeCalls()[0]?.items[0]?.requestId, 'pressed');
+  });
+
   it('hands a request over with its existing results once none of its pieces is running', () => {
     const third: RouteStage = { poolId: toId<PoolId>('second'), after: [1], resultBytes: 1_000 };
     const makers = { first: { makers: 1 }, second: { makers: 1 } };
--- a/src/placement/StageForecast.ts
+++ b/src/placement/StageForecast.ts
@@ -5,6 +5,7 @@
 import type { GroupJobs } from './GroupJobs.ts';
 import { countOpenPieces, type PlacementJob } from './PlacementJob.ts';
 import type { PlacementRates } from './PlacementRates.ts';
+import { comparePrecedence, getPrecedence, type Precedence } from './Precedence.ts';
 
 const MS_PER_SECOND = 1_000;
 
@@ -32,14 +33,11 @@
 export interface QueueDescription {
   /** Time that its stages take behind the requests that go before it while it can be on time. */
   readonly firstMs: number;
-  /** Time that its stages take behind all that waits. */
+  /** Time that its stages take behind those that go before it if it is late. */
   readonly lastMs: number;
   readonly waiting: readonly WaitingClass[];
 }
 
-/** Selects the waiting requests that go before the one whose time is estimated. */
-type JobFilter = (job: PlacementJob) => boolean;
-
 /** Counts the pieces that wait, by pool. */
 function countWaitingPieces(jobs: readonly PlacementJob[]): Map<PoolId, number> {
   const counts = new Map<PoolId, number>();
@@ -106,10 +104,10 @@
    * @returns the time that its stages take behind those requests
    */
   getExpectedMs(job: PlacementJob, group: GroupJobs): number {
-    const onTimeMs = this.#getFirstMs(job, group);
-    return this.#clock.getMonotonicMs() + onTimeMs <= job.onTimeAtMs
-      ? onTimeMs
-      : this.#getMsBehind(job, group, () => true);
+    const firstMs = this.#getFirstMs(job, group);
+    return this.#clock.getMonotonicMs() + firstMs <= job.onTimeAtMs
+      ? firstMs
+      : this.#getLastMs(job, group);
   }
 
   /**
@@ -121,29 +119,33 @@
     const priorities = new Set([...group.jobs].map(({ request }) => request.priority));
     return {
       firstMs: Math.round(this.#getFirstMs(job, group)),
-      lastMs: Math.round(this.#getMsBehind(job, group, () => true)),
+      lastMs: Math.round(this.#getLastMs(job, group)),
       waiting: [...priorities].sort((left, right) => left - right).map((priority) => {
         const jobs = [...group.jobs].filter(({ request }) => request.priority === priority);
         return {
           priority,
           count: jobs.length,
-          onTimeCount: jobs.filter((other) => this.#canBeOnTime(other)).length,
+          onTimeCount: jobs.filter((other) => this.#getPrecedence(other).canBeOnTime).length,
           pieceCounts: Object.fromEntries(countWaitingPieces(jobs)),
         };
       }),
     };
   }
 
-  #canBeOnTime(job: PlacementJob): boolean {
-    return this.#clock.getMonotonicMs() + this.getLeastMs(job) <= job.onTimeAtMs;
+  #getPrecedence(job: PlacementJob): Precedence {
+    return getPrecedence(job, this.getLeastMs(job), this.#clock.getMonotonicMs());
   }
 
-  /** Time behind the requests that go before one that can be on time. */
+  /** Time behind the requests that go before this one while it can be on time. */
   #getFirstMs(job: PlacementJob, group: GroupJobs): number {
-    return this.#getMsBehind(job, group, (other) => (
-      (other.request.priority < job.request.priority
-        || (other.request.priority === job.request.priority && other.shareRank <= job.shareRank))
-      && this.#canBeOnTime(other)));
+    return this.#getMsBehind(group, { ...this.#getPrecedence(job), canBeOnTime: true });
+  }
+
+  /** Time behind the requests that go before this one once it will be late. */
+  #getLastMs(job: PlacementJob, group: GroupJobs): number {
+    const doneAtMs = this.#clock.getMonotonicMs() + this.getLeastMs(job);
+    const slackMs = job.deadlineAtMs - doneAtMs;
+    return this.#getMsBehind(group, { job, canBeOnTime: false, slackMs });
   }
 
   /**
@@ -175,8 +177,10 @@
     ), 0);
   }
 
-  #getMsBehind(job: PlacementJob, group: GroupJobs, isFirst: JobFilter): number {
-    const waitingCounts = countWaitingPieces([...group.jobs].filter(isFirst));
+  #getMsBehind(group: GroupJobs, precedence: Precedence): number {
+    const { job } = precedence;
+    const waitingCounts = countWaitingPieces([...group.jobs].filter((other) => (
+      comparePrecedence(this.#getPrecedence(other), precedence) <= 0)));
     return this.getLeastMs(job) + this.#sumLevels(job, (limits, _count, poolId) => {
       const waitingCount = waitingCounts.get(poolId) ?? 0;
       if (group.getUsable(poolId).length === 0) {
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -10,13 +10,12 @@
 import {
   isStageDone, isStageOpen, type JobStage, type PlacementJob,
 } from './PlacementJob.ts';
-import {
-  compareGroups, planBatches, type PieceGroup, type PlannedPiece,
-} from './planBatches.ts';
+import { planBatches, type PieceGroup, type PlannedPiece } from './planBatches.ts';
 import { PIECE_FAILURE } from './PIECE_FAILURE.ts';
 import type { PieceOutcome, StageCall, StageOutcome } from './StageCall.ts';
 import type { PieceRetryBudget } from './PieceRetryBudget.ts';
 import type { PlacementRates } from './PlacementRates.ts';
+import { comparePrecedence, getPrecedence } from './Precedence.ts';
 import type { StandingResult } from './PlacementRequest.ts';
 import { createStageItem } from './createStageItem.ts';
 import { StageForecast, type QueueDescription } from './StageForecast.ts';
@@ -352,7 +351,7 @@
     if (idle.length === 0) {
       return;
     }
-    const groups = this.#getPieceGroups(group, chooser, pool).sort(compareGroups);
+    const groups = this.#getPieceGroups(group, chooser, pool).sort(comparePrecedence);
     if (groups.length === 0) {
       return;
     }
@@ -387,20 +386,14 @@
       }))
       .filter(({ pieces }) => pieces.length > 0)
       .flatMap(({ stage, pieces }) => splitPiecesByCall(pieces).map((part) => ({ stage, ...part })))
-      .map(({ stage, pieces, needsOwnCall }) => {
-        const doneAtMs = nowMs + this.getLeastMs(job);
-        const canBeOnTime = doneAtMs <= job.onTimeAtMs;
-        return {
-          job,
-          stage,
-          pieces,
-          needsOwnCall,
-          canBeOnTime,
-          slackMs: (canBeOnTime ? job.onTimeAtMs : job.deadlineAtMs) - doneAtMs,
-          failureDomain: chooser.choose(job, stage),
-          inputBytes: getInputBytes(job, stage),
-        };
-      }));
+      .map(({ stage, pieces, needsOwnCall }) => ({
+        ...getPrecedence(job, this.getLeastMs(job), nowMs),
+        stage,
+        pieces,
+        needsOwnCall,
+        failureDomain: chooser.choose(job, stage),
+        inputBytes: getInputBytes(job, stage),
+      })));
   }
 
   #send(
--- a/src/placement/planBatches.test.ts
+++ b/src/placement/planBatches.test.ts
@@ -4,9 +4,8 @@
   toId, type HostId, type PoolId, type UpstreamId,
 } from '../lib/ids.ts';
 import { createPieces, createPlacementJob, type PlacementJob } from './PlacementJob.ts';
-import {
-  compareGroups, planBatches, type BatchSpace, type PieceGroup,
-} from './planBatches.ts';
+import { planBatches, type BatchSpace, type PieceGroup } from './planBatches.ts';
+import { comparePrecedence } from './Precedence.ts';
 
 interface GroupValues {
   readonly id: string;
@@ -82,7 +81,7 @@
   ]));
 }
 
-describe('compareGroups', () => {
+describe('comparePrecedence', () => {
   it('orders by whether a group can be on time, then by priority, then by slack', () => {
     const groups = [
       createGroup({ id: 'late', canBeOnTime: false }),
@@ -91,7 +90,7 @@
       createGroup({ id: 'pressed', slackMs: 5 }),
     ];
     deepEqual(
-      groups.sort(compareGroups).map((group) => group.job.request.requestId),
+      groups.sort(comparePrecedence).map((group) => group.job.request.requestId),
       ['pressed', 'idle', 'minor', 'late'],
     );
   });
@@ -108,7 +107,7 @@
           const slackMs = one.arrivedAtMs + 1_000 - nowMs - callMs;
           return createGroup({ id: one.id, slackMs, canBeOnTime: slackMs >= 0 });
         });
-        const ordered = isRanked ? [...groups].sort(compareGroups) : groups;
+        const ordered = isRanked ? [...groups].sort(comparePrecedence) : groups;
         const [batch] = planBatches(ordered, [createSpace('a')]);
         const done = new Set(batch?.pieces.map(({ job }) => job.request.requestId));
         onTimeCount += groups
--- a/src/placement/planBatches.ts
+++ b/src/placement/planBatches.ts
@@ -1,5 +1,6 @@
 import type { UpstreamId } from '../lib/ids.ts';
 import type { JobPiece, JobStage, PlacementJob } from './PlacementJob.ts';
+import type { Precedence } from './Precedence.ts';
 
 /** Groups with fewer input bytes don't wait for an upstream in their failure domain. */
 const MIN_HELD_BYTES = 500_000;
@@ -7,16 +8,11 @@
 const HOLD_FRACTION = 0.3;
 
 /** The waiting pieces of one stage of one request. */
-export interface PieceGroup {
-  readonly job: PlacementJob;
+export interface PieceGroup extends Precedence {
   readonly stage: JobStage;
   readonly pieces: readonly JobPiece[];
   /** Whether its pieces share a call with no other piece. */
   readonly needsOwnCall: boolean;
-  /** Whether the request can still be answered on time. */
-  readonly canBeOnTime: boolean;
-  /** Slack before it misses its latency target, or its deadline if the target is out of reach. */
-  readonly slackMs: number;
   /** Where its inputs are, or else the engine that likely runs it; null for any. */
   readonly failureDomain: string | null;
   /** Sum of the inputs of all its pieces. */
@@ -76,24 +72,6 @@
     || Number(right.pieces.length > 0) - Number(left.pieces.length > 0);
 }
 
-/**
- * Orders groups for a pool that can't do all of them at once: requests that can still be on time
- * first, the more urgent class before the less urgent one, then by shares, then the least slack.
- *
- * Load pattern: a burst that exceeds what the pool can do within the latency target. In order of
- * arrival all requests wait equally and all are late; in this order those served are on time.
- *
- * @param left - a group
- * @param right - another group
- * @returns negative when `left` goes first
- */
-export function compareGroups(left: PieceGroup, right: PieceGroup): number {
-  return Number(right.canBeOnTime) - Number(left.canBeOnTime)
-    || left.job.request.priority - right.job.request.priority
-    || left.job.shareRank - right.job.shareRank
-    || left.slackMs - right.slackMs;
-}
-
 /** Finds the first of the batches that suit a group best. */
 function findBest(batches: readonly OpenBatch[], group: PieceGroup): OpenBatch | null {
   return batches.reduce<OpenBatch | null>((best, batch) => (
