Estimate the start of a generation by its kind

What callers saw: with what waits now forecast by the order of service, requests with long prompts were sent to engines too late in their own bursts, and those with short prompts were judged as if an engine took three to four times as long for them.

Cause: a target is shortened by the usual time to the first token, one average over all kinds.

Change: an average for each kind of request; that of all kinds until one of the kind has started.

--- a/src/placement/EngineStarts.ts
+++ b/src/placement/EngineStarts.ts
@@ -3,10 +3,12 @@
 import type { Clock } from '../time/Clock.ts';
 import { getWaitingTokens, TOKENS_PER_RUNNING } from './chooseEngine.ts';
 import type { EngineRecord } from './EngineTable.ts';
-import type { PlacementReport } from './PlacementRequest.ts';
+import type { PlacementReport, PlacementRequest } from './PlacementRequest.ts';
 
 interface PendingStart {
   readonly engineId: UpstreamId;
+  /** Kind of request. */
+  readonly kind: string;
   readonly placedAtMs: number;
   /** Prompt tokens that the engine had to read before its first token, and what delays them. */
   readonly workTokens: number;
@@ -25,9 +27,12 @@
 
   readonly #pending = new Map<string, PendingStart>();
 
-  /** Moving average of the time to the first token. */
+  /** Moving average of the time to the first token, of all kinds of request. */
   #averageMs = 0;
 
+  /** The same by kind of request: long prompts take several times as long as short ones. */
+  readonly #averagesMs = new Map<string, number>();
+
   /** The same for each token of work; null before the first generation. */
   #averageMsPerToken: number | null = null;
 
@@ -39,16 +44,20 @@
     this.#speeds = new UpstreamSpeeds(clock);
   }
 
-  /** Moving average of the time from a placement to the first token. */
-  get averageMs(): number {
-    return this.#averageMs;
+  /**
+   * @param kind - a kind of request
+   * @returns the time that one usually takes from its placement to its first token; that of all
+   * kinds while none of this one has started
+   */
+  getExpectedMs(kind: string): number {
+    return this.#averagesMs.get(kind) ?? this.#averageMs;
   }
 
   /**
    * @param engine - the engine at which a request is placed, with the request already counted
-   * @param requestId - the request
+   * @param request - the request
    */
-  recordPlaced(engine: EngineRecord, requestId: string): void {
+  recordPlaced(engine: EngineRecord, { requestId, kind }: PlacementRequest): void {
     const nowMs = this.#clock.getMonotonicMs();
     this.#pending.forEach(({ placedAtMs }, id) => {
       if (nowMs - placedAtMs > MAX_START_MS) {
@@ -57,6 +66,7 @@
     });
     this.#pending.set(requestId, {
       engineId: engine.id,
+      kind,
       placedAtMs: nowMs,
       workTokens: getWaitingTokens(engine) + engine.generations.size * TOKENS_PER_RUNNING,
     });
@@ -92,10 +102,14 @@
     this.#speeds.remove(engineId);
   }
 
-  #recordStart({ engineId, placedAtMs, workTokens }: PendingStart): void {
+  #recordStart({
+    engineId, kind, placedAtMs, workTokens,
+  }: PendingStart): void {
     const tookMs = this.#clock.getMonotonicMs() - placedAtMs;
     const msPerToken = tookMs / workTokens;
     this.#averageMs += GAIN * (tookMs - this.#averageMs);
+    const averageMs = this.getExpectedMs(kind);
+    this.#averagesMs.set(kind, averageMs + GAIN * (tookMs - averageMs));
     this.#averageMsPerToken ??= msPerToken;
     if (this.#averageMsPerToken > 0) {
       this.#speeds.recordObserved(engineId, msPerToken / this.#averageMsPerToken);
--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -263,7 +263,7 @@
     const standingResults = [
       ...request.standingResults, ...this.#reclaimResults(request.requestId),
     ];
-    const onTimeMs = request.onTimeMs - this.#starts.averageMs;
+    const onTimeMs = request.onTimeMs - this.#starts.getExpectedMs(request.kind);
     return createPlacementJob(
       { ...request, onTimeMs, standingResults },
       clock.getMonotonicMs(),
@@ -388,11 +388,11 @@
     this.#prefills.recordPlaced(getPrefillTokens(this.#engines.get(engineId), request), nowMs);
     this.room.place(engineId, request);
     releasePrompt(job);
-    this.#starts.recordPlaced(this.#engines.get(engineId), request.requestId);
+    this.#starts.recordPlaced(this.#engines.get(engineId), request);
     this.#options.logger.info(
       {
         event: 'placementMade',
-        startMs: Math.round(this.#starts.averageMs),
+        startMs: Math.round(this.#starts.getExpectedMs(request.kind)),
         ...describePlacement(job, nowMs),
       },
       'chose an engine for a request',
--- a/src/placement/PlacementRefusals.ts
+++ b/src/placement/PlacementRefusals.ts
@@ -16,7 +16,7 @@
   readonly logger: Logger;
   readonly scheduler: StageScheduler;
   /** How long generations take to start at an engine. */
-  readonly starts: Pick<EngineStarts, 'averageMs'>;
+  readonly starts: Pick<EngineStarts, 'getExpectedMs'>;
   readonly permits: EnginePermits;
   /** The shares of client accounts. */
   readonly shares: FairShares;
@@ -157,7 +157,7 @@
       priority: job.request.priority,
       // Left until it has to be sent to an engine to meet its target.
       onTimeMs: Math.round(job.onTimeAtMs - clock.getMonotonicMs()),
-      startMs: Math.round(starts.averageMs),
+      startMs: Math.round(starts.getExpectedMs(job.request.kind)),
       state: job.state,
       remainingMs: Math.round(job.deadlineAtMs - clock.getMonotonicMs()),
       leastMs: Math.round(scheduler.getLeastMs(job)),
