Count at limited engines only the requests that go before

The order for engines stands once now (compareForEngine), and the wait is counted by it.

Test: placement/limitedPlacement (do not refuse a request for those that it goes before), red on the code before.

--- a/src/placement/EnginePermits.ts
+++ b/src/placement/EnginePermits.ts
@@ -4,6 +4,7 @@
 import type { PlacementJob } from './PlacementJob.ts';
 import type { PlacementRates } from './PlacementRates.ts';
 import type { PlacementRequest, PlacementResult } from './PlacementRequest.ts';
+import { compareForEngine } from './Precedence.ts';
 import { getGroupUpstreams } from './getGroupUpstreams.ts';
 
 const MS_PER_SECOND = 1_000;
@@ -61,12 +62,13 @@
   }
 
   /**
-   * @param request - the request to place
+   * @param job - the request to place
    * @param jobs - the requests that wait or are placed
    * @returns the time until an engine can get it, after the waiting requests that go before it, if
    * all engines advertise limits; 0 if one of them advertises none
    */
-  getWaitMs(request: PlacementRequest, jobs: Iterable<PlacementJob>): number {
+  getWaitMs(job: PlacementJob, jobs: Iterable<PlacementJob>): number {
+    const { request } = job;
     if (this.#rates.isUnlimited) {
       return 0;
     }
@@ -80,8 +82,9 @@
     const firstWaitMs = engines.some((entry) => this.isOpenTo(entry, request))
       ? 0
       : this.#rates.getSharedWaitMs(engines);
-    const aheadCount = [...jobs].filter(({ state, request: other }) => (
-      state !== 'placed' && other.poolId === poolId && other.priority <= request.priority)).length;
+    const aheadCount = [...jobs].filter((other) => other.state !== 'placed'
+      && other.request.poolId === poolId
+      && compareForEngine(other, job) <= 0).length;
     return aheadCount === 0
       ? firstWaitMs
       : firstWaitMs + (aheadCount / perSecond) * MS_PER_SECOND;
--- a/src/placement/EngineStarts.test.ts
+++ b/src/placement/EngineStarts.test.ts
@@ -24,7 +24,9 @@
     runGenerations(bed, 'short', 30);
     runGenerations(bed, 'long', 800);
     const request = { stages: [STAGE], onTimeMs: 900, remainingMs: 1_100 };
-    bed.place({ ...request, requestId: 'before', kind: 'short', pieceCounts: [30] });
+    bed.place({
+      ...request, requestId: 'before', kind: 'short', pieceCounts: [30],
+    });
     ['short', 'long'].forEach((kind) => {
       bed.place({ ...request, requestId: `new ${kind}`, kind });
     });
--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -30,6 +30,7 @@
 } from './PlacementRequest.ts';
 import type { StageCall, StageOutcome } from './StageCall.ts';
 import { getResultBytesByDomain } from './stageBytes.ts';
+import { compareForEngine } from './Precedence.ts';
 import { StageScheduler, type StageSchedulerOptions } from './StageScheduler.ts';
 
 /** Dependencies of a {@link PlacementCoordinator}. */
@@ -248,9 +249,7 @@
     this.#shares.refresh(this.#jobs.values());
     [...this.#jobs.values()]
       .filter((job) => job.state === 'awaitingEngine')
-      .sort((left, right) => left.request.priority - right.request.priority
-        || left.shareRank - right.shareRank
-        || left.onTimeAtMs - right.onTimeAtMs)
+      .sort(compareForEngine)
       .forEach((job) => this.#placeOnEngine(job));
     this.#scheduler.run();
   }
@@ -292,7 +291,7 @@
     this.#shares.recordArrival(job);
     const expectedMs = this.#scheduler.getExpectedMs(job);
     const allowedMs = request.remainingMs * (expectedMs > request.onTimeMs ? LATE_FRACTION : 1);
-    const engineWaitMs = this.#permits.getWaitMs(request, this.#jobs.values());
+    const engineWaitMs = this.#permits.getWaitMs(job, this.#jobs.values());
     if (!hasResults && engineWaitMs > Math.max(request.onTimeMs, expectedMs)) {
       this.#refusals.refuseLimited(job);
       return true;
--- a/src/placement/PlacementRefusals.ts
+++ b/src/placement/PlacementRefusals.ts
@@ -63,7 +63,7 @@
         event: 'placementHeld',
         requestId: job.request.requestId,
         upstreamIds: engines.map(({ entry }) => entry.id),
-        waitMs: Math.round(this.#options.permits.getWaitMs(job.request, [])),
+        waitMs: Math.round(this.#options.permits.getWaitMs(job, [])),
       }, 'a request waits for a permit, since all its engines advertise limits');
     }
   }
@@ -103,7 +103,7 @@
 
   /** @param job - a request that gets no permit in time, since all its engines advertise limits */
   refuseLimited(job: PlacementJob): void {
-    const waitMs = this.#options.permits.getWaitMs(job.request, this.#options.jobs.values());
+    const waitMs = this.#options.permits.getWaitMs(job, this.#options.jobs.values());
     this.#refuse(job, REFUSAL.limited, Math.min(MAX_LIMITED_RETRY_AFTER_MS, waitMs));
   }
 
@@ -164,7 +164,7 @@
       expectedMs: Math.round(expectedMs),
       allowedMs: allowedMs === null ? null : Math.round(allowedMs),
       ...scheduler.describeQueue(job),
-      engineWaitMs: Math.round(permits.getWaitMs(job.request, jobs.values())),
+      engineWaitMs: Math.round(permits.getWaitMs(job, jobs.values())),
       ...shares.describe(job),
       version: directory.configuration?.version ?? null,
       waitingCount: [...jobs.values()].filter(({ state }) => state !== 'placed').length,
--- a/src/placement/Precedence.ts
+++ b/src/placement/Precedence.ts
@@ -39,3 +39,17 @@
     || left.job.shareRank - right.job.shareRank
     || left.slackMs - right.slackMs;
 }
+
+/**
+ * Orders requests that wait for an engine: the more urgent class first, then by shares, then the
+ * one that has to start first.
+ *
+ * @param left - a request
+ * @param right - another request
+ * @returns negative when `left` goes first
+ */
+export function compareForEngine(left: PlacementJob, right: PlacementJob): number {
+  return left.request.priority - right.request.priority
+    || left.shareRank - right.shareRank
+    || left.onTimeAtMs - right.onTimeAtMs;
+}
--- a/src/placement/limitedPlacement.test.ts
+++ b/src/placement/limitedPlacement.test.ts
@@ -106,6 +106,15 @@
     deepEqual(getPlaced(bed, 'engines-0'), ['urgent']);
   });
 
+  it('do not refuse a request for those that it goes before', async () => {
+    const bed = await createBed(1, 1);
+    nameLimit(bed, 'engines-0', 1);
+    ['a', 'b', 'c'].forEach((requestId) => bed.place({ requestId, onTimeMs: 5_000 }));
+    bed.place({ requestId: 'pressed', onTimeMs: 1_500 });
+    runFor(bed, 1_100, () => {});
+    deepEqual(getPlaced(bed, 'engines-0'), ['pressed']);
+  });
+
   it('report a lifted limit to the requesting host', async () => {
     const bed = await createBed(1, 1);
     nameLimit(bed, 'engines-0', 1);
