--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -3,17 +3,15 @@
 import type { DirectoryChange } from '../directory/DirectoryChange.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
-import { PrefillLoads } from '../prefill/PrefillLoads.ts';
 import type { QuotaBorrower } from '../quotas/QuotaBorrower.ts';
 import { FairShares } from '../shares/FairShares.ts';
 import type { Clock } from '../time/Clock.ts';
-import { chooseEngine } from './chooseEngine.ts';
 import { describePlacement } from './describePlacement.ts';
 import { EnginePermits } from './EnginePermits.ts';
 import { EngineRoom } from './EngineRoom.ts';
+import { EngineSelector } from './EngineSelector.ts';
 import { EngineStarts } from './EngineStarts.ts';
-import { EngineTable, getPrefillTokens } from './EngineTable.ts';
-import { getGroupUpstreams } from './getGroupUpstreams.ts';
+import { EngineTable } from './EngineTable.ts';
 import { getPreferredDomain } from './getPreferredDomain.ts';
 import type { MakerRollouts } from './MakerRollouts.ts';
 import type { PieceRetryBudget } from './PieceRetryBudget.ts';
@@ -29,7 +27,6 @@
   PlacementReport, PlacementRequest, PlacementResult, StandingResult,
 } from './PlacementRequest.ts';
 import type { StageCall, StageOutcome } from './StageCall.ts';
-import { getResultBytesByDomain } from './stageBytes.ts';
 import { compareForEngine } from './Precedence.ts';
 import { StageScheduler, type StageSchedulerOptions } from './StageScheduler.ts';
 
@@ -90,7 +87,7 @@
 
   readonly #shares: FairShares;
 
-  readonly #prefills = new PrefillLoads();
+  readonly #selector: EngineSelector;
 
   readonly #refusals: PlacementRefusals;
 
@@ -123,6 +120,14 @@
       shares: this.#shares,
       jobs: this.#jobs,
     });
+    this.#selector = new EngineSelector({
+      ...options,
+      engines: this.#engines,
+      permits: this.#permits,
+      room: this.room,
+      starts: this.#starts,
+      onHeld: (job, engines) => this.#refusals.recordHeld(job, engines),
+    });
     options.directory.onChange((change) => this.#applyChange(change));
   }
 
@@ -354,40 +359,15 @@
       this.#scheduler.reopenMissing(job);
       return;
     }
-    const pool = directory.configuration?.pools.get(request.poolId);
-    const hasEngineLimits = pool !== undefined && pool.engine !== null;
-    const engines = getGroupUpstreams(directory, request);
-    const open = engines.filter(({ entry }) => this.#permits.isOpenTo(entry, request));
-    if (engines.length > 0 && open.length === 0) {
-      this.#refusals.recordHeld(job, engines);
-    }
-    const candidates = open
-      .filter(({ entry }) => this.#options.quotas.isOpenTo(entry, request.hostId))
-      .map(({ entry }) => ({
-        engine: this.#engines.get(entry.id),
-        failureDomain: entry.failureDomain,
-        workTimeFactor: this.#starts.getWorkTimeFactor(entry.id),
-      }))
-      .filter(({ engine }) => engine.avoidUntilMs <= nowMs)
-      .filter(({ engine }) => this.room.hasRoom(engine.id, request))
-      .filter(({ engine }) => !hasEngineLimits || this.#prefills.isOpen(engine, {
-        prefillTokens: getPrefillTokens(engine, request), onTimeAtMs: job.onTimeAtMs,
-      }, nowMs));
-    const engineId = chooseEngine(candidates, {
-      parts: request.parts,
-      promptTokens: request.promptTokens,
-      inputBytes: getResultBytesByDomain(lastStages, directory),
-    });
+    const engineId = this.#selector.select(job);
     if (engineId === null) {
       return;
     }
     job.state = 'placed';
     job.engineId = engineId;
     job.placedAtMs = nowMs;
-    this.#prefills.recordPlaced(getPrefillTokens(this.#engines.get(engineId), request), nowMs);
-    this.room.place(engineId, request);
+    this.#selector.recordPlaced(job, engineId);
     releasePrompt(job);
-    this.#starts.recordPlaced(this.#engines.get(engineId), request);
     this.#options.logger.info(
       {
         event: 'placementMade',
