Give the precedence of a request from when its stages are done

The forecast said in three methods what one parameter says. No decision changes; firstMs in the log of a request that can't be on time is now by its target, as its name says.

--- a/src/placement/Precedence.ts
+++ b/src/placement/Precedence.ts
@@ -11,13 +11,15 @@
 
 /**
  * @param job - a request that waits for its stages
- * @param expectedMs - the time that its remaining stages take
- * @param nowMs - the current time
- * @returns its precedence at that time
+ * @param doneAtMs - when its remaining stages are done if it waits no more
+ * @param canBeOnTime - whether it can be on time; by default, whether it is if it waits no more
+ * @returns its precedence
  */
-export function getPrecedence(job: PlacementJob, expectedMs: number, nowMs: number): Precedence {
-  const doneAtMs = nowMs + expectedMs;
-  const canBeOnTime = doneAtMs <= job.onTimeAtMs;
+export function getPrecedence(
+  job: PlacementJob,
+  doneAtMs: number,
+  canBeOnTime = doneAtMs <= job.onTimeAtMs,
+): Precedence {
   const limitAtMs = canBeOnTime ? job.onTimeAtMs : job.deadlineAtMs;
   return { job, canBeOnTime, slackMs: limitAtMs - doneAtMs };
 }
--- a/src/placement/StageForecast.ts
+++ b/src/placement/StageForecast.ts
@@ -5,7 +5,7 @@
 import type { GroupJobs } from './GroupJobs.ts';
 import { countOpenPieces, type PlacementJob } from './PlacementJob.ts';
 import type { PlacementRates } from './PlacementRates.ts';
-import { comparePrecedence, getPrecedence, type Precedence } from './Precedence.ts';
+import { comparePrecedence, getPrecedence } from './Precedence.ts';
 
 const MS_PER_SECOND = 1_000;
 
@@ -104,10 +104,10 @@
    * @returns the time that its stages take behind those requests
    */
   getExpectedMs(job: PlacementJob, group: GroupJobs): number {
-    const firstMs = this.#getFirstMs(job, group);
-    return this.#clock.getMonotonicMs() + firstMs <= job.onTimeAtMs
-      ? firstMs
-      : this.#getLastMs(job, group);
+    const onTimeMs = this.#getMsBehind(job, group, true);
+    return this.#clock.getMonotonicMs() + onTimeMs <= job.onTimeAtMs
+      ? onTimeMs
+      : this.#getMsBehind(job, group, false);
   }
 
   /**
@@ -118,36 +118,21 @@
   describe(job: PlacementJob, group: GroupJobs): QueueDescription {
     const priorities = new Set([...group.jobs].map(({ request }) => request.priority));
     return {
-      firstMs: Math.round(this.#getFirstMs(job, group)),
-      lastMs: Math.round(this.#getLastMs(job, group)),
+      firstMs: Math.round(this.#getMsBehind(job, group, true)),
+      lastMs: Math.round(this.#getMsBehind(job, group, false)),
       waiting: [...priorities].sort((left, right) => left - right).map((priority) => {
         const jobs = [...group.jobs].filter(({ request }) => request.priority === priority);
         return {
           priority,
           count: jobs.length,
-          onTimeCount: jobs.filter((other) => this.#getPrecedence(other).canBeOnTime).length,
+          onTimeCount: jobs.filter((other) => (
+            getPrecedence(other, this.#getLeastDoneAtMs(other)).canBeOnTime)).length,
           pieceCounts: Object.fromEntries(countWaitingPieces(jobs)),
         };
       }),
     };
   }
 
-  #getPrecedence(job: PlacementJob): Precedence {
-    return getPrecedence(job, this.getLeastMs(job), this.#clock.getMonotonicMs());
-  }
-
-  /** Time behind the requests that go before this one while it can be on time. */
-  #getFirstMs(job: PlacementJob, group: GroupJobs): number {
-    return this.#getMsBehind(group, { ...this.#getPrecedence(job), canBeOnTime: true });
-  }
-
-  /** Time behind the requests that go before this one once it will be late. */
-  #getLastMs(job: PlacementJob, group: GroupJobs): number {
-    const doneAtMs = this.#clock.getMonotonicMs() + this.getLeastMs(job);
-    const slackMs = job.deadlineAtMs - doneAtMs;
-    return this.#getMsBehind(group, { job, canBeOnTime: false, slackMs });
-  }
-
   /**
    * @param job - a request, in the group or not
    * @param group - the group whose makers would run its stages
@@ -177,10 +162,15 @@
     ), 0);
   }
 
-  #getMsBehind(group: GroupJobs, precedence: Precedence): number {
-    const { job } = precedence;
+  #getLeastDoneAtMs(job: PlacementJob): number {
+    return this.#clock.getMonotonicMs() + this.getLeastMs(job);
+  }
+
+  /** Time behind the requests that go before one that can be on time, or one that can't. */
+  #getMsBehind(job: PlacementJob, group: GroupJobs, canBeOnTime: boolean): number {
+    const precedence = getPrecedence(job, this.#getLeastDoneAtMs(job), canBeOnTime);
     const waitingCounts = countWaitingPieces([...group.jobs].filter((other) => (
-      comparePrecedence(this.#getPrecedence(other), precedence) <= 0)));
+      comparePrecedence(getPrecedence(other, this.#getLeastDoneAtMs(other)), precedence) <= 0)));
     return this.getLeastMs(job) + this.#sumLevels(job, (limits, _count, poolId) => {
       const waitingCount = waitingCounts.get(poolId) ?? 0;
       if (group.getUsable(poolId).length === 0) {
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -387,7 +387,7 @@
       .filter(({ pieces }) => pieces.length > 0)
       .flatMap(({ stage, pieces }) => splitPiecesByCall(pieces).map((part) => ({ stage, ...part })))
       .map(({ stage, pieces, needsOwnCall }) => ({
-        ...getPrecedence(job, this.getLeastMs(job), nowMs),
+        ...getPrecedence(job, nowMs + this.getLeastMs(job)),
         stage,
         pieces,
         needsOwnCall,
