--- a/src/placement/EngineStarts.ts
+++ b/src/placement/EngineStarts.ts
@@ -16,6 +16,8 @@
 
 /** Weight of the newest generation in the moving averages. */
 const GAIN = 0.1;
+/** Kinds of request whose averages are kept; names of routes change with the configuration. */
+const MAX_KINDS = 1_000;
 /** A generation that has not started after this time never will; its caller has left. */
 const MAX_START_MS = 30_000;
 
@@ -30,7 +32,10 @@
   /** Moving average of the time to the first token, of all kinds of request. */
   #averageMs = 0;
 
-  /** The same by kind of request: long prompts take several times as long as short ones. */
+  /**
+   * The same by kind of request, the one that started least recently first: long prompts take
+   * several times as long as short ones.
+   */
   readonly #averagesMs = new Map<string, number>();
 
   /** The same for each token of work; null before the first generation. */
@@ -108,12 +113,21 @@
     const tookMs = this.#clock.getMonotonicMs() - placedAtMs;
     const msPerToken = tookMs / workTokens;
     this.#averageMs += GAIN * (tookMs - this.#averageMs);
-    const averageMs = this.getExpectedMs(kind);
-    this.#averagesMs.set(kind, averageMs + GAIN * (tookMs - averageMs));
+    this.#recordKind(kind, tookMs);
     this.#averageMsPerToken ??= msPerToken;
     if (this.#averageMsPerToken > 0) {
       this.#speeds.recordObserved(engineId, msPerToken / this.#averageMsPerToken);
     }
     this.#averageMsPerToken += GAIN * (msPerToken - this.#averageMsPerToken);
   }
+
+  #recordKind(kind: string, tookMs: number): void {
+    const averageMs = this.getExpectedMs(kind);
+    this.#averagesMs.delete(kind);
+    this.#averagesMs.set(kind, averageMs + GAIN * (tookMs - averageMs));
+    const [oldest] = this.#averagesMs.keys();
+    if (this.#averagesMs.size > MAX_KINDS && oldest !== undefined) {
+      this.#averagesMs.delete(oldest);
+    }
+  }
 }
