Log a refusal without a second forecast

Cause, by reading: each refusal of a placement coordinator forecast the wait twice more and counted all pieces by class, for its log line; in a burst it refuses over a hundred a second.

Change: the line has the forecast that the decision made (firstMs, expectedMs), and what waits by class in one pass without pieces; lastMs and pieceCounts are gone. The forecast makes no lists of requests.

--- a/src/placement/PlacementCoordinator.ts
+++ b/src/placement/PlacementCoordinator.ts
@@ -294,7 +294,8 @@
       return true;
     }
     this.#shares.recordArrival(job);
-    const expectedMs = this.#scheduler.getExpectedMs(job);
+    const forecast = this.#scheduler.getForecast(job);
+    const { expectedMs } = forecast;
     const allowedMs = request.remainingMs * (expectedMs > request.onTimeMs ? LATE_FRACTION : 1);
     const engineWaitMs = this.#permits.getWaitMs(job, this.#jobs.values());
     if (!hasResults && engineWaitMs > Math.max(request.onTimeMs, expectedMs)) {
@@ -302,11 +303,11 @@
       return true;
     }
     if (!hasResults && expectedMs > allowedMs) {
-      this.#refusals.refuseTooLate(job, expectedMs, allowedMs);
+      this.#refusals.refuseTooLate(job, forecast, allowedMs);
       return true;
     }
     if (this.#shares.isRefused(job, this.#scheduler.getLeastMs(job), expectedMs)) {
-      this.#refusals.refuseOverShare(job, expectedMs);
+      this.#refusals.refuseOverShare(job, forecast);
       return true;
     }
     if (!this.#heldPieces.hasRoom(job)) {
--- a/src/placement/PlacementRefusals.ts
+++ b/src/placement/PlacementRefusals.ts
@@ -7,6 +7,7 @@
 import type { PlacementJob } from './PlacementJob.ts';
 import { REFUSAL, type Refusal } from './PlacementRequest.ts';
 import { ReturnSchedule } from './ReturnSchedule.ts';
+import type { WaitForecast } from './StageForecast.ts';
 import type { StageScheduler } from './StageScheduler.ts';
 
 /** Dependencies of {@link PlacementRefusals}. */
@@ -72,10 +73,10 @@
    * Refuses a request whose stages can't be done in time.
    *
    * @param job - the request
-   * @param expectedMs - the time that its stages are expected to take
+   * @param forecast - the time that its stages are expected to take
    * @param allowedMs - the time that its stages may take
    */
-  refuseTooLate(job: PlacementJob, expectedMs: number, allowedMs: number): void {
+  refuseTooLate(job: PlacementJob, forecast: WaitForecast, allowedMs: number): void {
     const { clock, scheduler } = this.#options;
     const nowMs = clock.getMonotonicMs();
     const key = `${job.request.domains[0] ?? ''} ${job.request.poolId}`;
@@ -83,22 +84,22 @@
     this.#returns.set(key, returns);
     const retryAfterMs = returns.add({
       priority: job.request.priority,
-      roomInMs: expectedMs - allowedMs,
+      roomInMs: forecast.expectedMs - allowedMs,
       workMs: scheduler.getOccupancyMs(job),
       usefulMs: job.deadlineAtMs - nowMs - scheduler.getLeastMs(job),
     }, nowMs);
-    this.#refuse(job, REFUSAL.tooLate, retryAfterMs, expectedMs, allowedMs);
+    this.#refuse(job, REFUSAL.tooLate, retryAfterMs, forecast, allowedMs);
   }
 
   /**
    * Refuses a request that would be late, and whose client account has taken more than its share.
    *
    * @param job - the request
-   * @param expectedMs - the time that its stages are expected to take
+   * @param forecast - the time that its stages are expected to take
    */
-  refuseOverShare(job: PlacementJob, expectedMs: number): void {
+  refuseOverShare(job: PlacementJob, forecast: WaitForecast): void {
     const waitMs = this.#options.shares.getRetryAfterMs(job);
-    this.#refuse(job, REFUSAL.overShare, waitMs, expectedMs);
+    this.#refuse(job, REFUSAL.overShare, waitMs, forecast);
   }
 
   /** @param job - a request that gets no permit in time, since all its engines advertise limits */
@@ -142,7 +143,7 @@
     job: PlacementJob,
     reason: Refusal,
     retryAfterMs: number,
-    expectedMs = this.#options.scheduler.getLeastMs(job),
+    forecast: WaitForecast | null = null,
     allowedMs: number | null = null,
   ): void {
     const {
@@ -161,7 +162,8 @@
       state: job.state,
       remainingMs: Math.round(job.deadlineAtMs - clock.getMonotonicMs()),
       leastMs: Math.round(scheduler.getLeastMs(job)),
-      expectedMs: Math.round(expectedMs),
+      firstMs: forecast === null ? null : Math.round(forecast.firstMs),
+      expectedMs: Math.round(forecast?.expectedMs ?? scheduler.getLeastMs(job)),
       allowedMs: allowedMs === null ? null : Math.round(allowedMs),
       ...scheduler.describeQueue(job),
       engineWaitMs: Math.round(permits.getWaitMs(job, jobs.values())),
--- a/src/placement/StageForecast.ts
+++ b/src/placement/StageForecast.ts
@@ -25,27 +25,14 @@
   readonly count: number;
   /** How many of them can still be on time. */
   readonly onTimeCount: number;
-  /** Pieces that wait, by pool. */
-  readonly pieceCounts: Readonly<Record<string, number>>;
 }
 
-/** What waits when a request is judged, for the log. */
-export interface QueueDescription {
-  /** Time that its stages take behind the requests that go before it while it can be on time. */
+/** How long the stages of a request take. */
+export interface WaitForecast {
+  /** Behind the requests that go before it while it can be on time. */
   readonly firstMs: number;
-  /** Time that its stages take behind those that go before it if it is late. */
-  readonly lastMs: number;
-  readonly waiting: readonly WaitingClass[];
-}
-
-/** Counts the pieces that wait, by pool. */
-function countWaitingPieces(jobs: readonly PlacementJob[]): Map<PoolId, number> {
-  const counts = new Map<PoolId, number>();
-  jobs.forEach(({ stages }) => stages.forEach(({ poolId, pieces }) => {
-    const count = pieces.reduce((sum, { state }) => sum + Number(state === 'waiting'), 0);
-    counts.set(poolId, (counts.get(poolId) ?? 0) + count);
-  }));
-  return counts;
+  /** The same, or if that is too late to be on time, behind those that go before a late one. */
+  readonly expectedMs: number;
 }
 
 /**
@@ -101,36 +88,33 @@
   /**
    * @param job - a request, in the group or not
    * @param group - the requests that wait already
-   * @returns the time that its stages take behind those requests
+   * @returns the time that its stages take behind those of them that go before it
    */
-  getExpectedMs(job: PlacementJob, group: GroupJobs): number {
-    const onTimeMs = this.#getMsBehind(job, group, true);
-    return this.#clock.getMonotonicMs() + onTimeMs <= job.onTimeAtMs
-      ? onTimeMs
-      : this.#getMsBehind(job, group, false);
+  getForecast(job: PlacementJob, group: GroupJobs): WaitForecast {
+    const firstMs = this.#getMsBehind(job, group, true);
+    const canBeOnTime = this.#clock.getMonotonicMs() + firstMs <= job.onTimeAtMs;
+    return {
+      firstMs,
+      expectedMs: canBeOnTime ? firstMs : this.#getMsBehind(job, group, false),
+    };
   }
 
   /**
-   * @param job - a request, in the group or not
    * @param group - the requests that wait already
-   * @returns what waits, by priority class
+   * @returns how many wait, by priority class
    */
-  describe(job: PlacementJob, group: GroupJobs): QueueDescription {
-    const priorities = new Set([...group.jobs].map(({ request }) => request.priority));
-    return {
-      firstMs: Math.round(this.#getMsBehind(job, group, true)),
-      lastMs: Math.round(this.#getMsBehind(job, group, false)),
-      waiting: [...priorities].sort((left, right) => left - right).map((priority) => {
-        const jobs = [...group.jobs].filter(({ request }) => request.priority === priority);
-        return {
-          priority,
-          count: jobs.length,
-          onTimeCount: jobs.filter((other) => (
-            getPrecedence(other, this.#getLeastDoneAtMs(other)).canBeOnTime)).length,
-          pieceCounts: Object.fromEntries(countWaitingPieces(jobs)),
-        };
-      }),
-    };
+  describeWaiting(group: GroupJobs): WaitingClass[] {
+    const classes = new Map<number, WaitingClass>();
+    group.jobs.forEach((job) => {
+      const { priority } = job.request;
+      const { count, onTimeCount } = classes.get(priority) ?? { count: 0, onTimeCount: 0 };
+      classes.set(priority, {
+        priority,
+        count: count + 1,
+        onTimeCount: onTimeCount + Number(this.#getLeastDoneAtMs(job) <= job.onTimeAtMs),
+      });
+    });
+    return [...classes.values()].sort((left, right) => left.priority - right.priority);
   }
 
   /**
@@ -169,8 +153,16 @@
   /** Time behind the requests that go before one that can be on time, or one that can't. */
   #getMsBehind(job: PlacementJob, group: GroupJobs, canBeOnTime: boolean): number {
     const precedence = getPrecedence(job, this.#getLeastDoneAtMs(job), canBeOnTime);
-    const waitingCounts = countWaitingPieces([...group.jobs].filter((other) => (
-      comparePrecedence(getPrecedence(other, this.#getLeastDoneAtMs(other)), precedence) <= 0)));
+    const waitingCounts = new Map<PoolId, number>();
+    group.jobs.forEach((other) => {
+      const otherPrecedence = getPrecedence(other, this.#getLeastDoneAtMs(other));
+      if (comparePrecedence(otherPrecedence, precedence) <= 0) {
+        other.stages.forEach(({ poolId, pieces }) => {
+          const count = pieces.reduce((sum, { state }) => sum + Number(state === 'waiting'), 0);
+          waitingCounts.set(poolId, (waitingCounts.get(poolId) ?? 0) + count);
+        });
+      }
+    });
     return this.getLeastMs(job) + this.#sumLevels(job, (limits, _count, poolId) => {
       const waitingCount = waitingCounts.get(poolId) ?? 0;
       if (group.getUsable(poolId).length === 0) {
--- a/src/placement/StageScheduler.ts
+++ b/src/placement/StageScheduler.ts
@@ -18,7 +18,7 @@
 import { comparePrecedence, getPrecedence } from './Precedence.ts';
 import type { StandingResult } from './PlacementRequest.ts';
 import { createStageItem } from './createStageItem.ts';
-import { StageForecast, type QueueDescription } from './StageForecast.ts';
+import { StageForecast, type WaitForecast, type WaitingClass } from './StageForecast.ts';
 import { StageResults } from './StageResults.ts';
 import { resetPiece } from './resetPiece.ts';
 import { getBusyMakers, getIdleMakers } from './selectMakers.ts';
@@ -52,6 +52,12 @@
   readonly freeBytes: number;
 }
 
+/** What waits in a group, and the makers of the stages of a request, for the log. */
+export interface QueueDescription {
+  readonly waiting: readonly WaitingClass[];
+  readonly makers: readonly MakerDescription[];
+}
+
 /** A call times out after this multiple of the duration by its pool's batch limits. */
 const TIMEOUT_FACTOR = 3;
 /** Smallest timeout of a call. */
@@ -173,23 +179,23 @@
 
   /**
    * @param job - a request, added or not
-   * @returns the time that its stages take behind the requests that wait already
+   * @returns the time that its stages take behind the requests that go before it
    */
-  getExpectedMs(job: PlacementJob): number {
-    return this.#forecast.getExpectedMs(job, this.#getGroup(job));
+  getForecast(job: PlacementJob): WaitForecast {
+    return this.#forecast.getForecast(job, this.#getGroup(job));
   }
 
   /**
    * @param job - a request, added or not
-   * @returns what waits before it, for the log
+   * @returns what waits when it is judged, for the log
    */
-  describeQueue(job: PlacementJob): QueueDescription & { readonly makers: MakerDescription[] } {
+  describeQueue(job: PlacementJob): QueueDescription {
     const group = this.#getGroup(job);
     const makers = [...new Set(job.stages.map(({ poolId }) => poolId))].flatMap((poolId) => {
       const limits = this.#options.directory.configuration?.pools.get(poolId)?.batch ?? null;
       return limits === null ? [] : [this.#describeMakers(poolId, group, limits)];
     });
-    return { ...this.#forecast.describe(job, group), makers };
+    return { waiting: this.#forecast.describeWaiting(group), makers };
   }
 
   /**
