--- /dev/null
+++ b/review/common-4/engine.mjs
@@ -0,0 +1,132 @@
+/* global setTimeout */
+/*
+ * An engine of a plain service, in a process of its own. Each start is a new lifetime with an id.
+ * It writes what arrives and what it runs to a file at once, so that nothing is lost at a kill.
+ */
+import { appendFileSync } from 'node:fs';
+import { createServer } from 'node:http';
+import process from 'node:process';
+import { createAnswer } from './createAnswer.mjs';
+
+const LOOPBACK = '127.0.0.1';
+const {
+  id, port, recordFile, workMs, answerBytes, parts, hasLength, slots, queue, brittle,
+} = JSON.parse(process.env.ENGINE);
+const born = Date.now();
+const waiting = [];
+/** Times of the requests that were turned away for want of room, in the last second. */
+let turnedAwayMs = [];
+let runningCount = 0;
+
+function record(entry) {
+  appendFileSync(recordFile, `${JSON.stringify({ engine: id, atMs: Date.now(), ...entry })}\n`);
+}
+
+function isBrittle(agoMs = 0) {
+  const nowMs = Date.now();
+  return brittle !== undefined
+    && nowMs >= brittle.fromMs + agoMs && nowMs < brittle.untilMs;
+}
+
+/** Turns a request away; one too many in a second makes a brittle engine fall over. */
+function turnAway(requestId, response) {
+  response.writeHead(503, { 'X-Not-Executed': '1' }).end();
+  if (!isBrittle(brittle?.contactMs)) {
+    return;
+  }
+  const nowMs = Date.now();
+  turnedAwayMs = [...turnedAwayMs.filter((atMs) => atMs > nowMs - 1000), nowMs];
+  if (turnedAwayMs.length > brittle.perSecond) {
+    record({
+      kind: 'fell', turnedAway: turnedAwayMs.length, running: runningCount, waiting: waiting.length,
+    });
+    process.kill(process.pid, 'SIGKILL');
+  }
+}
+
+function write(request, response, requestId) {
+  const body = createAnswer(requestId, answerBytes);
+  const partBytes = Math.ceil(body.length / parts);
+  let offset = 0;
+  const writeNext = () => {
+    if (response.destroyed) {
+      return;
+    }
+    const part = body.subarray(offset, offset + partBytes);
+    offset += part.length;
+    if (offset < body.length) {
+      response.write(part);
+      setTimeout(writeNext, workMs / parts);
+    } else {
+      response.end(part);
+      record({ kind: 'answered', requestId });
+    }
+  };
+  setTimeout(writeNext, workMs / parts);
+}
+
+function run(request, response, requestId) {
+  runningCount += 1;
+  response.once('close', () => {
+    runningCount -= 1;
+    waiting.shift()?.start();
+  });
+  record({ kind: 'run', requestId, path: request.url });
+  response.setHeader('X-Response-Signature', `${id}.${requestId}.${answerBytes}`);
+  response.setHeader('X-Server-Load', `${runningCount},${waiting.length},${slots}`);
+  if (hasLength) {
+    response.setHeader('Content-Length', String(answerBytes));
+  } else {
+    // The answer ends with its connection.
+    response.useChunkedEncodingByDefault = false;
+    response.setHeader('Connection', 'close');
+  }
+  response.statusCode = 200;
+  response.setHeader('Content-Type', 'text/plain');
+  write(request, response, requestId);
+}
+
+const server = createServer((request, response) => {
+  const requestId = request.headers['x-request-id'];
+  response.sendDate = false;
+  if (requestId !== undefined) {
+    response.setHeader('X-Request-Id', requestId);
+  }
+  if (isBrittle()) {
+    response.setHeader('Server-Brittle', String(brittle.perSecond));
+  }
+  const expected = request.headers['x-expect-instance'];
+  if (expected !== undefined && expected !== id) {
+    request.resume();
+    response.writeHead(421, { 'X-Instance-Id': id, 'X-Not-Executed': '1' }).end();
+  } else if (request.url === '/health') {
+    response.writeHead(200, {
+      'X-Instance-Id': id, 'X-Server-Load': `${runningCount},${waiting.length},${slots}`,
+    }).end();
+  } else if (request.url === '/-/report') {
+    response.writeHead(200, { 'Content-Type': 'application/json' })
+      .end(JSON.stringify({ born, queued: waiting.length, active: runningCount }));
+  } else {
+    request.resume().on('end', () => {
+      const room = isBrittle(brittle?.contactMs) ? brittle.queue : queue;
+      const start = () => run(request, response, requestId);
+      if (runningCount < slots) {
+        start();
+      } else if (waiting.length < room) {
+        waiting.push({ response, start });
+        response.once('close', () => {
+          const index = waiting.findIndex((entry) => entry.response === response);
+          if (index >= 0) {
+            waiting.splice(index, 1);
+          }
+        });
+      } else {
+        turnAway(requestId, response);
+      }
+    });
+  }
+});
+server.keepAliveTimeout = 10_000;
+server.listen(port, LOOPBACK, () => record({
+  kind: 'started', born, port: server.address().port,
+}));
