--- a/review/common-4/link.mjs
+++ b/review/common-4/link.mjs
@@ -13,6 +13,10 @@
 
   #isCut = false;
 
+  #sockets = new Set();
+
+  #port = 0;
+
   #server = createServer({ allowHalfOpen: true, pauseOnConnect: true }, (front) => {
     front.on('error', () => {});
     if (this.#isCut) {
@@ -27,13 +31,25 @@
   }
 
   get address() {
-    return `${LOOPBACK}:${this.#server.address().port}`;
+    return `${LOOPBACK}:${this.#port}`;
   }
 
   async listen() {
     await new Promise((resolve) => {
-      this.#server.listen(0, LOOPBACK, resolve);
+      this.#server.listen(this.#port, LOOPBACK, resolve);
     });
+    this.#port = this.#server.address().port;
+  }
+
+  /** Resets the channels and refuses new ones, until `accept`. */
+  refuse() {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
+  /** Takes new channels again. */
+  async accept() {
+    await this.listen();
   }
 
   cut() {
@@ -73,7 +89,9 @@
       from.on('data', (chunk) => pass(() => to.write(chunk)));
       from.on('end', () => pass(() => to.end()));
       from.on('error', () => pass(() => to.resetAndDestroy()));
+      this.#sockets.add(from);
       from.on('close', () => {
+        this.#sockets.delete(from);
         if (front.destroyed && back.destroyed) {
           this.#pairs.delete(pair);
         }
