--- a/review/common-4/engine.mjs
+++ b/review/common-4/engine.mjs
@@ -107,6 +107,7 @@
     response.writeHead(200, { 'Content-Type': 'application/json' })
       .end(JSON.stringify({ born, queued: waiting.length, active: runningCount }));
   } else {
+    record({ kind: 'arrived', requestId });
     request.resume().on('end', () => {
       const room = isBrittle(brittle?.contactMs) ? brittle.queue : queue;
       const start = () => run(request, response, requestId);
