--- a/review/common-4/engine.mjs
+++ b/review/common-4/engine.mjs
@@ -9,6 +9,8 @@
 import { createAnswer } from './createAnswer.mjs';
 
 const LOOPBACK = '127.0.0.1';
+const CRASHING_BODY = 'crash';
+const CRASH_DELAY_MS = 35;
 const {
   id, port, recordFile, workMs, answerBytes, parts, hasLength, slots, queue, brittle,
 } = JSON.parse(process.env.ENGINE);
@@ -22,6 +24,14 @@
   appendFileSync(recordFile, `${JSON.stringify({ engine: id, atMs: Date.now(), ...entry })}\n`);
 }
 
+/** Ends the process, as some requests do once it has begun to run them. */
+function crash(requestId) {
+  setTimeout(() => {
+    record({ kind: 'crashed', requestId });
+    process.kill(process.pid, 'SIGKILL');
+  }, CRASH_DELAY_MS);
+}
+
 function isBrittle(agoMs = 0) {
   const nowMs = Date.now();
   return brittle !== undefined
@@ -108,9 +118,17 @@
       .end(JSON.stringify({ born, queued: waiting.length, active: runningCount }));
   } else {
     record({ kind: 'arrived', requestId });
-    request.resume().on('end', () => {
+    let body = '';
+    request.on('data', (chunk) => {
+      body += chunk;
+    }).on('end', () => {
       const room = isBrittle(brittle?.contactMs) ? brittle.queue : queue;
-      const start = () => run(request, response, requestId);
+      const start = () => {
+        run(request, response, requestId);
+        if (body === CRASHING_BODY) {
+          crash(requestId);
+        }
+      };
       if (runningCount < slots) {
         start();
       } else if (waiting.length < room) {
