--- a/review/common-4/callers.mjs
+++ b/review/common-4/callers.mjs
@@ -14,6 +14,7 @@
  */
 export function send(host, {
   path, id = createId(), method = 'POST', key = KEY, deadlineMs = 3000, body = '', agent,
+  headers = {},
 }) {
   const sentAtMs = performance.now();
   return new Promise((resolve) => {
@@ -32,6 +33,7 @@
         'x-deadline-ms': String(deadlineMs),
         authorization: `Bearer ${key}`,
         'content-length': String(body.length),
+        ...headers,
       },
     });
     const timer = setTimeout(() => request.destroy(new Error('deadline')), deadlineMs);
--- a/review/common-4/engine.mjs
+++ b/review/common-4/engine.mjs
@@ -96,6 +96,29 @@
   write(request, response, requestId);
 }
 
+/** Makes the pieces of a call; one with the crashing key ends the process. */
+function runStage(request, response) {
+  let body = '';
+  request.on('data', (chunk) => {
+    body += chunk;
+  }).on('end', () => {
+    const { items } = JSON.parse(body);
+    items.forEach((item) => record({
+      kind: 'piece', requestId: item.id, stage: item.stage, piece: item.piece, key: item.key,
+    }));
+    const crashing = items.find(({ key }) => key === CRASHING_BODY);
+    if (crashing !== undefined) {
+      crash(crashing.id);
+    }
+    setTimeout(() => response.writeHead(200, { 'Content-Type': 'application/json' })
+      .end(JSON.stringify({
+        items: items.map((item) => ({
+          handle: `${request.headers.host}/${item.id}${item.stage}${item.piece}`,
+        })),
+      })), workMs);
+  });
+}
+
 const server = createServer((request, response) => {
   const requestId = request.headers['x-request-id'];
   response.sendDate = false;
@@ -116,6 +139,10 @@
   } else if (request.url === '/-/report') {
     response.writeHead(200, { 'Content-Type': 'application/json' })
       .end(JSON.stringify({ born, queued: waiting.length, active: runningCount }));
+  } else if (request.url === '/-/stage-run') {
+    runStage(request, response);
+  } else if (request.url === '/-/stage-free') {
+    request.resume().on('end', () => response.writeHead(200).end());
   } else {
     record({ kind: 'arrived', requestId });
     let body = '';
