Log and count which configuration version decides a request that is passed on

The logs named no version: neither whether the host that took a request knew the newer one, nor which version the host that served it went by.

Now a request that is passed on carries the id, the peer address and the configuration version of its host, and the answer the version that decided. The line forwardedRequest has both, accepted has the version of each relay, and two metrics count them. Nothing is decided by them yet.

--- a/src/ingress/CallerExchange.ts
+++ b/src/ingress/CallerExchange.ts
@@ -39,6 +39,8 @@
 
   #hasAnswered = false;
 
+  #addedHeaders: readonly string[] = [];
+
   /** The request with its whole body. */
   readonly request: CallerRequest;
 
@@ -76,6 +78,11 @@
     });
   }
 
+  /** @param headers - alternating names and values that the answer gets besides its own */
+  addAnswerHeaders(headers: readonly string[]): void {
+    this.#addedHeaders = headers;
+  }
+
   /** @param answer - the answer; sent at once */
   answer({
     status, headers, body, isEndMarked,
@@ -147,7 +154,7 @@
     this.#hasAnswered = true;
     this.#response.sendDate = false;
     const closing = this.#context.shouldClose() ? ['Connection', 'close'] : [];
-    this.#response.writeHead(status, [...headers, ...closing]);
+    this.#response.writeHead(status, [...headers, ...this.#addedHeaders, ...closing]);
     return true;
   }
 }
--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -105,7 +105,8 @@
   start(): void {
     this.#context.openRelays.add(this);
     this.#context.shares.recordRequest(this.#parameters.poolId);
-    this.#log('accepted', { poolId: this.#parameters.poolId });
+    const { poolId, configurationVersion: version } = this.#parameters;
+    this.#log('accepted', { poolId, version });
     this.#exchange.onDisconnect(() => this.#finish('caller-gone'));
     if (this.#exchange.isDisconnected) {
       this.#finish('caller-gone');
--- a/src/relay/ForwardingRelay.ts
+++ b/src/relay/ForwardingRelay.ts
@@ -36,6 +36,9 @@
 
   #head: AnswerHead | null = null;
 
+  /** Configuration version by which the other host decided; null until it tells. */
+  #decidedVersion: number | null = null;
+
   /** Beginning of an answer whose end the other host does not mark. */
   readonly #unmarked: BufferedAnswer;
 
@@ -98,12 +101,16 @@
     }
     this.#triedIds.add(peer.hostId);
     forwardingPeers.recordStart(peer.hostId);
-    this.#log('forwarded', { hostId: peer.hostId });
+    const origin = this.#context.getForwardingOrigin();
+    this.#log('forwarded', { hostId: peer.hostId, version: origin.configurationVersion });
     const url = `http://${peer.address}`;
     this.#peerExchange = new PeerExchange({
       connections: connections.get(url),
       protocol,
       receiver: {
+        onDecided: (version) => {
+          this.#decidedVersion = version;
+        },
         onHead: (head, marksEnd) => {
           this.#head = head;
           if (marksEnd || this.#isStream(head)) {
@@ -115,7 +122,7 @@
       },
       probe: () => connections.probe(url),
     });
-    this.#peerExchange.send(this.#exchange.request, this.#getRemainingMs());
+    this.#peerExchange.send(this.#exchange.request, this.#getRemainingMs(), origin);
   }
 
   #isStream({ status }: AnswerHead): boolean {
@@ -171,11 +178,16 @@
       case 'complete':
         this.#endAnswer(end.isEndMarked);
         this.#finish('answered', {
-          hostId: peer.hostId, status: this.#head?.status ?? null, isEndMarked: end.isEndMarked,
+          hostId: peer.hostId,
+          status: this.#head?.status ?? null,
+          isEndMarked: end.isEndMarked,
+          decidedVersion: this.#decidedVersion,
         });
         return;
       case 'notTaken':
-        this.#log('notTaken', { hostId: peer.hostId, detail: end.detail });
+        this.#log('notTaken', {
+          hostId: peer.hostId, detail: end.detail, decidedVersion: this.#decidedVersion,
+        });
         this.#sendToNext();
         return;
       case 'broken':
--- a/src/relay/GenerationRelay.ts
+++ b/src/relay/GenerationRelay.ts
@@ -184,7 +184,10 @@
     this.#context.openRelays.add(this);
     this.#context.shares.recordRequest(this.#parameters.poolId);
     const { lastEventId, resumedRequestId } = this.#exchange.request.profile;
-    this.#log('accepted', { poolId: this.#parameters.poolId, lastEventId, resumedRequestId });
+    const { poolId, configurationVersion: version } = this.#parameters;
+    this.#log('accepted', {
+      poolId, version, lastEventId, resumedRequestId,
+    });
     this.#exchange.onDisconnect(() => this.#finish('caller-gone'));
     if (this.#exchange.isDisconnected) {
       this.#finish('caller-gone');
--- a/src/relay/PeerExchange.test.ts
+++ b/src/relay/PeerExchange.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { PlatformUpstreamProtocol } from '../../platform/PlatformUpstreamProtocol.ts';
 import { createCallerRequest } from '../../test/support/createCallerRequest.ts';
+import { toId, type HostId } from '../lib/ids.ts';
 import { UpstreamConnections } from '../upstreams/UpstreamConnections.ts';
 import { PeerExchange, type PeerExchangeEnd } from './PeerExchange.ts';
 
@@ -36,6 +37,7 @@
       connections: connections.get(url),
       protocol: new PlatformUpstreamProtocol(),
       receiver: {
+        onDecided: () => {},
         onHead: () => {},
         onData: (chunk) => {
           text += chunk.toString();
@@ -43,7 +45,9 @@
         onEnd: resolve,
       },
       probe: () => connections.probe(url),
-    }).send(createCallerRequest('r1'), 1_000);
+    }).send(createCallerRequest('r1'), 1_000, {
+      hostId: toId<HostId>('h1'), peerAddress: '127.0.0.1:1', configurationVersion: 1,
+    });
   });
   return { end, text };
 }
--- a/src/relay/PeerExchange.ts
+++ b/src/relay/PeerExchange.ts
@@ -2,6 +2,7 @@
 import type { CallerRequest } from '../ingress/CallerRequest.ts';
 import { HIGHEST_STATUS } from '../upstreams/HIGHEST_STATUS.ts';
 import { Upload } from '../upstreams/Upload.ts';
+import type { ForwardingOrigin } from './ForwardingOrigin.ts';
 import { isFramed } from './isFramed.ts';
 import type { AnswerHead, UpstreamProtocol } from './UpstreamProtocol.ts';
 
@@ -27,6 +28,11 @@
 
 /** Receives the answer of the other host. */
 export interface PeerAnswerReceiver {
+  /**
+   * @param configurationVersion - version by which the other host decided, also when it declined;
+   * null when it does not tell
+   */
+  onDecided(configurationVersion: number | null): void;
   /**
    * @param head - the head of the answer
    * @param marksEnd - whether it tells where the body ends
@@ -69,14 +75,15 @@
    *
    * @param request - the caller's request
    * @param remainingMs - time left until its deadline
+   * @param origin - this host
    */
-  send(request: CallerRequest, remainingMs: number): void {
+  send(request: CallerRequest, remainingMs: number, origin: ForwardingOrigin): void {
     const { connections, protocol } = this.#options;
     const upload = new Upload(request.body);
     connections.dispatch({
       path: request.path,
       method: request.method,
-      headers: [...protocol.encodeForwarded(request, remainingMs), ...upload.headers],
+      headers: [...protocol.encodeForwarded(request, remainingMs, origin), ...upload.headers],
       body: upload.body,
       idempotent: false,
     }, this);
@@ -117,10 +124,11 @@
       this.abort(`the status ${status} is not one of HTTP`);
       return;
     }
+    const rawHeaders = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
+    const texts = rawHeaders.map((text) => text.toString('latin1'));
     this.#isDeclined = status === NOT_TAKEN_STATUS;
+    this.#options.receiver.onDecided(this.#options.protocol.decodeDecidedVersion(texts));
     if (!this.#isDeclined) {
-      const rawHeaders = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
-      const texts = rawHeaders.map((text) => text.toString('latin1'));
       this.#isFramed = isFramed(texts);
       this.#options.receiver.onHead(
         this.#options.protocol.decodeAnswerHead(status, texts),
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -18,6 +18,7 @@
 import type { StreamVersions } from '../streams/StreamVersions.ts';
 import type { AnswerMemory } from './AnswerMemory.ts';
 import type { EngineProbe } from './EngineProbe.ts';
+import type { ForwardingOrigin } from './ForwardingOrigin.ts';
 import type { ForwardingPeers } from './ForwardingPeers.ts';
 import type { HostShares } from './HostShares.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
@@ -60,6 +61,8 @@
   readonly engineLifetimes: EngineLifetimes;
   /** Chooses the hosts that serve requests while this one reaches no upstream. */
   readonly forwardingPeers: ForwardingPeers;
+  /** @returns what this host tells of itself with a request that it passes on now */
+  readonly getForwardingOrigin: () => ForwardingOrigin;
   readonly answerMemory: AnswerMemory;
   readonly stopDeadline: StopDeadline;
   readonly silentEngineCheck: SilentEngineCheck;
@@ -75,6 +78,8 @@
 
 /** Parameters of one relay, decided before it starts. */
 export interface RelayParameters {
+  /** Version of the configuration that decided these parameters. */
+  readonly configurationVersion: number;
   readonly route: ServingRoute;
   readonly poolId: PoolId;
   /** Content of the request, independent of its id. */
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -331,6 +331,11 @@
         directory,
         new SystemRandomSource(),
       ),
+      getForwardingOrigin: () => ({
+        hostId: settings.hostId,
+        peerAddress: settings.peerAddress,
+        configurationVersion: directory.configuration?.version ?? 0,
+      }),
       answerMemory: new AnswerMemory(memory),
       stopDeadline: new StopDeadline(clock),
       silentEngineCheck: new SilentEngineCheck({
@@ -509,6 +514,7 @@
       if (change.kind === 'configuration') {
         this.#ingress.updateLimits();
         this.#forwardedIngress.updateLimits();
+        this.#metrics.recordConfiguration(change.configuration.version);
         this.#logger.info({
           event: 'configurationInForce', version: change.configuration.version,
         }, 'applied a configuration');
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -8,6 +8,7 @@
 import type { PoolId } from '../lib/ids.ts';
 import { getRendezvousScore } from '../membership/getRendezvousScore.ts';
 import { RequestSubject } from '../quarantine/RequestSubject.ts';
+import { compareVersions } from './compareVersions.ts';
 import { ForwardingRelay } from './ForwardingRelay.ts';
 import { NOT_TAKEN_STATUS } from './PeerExchange.ts';
 import { GenerationRelay } from './GenerationRelay.ts';
@@ -45,6 +46,7 @@
 
 function getRelayParameters(
   exchange: CallerExchange,
+  configurationVersion: number,
   route: ServingRoute,
   account: ServingAccount | null,
 ): RelayParameters {
@@ -53,6 +55,7 @@
   } = exchange.request;
   const remainingMs = Math.min(profile.remainingMs ?? DEFAULT_REMAINING_MS, route.timeoutMs);
   return {
+    configurationVersion,
     route,
     poolId: choosePool(route, profile.id),
     account: account?.name ?? null,
@@ -105,9 +108,31 @@
       this.#refuse(exchange, NOT_TAKEN_STATUS, 'no-upstream-reachable', null);
       return;
     }
+    this.#logForwarded(exchange);
     this.relay(exchange);
   }
 
+  /** Tells the other host, and the log, which version decides on its request. */
+  #logForwarded(exchange: CallerExchange): void {
+    const { protocol, directory, logger } = this.#context;
+    const origin = protocol.decodeForwardingOrigin(exchange.request.rawHeaders);
+    const version = directory.configuration?.version ?? null;
+    if (origin !== null && version !== null) {
+      exchange.addAnswerHeaders(protocol.encodeDecidedVersion(version));
+    }
+    const originVersion = origin?.configurationVersion ?? null;
+    const comparison = compareVersions(version, originVersion);
+    this.#context.metrics.recordForwarded(comparison);
+    logger.info({
+      event: 'forwardedRequest',
+      requestId: exchange.request.profile.id,
+      originId: origin?.hostId ?? null,
+      originVersion,
+      version,
+      comparison,
+    }, 'decides on a request that another host passed on');
+  }
+
   /** @param exchange - a complete request and the means to answer it */
   relay(exchange: CallerExchange): void {
     const { configuration } = this.#context.directory;
@@ -132,7 +157,7 @@
       this.#refuse(exchange, STATUS.unauthorized, 'unknown-key', null);
       return;
     }
-    const parameters = getRelayParameters(exchange, route, account);
+    const parameters = getRelayParameters(exchange, configuration.version, route, account);
     const remainingMs = parameters.deadlineAtMs - this.#context.clock.getMonotonicMs();
     if (this.#context.stopDeadline.isTooLate(route, remainingMs)) {
       this.#refuse(exchange, STATUS.unavailable, 'leaving', OTHER_HOST_RETRY_AFTER_MS);
--- a/src/relay/RelayMetrics.ts
+++ b/src/relay/RelayMetrics.ts
@@ -9,6 +9,7 @@
 import type { PermitSource } from '../placement/PlacementRequest.ts';
 import type { SendRateLimiter } from '../rates/SendRateLimiter.ts';
 import type { RetryDecision } from './RetryDecision.ts';
+import type { VersionComparison } from './compareVersions.ts';
 
 /** Upper bounds of the latency histogram, in seconds. */
 const LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 3, 5, 8, 20];
@@ -72,6 +73,19 @@
     registers: [this.#registry],
   });
 
+  readonly #configuration = new Gauge({
+    name: 'parsleylift_configuration_version',
+    help: 'Version of the configuration by which this host decides',
+    registers: [this.#registry],
+  });
+
+  readonly #forwarded = new Counter({
+    name: 'parsleylift_forwarded_requests_total',
+    help: 'Requests that another host passed on, by how the version here compares with its version',
+    labelNames: ['comparison'],
+    registers: [this.#registry],
+  });
+
   readonly #crashes = new Counter({
     name: 'parsleylift_upstream_crashes_total',
     help: 'Upstreams that crashed while processing requests of this host, by pool',
@@ -151,6 +165,16 @@
     this.#cutOff.set(isCutOff ? 1 : 0);
   }
 
+  /** @param version - the configuration that is in force from now on */
+  recordConfiguration(version: number): void {
+    this.#configuration.set(version);
+  }
+
+  /** @param comparison - the version here compared with that of the host that passed it on */
+  recordForwarded(comparison: VersionComparison): void {
+    this.#forwarded.inc({ comparison });
+  }
+
   /** @param poolId - the pool of an upstream that has crashed */
   recordCrash(poolId: PoolId): void {
     this.#crashes.inc({ pool: poolId });
--- a/src/relay/UpstreamProtocol.ts
+++ b/src/relay/UpstreamProtocol.ts
@@ -1,6 +1,7 @@
 import type { UpstreamNotice } from '../directory/UpstreamNotice.ts';
 import type { CallerRequest, RequestProfile } from '../ingress/CallerRequest.ts';
 import type { UpstreamId } from '../lib/ids.ts';
+import type { ForwardingOrigin } from './ForwardingOrigin.ts';
 
 /** Values added to a caller's request for one attempt on one upstream. */
 export interface AttemptDetails {
@@ -57,9 +58,25 @@
   /**
    * @param request - the caller's request
    * @param remainingMs - time left until its deadline
+   * @param origin - this host
    * @returns alternating header names and values for another host, which decides as for a caller
    */
-  encodeForwarded(request: CallerRequest, remainingMs: number): string[];
+  encodeForwarded(request: CallerRequest, remainingMs: number, origin: ForwardingOrigin): string[];
+  /**
+   * @param rawHeaders - headers of a request that another host passed on
+   * @returns that host; null for one of an earlier build, which does not tell
+   */
+  decodeForwardingOrigin(rawHeaders: readonly string[]): ForwardingOrigin | null;
+  /**
+   * @param configurationVersion - version of the configuration that decided a request
+   * @returns alternating names and values of headers for the host that passed the request on
+   */
+  encodeDecidedVersion(configurationVersion: number): string[];
+  /**
+   * @param rawHeaders - headers of another host's answer
+   * @returns the version of the configuration that decided the request; null when it tells none
+   */
+  decodeDecidedVersion(rawHeaders: readonly string[]): number | null;
   /**
    * @param status - the HTTP status
    * @param rawHeaders - alternating header names and values
--- a/src/relay/createPlacementDemand.test.ts
+++ b/src/relay/createPlacementDemand.test.ts
@@ -7,6 +7,7 @@
 import type { RelayParameters } from './RelayContext.ts';
 
 const PARAMETERS: RelayParameters = {
+  configurationVersion: 1,
   route: {
     name: 'stream',
     host: 'a.example',
