Decide on a request that is passed on by no older configuration than its host has

Cause: the host that serves such a request decides as for a caller of its own, by whatever version it has; nothing told it the version of the host that took the request. Its lease is no bound, since calls renew it whose answers are lost.

Change: a host names the lowest version that may decide: the newest that it has, or by which another host has decided a request of it. The other host reads that configuration from it on its peer port (GET /configuration) before it decides, one read for all that wait, and declines after 500 ms; so callers of unchanged routes are served while all other hosts are behind. It tells its version in the answer; a host that is behind reads it from there. Hosts of earlier builds are asked last: what this host's version refuses is refused here, and their own 401 and 404 count as not taken.

No call is added while no host is ahead.

--- a/src/directory/DirectoryStore.ts
+++ b/src/directory/DirectoryStore.ts
@@ -1,6 +1,7 @@
 import type { DirectoryChange } from './DirectoryChange.ts';
 import type { EraBound } from './EraBound.ts';
 import type { HostEntry } from './HostEntry.ts';
+import type { ServingConfiguration } from './ServingConfiguration.ts';
 import type { RenewResult, StoreLease } from './StoreLease.ts';
 
 /** Whole content of the store at about one revision. */
@@ -50,6 +51,12 @@
    * @returns the decoded changes
    */
   decodeChanges(payload: string, revision: EraBound): readonly DirectoryChange[];
+  /**
+   * @param encoded - a configuration as another host has it from the store
+   * @returns the configuration
+   * @throws Error when it can't be decoded
+   */
+  decodeConfiguration(encoded: string): ServingConfiguration;
   /**
    * @param ttlMs - time after which the lease expires unless it is renewed
    * @returns the lease
--- a/src/directory/HostEntry.ts
+++ b/src/directory/HostEntry.ts
@@ -9,6 +9,11 @@
   readonly peerAddress: string;
   /** IP address and port for requests that other hosts pass on; absent in earlier versions. */
   readonly forwardingAddress?: string;
+  /**
+   * Whether it decides on such a request only by a configuration that is no older than the one of
+   * the host that passes it on; absent in earlier versions, which do not compare.
+   */
+  readonly comparesConfigurations?: true;
   /** Number of processor cores that the host may use. */
   readonly processorCores: number;
   /** Bandwidth of the host's network link. */
--- a/src/directory/ServingConfiguration.ts
+++ b/src/directory/ServingConfiguration.ts
@@ -116,4 +116,6 @@
   /** Null when requests carry no caller keys. */
   readonly accountsByKey: ReadonlyMap<string, ServingAccount> | null;
   readonly callerLimits: CallerLimits;
+  /** This version in the encoding of the store, to be given to other hosts; absent if unknown. */
+  readonly encoded?: string;
 }
--- a/src/relay/ForwardingPeers.ts
+++ b/src/relay/ForwardingPeers.ts
@@ -6,8 +6,12 @@
 /** A host to which requests may be passed on. */
 export interface ForwardingPeer {
   readonly hostId: HostId;
-  /** IP address and port. */
+  /** IP address and port for requests that are passed on. */
   readonly address: string;
+  /** IP address and port for other requests of hosts. */
+  readonly peerAddress: string;
+  /** Whether it decides only by a configuration that is no older than that of this host. */
+  readonly comparesConfigurations: boolean;
 }
 
 /** Time for which a host that did not take a request is not chosen. */
@@ -45,21 +49,30 @@
 
   /**
    * @param triedIds - hosts that did not take the request
-   * @returns the host with the fewest open requests of this host; null when none is left
+   * @returns the host with the fewest open requests of this host, one of an earlier build only when
+   * no other is left; null when none is left
    */
   choose(triedIds: ReadonlySet<HostId>): ForwardingPeer | null {
     const nowMs = this.#clock.getMonotonicMs();
-    const peers = [...this.#directory.hosts.values()].flatMap(({ id, forwardingAddress }) => (
+    const candidates = [...this.#directory.hosts.values()].flatMap(({
+      id, forwardingAddress, peerAddress, comparesConfigurations = false,
+    }) => (
       forwardingAddress === undefined
         || id === this.#hostId
         || triedIds.has(id)
         || (this.#avoidedUntilMs.get(id) ?? 0) > nowMs
         ? []
-        : [{ hostId: id, address: forwardingAddress, order: this.#random.getFraction() }]));
-    const [best] = peers.sort((left, right) => (
-      this.#getOpenCount(left.hostId) - this.#getOpenCount(right.hostId)
+        : [{
+          peer: {
+            hostId: id, address: forwardingAddress, peerAddress, comparesConfigurations,
+          },
+          order: this.#random.getFraction(),
+        }]));
+    const [best] = candidates.sort((left, right) => (
+      Number(right.peer.comparesConfigurations) - Number(left.peer.comparesConfigurations)
+      || this.#getOpenCount(left.peer.hostId) - this.#getOpenCount(right.peer.hostId)
       || left.order - right.order));
-    return best === undefined ? null : { hostId: best.hostId, address: best.address };
+    return best?.peer ?? null;
   }
 
   /** @param hostId - a host that is sent a request */
--- a/src/relay/ForwardingRelay.ts
+++ b/src/relay/ForwardingRelay.ts
@@ -4,8 +4,10 @@
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
 import type { HostId } from '../lib/ids.ts';
 import { BufferedAnswer } from './BufferedAnswer.ts';
+import { findAdmission } from './findAdmission.ts';
 import type { ForwardingPeer } from './ForwardingPeers.ts';
 import { PeerExchange, type PeerExchangeEnd } from './PeerExchange.ts';
+import { REFUSALS } from './REFUSALS.ts';
 import type { OpenRelay, RelayContext } from './RelayContext.ts';
 import type { AnswerHead } from './UpstreamProtocol.ts';
 
@@ -20,8 +22,9 @@
 
 /**
  * Passes a request on to a host that reaches upstreams, and its answer back as it arrives. That
- * host decides as for a caller of its own and sends to upstreams at most as often as it may; this
- * one asks another host only while the request was certainly not taken.
+ * host decides as for a caller of its own, by a configuration that is no older than the one here,
+ * and sends to upstreams at most as often as it may; this one asks another host only while the
+ * request was certainly not taken.
  */
 export class ForwardingRelay implements OpenRelay {
   readonly #context: RelayContext;
@@ -36,7 +39,7 @@
 
   #head: AnswerHead | null = null;
 
-  /** Configuration version by which the other host decided; null until it tells. */
+  /** Configuration version that the other host has; null until it tells. */
   #decidedVersion: number | null = null;
 
   /** Beginning of an answer whose end the other host does not mark. */
@@ -99,6 +102,11 @@
       this.#fail(STATUS.unavailable, 'no-upstream-reachable', RETRY_AFTER_MS);
       return;
     }
+    const refusal = peer.comparesConfigurations ? null : this.#getOwnRefusal();
+    if (refusal !== null) {
+      this.#fail(refusal.status, refusal.reason, null);
+      return;
+    }
     this.#triedIds.add(peer.hostId);
     forwardingPeers.recordStart(peer.hostId);
     const origin = this.#context.getForwardingOrigin();
@@ -108,9 +116,7 @@
       connections: connections.get(url),
       protocol,
       receiver: {
-        onDecided: (version) => {
-          this.#decidedVersion = version;
-        },
+        onDecided: (version) => this.#recordDecided(version, peer),
         onHead: (head, marksEnd) => {
           this.#head = head;
           if (marksEnd || this.#isStream(head)) {
@@ -120,11 +126,29 @@
         onData: (chunk) => this.#handleData(chunk),
         onEnd: (end) => this.#endExchange(peer, end),
       },
+      comparesConfigurations: peer.comparesConfigurations,
       probe: () => connections.probe(url),
     });
     this.#peerExchange.send(this.#exchange.request, this.#getRemainingMs(), origin);
   }
 
+  /** What this host's configuration refuses, no other host need be asked that does not compare. */
+  #getOwnRefusal(): { readonly status: number; readonly reason: string } | null {
+    const { configuration } = this.#context.directory;
+    const admission = configuration === null
+      ? null
+      : findAdmission(configuration, this.#exchange.request);
+    return admission === null || admission.kind === 'allowed' ? null : REFUSALS[admission.kind];
+  }
+
+  /** From now on, no older version decides on requests to this host. */
+  #recordDecided(version: number, { peerAddress }: ForwardingPeer): void {
+    const { configurationFloor, configurationCatchUp } = this.#context;
+    this.#decidedVersion = version;
+    configurationFloor.recordDecided(version);
+    configurationCatchUp.start(version, peerAddress);
+  }
+
   #isStream({ status }: AnswerHead): boolean {
     return this.#exchange.request.profile.generation !== null && status < STATUS.multipleChoices;
   }
--- a/src/relay/PeerExchange.test.ts
+++ b/src/relay/PeerExchange.test.ts
@@ -18,7 +18,10 @@
 const connections = new UpstreamConnections();
 
 /** Runs an exchange with another host that is played by a raw server. */
-async function runExchange(answer: (socket: Socket, host: Server) => void): Promise<{
+async function runExchange(
+  answer: (socket: Socket, host: Server) => void,
+  comparesConfigurations = false,
+): Promise<{
   readonly end: PeerExchangeEnd;
   readonly text: string;
 }> {
@@ -44,6 +47,7 @@
         },
         onEnd: resolve,
       },
+      comparesConfigurations,
       probe: () => connections.probe(url),
     }).send(createCallerRequest('r1'), 1_000, {
       hostId: toId<HostId>('h1'), peerAddress: '127.0.0.1:1', configurationVersion: 1,
@@ -89,4 +93,34 @@
     const { end } = await runExchange((socket) => socket.end(`${CHUNKED}0\r\n\r\n`));
     deepEqual(end, { kind: 'complete', isEndMarked: true });
   });
+
+  [401, 404].forEach((status) => {
+    const head = `HTTP/1.1 ${status} No\r\nContent-Length: 0\r\n`;
+
+    it(`takes ${status} of a host of an earlier build for its older configuration`, async () => {
+      const { end } = await runExchange((socket) => socket.end(`${head}\r\n`));
+      equal(end.kind, 'notTaken');
+    });
+
+    it(`passes on ${status} that an upstream gave, whatever the host's build`, async () => {
+      const { end } = await runExchange((socket) => {
+        socket.end(`${head}X-Response-Signature: s\r\n\r\n`);
+      });
+      equal(end.kind, 'complete');
+    });
+
+    it(`passes on ${status} of a host that compared configurations`, async () => {
+      const { end } = await runExchange((socket) => {
+        socket.end(`${head}Parsleylift-Configuration: 1\r\n\r\n`);
+      }, true);
+      equal(end.kind, 'complete');
+    });
+  });
+
+  it('asks another host when one refuses before it compares configurations', async () => {
+    const { end } = await runExchange((socket) => {
+      socket.end('HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n');
+    }, true);
+    equal(end.kind, 'notTaken');
+  });
 });
--- a/src/relay/PeerExchange.ts
+++ b/src/relay/PeerExchange.ts
@@ -4,6 +4,7 @@
 import { Upload } from '../upstreams/Upload.ts';
 import type { ForwardingOrigin } from './ForwardingOrigin.ts';
 import { isFramed } from './isFramed.ts';
+import { REFUSALS } from './REFUSALS.ts';
 import type { AnswerHead, UpstreamProtocol } from './UpstreamProtocol.ts';
 
 /** Result of passing a request on to another host. */
@@ -22,6 +23,11 @@
   /** Encodes the request and decodes the answer. */
   readonly protocol: UpstreamProtocol;
   readonly receiver: PeerAnswerReceiver;
+  /**
+   * Whether the host decides only by a configuration that is no older than that of this host; one
+   * of an earlier build does not compare.
+   */
+  readonly comparesConfigurations: boolean;
   /** @returns whether the other host accepts connections */
   readonly probe: () => Promise<boolean>;
 }
@@ -29,10 +35,10 @@
 /** Receives the answer of the other host. */
 export interface PeerAnswerReceiver {
   /**
-   * @param configurationVersion - version by which the other host decided, also when it declined;
-   * null when it does not tell
+   * @param configurationVersion - version that the other host has, also when it declined; not
+   * called when it does not tell
    */
-  onDecided(configurationVersion: number | null): void;
+  onDecided(configurationVersion: number): void;
   /**
    * @param head - the head of the answer
    * @param marksEnd - whether it tells where the body ends
@@ -44,8 +50,11 @@
   onEnd(end: PeerExchangeEnd): void;
 }
 
-/** Status by which a host declines a request, since it reaches no upstream either. */
+/** Status by which a host declines a request that was passed on to it. */
 export const NOT_TAKEN_STATUS = 421;
+const CONFIGURATION_REFUSALS: ReadonlySet<number> = new Set(
+  Object.values(REFUSALS).map(({ status }) => status),
+);
 const LOWEST_FINAL_STATUS = 200;
 
 /** One exchange with another host that serves a request for this one. */
@@ -126,14 +135,16 @@
     }
     const rawHeaders = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
     const texts = rawHeaders.map((text) => text.toString('latin1'));
-    this.#isDeclined = status === NOT_TAKEN_STATUS;
-    this.#options.receiver.onDecided(this.#options.protocol.decodeDecidedVersion(texts));
+    const { protocol, receiver } = this.#options;
+    const decidedVersion = protocol.decodeDecidedVersion(texts);
+    const head = protocol.decodeAnswerHead(status, texts);
+    this.#isDeclined = status === NOT_TAKEN_STATUS || this.#isUndecided(head, decidedVersion);
+    if (decidedVersion !== null) {
+      receiver.onDecided(decidedVersion);
+    }
     if (!this.#isDeclined) {
       this.#isFramed = isFramed(texts);
-      this.#options.receiver.onHead(
-        this.#options.protocol.decodeAnswerHead(status, texts),
-        this.#isFramed,
-      );
+      receiver.onHead(head, this.#isFramed);
     }
   }
 
@@ -147,7 +158,7 @@
   /** @inheritdoc */
   onResponseEnd(): void {
     if (this.#isDeclined) {
-      this.#end({ kind: 'notTaken', detail: 'it reaches no upstream either' });
+      this.#end({ kind: 'notTaken', detail: 'it declined' });
     } else if (this.#isFramed) {
       this.#end({ kind: 'complete', isEndMarked: true });
     } else {
@@ -160,6 +171,16 @@
     this.#endWithoutAnswer(error.message);
   }
 
+  /**
+   * Whether the other host refused the request, which has not run then, by less than this host
+   * knows: before it compared configurations, or, if it does not compare them, by its own.
+   */
+  #isUndecided({ status, isSigned }: AnswerHead, decidedVersion: number | null): boolean {
+    return this.#options.comparesConfigurations
+      ? decidedVersion === null
+      : !isSigned && CONFIGURATION_REFUSALS.has(status);
+  }
+
   /**
    * Ends an answer whose end was not marked, as hosts of an earlier build send them. Its
    * connection closes in order at its end, but also when the host is killed. A host that still
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -1,4 +1,5 @@
 import type { Logger } from 'pino';
+import type { ConfigurationCatchUp } from '../directory/ConfigurationCatchUp.ts';
 import type { Directory } from '../directory/Directory.ts';
 import type { ServingRoute } from '../directory/ServingConfiguration.ts';
 import type { UpstreamNoticeHandler } from '../directory/UpstreamNoticeHandler.ts';
@@ -17,6 +18,7 @@
 import type { OwnQuota } from '../quotas/OwnQuota.ts';
 import type { StreamVersions } from '../streams/StreamVersions.ts';
 import type { AnswerMemory } from './AnswerMemory.ts';
+import type { ConfigurationFloor } from './ConfigurationFloor.ts';
 import type { EngineProbe } from './EngineProbe.ts';
 import type { ForwardingOrigin } from './ForwardingOrigin.ts';
 import type { ForwardingPeers } from './ForwardingPeers.ts';
@@ -61,6 +63,10 @@
   readonly engineLifetimes: EngineLifetimes;
   /** Chooses the hosts that serve requests while this one reaches no upstream. */
   readonly forwardingPeers: ForwardingPeers;
+  /** The lowest version of the configuration by which requests to this host may be decided. */
+  readonly configurationFloor: ConfigurationFloor;
+  /** Reads the configuration from another host that is ahead of this one. */
+  readonly configurationCatchUp: ConfigurationCatchUp;
   /** @returns what this host tells of itself with a request that it passes on now */
   readonly getForwardingOrigin: () => ForwardingOrigin;
   readonly answerMemory: AnswerMemory;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -1,13 +1,16 @@
 import { randomUUID } from 'node:crypto';
 import type { Logger } from 'pino';
+import { ConfigurationCatchUp } from '../directory/ConfigurationCatchUp.ts';
 import { Directory } from '../directory/Directory.ts';
 import { DirectoryChangeLogger } from '../directory/DirectoryChangeLogger.ts';
 import { DirectoryFollower } from '../directory/DirectoryFollower.ts';
 import { DirectoryReaderSelector } from '../directory/DirectoryReaderSelector.ts';
 import { HostCountRecorder } from '../directory/HostCountRecorder.ts';
 import { HostRegistration } from '../directory/HostRegistration.ts';
+import { HttpConfigurationPeers } from '../directory/HttpConfigurationPeers.ts';
 import { HttpDirectoryPeers } from '../directory/HttpDirectoryPeers.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
+import { registerConfigurationRoutes } from '../directory/registerConfigurationRoutes.ts';
 import { registerDirectoryRoutes } from '../directory/registerDirectoryRoutes.ts';
 import type { LimitSource } from '../directory/DirectoryChange.ts';
 import type { AdvertisedLimit } from '../directory/AdvertisedLimitTable.ts';
@@ -44,6 +47,7 @@
 import { registerRolloutRoutes } from '../rollouts/registerRolloutRoutes.ts';
 import type { Clock } from '../time/Clock.ts';
 import { AnswerMemory } from './AnswerMemory.ts';
+import { ConfigurationFloor } from './ConfigurationFloor.ts';
 import { createEngineFigureReader } from './createEngineFigureReader.ts';
 import type { OpenRelay } from './RelayContext.ts';
 import { ForwardingPeers } from './ForwardingPeers.ts';
@@ -172,6 +176,7 @@
       failureDomain: settings.failureDomain,
       peerAddress: settings.peerAddress,
       forwardingAddress: settings.forwardingAddress,
+      comparesConfigurations: true,
       processorCores: settings.processorCores,
       linkMbps: settings.linkMbps,
       ...(directory.configuration === null
@@ -215,6 +220,7 @@
       onChange: (isCutOff) => this.#applyReachability(isCutOff),
     });
     const openRelays = new Set<OpenRelay>();
+    const configurationFloor = new ConfigurationFloor(directory);
     this.#rolloutParts = createRollouts({
       clock,
       hostId: settings.hostId,
@@ -252,6 +258,7 @@
     });
     this.#peerServer = new PeerServer(this.#placementService.coordinator);
     this.#peerServer.addRoutes((server) => registerDirectoryRoutes(server, this.#follower));
+    this.#peerServer.addRoutes((server) => registerConfigurationRoutes(server, directory));
     this.#peerServer.addRoutes((server) => registerPermitRoutes(server, rates));
     this.#peerServer.addRoutes((server) => registerRolloutRoutes(server, leader));
     this.#peerServer.addRoutes((server) => registerLeaseRoutes(server, borrower));
@@ -331,10 +338,17 @@
         directory,
         new SystemRandomSource(),
       ),
+      configurationFloor,
+      configurationCatchUp: new ConfigurationCatchUp({
+        directory,
+        store: adapters.store,
+        peers: new HttpConfigurationPeers(adapters.connections),
+        logger,
+      }),
       getForwardingOrigin: () => ({
         hostId: settings.hostId,
         peerAddress: settings.peerAddress,
-        configurationVersion: directory.configuration?.version ?? 0,
+        configurationVersion: configurationFloor.version,
       }),
       answerMemory: new AnswerMemory(memory),
       stopDeadline: new StopDeadline(clock),
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -1,7 +1,4 @@
-import { findRoute } from '../directory/findRoute.ts';
-import type {
-  ServingAccount, ServingConfiguration, ServingRoute,
-} from '../directory/ServingConfiguration.ts';
+import type { ServingAccount, ServingRoute } from '../directory/ServingConfiguration.ts';
 import type { CallerExchange } from '../ingress/CallerExchange.ts';
 import { createErrorAnswer } from '../ingress/createErrorAnswer.ts';
 import { exhaustiveSwitchError } from '../lib/exhaustiveSwitchError.ts';
@@ -9,10 +6,13 @@
 import { getRendezvousScore } from '../membership/getRendezvousScore.ts';
 import { RequestSubject } from '../quarantine/RequestSubject.ts';
 import { compareVersions } from './compareVersions.ts';
+import { findAdmission } from './findAdmission.ts';
+import type { ForwardingOrigin } from './ForwardingOrigin.ts';
 import { ForwardingRelay } from './ForwardingRelay.ts';
 import { NOT_TAKEN_STATUS } from './PeerExchange.ts';
 import { GenerationRelay } from './GenerationRelay.ts';
 import { getForwardingDeadlineMs } from './getForwardingDeadlineMs.ts';
+import { REFUSALS } from './REFUSALS.ts';
 import type { RelayContext, RelayParameters } from './RelayContext.ts';
 import { BufferedRelay } from './BufferedRelay.ts';
 
@@ -21,14 +21,9 @@
 /** Retry-After of a host that has no configuration yet or is stopping. */
 const OTHER_HOST_RETRY_AFTER_MS = 100;
 
-const STATUS = { unauthorized: 401, notFound: 404, unavailable: 503 } as const;
-
-function getAccount(
-  configuration: ServingConfiguration,
-  callerKey: string | null,
-): ServingAccount | null {
-  return callerKey === null ? null : configuration.accountsByKey?.get(callerKey) ?? null;
-}
+/** Longest time in which a request waits for a newer configuration that its host has. */
+const MAX_CATCH_UP_MS = 500;
+const STATUS = { unavailable: 503 } as const;
 
 /** Distributes requests over the targets by weight; the same request id gets the same target. */
 function choosePool(route: ServingRoute, requestId: string): PoolId {
@@ -101,21 +96,48 @@
     [...this.#context.openRelays].forEach((relay) => relay.endForStop());
   }
 
-  /** @param exchange - a request of another host, which reaches no upstream */
+  /**
+   * Serves a request by a configuration that is no older than the one of the host that passed it
+   * on, or declines it.
+   *
+   * @param exchange - a request of another host, which reaches no upstream
+   */
   relayForwarded(exchange: CallerExchange): void {
-    if (this.#context.reachability.isCutOff || this.#isRefusing) {
+    const { protocol, configurationCatchUp } = this.#context;
+    const origin = protocol.decodeForwardingOrigin(exchange.request.rawHeaders);
+    if (origin === null || configurationCatchUp.hasReached(origin.configurationVersion)) {
+      this.#decideForwarded(exchange, origin);
+      return;
+    }
+    configurationCatchUp
+      .reach(origin.configurationVersion, origin.peerAddress, MAX_CATCH_UP_MS)
+      .then(() => this.#decideForwarded(exchange, origin), (error: unknown) => {
+        this.#context.logger.error(
+          { event: 'catchUpFailed', requestId: exchange.request.profile.id, error: String(error) },
+          'reading a newer configuration failed unexpectedly; declining the request',
+        );
+        this.#refuse(exchange, NOT_TAKEN_STATUS, 'configuration-behind', null);
+      });
+  }
+
+  #decideForwarded(exchange: CallerExchange, origin: ForwardingOrigin | null): void {
+    this.#announceVersion(exchange, origin);
+    const { reachability, configurationCatchUp } = this.#context;
+    if (reachability.isCutOff || this.#isRefusing) {
       // A request is passed on only once; the other host asks the next one.
       this.#refuse(exchange, NOT_TAKEN_STATUS, 'no-upstream-reachable', null);
       return;
     }
-    this.#logForwarded(exchange);
+    if (origin !== null && !configurationCatchUp.hasReached(origin.configurationVersion)) {
+      this.#refuse(exchange, NOT_TAKEN_STATUS, 'configuration-behind', null);
+      return;
+    }
     this.relay(exchange);
   }
 
   /** Tells the other host, and the log, which version decides on its request. */
-  #logForwarded(exchange: CallerExchange): void {
+  #announceVersion(exchange: CallerExchange, origin: ForwardingOrigin | null): void {
     const { protocol, directory, logger } = this.#context;
-    const origin = protocol.decodeForwardingOrigin(exchange.request.rawHeaders);
     const version = directory.configuration?.version ?? null;
     if (origin !== null && version !== null) {
       exchange.addAnswerHeaders(protocol.encodeDecidedVersion(version));
@@ -147,16 +169,13 @@
       new ForwardingRelay(this.#context, exchange, deadlineAtMs).start();
       return;
     }
-    const route = findRoute(configuration, request.host, request.path);
-    if (route === undefined) {
-      this.#refuse(exchange, STATUS.notFound, 'no-route', null);
-      return;
-    }
-    const account = getAccount(configuration, request.profile.callerKey);
-    if (account === null && configuration.accountsByKey !== null && !route.isPublic) {
-      this.#refuse(exchange, STATUS.unauthorized, 'unknown-key', null);
+    const admission = findAdmission(configuration, request);
+    if (admission.kind !== 'allowed') {
+      const { status, reason } = REFUSALS[admission.kind];
+      this.#refuse(exchange, status, reason, null);
       return;
     }
+    const { route, account } = admission;
     const parameters = getRelayParameters(exchange, configuration.version, route, account);
     const remainingMs = parameters.deadlineAtMs - this.#context.clock.getMonotonicMs();
     if (this.#context.stopDeadline.isTooLate(route, remainingMs)) {
--- a/src/relay/UpstreamProtocol.ts
+++ b/src/relay/UpstreamProtocol.ts
@@ -34,6 +34,8 @@
   readonly passedHeaders: readonly string[];
   /** Id of the request that the answer belongs to; null when the answer names none. */
   readonly requestId: string | null;
+  /** Whether it has the signature of an upstream. */
+  readonly isSigned: boolean;
   /** Whether the upstream guarantees that the request has not run. */
   readonly isNotRun: boolean;
   /** Whether the address now belongs to another upstream. */
--- a/test/support/MemoryDirectoryStore.ts
+++ b/test/support/MemoryDirectoryStore.ts
@@ -10,6 +10,7 @@
   CrashReport, QuarantineStore, TrialRecord,
 } from '../../src/quarantine/QuarantineStore.ts';
 import type { UpstreamEntry } from '../../src/directory/UpstreamEntry.ts';
+import type { ServingConfiguration } from '../../src/directory/ServingConfiguration.ts';
 import type { HostEntry } from '../../src/directory/HostEntry.ts';
 import type { DirectoryChange } from '../../src/directory/DirectoryChange.ts';
 import type {
@@ -58,6 +59,15 @@
     return JSON.parse(payload) as DirectoryChange[];
   }
 
+  decodeConfiguration(encoded: string): ServingConfiguration {
+    const found = this.changes.findLast((change) => (
+      change.kind === 'configuration' && change.configuration.encoded === encoded));
+    if (found?.kind !== 'configuration') {
+      throw new Error(`there is no configuration ${encoded}`);
+    }
+    return found.configuration;
+  }
+
   async createLease(): Promise<StoreLease> {
     return { era: 1, id: 1 };
   }
--- a/test/support/StrandedFleet.ts
+++ b/test/support/StrandedFleet.ts
@@ -2,11 +2,13 @@
   createServer, request as sendRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { ServingConfiguration } from '../../src/directory/ServingConfiguration.ts';
 import {
   toId, type HostId, type PoolId, type UpstreamId,
 } from '../../src/lib/ids.ts';
 import type { RelayHost } from '../../src/relay/RelayHost.ts';
 import { CuttableConnections, type Cut } from './CuttableConnections.ts';
+import { CuttableStore } from './CuttableStore.ts';
 import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
 import { createBedConfiguration } from './createBedConfiguration.ts';
 import { TEST_IP } from './getFreePort.ts';
@@ -14,12 +16,17 @@
 import { startTestHost } from './startTestHost.ts';
 
 const POOL_ID = toId<PoolId>('pool');
+/** A pool that no route of the first configuration uses. */
+export const SPARE_POOL_ID = toId<PoolId>('spare');
+const CALLER_KEY = 'key';
 const UPSTREAM_COUNT = 3;
+const SPARE_UPSTREAM_COUNT = 2;
 const RETRY_SLACK = 50;
 
 interface FleetHost {
   readonly host: RelayHost;
   readonly connections: CuttableConnections;
+  readonly storePath: CuttableStore;
   readonly port: number;
 }
 
@@ -33,9 +40,14 @@
 
   readonly #upstreamUrls = new Set<string>();
 
+  #configuration = createBedConfiguration(POOL_ID);
+
   /** Ids of the requests that upstreams have run, once for each run. */
   readonly runs: string[] = [];
 
+  /** Pool that ran each request last. */
+  readonly runPools = new Map<string, PoolId>();
+
   /**
    * @param hostCount - number of hosts
    * @param handle - answers a request to an upstream
@@ -44,13 +56,12 @@
     hostCount: number,
     handle: (request: IncomingMessage, response: ServerResponse) => void,
   ): Promise<void> {
-    await Promise.all(Array.from(
-      { length: UPSTREAM_COUNT },
-      (_, index) => this.#addUpstream(index, handle),
-    ));
-    this.#store.changes.push({
-      kind: 'configuration', configuration: createBedConfiguration(POOL_ID),
-    });
+    const poolIds = [
+      ...Array.from({ length: UPSTREAM_COUNT }, () => POOL_ID),
+      ...Array.from({ length: SPARE_UPSTREAM_COUNT }, () => SPARE_POOL_ID),
+    ];
+    await Promise.all(poolIds.map((poolId, index) => this.#addUpstream(poolId, index, handle)));
+    this.#store.changes.push({ kind: 'configuration', configuration: this.#configuration });
     await Promise.all(Array.from({ length: hostCount }, (_, index) => this.#addHost(index)));
   }
 
@@ -62,6 +73,26 @@
     this.#getHost(hostIndex).connections.cut = cut;
   }
 
+  /**
+   * @param hostIndex - a host
+   * @param isCut - whether answers of the store to it are lost from now on
+   */
+  cutStore(hostIndex: number, isCut: boolean): void {
+    this.#getHost(hostIndex).storePath.isCut = isCut;
+  }
+
+  /** @param change - makes the next version of the configuration, which is in the store then */
+  configure(change: (configuration: ServingConfiguration) => Partial<ServingConfiguration>): void {
+    const version = this.#configuration.version + 1;
+    this.#configuration = {
+      ...this.#configuration,
+      ...change(this.#configuration),
+      version,
+      encoded: `version ${version}`,
+    };
+    this.#store.changes.push({ kind: 'configuration', configuration: this.#configuration });
+  }
+
   /**
    * Sends a request without a body on a new connection.
    *
@@ -89,12 +120,14 @@
    * @param hostIndex - the host that the caller connects to
    * @param path - path of the request
    * @param id - id of the request
+   * @param key - key of the caller
    * @returns status and text of the answer
    */
   send(
     hostIndex: number,
     path: string,
     id: string,
+    key = CALLER_KEY,
   ): Promise<{ readonly status: number; readonly text: string }> {
     return new Promise((resolve, reject) => {
       const request = sendRequest({
@@ -105,7 +138,7 @@
         headers: {
           host: 'a.example',
           'x-request-id': id,
-          authorization: 'Bearer key',
+          authorization: `Bearer ${key}`,
           'x-deadline-ms': '2500',
         },
       }, (response) => {
@@ -141,16 +174,20 @@
 
   async #addHost(index: number): Promise<void> {
     const connections = new CuttableConnections(this.#upstreamUrls);
+    const storePath = new CuttableStore(this.#store);
     const { host, callerPort } = await startTestHost({
       hostId: toId<HostId>(`host-${index}`),
-      store: this.#store,
+      store: storePath.view,
       connections,
       retrySlack: RETRY_SLACK,
     });
-    this.#hosts[index] = { host, connections, port: callerPort };
+    this.#hosts[index] = {
+      host, connections, storePath, port: callerPort,
+    };
   }
 
   async #addUpstream(
+    poolId: PoolId,
     index: number,
     handle: (request: IncomingMessage, response: ServerResponse) => void,
   ): Promise<void> {
@@ -159,6 +196,7 @@
       response.setHeader('x-request-id', id);
       if (request.url !== '/health') {
         this.runs.push(id);
+        this.runPools.set(id, poolId);
       }
       handle(request, response);
     });
@@ -172,7 +210,7 @@
       kind: 'upstream',
       entry: {
         id: toId<UpstreamId>(`u${index}`),
-        poolId: POOL_ID,
+        poolId,
         softwareVersion: 'v1',
         address,
         failureDomain: 'a',
--- a/test/support/createBedConfiguration.ts
+++ b/test/support/createBedConfiguration.ts
@@ -31,6 +31,7 @@
   const route = createRoute(poolId);
   return {
     version: 1,
+    encoded: 'version 1',
     routes: [
       route,
       {
