Do not refuse a request that is passed on by the size limits of an older configuration

The host that took the request has checked them already, by the version that holds.

Change: that server sets no sizes of its own; Node's limit on heads and the memory for bodies bound it. Test: relay/staleConfigurations, 'is not refused by the size limits of an older version', 503 before (1 of 1), passes now; src/ingress passes.

--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -66,6 +66,11 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
+/**
+ * Sizes of requests that another host passes on. That host has checked them by its configuration,
+ * which may be newer; here they are bounded by what Node reads and by the memory for bodies.
+ */
+const FORWARDED_SIZES = { maxHeaderBytes: Infinity, maxBodyBytes: Infinity } as const;
 /** Interval of the stall check, and the gap between checks that counts as a stall. */
 const STALL_CHECK_INTERVAL_MS = 300;
 const STALL_THRESHOLD_MS = 900;
@@ -377,7 +382,9 @@
       clock,
       memory,
       maxConnections: budget.maxForwardedConnections,
-      getLimits: () => directory.configuration?.callerLimits ?? INITIAL_CALLER_LIMITS,
+      getLimits: () => ({
+        ...directory.configuration?.callerLimits ?? INITIAL_CALLER_LIMITS, ...FORWARDED_SIZES,
+      }),
       decodeRequest: (rawHeaders) => adapters.protocol.decodeRequest(rawHeaders),
       onRequest: (exchange) => this.#relayManager.relayForwarded(exchange),
     });
--- a/src/relay/staleConfigurations.test.ts
+++ b/src/relay/staleConfigurations.test.ts
@@ -78,7 +78,8 @@
 async function startFleet(hostCount: number): Promise<StrandedFleet> {
   fleet = new StrandedFleet();
   await fleet.start(hostCount, (_request, response) => response.end('ran'));
-  fleet.configure(({ accountsByKey, pools }) => ({
+  fleet.configure(({ accountsByKey, pools, callerLimits }) => ({
+    callerLimits: { ...callerLimits, maxBodyBytes: 1_000 },
     accountsByKey: new Map([...accountsByKey ?? [], ['key-2', { name: 'b', priority: null }]]),
     pools: new Map([...pools, ...[...pools.values()].map((pool) => (
       [SPARE_POOL_ID, { ...pool, id: SPARE_POOL_ID }] as const))]),
@@ -142,6 +143,18 @@
     });
   });
 
+  it('is not refused by the size limits of an older version', async () => {
+    const target = await startFleet(2);
+    await strand(target);
+    target.cutStore(1, true);
+    target.configure(({ callerLimits }) => ({
+      callerLimits: { ...callerLimits, maxBodyBytes: 4_000 },
+    }));
+    await sleep(ADOPT_MS);
+    const { status } = await target.send(0, '/once/', 'large', 'key', 'b'.repeat(2_000));
+    equal(status, STATUS_OK);
+  });
+
   it('is not decided by an older version than its host has served by before', async () => {
     const target = await startFleet(3);
     const [, , , , moved] = CHANGES;
--- a/test/support/StrandedFleet.ts
+++ b/test/support/StrandedFleet.ts
@@ -121,6 +121,7 @@
    * @param path - path of the request
    * @param id - id of the request
    * @param key - key of the caller
+   * @param body - body of the request
    * @returns status and text of the answer
    */
   send(
@@ -128,6 +129,7 @@
     path: string,
     id: string,
     key = CALLER_KEY,
+    body = '',
   ): Promise<{ readonly status: number; readonly text: string }> {
     return new Promise((resolve, reject) => {
       const request = sendRequest({
@@ -140,6 +142,7 @@
           'x-request-id': id,
           authorization: `Bearer ${key}`,
           'x-deadline-ms': '2500',
+          'content-length': String(body.length),
         },
       }, (response) => {
         let text = '';
@@ -150,7 +153,7 @@
         response.on('error', reject);
       });
       request.on('error', reject);
-      request.end();
+      request.end(body);
     });
   }
 
