Soak: hosts that lose their paths while the configuration changes, with CONFIG checked

What callers saw: nothing; a gap in the soak, whose hosts shared their paths to upstreams, so that none could lose them alone, and whose versions of the configuration were all alike.

Faults: one host reaches no upstream, one host's path to the store is cut both ways or loses answers only, hosts stand still or are killed, versions follow one another. A short plan runs in npm test.

--- a/scripts/runSoak.ts
+++ b/scripts/runSoak.ts
@@ -12,10 +12,10 @@
 
 /*
  * `npm run soak -- --seeds N [--seed S] [--minutes M] [--hosts H] [--rate R] [--retries C]
- * [--slack B] [--profile all|repeats|closures|limits|copies|endings] [--faults S] [--crashing]
- * [--one-sided]`: runs entry hosts as processes on loopback and injects faults. Counts repeated
- * arrivals at each service, arrivals at upstreams that leave, ask for a back-off or advertise a
- * limit, and the upstreams that a request crashes.
+ * [--slack B] [--profile all|repeats|closures|limits|copies|endings|configurations]
+ * [--faults S] [--crashing] [--one-sided]`: runs entry hosts as processes on loopback and injects
+ * faults. Counts repeated arrivals at each service, arrivals at upstreams that leave, ask for a
+ * back-off or advertise a limit, and the upstreams that a request crashes.
  * Exits 1 if a promise was not kept, and prints the seed. `npm run soak -- --regressions` runs
  * every seed that has ever failed, with its original options.
  */
@@ -43,6 +43,7 @@
   stalls.disable();
   console.log(`seed ${planned.seed}: ${run.servedCount} of ${run.requestCount} served, `
     + `${violations.length} violations; logs in ${folder}`);
+  console.log(`  probes of the configuration: ${run.probeCount}`);
   const logged = readLoggedRepeats(folder);
   run.getRepeats().forEach((report) => (
     console.log(`  ${formatRepeats(report, logged.get(report.service) ?? 0)}`)));
--- a/scripts/soak/PROFILE_FAULTS.ts
+++ b/scripts/soak/PROFILE_FAULTS.ts
@@ -129,6 +129,22 @@
   { kind: 'allHosts', how: 'kill' },
 ];
 
+/** Hosts that lose paths or stand still, while the configuration changes. */
+const CONFIGURATION_FAULTS: readonly SoakFault[] = [
+  { kind: 'strandedHost' },
+  { kind: 'strandedHost' },
+  { kind: 'strandedHost' },
+  { kind: 'storePath', how: 'silent' },
+  { kind: 'storePath', how: 'cutAnswers' },
+  { kind: 'storePath', how: 'cutAnswers' },
+  { kind: 'manifest' },
+  { kind: 'manifest' },
+  { kind: 'manifest' },
+  { kind: 'host', how: 'pause' },
+  { kind: 'host', how: 'kill' },
+  { kind: 'upstream', how: 'drain' },
+];
+
 /** The faults of each profile. */
 export const PROFILE_FAULTS: Readonly<Record<SoakProfile, readonly SoakFault[]>> = {
   all: FAULTS,
@@ -137,4 +153,5 @@
   limits: LIMIT_FAULTS,
   copies: COPY_FAULTS,
   endings: ENDING_FAULTS,
+  configurations: CONFIGURATION_FAULTS,
 };
--- a/scripts/soak/REGRESSION_RUNS.ts
+++ b/scripts/soak/REGRESSION_RUNS.ts
@@ -32,6 +32,8 @@
 
 const STALE_LIMIT = 'recovered: a host kept a lifted limit because only other hosts were notified';
 
+const OLDER_CONFIGURATION = 'configuration: the host that served a request was behind its taker';
+
 const DELAYED_ARRIVALS = 'repeats: delayed retries arrived together with those of the next window';
 
 /**
@@ -137,4 +139,15 @@
     faultPeriodMs: 30_000,
     cause: STALE_LIMIT,
   },
+  {
+    ...SIX_HOSTS,
+    seed: 3,
+    hostCount: 4,
+    requestsPerSecond: 10,
+    callerRetries: 2,
+    bounds: { ratio: RATIO, slack: 50, windowMs: WINDOW_MS },
+    profile: SOAK_PROFILE.configurations,
+    faultPeriodMs: 20_000,
+    cause: OLDER_CONFIGURATION,
+  },
 ];
--- a/scripts/soak/SOAK_PROFILE.ts
+++ b/scripts/soak/SOAK_PROFILE.ts
@@ -3,7 +3,8 @@
  * same ones; `repeats` has faults that cause retries; `closures` has upstreams that leave or ask
  * for a back-off; `limits` has upstreams that advertise a limit; `copies` has a store that comes
  * back from older copies; `endings` has whatever ends answers early that have no mark at
- * their end.
+ * their end; `configurations` has hosts that lose their path to all upstreams or to the store
+ * while the configuration changes.
  */
 export const SOAK_PROFILE = {
   all: 'all',
@@ -12,6 +13,7 @@
   limits: 'limits',
   copies: 'copies',
   endings: 'endings',
+  configurations: 'configurations',
 } as const;
 
 /** A member of {@link SOAK_PROFILE}. */
--- a/scripts/soak/SoakCaller.ts
+++ b/scripts/soak/SoakCaller.ts
@@ -14,6 +14,10 @@
 export interface SoakRequest {
   readonly kind: RequestKind;
   readonly body: string;
+  /** Path; that of the kind by default. */
+  readonly path?: string;
+  /** API key; the one of all versions of the configuration by default. */
+  readonly key?: string;
 }
 
 const DEADLINE_MS: Readonly<Record<RequestKind, number>> = {
@@ -58,13 +62,14 @@
    * @param demand - kind and body of the request
    * @param retry - how the request is retried; null for no retries
    * @param isRetry - whether this is a retry
+   * @returns the entry of the request, which is completed as it goes on
    */
   send(
     target: SoakTarget,
     demand: SoakRequest,
     retry: SoakRetry | null = null,
     isRetry = false,
-  ): void {
+  ): CallerRecord {
     const record: CallerRecord = {
       requestId: randomUUID(),
       kind: demand.kind,
@@ -90,10 +95,10 @@
       ...target.address,
       agent: this.#agent,
       method: 'POST',
-      path: `/${demand.kind}/x`,
+      path: demand.path ?? `/${demand.kind}/x`,
       headers: {
         Host: SOAK_HOST_NAME,
-        Authorization: `Bearer ${SOAK_KEY}`,
+        Authorization: `Bearer ${demand.key ?? SOAK_KEY}`,
         'X-Request-Id': record.requestId,
         'X-Deadline-Ms': String(record.deadlineMs),
         'X-Pieces': '1',
@@ -119,6 +124,7 @@
     request.on('error', end);
     request.on('close', end);
     request.end(demand.body);
+    return record;
   }
 
   #retry(record: CallerRecord, retry: SoakRetry | null): void {
--- a/scripts/soak/SoakFault.ts
+++ b/scripts/soak/SoakFault.ts
@@ -1,6 +1,10 @@
 /** A fault of the soak, by the component it affects. */
 export type SoakFault =
   | { readonly kind: 'host'; readonly how: 'terminate' | 'kill' | 'pause' | 'reload' }
+  /** One host loses its path to all upstreams; its callers, the store and other hosts reach it. */
+  | { readonly kind: 'strandedHost' }
+  /** One host's path to the store is cut both ways, or its answers alone are lost. */
+  | { readonly kind: 'storePath'; readonly how: 'silent' | 'cutAnswers' }
   | { readonly kind: 'allHosts'; readonly how: 'terminate' | 'kill' }
   | {
     readonly kind: 'upstream';
--- a/scripts/soak/SoakFaultInjector.ts
+++ b/scripts/soak/SoakFaultInjector.ts
@@ -5,10 +5,11 @@
 import type { StoreFault, StoreStandin } from '../../standins/store/StoreStandin.ts';
 import { StoreCopyFault } from './StoreCopyFault.ts';
 import type { SoakHost } from './SoakHost.ts';
+import type { SoakHostPaths } from './SoakHostPaths.ts';
 import type { ProxyFault, SoakProxy } from './SoakProxy.ts';
-import type { LinkSpan, StoreSpan } from './SoakRecord.ts';
+import type { ConfigurationRecord, LinkSpan, StoreSpan } from './SoakRecord.ts';
 import type { SoakUpstream, UpstreamFault } from './SoakUpstream.ts';
-import { createSoakManifest } from './createSoakManifest.ts';
+import { createSoakManifest, getMovedPool, getVersionKey } from './createSoakManifest.ts';
 import type { PlannedFault, SoakFault } from './SoakFault.ts';
 
 /** An upstream behind its proxy. */
@@ -25,6 +26,9 @@
   readonly storeProxies: readonly SoakProxy[];
   readonly upstreams: readonly PlacedUpstream[];
   readonly hosts: readonly SoakHost[];
+  /** One for each host; empty if the hosts share their paths to the upstreams. */
+  readonly hostPaths: readonly SoakHostPaths[];
+  readonly onConfiguration: (configuration: ConfigurationRecord) => void;
   readonly onLinkSpan: (span: LinkSpan) => void;
   readonly onStoreSpan: (span: StoreSpan) => void;
 }
@@ -103,8 +107,15 @@
 
   /** Writes the next version of the manifest to the store. */
   putManifest(): void {
-    this.#storeCopyFault.put(STORE_KEYS.configuration, createSoakManifest(this.#version));
+    const version = this.#version;
+    this.#storeCopyFault.put(STORE_KEYS.configuration, createSoakManifest(version));
     this.#version += 1;
+    this.#options.onConfiguration({
+      version,
+      key: getVersionKey(version),
+      movedPool: getMovedPool(version),
+      ackedAtMs: performance.now(),
+    });
   }
 
   /**
@@ -134,6 +145,12 @@
       case 'host':
         await this.#injectHostFault(fault.how, targetNumber, durationMs);
         return;
+      case 'strandedHost':
+        await this.#injectStrandedHostFault(targetNumber, durationMs);
+        return;
+      case 'storePath':
+        await this.#injectStorePathFault(fault.how, targetNumber, durationMs);
+        return;
       case 'allHosts':
         await this.#injectAllHostsFault(fault.how);
         return;
@@ -188,6 +205,34 @@
     }
   }
 
+  async #injectStrandedHostFault(targetNumber: number, durationMs: number): Promise<void> {
+    const { hostPaths } = this.#options;
+    const paths = hostPaths[targetNumber % hostPaths.length];
+    // A path that an earlier fault has cut is restored at the end of that fault.
+    if (paths?.isCutOff === false) {
+      paths.cutUpstreams();
+      await sleep(durationMs);
+      await paths.restoreUpstreams();
+    }
+  }
+
+  async #injectStorePathFault(
+    how: Extract<SoakFault, { kind: 'storePath' }>['how'],
+    targetNumber: number,
+    durationMs: number,
+  ): Promise<void> {
+    const { storeProxies } = this.#options;
+    const hostIndex = targetNumber % storeProxies.length;
+    const proxy = storeProxies[hostIndex];
+    if (proxy?.fault === 'none') {
+      const fromMs = performance.now();
+      proxy.fault = how;
+      await sleep(durationMs);
+      proxy.fault = 'none';
+      this.#options.onStoreSpan({ hostIndex, fromMs, untilMs: performance.now() });
+    }
+  }
+
   /** Ended one after the other, or killed at the same moment. */
   async #injectAllHostsFault(how: 'terminate' | 'kill'): Promise<void> {
     await Promise.all(this.#options.hosts.map(async (host, index) => {
@@ -333,7 +378,8 @@
     proxy.fault = how;
     await sleep(durationMs);
     proxy.fault = 'none';
-    this.#options.onStoreSpan({ fromMs, untilMs: performance.now() });
+    const hostIndex = targetNumber % storeProxies.length;
+    this.#options.onStoreSpan({ hostIndex, fromMs, untilMs: performance.now() });
   }
 
   async #injectStoreFault(
@@ -348,12 +394,12 @@
     store.fault = getStoreFault(how);
     await sleep(durationMs);
     store.fault = { kind: 'none' };
-    this.#options.onStoreSpan({ fromMs, untilMs: performance.now() });
+    this.#options.onStoreSpan({ hostIndex: null, fromMs, untilMs: performance.now() });
   }
 
   async #injectStoreCopyFault(targetNumber: number, durationMs: number): Promise<void> {
     const fromMs = performance.now();
     await this.#storeCopyFault.inject(targetNumber, durationMs);
-    this.#options.onStoreSpan({ fromMs, untilMs: performance.now() });
+    this.#options.onStoreSpan({ hostIndex: null, fromMs, untilMs: performance.now() });
   }
 }
--- a/scripts/soak/SoakHost.ts
+++ b/scripts/soak/SoakHost.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { ChildProgram } from '../fleet/ChildProgram.ts';
+import { CONFIG_APPLY_MS } from './findConfigurationViolations.ts';
 import { DRAIN_MS } from './findViolations.ts';
 import { CONTACT_MS } from './measureCrashes.ts';
 import type { RepeatBounds } from './RepeatBounds.ts';
@@ -150,7 +151,7 @@
       },
       bounds: {
         contact_ms: CONTACT_MS,
-        config_apply_ms: DRAIN_MS,
+        config_apply_ms: CONFIG_APPLY_MS,
         drain_ms: DRAIN_MS,
         retry_budget_ratio: bounds.ratio,
         budget_slack: bounds.slack,
--- a/scripts/soak/SoakProxy.ts
+++ b/scripts/soak/SoakProxy.ts
@@ -37,6 +37,9 @@
 
   #connectionCount = 0;
 
+  /** Port that it listens on; 0 for any, before the first time. */
+  #port = 0;
+
   /** Writes and ends that are delayed while traffic is held, as for a suspended process. */
   readonly #heldActions: (() => void)[] = [];
 
@@ -62,14 +65,15 @@
 
   /** IP address and port that hosts connect to. */
   get address(): string {
-    return `${LOOPBACK}:${(this.#server.address() as AddressInfo).port}`;
+    return `${LOOPBACK}:${this.#port}`;
   }
 
   /** @returns resolves when the proxy listens */
   async listen(): Promise<void> {
     await new Promise<void>((resolve) => {
-      this.#server.listen(0, LOOPBACK, resolve);
+      this.#server.listen(this.#port, LOOPBACK, resolve);
     });
+    this.#port = (this.#server.address() as AddressInfo).port;
   }
 
   /** Resets all open connections. */
@@ -77,6 +81,17 @@
     this.#sockets.forEach(resetSocket);
   }
 
+  /** Resets all open connections and refuses new ones, until `accept`. */
+  refuse(): void {
+    this.#server.close();
+    this.reset();
+  }
+
+  /** @returns resolves when new connections are accepted again, at the same address */
+  async accept(): Promise<void> {
+    await this.listen();
+  }
+
   /** Stops listening and destroys all connections. */
   close(): void {
     this.#server.close();
--- a/scripts/soak/SoakRecord.ts
+++ b/scripts/soak/SoakRecord.ts
@@ -138,12 +138,33 @@
   readonly untilMs: number;
 }
 
-/** Span in which the store did not answer some host correctly. */
+/** Span in which the store did not answer correctly. */
 export interface StoreSpan {
+  /** The only host that it concerned; null if it concerned all. */
+  readonly hostIndex: number | null;
   readonly fromMs: number;
   readonly untilMs: number;
 }
 
+/** One version of the configuration, and what only it allows. */
+export interface ConfigurationRecord {
+  readonly version: number;
+  /** Key that callers have in this version only. */
+  readonly key: string;
+  /** Pool to which it sends the requests of the route that moves with each version. */
+  readonly movedPool: RequestKind;
+  readonly ackedAtMs: number;
+}
+
+/** Request whose handling tells which version of the configuration decided. */
+export interface ProbeRecord {
+  /** With the newest key, with the one of the version before, or on the route that moves. */
+  readonly kind: 'currentKey' | 'formerKey' | 'movedRoute';
+  /** Version that the probe is about. */
+  readonly version: number;
+  readonly caller: CallerRecord;
+}
+
 /** Everything that callers and upstreams observed in a run. */
 export interface SoakRecord {
   readonly callers: CallerRecord[];
@@ -158,6 +179,9 @@
   readonly linkSpans: LinkSpan[];
   /** Spans in which the store was faulty for some host. */
   readonly storeSpans: StoreSpan[];
+  /** The versions of the configuration, the oldest first. */
+  readonly configurations: ConfigurationRecord[];
+  readonly probes: ProbeRecord[];
   /** End of the last fault; requests sent some time later have to be served. */
   faultsEndedAtMs: number;
 }
--- a/scripts/soak/SoakRun.test.ts
+++ b/scripts/soak/SoakRun.test.ts
@@ -75,7 +75,37 @@
   ]).flat(),
 };
 
+/** One host reaches no upstream, the others do not hear of the versions that it knows. */
+const CONFIGURATION_RUN: SoakTestOptions = {
+  ...MIXED_RUN,
+  profile: SOAK_PROFILE.configurations,
+  plan: [
+    {
+      atMs: 0, durationMs: 9_000, targetNumber: 0, fault: { kind: 'strandedHost' },
+    },
+    {
+      atMs: 1_500,
+      durationMs: 7_500,
+      targetNumber: 1,
+      fault: { kind: 'storePath', how: 'cutAnswers' },
+    },
+    {
+      atMs: 1_500, durationMs: 4_500, targetNumber: 2, fault: { kind: 'storePath', how: 'silent' },
+    },
+    {
+      atMs: 1_600, durationMs: 0, targetNumber: 0, fault: { kind: 'manifest' },
+    },
+    {
+      atMs: 5_500, durationMs: 0, targetNumber: 0, fault: { kind: 'manifest' },
+    },
+  ],
+};
+
 describe('SoakRun', () => {
+  it('decides by no older configuration than the host that was asked has', async () => {
+    await checkSoakRun(CONFIGURATION_RUN, NETWORK);
+  });
+
   it('stops sending requests that crash their upstreams', async () => {
     await checkSoakRun(CRASHING_RUN, NETWORK);
   });
--- a/scripts/soak/SoakRun.ts
+++ b/scripts/soak/SoakRun.ts
@@ -7,6 +7,8 @@
 import type { RepeatBounds } from './RepeatBounds.ts';
 import { SoakCaller, type SoakTarget } from './SoakCaller.ts';
 import { SoakHost } from './SoakHost.ts';
+import { SoakHostPaths } from './SoakHostPaths.ts';
+import { SoakProbes } from './SoakProbes.ts';
 import { SoakProxy } from './SoakProxy.ts';
 import { REQUEST_KIND } from './SoakRecord.ts';
 import { SoakFaultInjector, type PlacedUpstream } from './SoakFaultInjector.ts';
@@ -53,6 +55,8 @@
 const MS_PER_SECOND = 1_000;
 const KINDS = Object.values(REQUEST_KIND);
 const PLAIN_BODY = 'body';
+/** Interval between probes of the configuration in force. */
+const PROBE_INTERVAL_MS = 150;
 /** Interval between requests that crash upstreams. */
 const CRASHING_INTERVAL_MS = 700;
 /** Fraction of the callers that retry immediately. */
@@ -86,11 +90,15 @@
 
   readonly #hosts: SoakHost[] = [];
 
+  readonly #hostPaths: SoakHostPaths[] = [];
+
   readonly #faultInjector = new SoakFaultInjector({
     store: this.#store,
     storeProxies: this.#storeProxies,
     upstreams: this.#upstreams,
     hosts: this.#hosts,
+    hostPaths: this.#hostPaths,
+    onConfiguration: (configuration) => this.#record.configurations.push(configuration),
     onLinkSpan: (span) => this.#record.linkSpans.push(span),
     onStoreSpan: (span) => this.#record.storeSpans.push(span),
   });
@@ -132,6 +140,11 @@
     return measureClosures(this.#record);
   }
 
+  /** Number of requests that were sent to learn which configuration decides. */
+  get probeCount(): number {
+    return this.#record.probes.length;
+  }
+
   /** @returns the load of upstreams compared with their advertised limits */
   getLimits(): LimitReport[] {
     return measureLimits(this.#record);
@@ -144,6 +157,7 @@
    */
   async run(): Promise<Violation[]> {
     const caller = new SoakCaller(this.#record.callers);
+    const probes = new SoakProbes(this.#record.configurations, this.#record.probes);
     const timers: NodeJS.Timeout[] = [];
     try {
       await this.#start();
@@ -152,6 +166,9 @@
       if (this.#options.hasCrashingRequests) {
         timers.push(setInterval(() => this.#sendCrashingRequests(caller), CRASHING_INTERVAL_MS));
       }
+      if (this.#options.profile === SOAK_PROFILE.configurations) {
+        timers.push(setInterval(() => this.#sendProbes(probes), PROBE_INTERVAL_MS));
+      }
       await sleep(1_000);
       const {
         faultPeriodMs, recoveryMs, bounds, profile,
@@ -171,6 +188,7 @@
     } finally {
       timers.forEach((timer) => clearInterval(timer));
       caller.close();
+      probes.close();
       await this.#close();
     }
   }
@@ -227,17 +245,32 @@
     const storeProxy = new SoakProxy(Number(this.#store.address.split(':')[1]));
     await storeProxy.listen();
     this.#storeProxies.push(storeProxy);
+    const storeAddress = this.#options.profile === SOAK_PROFILE.configurations
+      ? await this.#addHostPaths(storeProxy.address)
+      : storeProxy.address;
     this.#hosts.push(new SoakHost({
       index,
       folder,
       ip: `127.${network}.0.${index + 1}`,
       failureDomain: getDomain(index),
-      storeAddress: storeProxy.address,
+      storeAddress,
       bounds,
       onSpan: (span) => this.#record.hostSpans.push(span),
     }));
   }
 
+  /** @returns the address of the store for the next host */
+  async #addHostPaths(storeAddress: string): Promise<string> {
+    const paths = new SoakHostPaths(storeAddress);
+    await paths.listen(this.#upstreams.map(({ proxy }) => proxy.address));
+    this.#hostPaths.push(paths);
+    return paths.storeAddress;
+  }
+
+  #sendProbes(probes: SoakProbes): void {
+    this.#hosts.forEach((host, index) => probes.send({ index, address: host.callerAddress }));
+  }
+
   #sendRequests(caller: SoakCaller): void {
     this.#hosts.forEach((own, ownIndex) => {
       const index = this.#options.isOneSided === true ? 0 : ownIndex;
@@ -279,6 +312,7 @@
       proxy.close();
       upstream.close();
     });
+    this.#hostPaths.forEach((paths) => paths.close());
     this.#storeProxies.forEach((proxy) => proxy.close());
     await this.#store.close();
   }
--- a/scripts/soak/createSoakManifest.ts
+++ b/scripts/soak/createSoakManifest.ts
@@ -1,4 +1,4 @@
-import { REQUEST_KIND } from './SoakRecord.ts';
+import { REQUEST_KIND, type RequestKind } from './SoakRecord.ts';
 
 /** Host name that callers send in their requests. */
 export const SOAK_HOST_NAME = 'soak.example';
@@ -17,6 +17,25 @@
   stage: 'stage',
 } as const;
 
+/** Path of the route that each version of the manifest sends to another pool. */
+export const MOVED_ROUTE_PATH = '/moved/x';
+
+/**
+ * @param version - version of the manifest
+ * @returns the API key that callers have in this version only
+ */
+export function getVersionKey(version: number): string {
+  return `${SOAK_KEY}-${version}`;
+}
+
+/**
+ * @param version - version of the manifest
+ * @returns the pool of the route that moves with each version
+ */
+export function getMovedPool(version: number): RequestKind {
+  return version % 2 === 0 ? REQUEST_KIND.once : REQUEST_KIND.repeatable;
+}
+
 function createRoute(kind: string, fields: Readonly<Record<string, unknown>>): unknown {
   return {
     name: kind,
@@ -48,6 +67,7 @@
     routes: [
       createRoute(REQUEST_KIND.repeatable, { kind: 'safe' }),
       createRoute(REQUEST_KIND.once, { kind: 'unsafe', max_attempts: 1 }),
+      createRoute('moved', { kind: 'safe', service: getMovedPool(version) }),
       createRoute(REQUEST_KIND.stream, {
         kind: 'streaming',
         target_latency_ms: 1_000,
@@ -66,6 +86,6 @@
         },
       }),
     ],
-    tenants: [{ name: SOAK_ACCOUNT, api_keys: [SOAK_KEY] }],
+    tenants: [{ name: SOAK_ACCOUNT, api_keys: [SOAK_KEY, getVersionKey(version)] }],
   };
 }
--- a/scripts/soak/createSoakPlan.ts
+++ b/scripts/soak/createSoakPlan.ts
@@ -12,6 +12,8 @@
 const LEAVING_DURATION_FACTOR = 3;
 /** A limit lasts longer than the time in which hosts have to know it. */
 const LIMIT_DURATION_FACTOR = 6;
+/** A lost path lasts longer than the time in which a configuration has to be in force. */
+const LOST_PATH_DURATION_FACTOR = 4;
 const MEAN_GAP_MS = 600;
 /** Each fault exempts hosts for seconds; a shorter gap would leave nothing to check. */
 const MEAN_LIMIT_GAP_MS = 1_800;
@@ -25,6 +27,9 @@
       return STORE_DURATION_FACTOR;
     case 'pool':
       return POOL_DURATION_FACTOR;
+    case 'strandedHost':
+    case 'storePath':
+      return LOST_PATH_DURATION_FACTOR;
     case 'limit':
       return LIMIT_DURATION_FACTOR;
     default:
--- a/scripts/soak/createSoakRecord.ts
+++ b/scripts/soak/createSoakRecord.ts
@@ -19,6 +19,8 @@
     hostSpans: [],
     linkSpans: [],
     storeSpans: [],
+    configurations: [],
+    probes: [],
     faultsEndedAtMs: Infinity,
     ...overrides,
   };
--- a/scripts/soak/findViolations.test.ts
+++ b/scripts/soak/findViolations.test.ts
@@ -138,7 +138,7 @@
     const span = { fromMs: 1_000, untilMs: 2_000 };
     deepEqual(checkCrashes(late, { hostSpans: [{ hostIndex: 0, ...span }] }), []);
     deepEqual(checkCrashes(late, { hostSpans: [{ hostIndex: 1, ...span }] }), ['crashes']);
-    deepEqual(checkCrashes(late, { storeSpans: [span] }), []);
+    deepEqual(checkCrashes(late, { storeSpans: [{ hostIndex: null, ...span }] }), []);
   });
 
   it('finds that requests are not served after the last fault', () => {
--- a/scripts/soak/findViolations.ts
+++ b/scripts/soak/findViolations.ts
@@ -1,4 +1,5 @@
 import { countRepeats } from './countRepeats.ts';
+import { findConfigurationViolations } from './findConfigurationViolations.ts';
 import { measureClosures } from './measureClosures.ts';
 import { measureCrashes } from './measureCrashes.ts';
 import { measureLimits } from './measureLimits.ts';
@@ -12,7 +13,7 @@
 export interface Violation {
   readonly promise: 'atMostOnce' | 'notRun' | 'wholeAnswer' | 'inOrder' | 'ended' | 'asked'
     | 'inputs' | 'account' | 'recovered' | 'repeats' | 'leaving' | 'backOff' | 'crashes'
-    | 'limit';
+    | 'limit' | 'configuration';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -183,7 +184,8 @@
   bounds: RepeatBounds,
 ): Violation[] {
   const runs = new Map<string, RunRecord[]>();
-  record.runs.forEach((run) => {
+  const probeIds = new Set(record.probes.map(({ caller }) => caller.requestId));
+  record.runs.filter(({ requestId }) => !probeIds.has(requestId)).forEach((run) => {
     runs.set(run.requestId, [...runs.get(run.requestId) ?? [], run]);
   });
   return [
@@ -195,5 +197,7 @@
     ...findClosureViolations(record),
     ...findCrashViolations(record),
     ...findLimitViolations(record),
+    ...findConfigurationViolations(record)
+      .map((violation) => ({ promise: 'configuration' as const, ...violation })),
   ];
 }
