Ask other hosts for a newer configuration while the store is silent to one

Change: PeerConfigurationCheck reads the configuration from one other host a second, at random, while the directory is older than it gets while the store answers (getMaxDirectoryAgeMs); a request that an earlier build passes on waits for such a read if the directory was not confirmed for a second. It is called by the timer of the stall check: no timer and, while the store answers, no call more.

Tests: relay/staleConfigurations, 'is decided by the newer version that other hosts have', failed without the check, passes; directory/PeerConfigurationCheck asks nobody while the store answers.

--- a/src/directory/ConfigurationCatchUp.ts
+++ b/src/directory/ConfigurationCatchUp.ts
@@ -15,8 +15,8 @@
 }
 
 /**
- * Reads the configuration from another host that has a newer version than this one: the store may
- * not answer this host, or not yet. Nothing is read while no other host is known to be ahead.
+ * Reads the configuration from another host that may have a newer version than this one: the store
+ * may not answer this host, or not yet.
  */
 export class ConfigurationCatchUp {
   readonly #options: ConfigurationCatchUpOptions;
@@ -76,8 +76,18 @@
     }
   }
 
+  /**
+   * Reads the configuration of another host, which may be newer or not.
+   *
+   * @param peerAddress - IP address and port of the other host
+   * @returns resolves when it was read, or could not be
+   */
+  refresh(peerAddress: string): Promise<void> {
+    return this.#readOnce(null, peerAddress);
+  }
+
   /** Lets all requests that wait for the same version share one read. */
-  #readOnce(version: number, peerAddress: string): Promise<void> {
+  #readOnce(version: number | null, peerAddress: string): Promise<void> {
     const key = `${version} ${peerAddress}`;
     const known = this.#reads.get(key);
     if (known !== undefined) {
@@ -88,7 +98,7 @@
     return read;
   }
 
-  async #read(wantedVersion: number, peerAddress: string): Promise<void> {
+  async #read(wantedVersion: number | null, peerAddress: string): Promise<void> {
     const {
       directory, store, peers, logger,
     } = this.#options;
@@ -103,13 +113,17 @@
     } catch (cause) {
       error = String(cause);
     }
+    const version = directory.configuration?.version ?? 0;
+    if (wantedVersion === null && version === versionBefore) {
+      return;
+    }
     logger.info({
       event: 'configurationRead',
       peerAddress,
       wantedVersion,
       versionBefore,
-      version: directory.configuration?.version ?? null,
+      version,
       error,
-    }, 'read the configuration from another host that has a newer version');
+    }, 'read the configuration from another host');
   }
 }
--- a/src/directory/DirectoryFollower.ts
+++ b/src/directory/DirectoryFollower.ts
@@ -9,6 +9,9 @@
 import type { DirectoryPeers } from './DirectoryPeers.ts';
 import type { DirectoryReaderSelector } from './DirectoryReaderSelector.ts';
 import { getEra, getUnbound, type EraBound } from './EraBound.ts';
+import {
+  getMaxReaderAgeMs, READER_SETTLE_FACTOR, READER_WAIT_FACTOR,
+} from './getMaxReaderAgeMs.ts';
 import type { KnownHost } from './HostEntry.ts';
 import type { DirectorySnapshot, DirectoryStore } from './DirectoryStore.ts';
 
@@ -71,13 +74,6 @@
   readonly pause?: (durationMs: number) => Promise<void>;
 }
 
-/** Longest wait of a reader for changes of the store, as a multiple of `relayWaitMs`. */
-const READER_WAIT_FACTOR = 2;
-/** Pause of a reader after changes, as a multiple of `relayWaitMs`. */
-const READER_SETTLE_FACTOR = 0.5;
-/** Tolerated silence of the store beyond a reader's wait and pause. */
-const FRESHNESS_SLACK_MS = 400;
-
 /**
  * Reads the whole store once and then follows its changes until stopped. In a large fleet most
  * hosts follow a reader in their failure domain instead, and read the store when that reader gives
@@ -145,7 +141,7 @@
       return null;
     }
     const ageMs = this.#options.clock.getMonotonicMs() - this.#storeAnsweredAtMs;
-    const maxAgeMs = relayWaitMs * (READER_WAIT_FACTOR + READER_SETTLE_FACTOR) + FRESHNESS_SLACK_MS;
+    const maxAgeMs = getMaxReaderAgeMs(relayWaitMs);
     return ageMs <= maxAgeMs ? { ageMs, expiresInMs: maxAgeMs - ageMs } : null;
   }
 
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import type { ConfigurationCatchUp } from '../directory/ConfigurationCatchUp.ts';
 import type { Directory } from '../directory/Directory.ts';
+import type { PeerConfigurationCheck } from '../directory/PeerConfigurationCheck.ts';
 import type { ServingRoute } from '../directory/ServingConfiguration.ts';
 import type { UpstreamNoticeHandler } from '../directory/UpstreamNoticeHandler.ts';
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
@@ -67,6 +68,8 @@
   readonly configurationFloor: ConfigurationFloor;
   /** Reads the configuration from another host that is ahead of this one. */
   readonly configurationCatchUp: ConfigurationCatchUp;
+  /** Confirms the configuration of this host with other hosts while the store is silent. */
+  readonly peerConfigurationCheck: PeerConfigurationCheck;
   /** @returns what this host tells of itself with a request that it passes on now */
   readonly getForwardingOrigin: () => ForwardingOrigin;
   readonly answerMemory: AnswerMemory;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -9,6 +9,8 @@
 import { HostRegistration } from '../directory/HostRegistration.ts';
 import { HttpConfigurationPeers } from '../directory/HttpConfigurationPeers.ts';
 import { HttpDirectoryPeers } from '../directory/HttpDirectoryPeers.ts';
+import { PeerConfigurationCheck } from '../directory/PeerConfigurationCheck.ts';
+import { getMaxDirectoryAgeMs } from '../directory/getMaxDirectoryAgeMs.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
 import { registerConfigurationRoutes } from '../directory/registerConfigurationRoutes.ts';
 import { registerDirectoryRoutes } from '../directory/registerDirectoryRoutes.ts';
@@ -115,6 +117,8 @@
 
   readonly #rolloutParts: RolloutParts;
 
+  readonly #peerConfigurationCheck: PeerConfigurationCheck;
+
   readonly #reachability: ReachabilityMonitor;
 
   readonly #relayManager: RelayManager;
@@ -224,6 +228,21 @@
       logger,
       onChange: (isCutOff) => this.#applyReachability(isCutOff),
     });
+    const configurationCatchUp = new ConfigurationCatchUp({
+      directory,
+      store: adapters.store,
+      peers: new HttpConfigurationPeers(adapters.connections),
+      logger,
+    });
+    this.#peerConfigurationCheck = new PeerConfigurationCheck({
+      clock,
+      hostId: settings.hostId,
+      directory,
+      catchUp: configurationCatchUp,
+      random: new SystemRandomSource(),
+      maxAgeMs: getMaxDirectoryAgeMs(settings),
+      logger,
+    });
     const openRelays = new Set<OpenRelay>();
     const configurationFloor = new ConfigurationFloor(directory);
     this.#rolloutParts = createRollouts({
@@ -344,12 +363,8 @@
         new SystemRandomSource(),
       ),
       configurationFloor,
-      configurationCatchUp: new ConfigurationCatchUp({
-        directory,
-        store: adapters.store,
-        peers: new HttpConfigurationPeers(adapters.connections),
-        logger,
-      }),
+      configurationCatchUp,
+      peerConfigurationCheck: this.#peerConfigurationCheck,
       getForwardingOrigin: () => ({
         hostId: settings.hostId,
         peerAddress: settings.peerAddress,
@@ -587,6 +602,7 @@
         this.#limitCoordinators.restartTakeovers();
       }
       lastMs = nowMs;
+      this.#peerConfigurationCheck.check();
     }, STALL_CHECK_INTERVAL_MS).unref();
   }
 }
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -105,12 +105,16 @@
   relayForwarded(exchange: CallerExchange): void {
     const { protocol, configurationCatchUp } = this.#context;
     const origin = protocol.decodeForwardingOrigin(exchange.request.rawHeaders);
-    if (origin === null || configurationCatchUp.hasReached(origin.configurationVersion)) {
+    if (origin !== null && configurationCatchUp.hasReached(origin.configurationVersion)) {
       this.#decideForwarded(exchange, origin);
       return;
     }
-    configurationCatchUp
-      .reach(origin.configurationVersion, origin.peerAddress, MAX_CATCH_UP_MS)
+    const caughtUp = origin === null
+      // A host of an earlier build does not tell its version, which may be newer.
+      ? this.#context.peerConfigurationCheck.confirm()
+      : configurationCatchUp
+        .reach(origin.configurationVersion, origin.peerAddress, MAX_CATCH_UP_MS);
+    caughtUp
       .then(() => this.#decideForwarded(exchange, origin), (error: unknown) => {
         this.#context.logger.error(
           { event: 'catchUpFailed', requestId: exchange.request.profile.id, error: String(error) },
--- a/src/relay/staleConfigurations.test.ts
+++ b/src/relay/staleConfigurations.test.ts
@@ -13,6 +13,9 @@
 const ADOPT_MS = 200;
 const PROBE_COUNT = 12;
 const STATUS_OK = 200;
+const STATUS_UNAUTHORIZED = 401;
+/** Time after which a host has noticed that the store is silent, and has asked another host. */
+const SILENCE_KNOWN_MS = 6_000;
 
 interface Change {
   readonly title: string;
@@ -122,7 +125,7 @@
   };
 }
 
-describe('a request that a host passes on', () => {
+describe('a request that is passed on', () => {
   afterEach(async () => {
     await fleet?.close();
   });
@@ -171,3 +174,26 @@
     equal(servedCount, PROBE_COUNT);
   });
 });
+
+describe('a request to a host that the store does not answer', () => {
+  afterEach(async () => {
+    await fleet?.close();
+  });
+
+  it('is decided by the newer version that other hosts have', async () => {
+    const target = await startFleet(2);
+    target.cutStore(1, true);
+    target.configure(({ accountsByKey }) => ({
+      accountsByKey: new Map([...accountsByKey ?? []].filter(([key]) => key !== 'key-2')),
+    }));
+    const untilMs = performance.now() + SILENCE_KNOWN_MS;
+    const statuses = new Set<number>();
+    while (performance.now() < untilMs && !statuses.has(STATUS_UNAUTHORIZED)) {
+      // eslint-disable-next-line no-await-in-loop -- polls
+      statuses.add((await target.send(1, '/once/', `own-${statuses.size}`, 'key-2')).status);
+      // eslint-disable-next-line no-await-in-loop -- polls
+      await sleep(100);
+    }
+    equal(statuses.has(STATUS_UNAUTHORIZED), true);
+  });
+});
