Ask which process answers before an unmarked answer of a plain service counts as whole

Cause: an answer with neither a length nor chunks ends with its connection, as one whose upstream crashed; a buffered relay took anything that accepts connections at the address for the process that had answered.

Change: UnmarkedAnswerCheck compares the entry of the upstream and sends a health check that names it; another process refuses that or names itself, and the answer counts as broken. No answer proves nothing. Why it works: an id is that of a process (a new start mostly has a new one; one that keeps it stays known red).

Tests: relay/unframedAnswers, 'leaves an answer incomplete whose upstream restarted at once', routes safe and once, failed before (2 of 2), pass; a full upstream that resets the check is kept as whole.

--- a/src/relay/BufferedRelay.ts
+++ b/src/relay/BufferedRelay.ts
@@ -269,7 +269,7 @@
       },
       {
         mayStart: () => this.#context.directory.isUsable(id),
-        checkUnmarkedEnd: () => connections.probe(url),
+        checkUnmarkedEnd: () => this.#checkUnmarkedEnd(upstream),
         onHead: (head) => {
           attempt.head = head;
           attempt.rolloutAttempt?.recordData();
@@ -295,6 +295,12 @@
     }
   }
 
+  async #checkUnmarkedEnd(upstream: UpstreamEntry): Promise<boolean> {
+    const process = await this.#context.unmarkedAnswerCheck.check(upstream);
+    this.#log('unmarkedEndChecked', { upstreamId: upstream.id, process });
+    return process === 'running' || process === 'unknown';
+  }
+
   /**
    * Returns the usable upstreams. One that has just reopened after a back-off is limited to this
    * host's share of its slots for a while.
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -27,6 +27,7 @@
 import type { RelayMetrics } from './RelayMetrics.ts';
 import type { SilentEngineCheck } from './SilentEngineCheck.ts';
 import type { StopDeadline } from './StopDeadline.ts';
+import type { UnmarkedAnswerCheck } from './UnmarkedAnswerCheck.ts';
 import type { UpstreamStateTable } from './UpstreamStateTable.ts';
 import type { UpstreamProtocol } from './UpstreamProtocol.ts';
 
@@ -75,6 +76,8 @@
   readonly answerMemory: AnswerMemory;
   readonly stopDeadline: StopDeadline;
   readonly silentEngineCheck: SilentEngineCheck;
+  /** Finds out whether an upstream has ended an answer without a mark, or has ended itself. */
+  readonly unmarkedAnswerCheck: UnmarkedAnswerCheck;
   readonly engineProbe: EngineProbe;
   /** Knows whether this host reaches upstreams at all. */
   readonly reachability: ReachabilityMonitor;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -59,6 +59,7 @@
 import { RelayManager } from './RelayManager.ts';
 import { SilentEngineCheck } from './SilentEngineCheck.ts';
 import { StopDeadline } from './StopDeadline.ts';
+import { UnmarkedAnswerCheck } from './UnmarkedAnswerCheck.ts';
 import { UpstreamStateTable } from './UpstreamStateTable.ts';
 
 /** Limits until a configuration is known; requests are refused until then. */
@@ -372,6 +373,12 @@
       }),
       answerMemory: new AnswerMemory(memory),
       stopDeadline: new StopDeadline(clock),
+      unmarkedAnswerCheck: new UnmarkedAnswerCheck({
+        directory,
+        connections: adapters.connections,
+        healthClient: adapters.upstreamCheck,
+        rates,
+      }),
       silentEngineCheck: new SilentEngineCheck({
         clock, directory, rates, probe: adapters.engineProbe,
       }),
--- a/src/relay/earlyAnswers.test.ts
+++ b/src/relay/earlyAnswers.test.ts
@@ -75,6 +75,10 @@
   it('passes on an answer without a length once the upload is read, whole', async () => {
     const hashes: string[] = [];
     const target = await startBed((request, response) => {
+      if (request.url === '/health') {
+        response.end();
+        return;
+      }
       const hash = createHash('sha256');
       request.on('data', (chunk: Buffer) => hash.update(chunk));
       once(request, 'end').then(() => {
--- a/src/relay/unframedAnswers.test.ts
+++ b/src/relay/unframedAnswers.test.ts
@@ -9,6 +9,9 @@
 /** A whole event, and the beginning of the next one. */
 const EVENTS = 'id: 1\ndata: a\n\nid: 2\nda';
 
+/** Half of an answer, too long to be passed on without a length. */
+const LARGE_HALF = 'h'.repeat(24_000);
+
 const REPORT_PATH = '/-/report';
 
 let bed: RelayTestBed | null = null;
@@ -116,6 +119,34 @@
     });
   });
 
+  ['safe', 'once'].forEach((route) => {
+    it(`leaves an answer incomplete whose upstream restarted at once, route ${route}`, async () => {
+      // The next process has another id, and refuses calls for the one before.
+      const restart: UpstreamHandler = (request, response) => {
+        if (request.url === '/health') {
+          response.writeHead(421, { 'X-Instance-Id': 'next', 'X-Not-Executed': '1' }).end();
+          return;
+        }
+        response.socket?.end(`${getUnframedHead(request.headers['x-request-id'])}${LARGE_HALF}`);
+      };
+      const answer = await readRawAnswer(await startBed(restart, restart), `/${route}/`);
+      match(answer.text, /^HTTP\/1.1 502/);
+    });
+
+    it(`completes an answer whose upstream is too full for a check, route ${route}`, async () => {
+      const target = await startBed((request, response) => {
+        if (request.url === '/health') {
+          response.socket?.resetAndDestroy();
+          return;
+        }
+        response.socket?.end(`${getUnframedHead(request.headers['x-request-id'])}${LARGE_HALF}`);
+      });
+      const answer = await readRawAnswer(target, `/${route}/`);
+      match(answer.text, /^HTTP\/1.1 200/);
+      equal(looksComplete(answer), true);
+    });
+  });
+
   it('completes a stream that begins with chunks and goes on without them', async () => {
     const answerHalf: UpstreamHandler = (request, response) => {
       if (request.url === REPORT_PATH) {
