Pass requests on to no host that is known to be silent, and give up those that it has

Cause: an exchange with another host had no limit but the request's deadline, and hosts were chosen by their open requests alone; a lease tells of a dark host up to 6 s late.

Change: PeerLiveness asks a host for GET /alive every 250 ms while it serves requests of this one. After 0.9 s without an answer it is passed over until it answers a probe; after a second such probe its requests end with 502: they may have been taken, so 'not run' is not known and no other host may get them. Nothing is asked while nothing is passed on.

--- a/src/relay/ForwardingPeers.ts
+++ b/src/relay/ForwardingPeers.ts
@@ -2,6 +2,7 @@
 import type { HostId } from '../lib/ids.ts';
 import type { RandomSource } from '../lib/RandomSource.ts';
 import type { Clock } from '../time/Clock.ts';
+import type { PeerLiveness } from './PeerLiveness.ts';
 
 /** A host to which requests may be passed on. */
 export interface ForwardingPeer {
@@ -30,6 +31,8 @@
 
   readonly #random: RandomSource;
 
+  readonly #liveness: Pick<PeerLiveness, 'isSilent'>;
+
   readonly #openCounts = new Map<HostId, number>();
 
   readonly #avoidedUntilMs = new Map<HostId, number>();
@@ -39,12 +42,20 @@
    * @param hostId - this host
    * @param directory - knows the other hosts
    * @param random - decides among hosts with equally many open requests of this host
+   * @param liveness - knows which hosts are silent
    */
-  constructor(clock: Clock, hostId: HostId, directory: Directory, random: RandomSource) {
+  constructor(
+    clock: Clock,
+    hostId: HostId,
+    directory: Directory,
+    random: RandomSource,
+    liveness: Pick<PeerLiveness, 'isSilent'>,
+  ) {
     this.#clock = clock;
     this.#hostId = hostId;
     this.#directory = directory;
     this.#random = random;
+    this.#liveness = liveness;
   }
 
   /**
@@ -60,6 +71,7 @@
       forwardingAddress === undefined
         || id === this.#hostId
         || triedIds.has(id)
+        || this.#liveness.isSilent(id)
         || (this.#avoidedUntilMs.get(id) ?? 0) > nowMs
         ? []
         : [{
--- a/src/relay/ForwardingRelay.ts
+++ b/src/relay/ForwardingRelay.ts
@@ -37,6 +37,9 @@
 
   #peerExchange: PeerExchange | null = null;
 
+  /** Ends the probes of the other host for this request. */
+  #endWatch: () => void = () => {};
+
   #head: AnswerHead | null = null;
 
   /** Configuration version that the other host has; null until it tells. */
@@ -129,6 +132,8 @@
       comparesConfigurations: peer.comparesConfigurations,
       probe: () => connections.probe(url),
     });
+    this.#endWatch = this.#context.peerLiveness.watch(peer, () => (
+      this.#fail(STATUS.badGateway, 'peer-silent', null)));
     this.#peerExchange.send(this.#exchange.request, this.#getRemainingMs(), origin);
   }
 
@@ -193,6 +198,7 @@
   }
 
   #endExchange(peer: ForwardingPeer, end: PeerExchangeEnd): void {
+    this.#endWatch();
     this.#context.forwardingPeers.recordEnd(peer.hostId, end.kind !== 'notTaken');
     this.#peerExchange = null;
     if (this.#isOver) {
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -24,6 +24,7 @@
 import type { ForwardingOrigin } from './ForwardingOrigin.ts';
 import type { ForwardingPeers } from './ForwardingPeers.ts';
 import type { HostShares } from './HostShares.ts';
+import type { PeerLiveness } from './PeerLiveness.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
 import type { SilentEngineCheck } from './SilentEngineCheck.ts';
 import type { StopDeadline } from './StopDeadline.ts';
@@ -65,6 +66,8 @@
   readonly engineLifetimes: EngineLifetimes;
   /** Chooses the hosts that serve requests while this one reaches no upstream. */
   readonly forwardingPeers: ForwardingPeers;
+  /** Knows which of these hosts are silent. */
+  readonly peerLiveness: PeerLiveness;
   /** The lowest version of the configuration by which requests to this host may be decided. */
   readonly configurationFloor: ConfigurationFloor;
   /** Reads the configuration from another host that is ahead of this one. */
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -54,6 +54,7 @@
 import type { OpenRelay } from './RelayContext.ts';
 import { ForwardingPeers } from './ForwardingPeers.ts';
 import { HostShares } from './HostShares.ts';
+import { PeerLiveness } from './PeerLiveness.ts';
 import type { RelayHostAdapters, RelayHostSettings } from './RelayHostOptions.ts';
 import { RelayMetrics } from './RelayMetrics.ts';
 import { RelayManager } from './RelayManager.ts';
@@ -120,6 +121,8 @@
 
   readonly #peerConfigurationCheck: PeerConfigurationCheck;
 
+  readonly #peerLiveness: PeerLiveness;
+
   readonly #reachability: ReachabilityMonitor;
 
   readonly #relayManager: RelayManager;
@@ -244,6 +247,9 @@
       maxAgeMs: getMaxDirectoryAgeMs(settings),
       logger,
     });
+    this.#peerLiveness = new PeerLiveness({
+      directory, connections: adapters.connections, logger,
+    });
     const openRelays = new Set<OpenRelay>();
     const configurationFloor = new ConfigurationFloor(directory);
     this.#rolloutParts = createRollouts({
@@ -362,7 +368,9 @@
         settings.hostId,
         directory,
         new SystemRandomSource(),
+        this.#peerLiveness,
       ),
+      peerLiveness: this.#peerLiveness,
       configurationFloor,
       configurationCatchUp,
       peerConfigurationCheck: this.#peerConfigurationCheck,
@@ -544,6 +552,7 @@
     this.#streamVersions.close();
     this.#rolloutParts.reporter.close();
     this.#reachability.close();
+    this.#peerLiveness.close();
     this.#limitProbe.close();
     this.#quotaRenewal.close();
     this.#placementClient.close();
--- a/src/relay/strandedHosts.test.ts
+++ b/src/relay/strandedHosts.test.ts
@@ -8,6 +8,8 @@
 /** Time after which a host must know that it is cut off. */
 const CONTACT_MS = 3_000;
 const PATHS = ['/safe/', '/once/', '/stream/', '/single/'];
+/** Several requests are open at a time, but no more than a test's upstreams take. */
+const SLOW_RUN_MS = 200;
 const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
 
 let fleet: StrandedFleet | null = null;
@@ -76,6 +78,24 @@
     ok(text.endsWith('\r\n\r\nran'), text);
   });
 
+  it('passes requests on to no host that it knows to be silent', async () => {
+    fleet = new StrandedFleet();
+    await fleet.start(2, (_request, response) => {
+      setTimeout(() => response.end('ran'), SLOW_RUN_MS);
+    });
+    const target = fleet;
+    await target.addSilentHost();
+    await sleep(200);
+    target.cut(0, 'refused');
+    await sendUntilKnown(target, 0);
+    // The silent host has the fewest open requests whenever the other one serves some.
+    const answers = await Promise.all(Array.from({ length: 60 }, async (_, index) => {
+      await sleep(index * 30);
+      return (await target.send(0, '/once/', `later-${index}`)).status;
+    }));
+    deepEqual(answers, answers.map(() => 200));
+  });
+
   it('refuses at once while no host reaches an upstream, and serves again later', async () => {
     const target = await startFleet(2);
     [0, 1].forEach((hostIndex) => target.cut(hostIndex, 'silent'));
--- a/test/support/StrandedFleet.ts
+++ b/test/support/StrandedFleet.ts
@@ -1,7 +1,9 @@
 import {
   createServer, request as sendRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import {
+  createServer as createTcpServer, type AddressInfo, type Server as TcpServer,
+} from 'node:net';
 import type { ServingConfiguration } from '../../src/directory/ServingConfiguration.ts';
 import {
   toId, type HostId, type PoolId, type UpstreamId,
@@ -10,6 +12,7 @@
 import { CuttableConnections, type Cut } from './CuttableConnections.ts';
 import { CuttableStore } from './CuttableStore.ts';
 import { MemoryDirectoryStore } from './MemoryDirectoryStore.ts';
+import { createHostChange } from './createHostChange.ts';
 import { createBedConfiguration } from './createBedConfiguration.ts';
 import { TEST_IP } from './getFreePort.ts';
 import { sendRaw, type RawAnswer } from './readRawAnswer.ts';
@@ -40,6 +43,8 @@
 
   readonly #upstreamUrls = new Set<string>();
 
+  readonly #silentHosts: TcpServer[] = [];
+
   #configuration = createBedConfiguration(POOL_ID);
 
   /** Ids of the requests that upstreams have run, once for each run. */
@@ -81,6 +86,19 @@
     this.#getHost(hostIndex).storePath.isCut = isCut;
   }
 
+  /** Registers a host that accepts connections and never answers, as a frozen one does. */
+  async addSilentHost(): Promise<void> {
+    const server = createTcpServer();
+    await new Promise<void>((resolve) => {
+      server.listen(0, TEST_IP, resolve);
+    });
+    const address = `${TEST_IP}:${(server.address() as AddressInfo).port}`;
+    this.#silentHosts.push(server);
+    this.#store.changes.push(createHostChange('silent', {
+      peerAddress: address, forwardingAddress: address, comparesConfigurations: true,
+    }));
+  }
+
   /** @param change - makes the next version of the configuration, which is in the store then */
   configure(change: (configuration: ServingConfiguration) => Partial<ServingConfiguration>): void {
     const version = this.#configuration.version + 1;
@@ -161,6 +179,7 @@
   async close(): Promise<void> {
     await Promise.all(this.#hosts.map(({ host }) => host.stop()));
     await Promise.all(this.#hosts.map(({ connections }) => connections.close()));
+    this.#silentHosts.forEach((server) => server.close());
     this.#servers.forEach((server) => {
       server.close();
       server.closeAllConnections();
