--- a/src/relay/ForwardingRelay.ts
+++ b/src/relay/ForwardingRelay.ts
@@ -99,8 +99,8 @@
   }
 
   #sendToNext(): void {
-    const { forwardingPeers, connections, protocol } = this.#context;
-    const peer = this.#triedIds.size < MAX_PEERS ? forwardingPeers.choose(this.#triedIds) : null;
+    const { forwarding, connections, protocol } = this.#context;
+    const peer = this.#triedIds.size < MAX_PEERS ? forwarding.peers.choose(this.#triedIds) : null;
     if (peer === null) {
       this.#fail(STATUS.unavailable, 'no-upstream-reachable', RETRY_AFTER_MS);
       return;
@@ -111,8 +111,8 @@
       return;
     }
     this.#triedIds.add(peer.hostId);
-    forwardingPeers.recordStart(peer.hostId);
-    const origin = this.#context.getForwardingOrigin();
+    forwarding.peers.recordStart(peer.hostId);
+    const origin = forwarding.getOrigin();
     this.#log('forwarded', { hostId: peer.hostId, version: origin.configurationVersion });
     const url = `http://${peer.address}`;
     this.#peerExchange = new PeerExchange({
@@ -132,7 +132,7 @@
       comparesConfigurations: peer.comparesConfigurations,
       probe: () => connections.probe(url),
     });
-    this.#endWatch = this.#context.peerLiveness.watch(peer, () => (
+    this.#endWatch = forwarding.liveness.watch(peer, () => (
       this.#fail(STATUS.badGateway, 'peer-silent', null)));
     this.#peerExchange.send(this.#exchange.request, this.#getRemainingMs(), origin);
   }
@@ -148,7 +148,7 @@
 
   /** From now on, no older version decides on requests to this host. */
   #recordDecided(version: number, { peerAddress }: ForwardingPeer): void {
-    const { configurationFloor, configurationCatchUp } = this.#context;
+    const { configurationFloor, configurationCatchUp } = this.#context.forwarding;
     this.#decidedVersion = version;
     configurationFloor.recordDecided(version);
     configurationCatchUp.start(version, peerAddress);
@@ -199,7 +199,7 @@
 
   #endExchange(peer: ForwardingPeer, end: PeerExchangeEnd): void {
     this.#endWatch();
-    this.#context.forwardingPeers.recordEnd(peer.hostId, end.kind !== 'notTaken');
+    this.#context.forwarding.peers.recordEnd(peer.hostId, end.kind !== 'notTaken');
     this.#peerExchange = null;
     if (this.#isOver) {
       return;
--- a/src/relay/RelayContext.ts
+++ b/src/relay/RelayContext.ts
@@ -1,7 +1,5 @@
 import type { Logger } from 'pino';
-import type { ConfigurationCatchUp } from '../directory/ConfigurationCatchUp.ts';
 import type { Directory } from '../directory/Directory.ts';
-import type { PeerConfigurationCheck } from '../directory/PeerConfigurationCheck.ts';
 import type { ServingRoute } from '../directory/ServingConfiguration.ts';
 import type { UpstreamNoticeHandler } from '../directory/UpstreamNoticeHandler.ts';
 import type { PoolId, UpstreamId } from '../lib/ids.ts';
@@ -19,12 +17,9 @@
 import type { OwnQuota } from '../quotas/OwnQuota.ts';
 import type { StreamVersions } from '../streams/StreamVersions.ts';
 import type { AnswerMemory } from './AnswerMemory.ts';
-import type { ConfigurationFloor } from './ConfigurationFloor.ts';
+import type { Forwarding } from './createForwarding.ts';
 import type { EngineProbe } from './EngineProbe.ts';
-import type { ForwardingOrigin } from './ForwardingOrigin.ts';
-import type { ForwardingPeers } from './ForwardingPeers.ts';
 import type { HostShares } from './HostShares.ts';
-import type { PeerLiveness } from './PeerLiveness.ts';
 import type { RelayMetrics } from './RelayMetrics.ts';
 import type { SilentEngineCheck } from './SilentEngineCheck.ts';
 import type { StopDeadline } from './StopDeadline.ts';
@@ -64,18 +59,8 @@
   readonly rollouts: Rollouts;
   /** Proves that an engine still runs as its entry says, before a stream goes on there. */
   readonly engineLifetimes: EngineLifetimes;
-  /** Chooses the hosts that serve requests while this one reaches no upstream. */
-  readonly forwardingPeers: ForwardingPeers;
-  /** Knows which of these hosts are silent. */
-  readonly peerLiveness: PeerLiveness;
-  /** The lowest version of the configuration by which requests to this host may be decided. */
-  readonly configurationFloor: ConfigurationFloor;
-  /** Reads the configuration from another host that is ahead of this one. */
-  readonly configurationCatchUp: ConfigurationCatchUp;
-  /** Confirms the configuration of this host with other hosts while the store is silent. */
-  readonly peerConfigurationCheck: PeerConfigurationCheck;
-  /** @returns what this host tells of itself with a request that it passes on now */
-  readonly getForwardingOrigin: () => ForwardingOrigin;
+  /** Passes requests on to other hosts while this one reaches no upstream, and serves theirs. */
+  readonly forwarding: Forwarding;
   readonly answerMemory: AnswerMemory;
   readonly stopDeadline: StopDeadline;
   readonly silentEngineCheck: SilentEngineCheck;
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -1,16 +1,12 @@
 import { randomUUID } from 'node:crypto';
 import type { Logger } from 'pino';
-import { ConfigurationCatchUp } from '../directory/ConfigurationCatchUp.ts';
 import { Directory } from '../directory/Directory.ts';
 import { DirectoryChangeLogger } from '../directory/DirectoryChangeLogger.ts';
 import { DirectoryFollower } from '../directory/DirectoryFollower.ts';
 import { DirectoryReaderSelector } from '../directory/DirectoryReaderSelector.ts';
 import { HostCountRecorder } from '../directory/HostCountRecorder.ts';
 import { HostRegistration } from '../directory/HostRegistration.ts';
-import { HttpConfigurationPeers } from '../directory/HttpConfigurationPeers.ts';
 import { HttpDirectoryPeers } from '../directory/HttpDirectoryPeers.ts';
-import { PeerConfigurationCheck } from '../directory/PeerConfigurationCheck.ts';
-import { getMaxDirectoryAgeMs } from '../directory/getMaxDirectoryAgeMs.ts';
 import type { CallerLimits } from '../directory/ServingConfiguration.ts';
 import { registerConfigurationRoutes } from '../directory/registerConfigurationRoutes.ts';
 import { registerDirectoryRoutes } from '../directory/registerDirectoryRoutes.ts';
@@ -49,12 +45,10 @@
 import { registerRolloutRoutes } from '../rollouts/registerRolloutRoutes.ts';
 import type { Clock } from '../time/Clock.ts';
 import { AnswerMemory } from './AnswerMemory.ts';
-import { ConfigurationFloor } from './ConfigurationFloor.ts';
+import { createForwarding, type Forwarding } from './createForwarding.ts';
 import { createEngineFigureReader } from './createEngineFigureReader.ts';
 import type { OpenRelay } from './RelayContext.ts';
-import { ForwardingPeers } from './ForwardingPeers.ts';
 import { HostShares } from './HostShares.ts';
-import { PeerLiveness } from './PeerLiveness.ts';
 import type { RelayHostAdapters, RelayHostSettings } from './RelayHostOptions.ts';
 import { RelayMetrics } from './RelayMetrics.ts';
 import { RelayManager } from './RelayManager.ts';
@@ -119,9 +113,7 @@
 
   readonly #rolloutParts: RolloutParts;
 
-  readonly #peerConfigurationCheck: PeerConfigurationCheck;
-
-  readonly #peerLiveness: PeerLiveness;
+  readonly #forwarding: Forwarding;
 
   readonly #reachability: ReachabilityMonitor;
 
@@ -232,26 +224,10 @@
       logger,
       onChange: (isCutOff) => this.#applyReachability(isCutOff),
     });
-    const configurationCatchUp = new ConfigurationCatchUp({
-      directory,
-      store: adapters.store,
-      peers: new HttpConfigurationPeers(adapters.connections),
-      logger,
-    });
-    this.#peerConfigurationCheck = new PeerConfigurationCheck({
-      clock,
-      hostId: settings.hostId,
-      directory,
-      catchUp: configurationCatchUp,
-      random: new SystemRandomSource(),
-      maxAgeMs: getMaxDirectoryAgeMs(settings),
-      logger,
-    });
-    this.#peerLiveness = new PeerLiveness({
-      directory, connections: adapters.connections, logger,
+    this.#forwarding = createForwarding({
+      clock, settings, directory, store: adapters.store, connections: adapters.connections, logger,
     });
     const openRelays = new Set<OpenRelay>();
-    const configurationFloor = new ConfigurationFloor(directory);
     this.#rolloutParts = createRollouts({
       clock,
       hostId: settings.hostId,
@@ -363,22 +339,7 @@
         onUnlisted: (poolId) => this.#streamVersions.recordUnlisted(poolId),
         logger,
       }),
-      forwardingPeers: new ForwardingPeers(
-        clock,
-        settings.hostId,
-        directory,
-        new SystemRandomSource(),
-        this.#peerLiveness,
-      ),
-      peerLiveness: this.#peerLiveness,
-      configurationFloor,
-      configurationCatchUp,
-      peerConfigurationCheck: this.#peerConfigurationCheck,
-      getForwardingOrigin: () => ({
-        hostId: settings.hostId,
-        peerAddress: settings.peerAddress,
-        configurationVersion: configurationFloor.version,
-      }),
+      forwarding: this.#forwarding,
       answerMemory: new AnswerMemory(memory),
       stopDeadline: new StopDeadline(clock),
       unmarkedAnswerCheck: new UnmarkedAnswerCheck({
@@ -552,7 +513,7 @@
     this.#streamVersions.close();
     this.#rolloutParts.reporter.close();
     this.#reachability.close();
-    this.#peerLiveness.close();
+    this.#forwarding.liveness.close();
     this.#limitProbe.close();
     this.#quotaRenewal.close();
     this.#placementClient.close();
@@ -618,7 +579,7 @@
         this.#limitCoordinators.restartTakeovers();
       }
       lastMs = nowMs;
-      this.#peerConfigurationCheck.check();
+      this.#forwarding.configurationCheck.check();
     }, STALL_CHECK_INTERVAL_MS).unref();
   }
 }
--- a/src/relay/RelayManager.ts
+++ b/src/relay/RelayManager.ts
@@ -103,7 +103,8 @@
    * @param exchange - a request of another host, which reaches no upstream
    */
   relayForwarded(exchange: CallerExchange): void {
-    const { protocol, configurationCatchUp } = this.#context;
+    const { protocol, forwarding } = this.#context;
+    const { configurationCatchUp, configurationCheck } = forwarding;
     const origin = protocol.decodeForwardingOrigin(exchange.request.rawHeaders);
     if (origin !== null && configurationCatchUp.hasReached(origin.configurationVersion)) {
       this.#decideForwarded(exchange, origin);
@@ -111,7 +112,7 @@
     }
     const caughtUp = origin === null
       // A host of an earlier build does not tell its version, which may be newer.
-      ? this.#context.peerConfigurationCheck.confirm()
+      ? configurationCheck.confirm()
       : configurationCatchUp
         .reach(origin.configurationVersion, origin.peerAddress, MAX_CATCH_UP_MS);
     caughtUp
@@ -126,7 +127,7 @@
 
   #decideForwarded(exchange: CallerExchange, origin: ForwardingOrigin | null): void {
     this.#announceVersion(exchange, origin);
-    const { reachability, configurationCatchUp } = this.#context;
+    const { reachability, forwarding: { configurationCatchUp } } = this.#context;
     if (reachability.isCutOff || this.#isRefusing) {
       // A request is passed on only once; the other host asks the next one.
       this.#refuse(exchange, NOT_TAKEN_STATUS, 'no-upstream-reachable', null);
