Bound the bodies of requests that are passed on by their declared length

What callers saw: a host that another one passed an upload of several chunks on to ended with 'Invalid array buffer max length'; hosts that reach no upstream were served by hosts that ended one after the other.

Change: a body's memory is bounded by its declared length, and one that is passed on by 64 MiB.

Test: relay/strandedHosts, 'passes on large uploads, which take many chunks', failed (RangeError), passes.

--- a/src/ingress/IngressServer.ts
+++ b/src/ingress/IngressServer.ts
@@ -175,11 +175,13 @@
       refuse(response, STATUS.badRequest, 'request-id-missing');
       return;
     }
-    if (Number(request.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
+    const { 'content-length': contentLength = limits.maxBodyBytes } = request.headers;
+    const maxBytes = Number(contentLength);
+    if (maxBytes > limits.maxBodyBytes) {
       refuse(response, STATUS.bodyTooLarge, 'body-too-large');
       return;
     }
-    this.#readBody(request, response, limits.maxBodyBytes, (body) => {
+    this.#readBody(request, response, maxBytes, (body) => {
       this.#options.onRequest(new CallerExchange({
         profile,
         method: request.method ?? 'GET',
--- a/src/relay/RelayHost.ts
+++ b/src/relay/RelayHost.ts
@@ -68,7 +68,7 @@
  * Sizes of requests that another host passes on. That host has checked them by its configuration,
  * which may be newer; here they are bounded by what Node reads and by the memory for bodies.
  */
-const FORWARDED_SIZES = { maxHeaderBytes: Infinity, maxBodyBytes: Infinity } as const;
+const FORWARDED_SIZES = { maxHeaderBytes: 65_536, maxBodyBytes: 67_108_864 } as const;
 /** Interval of the stall check, and the gap between checks that counts as a stall. */
 const STALL_CHECK_INTERVAL_MS = 300;
 const STALL_THRESHOLD_MS = 900;
--- a/src/relay/strandedHosts.test.ts
+++ b/src/relay/strandedHosts.test.ts
@@ -78,6 +78,15 @@
     ok(text.endsWith('\r\n\r\nran'), text);
   });
 
+  it('passes on large uploads, which take many chunks', async () => {
+    const target = await startFleet(2);
+    target.cut(0, 'refused');
+    await sendUntilKnown(target, 0);
+    const body = 'u'.repeat(1_000_000);
+    equal((await target.send(0, '/once/', 'large', 'key', body)).status, 200);
+    ok(target.runs.includes('large'));
+  });
+
   it('passes requests on to no host that it knows to be silent', async () => {
     fleet = new StrandedFleet();
     await fleet.start(2, (_request, response) => {
