Make silent hosts the last choice instead of none

What callers saw: on a machine short of processor time (load 43), a host that reaches no upstream, with one other host frozen and one slow, served 10 of 66 usual requests, most of the rest 503 (one trial; what part of it was the load is not shown).

Cause, by reading: a host that does not answer GET /alive within 0.9 s was not chosen at all; a slow one counts as silent then, and with no host left a request is refused that a slow host might have served.

Change: a silent host is chosen only when no other is left, as before it was known to be silent. Tests: relay/strandedHosts, relay/PeerLiveness and relay/staleConfigurations pass (20).

--- a/src/relay/ForwardingPeers.ts
+++ b/src/relay/ForwardingPeers.ts
@@ -60,8 +60,8 @@
 
   /**
    * @param triedIds - hosts that did not take the request
-   * @returns the host with the fewest open requests of this host, one of an earlier build only when
-   * no other is left; null when none is left
+   * @returns the host with the fewest open requests of this host; one that is silent, or of an
+   * earlier build, only when no other is left; null when none is left
    */
   choose(triedIds: ReadonlySet<HostId>): ForwardingPeer | null {
     const nowMs = this.#clock.getMonotonicMs();
@@ -71,17 +71,18 @@
       forwardingAddress === undefined
         || id === this.#hostId
         || triedIds.has(id)
-        || this.#liveness.isSilent(id)
         || (this.#avoidedUntilMs.get(id) ?? 0) > nowMs
         ? []
         : [{
           peer: {
             hostId: id, address: forwardingAddress, peerAddress, comparesConfigurations,
           },
+          isSilent: this.#liveness.isSilent(id),
           order: this.#random.getFraction(),
         }]));
     const [best] = candidates.sort((left, right) => (
-      Number(right.peer.comparesConfigurations) - Number(left.peer.comparesConfigurations)
+      Number(left.isSilent) - Number(right.isSilent)
+      || Number(right.peer.comparesConfigurations) - Number(left.peer.comparesConfigurations)
       || this.#getOpenCount(left.peer.hostId) - this.#getOpenCount(right.peer.hostId)
       || left.order - right.order));
     return best?.peer ?? null;
--- a/src/relay/PeerLiveness.ts
+++ b/src/relay/PeerLiveness.ts
@@ -111,7 +111,7 @@
         { event: isAnswered ? 'peerRegained' : 'peerSilent', hostId: state.peer.hostId },
         isAnswered
           ? 'a host answers again; requests are passed on to it'
-          : 'a host does not answer; no more requests are passed on to it until it does',
+          : 'a host does not answer; requests are passed on to it only when no other is left',
       );
     }
     if (state.silentCount >= GIVE_UP_COUNT) {
